Lay out the workspace: design, state folds, log client, RPC types

The core package folds the config, task and claim streams without I/O; the log package groups appends and resolves an append whose answer was lost by storing a no-op and reading back. No process serves a request yet.

--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent process: one beside each upstream.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP interface for callers.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command line.
--- /dev/null
+++ b/crates/core/src/freshness.rs
@@ -0,0 +1,36 @@
+//! How recently a view of the configuration was confirmed.
+
+use crate::constants::CONFIG_FRESHNESS;
+use crate::unit::{Millis, Moment};
+
+/// The moment up to which a view is known to be complete.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfirmedView {
+    confirmed: Option<Moment>,
+}
+
+impl ConfirmedView {
+    /// Records a read that reached the end of the stream and was sent at `sent`.
+    pub fn confirm(&mut self, sent: Moment) {
+        self.confirmed = self.confirmed.max(Some(sent));
+    }
+
+    /// Records a reply to a message sent at `sent`, whose view was `age` old.
+    pub fn confirm_relayed(&mut self, sent: Moment, age: Millis) {
+        if age <= sent.0 {
+            self.confirm(sent.before(age));
+        }
+    }
+
+    /// Age of the confirmation; `None` if there was none.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Millis> {
+        self.confirmed.map(|confirmed| now.since(confirmed))
+    }
+
+    /// Whether a task may start under this view.
+    #[must_use]
+    pub fn allows_start(&self, now: Moment) -> bool {
+        self.age(now).is_some_and(|age| age <= CONFIG_FRESHNESS)
+    }
+}
--- /dev/null
+++ b/crates/core/src/shard.rs
@@ -0,0 +1,440 @@
+//! Fold of a task stream: ownership of the shard and the state of its tasks.
+//!
+//! Records of an owner carry its epoch and have no effect once a later claim
+//! stands before them in the stream. A task is placed only from `Pending`, and
+//! becomes `Pending` again only by the recorded end of its last placement, so
+//! it never has two placements that count.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::envelope::{LogEnvelope, WriterTable};
+use crate::job::{JobId, JobSpec, ParkReason, PlacementEnd, TaskId, TaskMove, TaskOutcome};
+use crate::name::{CheckpointName, ShardName, VmName};
+use crate::resource::ResourceVector;
+use crate::unit::{Epoch, Offset, Token};
+
+/// A record of a task stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskRecord {
+    Noop,
+    OwnerClaimed {
+        epoch: Epoch,
+        owner: VmName,
+        address: SocketAddr,
+    },
+    JobSubmitted(JobSpec),
+    JobCancelled(JobId),
+    TaskPlaced {
+        epoch: Epoch,
+        task: TaskId,
+        vm: VmName,
+        need: ResourceVector,
+    },
+    TaskEnded {
+        epoch: Epoch,
+        task: TaskId,
+        token: Token,
+        end: PlacementEnd,
+    },
+    JobParked {
+        epoch: Epoch,
+        job: JobId,
+        reason: ParkReason,
+    },
+    JobReleased {
+        epoch: Epoch,
+        job: JobId,
+    },
+    /// The task leaves this shard.
+    TaskHandedOver {
+        epoch: Epoch,
+        task_move: TaskMove,
+    },
+    /// The task enters this shard; written by the owner of the shard it left.
+    TaskReceived {
+        spec: JobSpec,
+        task_move: TaskMove,
+    },
+    /// The receiving stream holds the task.
+    HandOverConfirmed {
+        epoch: Epoch,
+        task: TaskId,
+        number: u32,
+    },
+    /// Forgets an ended job.
+    JobForgotten {
+        epoch: Epoch,
+        job: JobId,
+    },
+}
+
+/// Who owns a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardOwnership {
+    pub epoch: Epoch,
+    pub owner: VmName,
+    pub address: SocketAddr,
+}
+
+/// State of one task within a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    Pending {
+        checkpoint: Option<CheckpointName>,
+    },
+    Placed {
+        token: Token,
+        epoch: Epoch,
+        vm: VmName,
+        need: ResourceVector,
+        checkpoint: Option<CheckpointName>,
+    },
+    Ended(TaskOutcome),
+    /// Handed over; to be repeated to the receiver until `confirmed`.
+    Away {
+        task_move: TaskMove,
+        confirmed: bool,
+    },
+}
+
+/// A task and how often it changed shards and failed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskEntry {
+    pub state: TaskState,
+    /// Number of the last move that this shard saw.
+    pub moves: u32,
+    pub failures: u32,
+    /// Placements so far.
+    pub placements: u32,
+}
+
+impl TaskEntry {
+    fn pending(checkpoint: Option<CheckpointName>, moves: u32) -> Self {
+        let state = TaskState::Pending { checkpoint };
+        Self { state, moves, failures: 0, placements: 0 }
+    }
+}
+
+/// A job within a shard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobEntry {
+    pub spec: Arc<JobSpec>,
+    /// Offset of the record that brought the job here.
+    pub since: Offset,
+    /// Whether this shard accounts for the plan's allowance.
+    pub home: bool,
+    pub cancelled: bool,
+    pub parked: Option<ParkReason>,
+    pub tasks: IndexMap<u32, TaskEntry>,
+}
+
+impl JobEntry {
+    /// Whether every task has ended.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.tasks.values().all(|task| matches!(task.state, TaskState::Ended(_)))
+    }
+}
+
+/// What the fold made of a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TaskEffect {
+    Ignored,
+    /// The claim holds the shard from here on.
+    Owned(Epoch),
+    Applied,
+    /// The job was submitted before.
+    KnownJob,
+    /// The record's epoch is not the current one.
+    StaleEpoch {
+        current: Epoch,
+    },
+    /// The record's premise does not hold any more.
+    StalePremise,
+}
+
+/// Fold of a task stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardFold {
+    shard: ShardName,
+    next: Offset,
+    writers: WriterTable,
+    ownership: Option<ShardOwnership>,
+    #[serde(with = "indexmap::map::serde_seq")]
+    jobs: IndexMap<JobId, JobEntry>,
+}
+
+impl ShardFold {
+    #[must_use]
+    pub fn new(shard: ShardName) -> Self {
+        Self {
+            shard,
+            next: 0,
+            writers: WriterTable::default(),
+            ownership: None,
+            jobs: IndexMap::new(),
+        }
+    }
+
+    #[must_use]
+    pub fn shard(&self) -> &ShardName {
+        &self.shard
+    }
+
+    /// Offset of the first record not yet folded.
+    #[must_use]
+    pub fn next(&self) -> Offset {
+        self.next
+    }
+
+    #[must_use]
+    pub fn ownership(&self) -> Option<&ShardOwnership> {
+        self.ownership.as_ref()
+    }
+
+    /// Current epoch, 0 before the first claim.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.ownership.as_ref().map_or(0, |ownership| ownership.epoch)
+    }
+
+    #[must_use]
+    pub fn job(&self, job: &JobId) -> Option<&JobEntry> {
+        self.jobs.get(job)
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = &JobEntry> {
+        self.jobs.values()
+    }
+
+    #[must_use]
+    pub fn task(&self, task: &TaskId) -> Option<&TaskEntry> {
+        self.jobs.get(&task.job)?.tasks.get(&task.index)
+    }
+
+    /// Skips a record that does not parse.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next = self.next.max(offset + 1);
+    }
+
+    /// Folds the record at `offset`; offsets before [`next`](Self::next) have no effect.
+    pub fn apply(&mut self, offset: Offset, record: LogEnvelope<TaskRecord>) -> TaskEffect {
+        if offset < self.next {
+            return TaskEffect::Ignored;
+        }
+        self.next = offset + 1;
+        if !self.writers.admit(&record.writer, record.sequence, offset) {
+            return TaskEffect::Ignored;
+        }
+        match record.body {
+            TaskRecord::Noop => TaskEffect::Ignored,
+            TaskRecord::OwnerClaimed { epoch, owner, address } => {
+                self.claim(ShardOwnership { epoch, owner, address })
+            }
+            TaskRecord::JobSubmitted(spec) => self.submit(offset, spec),
+            TaskRecord::JobCancelled(job) => self.cancel(&job),
+            TaskRecord::TaskReceived { spec, task_move } => self.receive(offset, spec, task_move),
+            owned => self.apply_owned(offset, owned),
+        }
+    }
+
+    fn apply_owned(&mut self, offset: Offset, record: TaskRecord) -> TaskEffect {
+        let Some(epoch) = epoch_of(&record) else { return TaskEffect::Ignored };
+        if epoch != self.epoch() {
+            return TaskEffect::StaleEpoch { current: self.epoch() };
+        }
+        let applied = match record {
+            TaskRecord::TaskPlaced { task, vm, need, .. } => {
+                self.place(&task, offset, epoch, vm, need)
+            }
+            TaskRecord::TaskEnded { task, token, end, .. } => self.end(&task, token, end),
+            TaskRecord::JobParked { job, reason, .. } => self.park(&job, Some(reason)),
+            TaskRecord::JobReleased { job, .. } => self.park(&job, None),
+            TaskRecord::TaskHandedOver { task_move, .. } => self.hand_over(task_move),
+            TaskRecord::HandOverConfirmed { task, number, .. } => self.confirm(&task, number),
+            TaskRecord::JobForgotten { job, .. } => self.forget(&job),
+            _ => None,
+        };
+        applied.map_or(TaskEffect::StalePremise, |()| TaskEffect::Applied)
+    }
+
+    fn claim(&mut self, ownership: ShardOwnership) -> TaskEffect {
+        if ownership.epoch != self.epoch() + 1 {
+            return TaskEffect::StaleEpoch { current: self.epoch() };
+        }
+        let epoch = ownership.epoch;
+        self.ownership = Some(ownership);
+        TaskEffect::Owned(epoch)
+    }
+
+    fn submit(&mut self, offset: Offset, spec: JobSpec) -> TaskEffect {
+        if self.jobs.contains_key(&spec.id) {
+            return TaskEffect::KnownJob;
+        }
+        let tasks = (0..spec.tasks).map(|index| (index, TaskEntry::pending(None, 0))).collect();
+        self.jobs.insert(spec.id.clone(), JobEntry::new(spec, offset, true, tasks));
+        TaskEffect::Applied
+    }
+
+    fn cancel(&mut self, job: &JobId) -> TaskEffect {
+        let Some(entry) = self.jobs.get_mut(job) else { return TaskEffect::StalePremise };
+        entry.cancelled = true;
+        for task in entry.tasks.values_mut() {
+            if matches!(task.state, TaskState::Pending { .. }) {
+                task.state = TaskState::Ended(TaskOutcome::Cancelled);
+            }
+        }
+        TaskEffect::Applied
+    }
+
+    fn receive(&mut self, offset: Offset, spec: JobSpec, task_move: TaskMove) -> TaskEffect {
+        if task_move.to != self.shard {
+            return TaskEffect::StalePremise;
+        }
+        let entry = self
+            .jobs
+            .entry(spec.id.clone())
+            .or_insert_with(|| JobEntry::new(spec, offset, false, IndexMap::new()));
+        let cancelled = entry.cancelled;
+        let task =
+            entry.tasks.entry(task_move.task.index).or_insert_with(|| TaskEntry::pending(None, 0));
+        if task_move.number <= task.moves {
+            return TaskEffect::Ignored;
+        }
+        task.moves = task_move.number;
+        task.state = match task_move.ended {
+            Some(outcome) => TaskState::Ended(outcome),
+            None if cancelled => TaskState::Ended(TaskOutcome::Cancelled),
+            None => TaskState::Pending { checkpoint: task_move.checkpoint },
+        };
+        TaskEffect::Applied
+    }
+
+    fn entry_mut(&mut self, task: &TaskId) -> Option<(&mut TaskEntry, &JobSpec, bool)> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let entry = job.tasks.get_mut(&task.index)?;
+        Some((entry, &job.spec, job.cancelled))
+    }
+
+    fn place(
+        &mut self,
+        task: &TaskId,
+        token: Token,
+        epoch: Epoch,
+        vm: VmName,
+        need: ResourceVector,
+    ) -> Option<()> {
+        let (entry, _, _) = self.entry_mut(task)?;
+        let TaskState::Pending { checkpoint } = &entry.state else { return None };
+        let checkpoint = checkpoint.clone();
+        entry.state = TaskState::Placed { token, epoch, vm, need, checkpoint };
+        entry.placements += 1;
+        Some(())
+    }
+
+    fn end(&mut self, task: &TaskId, token: Token, end: PlacementEnd) -> Option<()> {
+        let (entry, spec, cancelled) = self.entry_mut(task)?;
+        let TaskState::Placed { token: current, checkpoint, .. } = &entry.state else {
+            return None;
+        };
+        if *current != token {
+            return None;
+        }
+        let kept = checkpoint.clone();
+        if end == PlacementEnd::Failed {
+            entry.failures += 1;
+        }
+        entry.state = match end {
+            PlacementEnd::Finished { digest } if !spec.class.is_endless() => {
+                TaskState::Ended(TaskOutcome::Finished { digest })
+            }
+            _ if cancelled => TaskState::Ended(TaskOutcome::Cancelled),
+            PlacementEnd::Cancelled => TaskState::Ended(TaskOutcome::Cancelled),
+            PlacementEnd::Evicted { checkpoint } => {
+                TaskState::Pending { checkpoint: checkpoint.or(kept) }
+            }
+            _ => TaskState::Pending { checkpoint: kept },
+        };
+        Some(())
+    }
+
+    fn park(&mut self, job: &JobId, reason: Option<ParkReason>) -> Option<()> {
+        let entry = self.jobs.get_mut(job)?;
+        if entry.parked.is_some() == reason.is_some() {
+            return None;
+        }
+        entry.parked = reason;
+        Some(())
+    }
+
+    fn hand_over(&mut self, task_move: TaskMove) -> Option<()> {
+        let from_here = task_move.from == self.shard && task_move.to != self.shard;
+        let (entry, _, _) = self.entry_mut(&task_move.task)?;
+        if !from_here || task_move.number != entry.moves + 1 {
+            return None;
+        }
+        let ready = match (&entry.state, &task_move.ended) {
+            (TaskState::Pending { checkpoint }, None) => *checkpoint == task_move.checkpoint,
+            (TaskState::Ended(outcome), Some(moved)) => outcome == moved,
+            _ => false,
+        };
+        if !ready {
+            return None;
+        }
+        entry.moves = task_move.number;
+        entry.state = TaskState::Away { task_move, confirmed: false };
+        Some(())
+    }
+
+    fn confirm(&mut self, task: &TaskId, number: u32) -> Option<()> {
+        let (entry, _, _) = self.entry_mut(task)?;
+        match &mut entry.state {
+            TaskState::Away { task_move, confirmed } if task_move.number == number => {
+                *confirmed = true;
+                Some(())
+            }
+            _ => None,
+        }
+    }
+
+    /// Forgets a job that has ended, or whose tasks have all left this shard.
+    fn forget(&mut self, job: &JobId) -> Option<()> {
+        let entry = self.jobs.get(job)?;
+        let over = |task: &TaskEntry| match &task.state {
+            TaskState::Ended(_) => true,
+            TaskState::Away { confirmed, .. } => *confirmed && !entry.home,
+            _ => false,
+        };
+        if !entry.tasks.values().all(over) {
+            return None;
+        }
+        self.jobs.shift_remove(job);
+        Some(())
+    }
+}
+
+impl JobEntry {
+    fn new(spec: JobSpec, since: Offset, home: bool, tasks: IndexMap<u32, TaskEntry>) -> Self {
+        Self { spec: Arc::new(spec), since, home, cancelled: false, parked: None, tasks }
+    }
+}
+
+/// Epoch of a record that only the owner may write.
+fn epoch_of(record: &TaskRecord) -> Option<Epoch> {
+    match record {
+        TaskRecord::TaskPlaced { epoch, .. }
+        | TaskRecord::TaskEnded { epoch, .. }
+        | TaskRecord::JobParked { epoch, .. }
+        | TaskRecord::JobReleased { epoch, .. }
+        | TaskRecord::TaskHandedOver { epoch, .. }
+        | TaskRecord::HandOverConfirmed { epoch, .. }
+        | TaskRecord::JobForgotten { epoch, .. } => Some(*epoch),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry process: routing and admission for callers.
--- /dev/null
+++ b/crates/log/src/appender.rs
@@ -0,0 +1,307 @@
+//! Grouped appends to one stream by one writer.
+//!
+//! One append is in flight at a time; records that arrive meanwhile form the
+//! next group. If an answer is lost, the appender stores a no-op with a higher
+//! sequence number and reads back: a record that does not stand before the
+//! no-op is not stored, and if it still arrives later, the fold drops it for its
+//! lower number.
+
+use std::time::Duration;
+
+use cactusdoor_core::envelope::{LogEnvelope, WriterId};
+use cactusdoor_core::fold::RecordBody;
+use cactusdoor_core::name::StreamName;
+use cactusdoor_core::unit::{Millis, Offset, Sequence};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use thiserror::Error;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::client::{AppendError, LogClient, ReadError};
+
+/// Most records in one append.
+pub const MAX_GROUP_RECORDS: usize = 512;
+/// Pause before a refused append is repeated.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
+/// Tries of an append that the rate limit refuses.
+const MAX_RATE_LIMITED_TRIES: u32 = 40;
+const READ_PAGE: usize = 1_000;
+
+/// Where a record was stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    pub offset: Offset,
+    pub sequence: Sequence,
+}
+
+/// Why a record has no offset. Unless it is [`Unknown`](Self::Unknown), the
+/// record is not stored and will have no effect later either.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NotStored {
+    #[error("log service limits the rate of appends")]
+    RateLimited,
+    #[error("log service is unavailable")]
+    Unavailable,
+    #[error("append was lost on its way")]
+    Lost,
+    /// Retention dropped records before they could be read back.
+    #[error("it is not known whether the record was stored")]
+    Unknown,
+    #[error("record could not be encoded")]
+    Encoding,
+    #[error("appender has stopped")]
+    Stopped,
+}
+
+/// Whether a record may wait for others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FlushMode {
+    /// Waits until the group interval has passed since the last append.
+    Grouped,
+    Immediate,
+}
+
+struct QueuedRecord<B> {
+    body: B,
+    flush: FlushMode,
+    reply: oneshot::Sender<Result<StoredRecord, NotStored>>,
+}
+
+/// Handle to the appender of one stream.
+pub struct GroupAppender<B> {
+    queue: mpsc::UnboundedSender<QueuedRecord<B>>,
+}
+
+impl<B> Clone for GroupAppender<B> {
+    fn clone(&self) -> Self {
+        Self { queue: self.queue.clone() }
+    }
+}
+
+impl<B: RecordBody> GroupAppender<B> {
+    /// Starts an appender on the current thread; it ends when all handles are dropped.
+    ///
+    /// `interval` is the least time between two grouped appends, 0 to append
+    /// whenever none is in flight.
+    #[must_use]
+    pub fn spawn(
+        client: LogClient,
+        stream: StreamName,
+        writer: WriterId,
+        interval: Millis,
+    ) -> Self {
+        let (queue, records) = mpsc::unbounded_channel();
+        let task = AppenderTask {
+            client,
+            stream,
+            writer,
+            interval: Duration::from_millis(interval),
+            records,
+            sequence: 0,
+            known_end: None,
+        };
+        actix_rt::spawn(task.run());
+        Self { queue }
+    }
+
+    /// Stores `body` and tells its offset.
+    ///
+    /// After an uncertain append this waits until the log answers again, so
+    /// callers that cannot wait must treat their own timeout as uncertain.
+    pub async fn append(&self, body: B, flush: FlushMode) -> Result<StoredRecord, NotStored> {
+        let (reply, result) = oneshot::channel();
+        let record = QueuedRecord { body, flush, reply };
+        self.queue.send(record).map_err(|_| NotStored::Stopped)?;
+        result.await.unwrap_or(Err(NotStored::Stopped))
+    }
+}
+
+struct NumberedRecord {
+    sequence: Sequence,
+    text: String,
+    reply: oneshot::Sender<Result<StoredRecord, NotStored>>,
+}
+
+/// Identity of a record, without its body.
+#[derive(Deserialize)]
+struct RecordHeader {
+    w: String,
+    i: u64,
+    s: Sequence,
+    #[serde(rename = "b")]
+    _body: Box<RawValue>,
+}
+
+/// Own records found by reading back.
+#[derive(Default)]
+struct OwnRecords {
+    stored: Vec<StoredRecord>,
+    /// Whether retention dropped some of the records in question.
+    gap: bool,
+}
+
+struct AppenderTask<B> {
+    client: LogClient,
+    stream: StreamName,
+    writer: WriterId,
+    interval: Duration,
+    records: mpsc::UnboundedReceiver<QueuedRecord<B>>,
+    sequence: Sequence,
+    /// No record of this writer that is still in question lies before this offset.
+    known_end: Option<Offset>,
+}
+
+impl<B: RecordBody> AppenderTask<B> {
+    async fn run(mut self) {
+        let mut next_group = Instant::now();
+        while let Some(group) = self.collect(next_group).await {
+            let numbered = self.number(group);
+            if !numbered.is_empty() {
+                self.store(numbered).await;
+                next_group = Instant::now() + self.interval;
+            }
+        }
+    }
+
+    /// The next group: what is queued once the interval has passed or urgent
+    /// work arrives.
+    async fn collect(&mut self, not_before: Instant) -> Option<Vec<QueuedRecord<B>>> {
+        let mut group = vec![self.records.recv().await?];
+        while group.len() < MAX_GROUP_RECORDS {
+            let urgent = group.iter().any(|record| record.flush == FlushMode::Immediate);
+            match self.records.try_recv() {
+                Ok(record) => group.push(record),
+                Err(_) if urgent || Instant::now() >= not_before => break,
+                Err(_) => tokio::select! {
+                    () = sleep_until(not_before) => {}
+                    record = self.records.recv() => match record {
+                        Some(record) => group.push(record),
+                        None => break,
+                    },
+                },
+            }
+        }
+        Some(group)
+    }
+
+    fn next_sequence(&mut self) -> Sequence {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    fn encode(&self, sequence: Sequence, body: B) -> Result<String, NotStored> {
+        let envelope = LogEnvelope { writer: self.writer.clone(), sequence, body };
+        envelope.encode().map_err(|_| NotStored::Encoding)
+    }
+
+    fn number(&mut self, group: Vec<QueuedRecord<B>>) -> Vec<NumberedRecord> {
+        let mut numbered = Vec::with_capacity(group.len());
+        for QueuedRecord { body, reply, .. } in group {
+            let sequence = self.next_sequence();
+            match self.encode(sequence, body) {
+                Ok(text) => numbered.push(NumberedRecord { sequence, text, reply }),
+                Err(error) => {
+                    let _ = reply.send(Err(error));
+                }
+            }
+        }
+        numbered
+    }
+
+    async fn store(&mut self, group: Vec<NumberedRecord>) {
+        let texts: Vec<String> = group.iter().map(|record| record.text.clone()).collect();
+        if self.known_end.is_none() {
+            self.known_end = self.client.bounds(&self.stream).await.ok().map(|b| b.next);
+        }
+        match self.append(&texts).await {
+            Ok(first) => {
+                self.known_end = Some(first + group.len() as Offset);
+                for (offset, record) in (first..).zip(group) {
+                    let stored = StoredRecord { offset, sequence: record.sequence };
+                    let _ = record.reply.send(Ok(stored));
+                }
+            }
+            Err(AppendError::Uncertain) => self.resolve(group).await,
+            Err(AppendError::RateLimited) => refuse(group, NotStored::RateLimited),
+            Err(AppendError::Unavailable) => refuse(group, NotStored::Unavailable),
+        }
+    }
+
+    /// Appends, repeating only what the rate limit refused.
+    async fn append(&self, texts: &[String]) -> Result<Offset, AppendError> {
+        for _ in 1..MAX_RATE_LIMITED_TRIES {
+            match self.client.append(&self.stream, texts).await {
+                Err(AppendError::RateLimited) => sleep(REFUSAL_PAUSE).await,
+                other => return other.map(|range| range.first),
+            }
+        }
+        self.client.append(&self.stream, texts).await.map(|range| range.first)
+    }
+
+    /// Finds out which records of a group are stored.
+    async fn resolve(&mut self, group: Vec<NumberedRecord>) {
+        let end = self.store_noop().await;
+        let own = loop {
+            match self.find_own(end).await {
+                Ok(own) => break own,
+                Err(error) => {
+                    log::warn!("could not read back stream {}: {error}", self.stream);
+                    sleep(4 * REFUSAL_PAUSE).await;
+                }
+            }
+        };
+        self.known_end = Some(end + 1);
+        for record in group {
+            let found = own.stored.iter().find(|found| found.sequence == record.sequence);
+            let missing = if own.gap { NotStored::Unknown } else { NotStored::Lost };
+            let _ = record.reply.send(found.copied().ok_or(missing));
+        }
+    }
+
+    /// Stores a no-op, however long it takes, and tells its offset.
+    async fn store_noop(&mut self) -> Offset {
+        loop {
+            let sequence = self.next_sequence();
+            if let Ok(text) = self.encode(sequence, B::noop()) {
+                match self.client.append(&self.stream, &[text]).await {
+                    Ok(range) => return range.first,
+                    Err(error) => log::debug!("no-op on stream {}: {error}", self.stream),
+                }
+            }
+            sleep(4 * REFUSAL_PAUSE).await;
+        }
+    }
+
+    /// Own records from the known end up to `end`.
+    async fn find_own(&self, end: Offset) -> Result<OwnRecords, ReadError> {
+        let mut from = self.known_end.unwrap_or(0);
+        let mut own = OwnRecords::default();
+        while from < end {
+            let page = match self.client.read(&self.stream, from, READ_PAGE, 0).await {
+                Err(ReadError::Dropped(bounds)) if bounds.start > from => {
+                    own.gap = true;
+                    from = bounds.start;
+                    continue;
+                }
+                page => page?,
+            };
+            let Some(last) = page.records.last() else { break };
+            from = last.offset + 1;
+            own.stored.extend(page.records.iter().filter_map(|record| self.own(record)));
+        }
+        Ok(own)
+    }
+
+    fn own(&self, record: &crate::client::LogRecord) -> Option<StoredRecord> {
+        let header: RecordHeader = serde_json::from_str(&record.body).ok()?;
+        let own = header.w == self.writer.process.as_str() && header.i == self.writer.incarnation;
+        own.then_some(StoredRecord { offset: record.offset, sequence: header.s })
+    }
+}
+
+fn refuse(group: Vec<NumberedRecord>, reason: NotStored) {
+    for record in group {
+        let _ = record.reply.send(Err(reason));
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,8 @@
+//! Settings, logging and metrics that every daemon shares.
+
+pub mod clock;
+pub mod logging;
+pub mod monitor;
+pub mod process;
+pub mod settings;
+pub mod shutdown;
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,193 @@
+//! INI settings, checked whole.
+//!
+//! Readers take each key by section and name and give the accepted range in
+//! words. Faults are collected, so that one run reports all of them; keys that
+//! nobody took are faults too.
+
+use std::collections::BTreeSet;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::str::FromStr;
+
+use ini::Ini;
+use thiserror::Error;
+
+/// One thing that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingFault {
+    pub section: String,
+    pub key: String,
+    pub kind: FaultKind,
+}
+
+/// What is wrong with a setting.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FaultKind {
+    Missing { accepted: String },
+    Invalid { value: String, accepted: String },
+    UnknownKey,
+}
+
+impl fmt::Display for SettingFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[{}] {}: ", self.section, self.key)?;
+        match &self.kind {
+            FaultKind::Missing { accepted } => write!(f, "missing; expected {accepted}"),
+            FaultKind::Invalid { value, accepted } => {
+                write!(f, "{value:?} is not accepted; expected {accepted}")
+            }
+            FaultKind::UnknownKey => f.write_str("unknown key"),
+        }
+    }
+}
+
+/// Failures to read a settings file.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    #[error("could not read settings file {path}")]
+    Unreadable { path: PathBuf, source: Box<ini::Error> },
+    #[error("settings file {path} has {} fault(s):{}", faults.len(), list(faults))]
+    Invalid { path: PathBuf, faults: Vec<SettingFault> },
+}
+
+fn list(faults: &[SettingFault]) -> String {
+    faults.iter().map(|fault| format!("\n  {fault}")).collect()
+}
+
+/// A settings file while it is being read.
+#[derive(Debug)]
+pub struct SettingsFile {
+    path: PathBuf,
+    ini: Ini,
+    taken: BTreeSet<(String, String)>,
+    faults: Vec<SettingFault>,
+}
+
+impl SettingsFile {
+    pub fn open(path: &Path) -> Result<Self, SettingsError> {
+        match Ini::load_from_file(path) {
+            Ok(ini) => Ok(Self::new(path, ini)),
+            Err(source) => {
+                Err(SettingsError::Unreadable { path: path.into(), source: Box::new(source) })
+            }
+        }
+    }
+
+    /// Reads settings from `text`; `path` is used in errors.
+    pub fn parse(path: &Path, text: &str) -> Result<Self, SettingsError> {
+        match Ini::load_from_str(text) {
+            Ok(ini) => Ok(Self::new(path, ini)),
+            Err(source) => Err(SettingsError::Unreadable {
+                path: path.into(),
+                source: Box::new(ini::Error::Parse(source)),
+            }),
+        }
+    }
+
+    fn new(path: &Path, ini: Ini) -> Self {
+        Self { path: path.into(), ini, taken: BTreeSet::new(), faults: Vec::new() }
+    }
+
+    /// The raw value of a key, which counts as known from now on.
+    fn take(&mut self, section: &str, key: &str) -> Option<String> {
+        self.taken.insert((section.into(), key.into()));
+        self.ini.get_from(Some(section), key).map(str::to_owned)
+    }
+
+    /// A value that must be there; `accepted` describes the range.
+    pub fn required<T: FromStr>(&mut self, section: &str, key: &str, accepted: &str) -> Option<T> {
+        let Some(value) = self.take(section, key) else {
+            self.fault(section, key, FaultKind::Missing { accepted: accepted.into() });
+            return None;
+        };
+        self.parsed(section, key, &value, accepted)
+    }
+
+    /// A value or its default.
+    pub fn or_default<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        accepted: &str,
+        default: T,
+    ) -> Option<T> {
+        match self.take(section, key) {
+            Some(value) => self.parsed(section, key, &value, accepted),
+            None => Some(default),
+        }
+    }
+
+    /// An integer within `low..=high`, or its default.
+    pub fn integer(
+        &mut self,
+        section: &str,
+        key: &str,
+        (low, high): (u64, u64),
+        default: Option<u64>,
+    ) -> Option<u64> {
+        let accepted = format!("an integer from {low} to {high}");
+        let value: u64 = match default {
+            Some(default) => self.or_default(section, key, &accepted, default)?,
+            None => self.required(section, key, &accepted)?,
+        };
+        if (low..=high).contains(&value) {
+            return Some(value);
+        }
+        self.fault(section, key, FaultKind::Invalid { value: value.to_string(), accepted });
+        None
+    }
+
+    /// A comma-separated list with at least one value.
+    pub fn list<T: FromStr>(&mut self, section: &str, key: &str, accepted: &str) -> Option<Vec<T>> {
+        let Some(value) = self.take(section, key) else {
+            self.fault(section, key, FaultKind::Missing { accepted: accepted.into() });
+            return None;
+        };
+        let parts: Vec<&str> = value.split(',').map(str::trim).collect();
+        parts.into_iter().map(|part| self.parsed(section, key, part, accepted)).collect()
+    }
+
+    fn parsed<T: FromStr>(
+        &mut self,
+        section: &str,
+        key: &str,
+        value: &str,
+        accepted: &str,
+    ) -> Option<T> {
+        if let Ok(parsed) = value.parse() {
+            return Some(parsed);
+        }
+        let kind = FaultKind::Invalid { value: value.into(), accepted: accepted.into() };
+        self.fault(section, key, kind);
+        None
+    }
+
+    /// Records a fault that a reader found itself.
+    pub fn fault(&mut self, section: &str, key: &str, kind: FaultKind) {
+        self.faults.push(SettingFault { section: section.into(), key: key.into(), kind });
+    }
+
+    /// Ends the check; `settings` is `None` if a reader recorded a fault.
+    pub fn finish<T>(mut self, settings: Option<T>) -> Result<T, SettingsError> {
+        self.report_unknown();
+        match settings {
+            Some(settings) if self.faults.is_empty() => Ok(settings),
+            _ => Err(SettingsError::Invalid { path: self.path, faults: self.faults }),
+        }
+    }
+
+    fn report_unknown(&mut self) {
+        let mut unknown = Vec::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or("");
+            for (key, _) in properties.iter() {
+                if !self.taken.contains(&(section.to_owned(), key.to_owned())) {
+                    unknown.push((section.to_owned(), key.to_owned()));
+                }
+            }
+        }
+        for (section, key) in unknown {
+            self.fault(&section, &key, FaultKind::UnknownKey);
+        }
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! Administration interface for operators.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,52 @@
+//! RPC between the processes of the system.
+//!
+//! Agents serve [`AgentService`], which owners and entries call; the agent that
+//! owns a shard answers heartbeats through the same service. Entries serve
+//! [`EntryService`], which owners call. Times on the wire are remaining
+//! durations, because clocks of different VMs are not synchronised.
+
+pub mod answer;
+pub mod heartbeat;
+pub mod roster;
+pub mod task;
+
+use crate::answer::{
+    AnswerDigest, CallFailure, ClaimDelivery, ClaimFence, DeliveryFailure, FenceReply,
+    UpstreamAnswer, UpstreamCall,
+};
+use crate::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply, OwnerNotice};
+use crate::roster::{RosterReply, RosterUpdate};
+use crate::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_core::job::StartRefusal;
+
+/// Served by every agent.
+#[tarpc::service]
+pub trait AgentService {
+    /// From an agent to the owner of its shard, which is an agent too.
+    async fn heartbeat(beat: AgentHeartbeat) -> Result<HeartbeatReply, HeartbeatRefusal>;
+    /// From a new owner to the agents of its shard.
+    async fn announce_owner(notice: OwnerNotice);
+    /// From an owner; answers in the order of `starts`.
+    async fn start(starts: Vec<TaskStart>) -> Vec<Result<(), StartRefusal>>;
+    /// From an owner; answers in the order of `stops`.
+    async fn stop(stops: Vec<TaskStop>) -> Vec<Result<StopReply, TaskRefusal>>;
+    /// From an entry: an idempotent request.
+    async fn call(call: UpstreamCall) -> Result<UpstreamAnswer, CallFailure>;
+    /// From an entry: a binding request whose claim stands in the log.
+    async fn deliver(delivery: ClaimDelivery) -> Result<UpstreamAnswer, DeliveryFailure>;
+    /// From an entry: forbids the delivery of a claim, or tells its outcome.
+    async fn fence(fence: ClaimFence) -> FenceReply;
+}
+
+/// Served by every entry.
+#[tarpc::service]
+pub trait EntryService {
+    /// From the owner of a shard.
+    async fn roster(update: RosterUpdate) -> RosterReply;
+}
+
+/// Digest of an answer or a request body.
+#[must_use]
+pub fn digest(bytes: &[u8]) -> AnswerDigest {
+    xxhash_rust::xxh3::xxh3_64(bytes)
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing and placement decisions.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, for tests and the demo.
--- /dev/null
+++ b/crates/timeline/src/event.rs
@@ -0,0 +1,69 @@
+//! What can happen, as far as an operator may ask about it.
+
+use cactusdoor_core::config::DataCentreState;
+use cactusdoor_core::job::{JobId, ParkReason, PlacementEnd, StartRefusal, TaskId};
+use cactusdoor_core::name::{DataCentre, ProcessName, ServiceName, ShardName, VmName};
+use cactusdoor_core::unit::{Epoch, Millis, Revision, Token};
+use serde::{Deserialize, Serialize};
+
+use crate::hybrid::HybridTime;
+
+/// An event of one process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TimelineEvent {
+    pub at: HybridTime,
+    pub process: ProcessName,
+    /// Position among the events of its process, starting at 1.
+    pub number: u64,
+    #[serde(flatten)]
+    pub kind: EventKind,
+}
+
+/// Why a task is not placed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WaitReason {
+    NoRoom,
+    AllowanceUsed,
+    FairShare,
+    Backoff,
+    Parked(ParkReason),
+    DataCentreOut,
+    ConfigurationStale,
+    LogUnreachable,
+}
+
+/// The event itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum EventKind {
+    ProcessStarted { data_centre: DataCentre },
+    ProcessStopping,
+    LogUnreachable,
+    LogReachable,
+    ShardOwned { shard: ShardName, epoch: Epoch },
+    ShardLost { shard: ShardName, epoch: Epoch },
+    ConfigApplied { revision: Revision },
+    DataCentreChanged { data_centre: DataCentre, state: DataCentreState, revision: Revision },
+    UpstreamAnnounced { vm: VmName, service: ServiceName },
+    UpstreamLeaving { vm: VmName, service: ServiceName },
+    AgentJoined { vm: VmName, shard: ShardName },
+    AgentSilent { vm: VmName, shard: ShardName },
+    VmHeldBack { vm: VmName, failures: u32 },
+    VmReadmitted { vm: VmName },
+    JobSubmitted { job: JobId, shard: ShardName },
+    JobCancelled { job: JobId },
+    JobParked { job: JobId, reason: ParkReason },
+    TaskWaits { task: TaskId, reason: WaitReason },
+    TaskPlaced { task: TaskId, token: Token, vm: VmName, epoch: Epoch },
+    StartRefused { task: TaskId, token: Token, vm: VmName, reason: StartRefusal },
+    TaskStarted { task: TaskId, token: Token, vm: VmName },
+    TaskThrottled { task: TaskId, token: Token, vm: VmName, percent: u8 },
+    TaskEnded { task: TaskId, token: Token, vm: VmName, end: PlacementEnd },
+    TaskHandedOver { task: TaskId, from: ShardName, to: ShardName, number: u32 },
+    LeaseLapsed { vm: VmName, shard: ShardName },
+    RequestSent { request: String, vm: VmName, attempt: u32 },
+    RequestEnded { request: String, outcome: String, elapsed_ms: Millis },
+    ClaimWon { request: String, vm: VmName },
+    ClaimSettled { request: String, outcome: String },
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the upstream beside an agent.
--- /dev/null
+++ b/crates/worker/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform worker on a VM.
