--- /dev/null
+++ b/crates/owner/src/lib.rs
@@ -0,0 +1,1 @@
+//! The owner of a scheduling shard.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,4 @@
-//! Routing and placement decisions.
+//! Decisions about requests and tasks, without I/O.
+
+pub mod placement;
+pub mod routing;
