Name the shards of a data centre in one place

Cause: agents, owners and entries must agree on shard names, and each would have built them from the settings on its own. shards_of numbers them from 0.

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::constants::CLAIM_STREAMS;
-use crate::name::{PlanName, ShardName, StreamName};
+use crate::name::{DataCentre, NameError, PlanName, ShardName, StreamName};
 
 /// The target with the highest score for `name`, ties to the smaller target.
 pub fn pick<'a, T: AsRef<str> + ?Sized>(
@@ -20,6 +20,11 @@
     })
 }
 
+/// The shards of a data centre, `<data centre>-<index>` with indices from 0.
+pub fn shards_of(centre: &DataCentre, count: u64) -> Result<Vec<ShardName>, NameError> {
+    (0..count).map(|index| ShardName::new(&format!("{centre}-{index}"))).collect()
+}
+
 /// The shard that accounts for a plan's allowance.
 pub fn home_shard<'a>(plan: &PlanName, shards: &'a [ShardName]) -> Option<&'a ShardName> {
     pick(plan.as_str(), shards)
