--- /dev/null
+++ b/crates/upstream/src/watched.rs
@@ -0,0 +1,85 @@
+//! TCP streams that tell when the peer closed them.
+//!
+//! `awc` ends a body without an error when the connection closes before the
+//! last chunk. A complete chunked body ends at its last chunk, without reading
+//! on; so a body during whose polls the connection closed is not whole.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Set when any stream of a client reads the end of its connection.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClosureFlag(Rc<Cell<bool>>);
+
+impl ClosureFlag {
+    pub(crate) fn clear(&self) {
+        self.0.set(false);
+    }
+
+    pub(crate) fn is_set(&self) -> bool {
+        self.0.get()
+    }
+}
+
+/// A TCP stream that reports the end of its connection.
+#[derive(Debug)]
+pub(crate) struct WatchedStream {
+    stream: TcpStream,
+    closed: ClosureFlag,
+}
+
+impl WatchedStream {
+    pub(crate) fn new(stream: TcpStream, closed: ClosureFlag) -> Self {
+        Self { stream, closed }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let ended = matches!(&read, Poll::Ready(Ok(()))) && buf.filled().len() == filled;
+        if ended && buf.remaining() > 0 {
+            self.closed.0.set(true);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for WatchedStream {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
