Add the agent daemon

Decisions are pure modules (life, table, board, ledger, admission); the actors TaskKeeper and RequestRelay carry them out, and the daemon serves AgentService, the operator routes and the announcement endpoint.

Ruled out: sending heartbeats before the inventory is taken, because an owner takes the first heartbeat for the complete list of what runs; reviving tasks by a renewal that arrives after their lease passed, because the owner may have placed them elsewhere; freeing the reservation of an unanswered start after one inventory without the task, because a start can lie in the socket of a paused worker.

--- /dev/null
+++ b/crates/agent/src/daemon.rs
@@ -0,0 +1,187 @@
+//! The parts of an agent process, started and stopped together.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::Addr;
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpServer};
+use anyhow::Context as _;
+use cactusdoor_core::envelope::WriterId;
+use cactusdoor_log::client::LogClient;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_node::monitor::ProcessMonitor;
+use cactusdoor_node::process::draw_incarnation;
+use cactusdoor_owner::{HandBack, HostSettings, OwnerHost};
+use cactusdoor_peer::heartbeat::AgentIdentity;
+use cactusdoor_timeline::{EventKind, EventLog};
+use cactusdoor_upstream::UpstreamRegistry;
+use cactusdoor_worker::WorkerClient;
+
+use crate::keeper::{DrainTasks, KeeperSettings, TaskKeeper};
+use crate::metrics::AgentMetrics;
+use crate::ownership::OwnershipPort;
+use crate::relay::{DrainRequests, RelaySettings, RequestRelay};
+use crate::routes;
+use crate::service::AgentServer;
+use crate::settings::AgentSettings;
+
+/// Time for the last answers to leave through their connections.
+const LINGER: Duration = Duration::from_millis(100);
+
+/// A running agent.
+pub struct AgentDaemon {
+    pub identity: AgentIdentity,
+    /// Where operators reach it.
+    pub operator_address: SocketAddr,
+    /// Where upstreams announce themselves.
+    pub upstream_address: SocketAddr,
+    monitor: ProcessMonitor,
+    keeper: Addr<TaskKeeper>,
+    relay: Addr<RequestRelay>,
+    ownership: OwnershipPort,
+    servers: Vec<ServerHandle>,
+    stop_limit: Duration,
+}
+
+impl AgentDaemon {
+    /// Starts all parts on the current actix system.
+    pub async fn spawn(settings: AgentSettings) -> anyhow::Result<Self> {
+        let AgentSettings { process, shards, limits, .. } = settings;
+        let clock = MonotonicClock::open();
+        let events = EventLog::open(process.name.clone());
+        let monitor = ProcessMonitor::open(events.clone());
+        let metrics =
+            AgentMetrics::open(&monitor.registry).context("could not register metrics")?;
+        let service = AgentServer::bind(process.peer_address)
+            .await
+            .with_context(|| format!("could not listen at {}", process.peer_address))?;
+        let identity = AgentIdentity {
+            vm: process.vm,
+            incarnation: draw_incarnation(),
+            address: service.address,
+            data_centre: process.data_centre.clone(),
+            rack: process.rack,
+        };
+        let upstreams = UpstreamRegistry::open(identity.vm.clone(), clock, events.clone());
+        let relay = RequestRelay::spawn(RelaySettings {
+            incarnation: identity.incarnation,
+            clock,
+            upstreams: upstreams.clone(),
+            limits: limits.ledger,
+            metrics: metrics.clone(),
+        });
+        let host = OwnerHost::spawn(HostSettings {
+            identity: identity.clone(),
+            writer: WriterId { process: process.name, incarnation: identity.incarnation },
+            shards: shards.all,
+            own_shard: shards.own.clone(),
+            entries: settings.entries,
+            log: LogClient::open(settings.log_address),
+            clock,
+            events: events.clone(),
+            registry: monitor.registry.clone(),
+        });
+        let ownership = OwnershipPort::of(&host);
+        let keeper = TaskKeeper::spawn(KeeperSettings {
+            identity: identity.clone(),
+            shard: shards.own,
+            clock,
+            monitor: monitor.clone(),
+            worker: WorkerClient::open(settings.worker_address),
+            worker_poll: limits.worker_poll,
+            ownership: ownership.clone(),
+            upstreams: relay.clone().recipient(),
+            metrics,
+        });
+        let (operator_address, operator) =
+            serve_operators(process.operator_address, &monitor, &keeper)?;
+        let (upstream_address, announcements) =
+            serve_upstreams(settings.upstream_address, &upstreams)?;
+        events.record(EventKind::ProcessStarted { data_centre: process.data_centre });
+        service.spawn(AgentServer {
+            keeper: keeper.clone(),
+            relay: relay.clone(),
+            host: ownership.beat.clone(),
+            events,
+        });
+        log::info!(incarnation = identity.incarnation; "agent listens at {}", identity.address);
+        Ok(Self {
+            identity,
+            operator_address,
+            upstream_address,
+            monitor,
+            keeper,
+            relay,
+            ownership,
+            servers: vec![operator, announcements],
+            stop_limit: Duration::from_millis(limits.stop),
+        })
+    }
+
+    /// Stops gracefully: new work is refused, requests in progress complete and
+    /// tasks are checkpointed and handed back.
+    pub async fn stop(self) {
+        self.monitor.set_ready(false);
+        self.monitor.events.record(EventKind::ProcessStopping);
+        let drain = async {
+            let requests = self.relay.send(DrainRequests);
+            let tasks = self.keeper.send(DrainTasks);
+            let (requests, tasks) = tokio::join!(requests, tasks);
+            if requests.is_err() || tasks.is_err() {
+                log::error!("an actor ended before it was drained");
+            }
+            if self.ownership.hand_back.send(HandBack).await.is_err() {
+                log::error!("owner side ended before it handed back its shards");
+            }
+        };
+        if tokio::time::timeout(self.stop_limit, drain).await.is_err() {
+            log::error!("graceful stop took too long");
+        }
+        tokio::time::sleep(LINGER).await;
+        for server in self.servers {
+            server.stop(true).await;
+        }
+    }
+}
+
+fn serve_operators(
+    address: SocketAddr,
+    monitor: &ProcessMonitor,
+    keeper: &Addr<TaskKeeper>,
+) -> anyhow::Result<(SocketAddr, ServerHandle)> {
+    let (monitor, keeper) = (monitor.clone(), keeper.clone());
+    let server = HttpServer::new(move || {
+        let (monitor, keeper) = (monitor.clone(), keeper.clone());
+        App::new()
+            .configure(|config| monitor.configure(config))
+            .configure(|config| routes::configure(config, keeper))
+    });
+    let server = server.workers(1).disable_signals().shutdown_timeout(1);
+    let server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
+    Ok(spawn_server(address, server.addrs(), server.run()))
+}
+
+fn serve_upstreams(
+    address: SocketAddr,
+    upstreams: &UpstreamRegistry,
+) -> anyhow::Result<(SocketAddr, ServerHandle)> {
+    let upstreams = upstreams.clone();
+    let server = HttpServer::new(move || {
+        let upstreams = upstreams.clone();
+        App::new().configure(|config| upstreams.configure(config))
+    });
+    let server = server.workers(1).disable_signals().shutdown_timeout(1);
+    let server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
+    Ok(spawn_server(address, server.addrs(), server.run()))
+}
+
+fn spawn_server(
+    asked: SocketAddr,
+    bound: Vec<SocketAddr>,
+    server: actix_web::dev::Server,
+) -> (SocketAddr, ServerHandle) {
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    (bound.first().copied().unwrap_or(asked), handle)
+}
--- /dev/null
+++ b/crates/agent/src/keeper.rs
@@ -0,0 +1,473 @@
+//! The actor that starts and stops tasks on the worker of this VM.
+//!
+//! [`TaskBoard`] decides; this module and its helpers [`pulse`](crate::pulse)
+//! and [`upkeep`](crate::upkeep) make the calls that the board allows and
+//! report their answers to it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix::{Actor, Addr, Context, Handler, Message, MessageResult, Recipient, ResponseFuture};
+use cactusdoor_core::job::{PlacementEnd, StartRefusal};
+use cactusdoor_core::name::ShardName;
+use cactusdoor_core::unit::{Epoch, Millis, Moment, Token};
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_node::monitor::ProcessMonitor;
+use cactusdoor_peer::heartbeat::{AgentIdentity, OwnerNotice, UsageSample};
+use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_timeline::EventKind;
+use cactusdoor_worker::{
+    StartError, StopOrder, TaskLaunch, ThrottleOrder, TokenError, WorkerClient,
+};
+use futures::future::join_all;
+use tokio::sync::Notify;
+
+use crate::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
+use crate::link::OwnerLink;
+use crate::metrics::AgentMetrics;
+use crate::ownership::OwnershipPort;
+use crate::relay::ListUpstreams;
+use crate::routes::{AgentReport, ConfigReport};
+use crate::table::{LaunchAnswer, StopAnswer, TaskTable};
+
+/// Longest wait for the end of a task that is being stopped; the stop goes on
+/// afterwards and its end is reported by heartbeat.
+const STOP_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Longest wait on a graceful stop until the owner has recorded the ends; a later
+/// owner learns them from the worker through the next agent.
+const RECORD_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Starts tasks whose placement is committed.
+#[derive(Message)]
+#[rtype(result = "Vec<Result<(), StartRefusal>>")]
+pub struct StartTasks(pub Vec<TaskStart>);
+
+/// Throttles or stops tasks.
+#[derive(Message)]
+#[rtype(result = "Vec<Result<StopReply, TaskRefusal>>")]
+pub struct StopTasks(pub Vec<TaskStop>);
+
+/// A new owner introduced itself.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct NoteOwner(pub OwnerNotice);
+
+/// Stops all tasks with checkpoints; answered once their ends are recorded.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct DrainTasks;
+
+/// Asks for `GET /v1/agent`.
+#[derive(Message)]
+#[rtype(result = "AgentReport")]
+pub struct DescribeAgent;
+
+/// Asks for `GET /v1/config`.
+#[derive(Message)]
+#[rtype(result = "ConfigReport")]
+pub struct DescribeConfig;
+
+/// What the keeper needs of its process.
+pub struct KeeperSettings {
+    pub identity: AgentIdentity,
+    pub shard: ShardName,
+    pub clock: MonotonicClock,
+    pub monitor: ProcessMonitor,
+    pub worker: WorkerClient,
+    pub worker_poll: Millis,
+    pub ownership: OwnershipPort,
+    pub upstreams: Recipient<ListUpstreams>,
+    pub metrics: AgentMetrics,
+}
+
+/// The owner as far as the agent knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownOwner {
+    pub epoch: Epoch,
+    pub address: SocketAddr,
+}
+
+pub(crate) struct KeeperState {
+    pub(crate) settings: KeeperSettings,
+    pub(crate) board: RefCell<TaskBoard>,
+    pub(crate) owner: Cell<Option<KnownOwner>>,
+    /// Last heartbeat answer, or the start of the process.
+    pub(crate) answered: Cell<Moment>,
+    pub(crate) link: OwnerLink,
+    pub(crate) usage: RefCell<(Moment, Vec<UsageSample>)>,
+    /// A heartbeat is due at once.
+    pub(crate) beat_wanted: Notify,
+    /// The lease was renewed.
+    pub(crate) renewed: Notify,
+    /// A task ended.
+    pub(crate) ended: Notify,
+    /// Ends that were seen and are not recorded yet.
+    reported: RefCell<BTreeSet<Token>>,
+    stops_sent: RefCell<BTreeSet<Token>>,
+}
+
+/// Holds the tasks of a VM.
+pub struct TaskKeeper {
+    state: Rc<KeeperState>,
+}
+
+impl TaskKeeper {
+    /// Starts the keeper on the current thread.
+    #[must_use]
+    pub fn spawn(settings: KeeperSettings) -> Addr<Self> {
+        let board = TaskBoard::new(BoardIdentity {
+            incarnation: settings.identity.incarnation,
+            shard: settings.shard.clone(),
+            data_centre: settings.identity.data_centre.clone(),
+        });
+        let now = settings.clock.now();
+        let state = KeeperState {
+            settings,
+            board: RefCell::new(board),
+            owner: Cell::new(None),
+            answered: Cell::new(now),
+            link: OwnerLink::default(),
+            usage: RefCell::new((now, Vec::new())),
+            beat_wanted: Notify::new(),
+            renewed: Notify::new(),
+            ended: Notify::new(),
+            reported: RefCell::default(),
+            stops_sent: RefCell::default(),
+        };
+        Self { state: Rc::new(state) }.start()
+    }
+}
+
+impl Actor for TaskKeeper {
+    type Context = Context<Self>;
+
+    fn started(&mut self, _: &mut Self::Context) {
+        actix_rt::spawn(Rc::clone(&self.state).beat_always());
+        actix_rt::spawn(Rc::clone(&self.state).watch_worker());
+        actix_rt::spawn(Rc::clone(&self.state).watch_lease());
+        actix_rt::spawn(Rc::clone(&self.state).renew_always());
+    }
+}
+
+impl Handler<StartTasks> for TaskKeeper {
+    type Result = ResponseFuture<Vec<Result<(), StartRefusal>>>;
+
+    fn handle(&mut self, StartTasks(starts): StartTasks, _: &mut Context<Self>) -> Self::Result {
+        let state = Rc::clone(&self.state);
+        Box::pin(async move { join_all(starts.into_iter().map(|it| state.start(it))).await })
+    }
+}
+
+impl Handler<StopTasks> for TaskKeeper {
+    type Result = ResponseFuture<Vec<Result<StopReply, TaskRefusal>>>;
+
+    fn handle(&mut self, StopTasks(stops): StopTasks, _: &mut Context<Self>) -> Self::Result {
+        let state = Rc::clone(&self.state);
+        Box::pin(async move { join_all(stops.into_iter().map(|it| state.stop(it))).await })
+    }
+}
+
+impl Handler<NoteOwner> for TaskKeeper {
+    type Result = ();
+
+    fn handle(&mut self, NoteOwner(notice): NoteOwner, _: &mut Context<Self>) {
+        self.state.note_owner(&notice);
+    }
+}
+
+impl Handler<DrainTasks> for TaskKeeper {
+    type Result = ResponseFuture<()>;
+
+    fn handle(&mut self, _: DrainTasks, _: &mut Context<Self>) -> Self::Result {
+        let state = Rc::clone(&self.state);
+        Box::pin(async move { state.drain().await })
+    }
+}
+
+impl Handler<DescribeAgent> for TaskKeeper {
+    type Result = MessageResult<DescribeAgent>;
+
+    fn handle(&mut self, _: DescribeAgent, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.state.describe())
+    }
+}
+
+impl Handler<DescribeConfig> for TaskKeeper {
+    type Result = MessageResult<DescribeConfig>;
+
+    fn handle(&mut self, _: DescribeConfig, _: &mut Context<Self>) -> Self::Result {
+        MessageResult(self.state.describe_config())
+    }
+}
+
+impl KeeperState {
+    pub(crate) fn now(&self) -> Moment {
+        self.settings.clock.now()
+    }
+
+    async fn start(self: &Rc<Self>, start: TaskStart) -> Result<(), StartRefusal> {
+        self.settings.monitor.events.observe(start.at);
+        let result = self.try_start(&start).await;
+        let outcome = match &result {
+            Ok(()) => "accepted",
+            Err(StartRefusal::DoesNotFit(_)) => "does_not_fit",
+            Err(StartRefusal::DataCentreOut) => "data_centre_out",
+            Err(StartRefusal::ConfigurationStale) => "configuration_stale",
+            Err(StartRefusal::EpochStale) => "epoch_stale",
+            Err(StartRefusal::Draining) => "draining",
+            Err(StartRefusal::NotReady) => "not_ready",
+            Err(StartRefusal::WorkerFailed) => "worker_failed",
+        };
+        self.settings.metrics.starts.with_label_values(&[outcome]).inc();
+        if let Err(reason) = result {
+            self.record(EventKind::StartRefused {
+                task: start.task,
+                token: start.token,
+                vm: self.settings.identity.vm.clone(),
+                reason,
+            });
+        }
+        result
+    }
+
+    /// Accepts a start and calls the worker.
+    ///
+    /// An uncertain answer counts as accepted: the reservation stays until the
+    /// worker has been asked again, and the end is then reported by heartbeat.
+    async fn try_start(self: &Rc<Self>, start: &TaskStart) -> Result<(), StartRefusal> {
+        let step = self.board.borrow_mut().begin_start(self.now(), start)?;
+        if step == StartStep::Repeated {
+            return Ok(());
+        }
+        let lease = self.board.borrow_mut().launch_lease(self.now(), start.token, start.epoch);
+        let launch = TaskLaunch {
+            task: start.task.clone(),
+            kind: start.kind.clone(),
+            need: start.need,
+            run_time_ms: start.run_time_ms,
+            endless: start.class.is_endless(),
+            checkpoint: start.checkpoint.clone(),
+            lease_ms: lease.inspect_err(|_| self.after_change())?,
+        };
+        let answer = match self.settings.worker.start(start.token, &launch).await {
+            Ok(_) => LaunchAnswer::Runs,
+            Err(StartError::NotStarted(reason)) => {
+                log::warn!(token = start.token; "worker did not start a task: {reason}");
+                LaunchAnswer::NotStarted
+            }
+            Err(StartError::Uncertain(error)) => {
+                log::warn!(token = start.token; "uncertain whether a task runs: {error}");
+                LaunchAnswer::Uncertain
+            }
+        };
+        self.board.borrow_mut().launched(self.now(), start.token, answer);
+        self.after_change();
+        match answer {
+            LaunchAnswer::NotStarted => Err(StartRefusal::WorkerFailed),
+            LaunchAnswer::Uncertain => Ok(()),
+            LaunchAnswer::Runs => {
+                self.record(EventKind::TaskStarted {
+                    task: start.task.clone(),
+                    token: start.token,
+                    vm: self.settings.identity.vm.clone(),
+                });
+                // It may have been told to stop, or the lease may have passed, meanwhile.
+                self.stop_unentitled();
+                Ok(())
+            }
+        }
+    }
+
+    async fn stop(self: &Rc<Self>, stop: TaskStop) -> Result<StopReply, TaskRefusal> {
+        self.settings.monitor.events.observe(stop.at);
+        let step = self.board.borrow_mut().begin_stop(&stop)?;
+        match step {
+            StopStep::Ended(end) => Ok(StopReply::Ended(end)),
+            StopStep::NotRunning => Ok(StopReply::NotRunning),
+            StopStep::Throttle(percent) => self.throttle(&stop, percent).await,
+            StopStep::Stop => {
+                self.send_stops();
+                let ended = tokio::time::timeout(STOP_PATIENCE, self.end_of(stop.token)).await;
+                match ended {
+                    Ok(Some(end)) => Ok(StopReply::Ended(end)),
+                    Ok(None) => Ok(StopReply::NotRunning),
+                    Err(_) => Err(TaskRefusal::WorkerFailed),
+                }
+            }
+        }
+    }
+
+    async fn throttle(&self, stop: &TaskStop, percent: u8) -> Result<StopReply, TaskRefusal> {
+        let order = ThrottleOrder { percent };
+        match self.settings.worker.throttle(stop.token, order).await {
+            Ok(()) => {
+                self.board.borrow_mut().throttled(stop.token, percent);
+                self.record(EventKind::TaskThrottled {
+                    task: stop.task.clone(),
+                    token: stop.token,
+                    vm: self.settings.identity.vm.clone(),
+                    percent,
+                });
+                Ok(StopReply::Throttled)
+            }
+            Err(error) => {
+                log::warn!(token = stop.token; "could not throttle a task: {error}");
+                Err(TaskRefusal::WorkerFailed)
+            }
+        }
+    }
+
+    /// Waits for the end of a task; `None` if it was recorded and forgotten.
+    async fn end_of(&self, token: Token) -> Option<PlacementEnd> {
+        loop {
+            {
+                let board = self.board.borrow();
+                let table = board.table()?;
+                if let Some(end) = table.end_of(token) {
+                    return Some(end.clone());
+                }
+                table.get(token)?;
+            }
+            self.ended.notified().await;
+        }
+    }
+
+    /// Stops what may no longer run.
+    pub(crate) fn stop_unentitled(self: &Rc<Self>) {
+        let stopped = self.board.borrow_mut().stop_unentitled(self.now());
+        if !stopped.is_empty() && !self.board.borrow().is_draining() {
+            log::warn!(tasks = stopped.len(); "lease passes, tasks are stopped");
+            self.record(EventKind::LeaseLapsed {
+                vm: self.settings.identity.vm.clone(),
+                shard: self.settings.shard.clone(),
+            });
+        }
+        self.send_stops();
+    }
+
+    /// Asks the worker to stop the tasks that are stopping, once at a time each.
+    pub(crate) fn send_stops(self: &Rc<Self>) {
+        for (token, cancel) in self.board.borrow().stopping() {
+            if self.stops_sent.borrow_mut().insert(token) {
+                let state = Rc::clone(self);
+                actix_rt::spawn(async move { state.send_stop(token, cancel).await });
+            }
+        }
+    }
+
+    async fn send_stop(&self, token: Token, cancel: bool) {
+        let order = StopOrder { checkpoint: !cancel };
+        let answer = match self.settings.worker.stop(token, order).await {
+            Ok(end) => StopAnswer::Ended(end),
+            Err(TokenError::UnknownToken) => StopAnswer::UnknownToken,
+            Err(TokenError::Call(error)) => {
+                log::warn!(token = token; "could not stop a task: {error}");
+                StopAnswer::Uncertain
+            }
+        };
+        self.board.borrow_mut().stopped(token, answer);
+        self.stops_sent.borrow_mut().remove(&token);
+        self.after_change();
+    }
+
+    /// Reports ends that are new.
+    pub(crate) fn after_change(&self) {
+        let board = self.board.borrow();
+        let Some(table) = board.table() else { return };
+        let mut reported = self.reported.borrow_mut();
+        let mut new = false;
+        for task in table.ended() {
+            if reported.insert(task.placed.token) {
+                new = true;
+                self.settings.metrics.ends.with_label_values(&[end_label(&task.end)]).inc();
+                self.record(EventKind::TaskEnded {
+                    task: task.placed.task.clone(),
+                    token: task.placed.token,
+                    vm: self.settings.identity.vm.clone(),
+                    end: task.end.clone(),
+                });
+            }
+        }
+        reported.retain(|token| table.end_of(*token).is_some());
+        if new {
+            self.beat_wanted.notify_one();
+        }
+        self.ended.notify_waiters();
+    }
+
+    fn note_owner(&self, notice: &OwnerNotice) {
+        if notice.shard != self.settings.shard {
+            return;
+        }
+        let known = self.owner.get();
+        if self.board.borrow_mut().note_epoch(notice.epoch)
+            && known.is_none_or(|known| known.epoch < notice.epoch)
+        {
+            self.owner.set(Some(KnownOwner { epoch: notice.epoch, address: notice.address }));
+            self.beat_wanted.notify_one();
+        }
+    }
+
+    async fn drain(self: &Rc<Self>) {
+        self.board.borrow_mut().drain();
+        self.stop_unentitled();
+        self.wait_until(|table| table.live().next().is_none()).await;
+        self.beat_wanted.notify_one();
+        let recorded = self.wait_until(|table| table.ended().next().is_none());
+        if tokio::time::timeout(RECORD_PATIENCE, recorded).await.is_err() {
+            log::warn!("owner has not recorded all ends");
+        }
+    }
+
+    /// Waits until the tasks satisfy a condition.
+    async fn wait_until(&self, condition: impl Fn(&TaskTable) -> bool) {
+        while self.board.borrow().table().is_some_and(|table| !condition(table)) {
+            self.ended.notified().await;
+        }
+    }
+
+    pub(crate) fn record(&self, kind: EventKind) {
+        self.settings.monitor.events.record(kind);
+    }
+
+    fn describe(&self) -> AgentReport {
+        let board = self.board.borrow();
+        let book = board.table().map(TaskTable::book);
+        AgentReport {
+            agent: self.settings.identity.clone(),
+            shard: self.settings.shard.clone(),
+            epoch: board.epoch(),
+            owner: self.owner.get().map(|owner| owner.address),
+            lease_left_ms: board.lease_left(self.now()),
+            draining: board.is_draining(),
+            inventory_taken: book.is_some(),
+            capacity: book.map(|book| book.capacity()).unwrap_or_default(),
+            committed: book.map(|book| book.committed()).unwrap_or_default(),
+            held: board.held(),
+            ended: board.ended(),
+        }
+    }
+
+    fn describe_config(&self) -> ConfigReport {
+        let board = self.board.borrow();
+        ConfigReport {
+            revision: board.config().revision(),
+            confirmed_age_ms: board.view().age(self.now()),
+        }
+    }
+}
+
+fn end_label(end: &PlacementEnd) -> &'static str {
+    match end {
+        PlacementEnd::Finished { .. } => "finished",
+        PlacementEnd::Failed => "failed",
+        PlacementEnd::Evicted { .. } => "evicted",
+        PlacementEnd::Lapsed => "lapsed",
+        PlacementEnd::Refused(_) => "refused",
+        PlacementEnd::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/agent/src/service.rs
@@ -0,0 +1,125 @@
+//! The RPC service of the agent.
+
+use std::io;
+use std::net::SocketAddr;
+
+use actix::{Addr, Recipient};
+use cactusdoor_core::job::StartRefusal;
+use cactusdoor_owner::HostBeat;
+use cactusdoor_peer::AgentService;
+use cactusdoor_peer::answer::{
+    CallFailure, ClaimDelivery, ClaimFence, DeliveryFailure, FenceReply, UpstreamAnswer,
+    UpstreamCall,
+};
+use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply, OwnerNotice};
+use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_timeline::EventLog;
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+
+use crate::keeper::{NoteOwner, StartTasks, StopTasks, TaskKeeper};
+use crate::relay::{DeliverClaim, FenceClaim, ForwardCall, RequestRelay};
+
+/// Largest frame: a request body of 8 MiB with its envelope.
+const MAX_FRAME_BYTES: usize = 9 * 1024 * 1024;
+
+/// Passes calls on to the actors; one clone per request.
+#[derive(Clone)]
+pub struct AgentServer {
+    pub keeper: Addr<TaskKeeper>,
+    pub relay: Addr<RequestRelay>,
+    pub host: Recipient<HostBeat>,
+    pub events: EventLog,
+}
+
+impl AgentServer {
+    /// Serves at `address`; returns the address that was bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<BoundService> {
+        let mut incoming = tcp::listen(address, Bincode::default).await?;
+        incoming.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let address = incoming.local_addr();
+        let accept = move |server: Self| {
+            actix_rt::spawn(async move {
+                while let Some(accepted) = incoming.next().await {
+                    match accepted {
+                        Ok(transport) => {
+                            if let Err(error) = transport.get_ref().set_nodelay(true) {
+                                log::debug!("could not set TCP_NODELAY: {error}");
+                            }
+                            let requests = BaseChannel::with_defaults(transport);
+                            let responses = requests.execute(server.clone().serve());
+                            actix_rt::spawn(responses.for_each(|response| async {
+                                actix_rt::spawn(response);
+                            }));
+                        }
+                        Err(error) => log::warn!("could not accept a connection: {error}"),
+                    }
+                }
+            });
+        };
+        Ok(BoundService { address, accept: Box::new(accept) })
+    }
+}
+
+/// A bound address that does not accept connections yet.
+pub struct BoundService {
+    pub address: SocketAddr,
+    accept: Box<dyn FnOnce(AgentServer)>,
+}
+
+impl BoundService {
+    /// Accepts connections from now on.
+    pub fn spawn(self, server: AgentServer) {
+        (self.accept)(server);
+    }
+}
+
+impl AgentService for AgentServer {
+    async fn heartbeat(
+        self,
+        _: Context,
+        beat: AgentHeartbeat,
+    ) -> Result<HeartbeatReply, HeartbeatRefusal> {
+        self.events.observe(beat.at);
+        let shard = beat.shard.clone();
+        let stopped = HeartbeatRefusal::NotOwner { shard, epoch: 0, owner: None };
+        self.host.send(HostBeat(beat)).await.unwrap_or(Err(stopped))
+    }
+
+    async fn announce_owner(self, _: Context, notice: OwnerNotice) {
+        if self.keeper.send(NoteOwner(notice)).await.is_err() {
+            log::error!("task keeper does not answer");
+        }
+    }
+
+    async fn start(self, _: Context, starts: Vec<TaskStart>) -> Vec<Result<(), StartRefusal>> {
+        let count = starts.len();
+        let results = self.keeper.send(StartTasks(starts)).await;
+        results.unwrap_or_else(|_| vec![Err(StartRefusal::NotReady); count])
+    }
+
+    async fn stop(self, _: Context, stops: Vec<TaskStop>) -> Vec<Result<StopReply, TaskRefusal>> {
+        let count = stops.len();
+        let results = self.keeper.send(StopTasks(stops)).await;
+        results.unwrap_or_else(|_| vec![Err(TaskRefusal::NotReady); count])
+    }
+
+    async fn call(self, _: Context, call: UpstreamCall) -> Result<UpstreamAnswer, CallFailure> {
+        self.relay.send(ForwardCall(call)).await.unwrap_or(Err(CallFailure::Broken))
+    }
+
+    async fn deliver(
+        self,
+        _: Context,
+        delivery: ClaimDelivery,
+    ) -> Result<UpstreamAnswer, DeliveryFailure> {
+        self.relay.send(DeliverClaim(delivery)).await.unwrap_or(Err(DeliveryFailure::Unknown))
+    }
+
+    async fn fence(self, _: Context, fence: ClaimFence) -> FenceReply {
+        self.relay.send(FenceClaim(fence)).await.unwrap_or(FenceReply::InProgress)
+    }
+}
