Test the log client against a stand-in and fix two wrong verdicts

The new tests of the appender failed in two ways:

- An append that was stored before the service closed the connection was reported as Unavailable, that is, as surely not stored. awc reports such a connection as ConnectError::Disconnected, the same class as a failed connect.
It now counts as uncertain.
- A late append that arrived between a no-op whose answer was lost and the next no-op was reported as stored, although the fold drops it for its lower number.
Reading back now accepts own records only in rising order, and a gap in what was read back makes every verdict unknown.

An appender whose thread ends with an append in flight now answers Unknown instead of Stopped, which promises that nothing is stored.

--- a/crates/log/src/appender.rs
+++ b/crates/log/src/appender.rs
@@ -4,7 +4,8 @@
 //! next group. If an answer is lost, the appender stores a no-op with a higher
 //! sequence number and reads back: a record that does not stand before the
 //! no-op is not stored, and if it still arrives later, the fold drops it for its
-//! lower number.
+//! lower number. The same holds for a record that arrived after an earlier no-op
+//! whose answer was lost as well.
 
 use std::time::Duration;
 
@@ -45,7 +46,8 @@
     Unavailable,
     #[error("append was lost on its way")]
     Lost,
-    /// Retention dropped records before they could be read back.
+    /// Retention dropped records before they could be read back, or the appender
+    /// ended before it had an answer.
     #[error("it is not known whether the record was stored")]
     Unknown,
     #[error("record could not be encoded")]
@@ -113,7 +115,8 @@
         let (reply, result) = oneshot::channel();
         let record = QueuedRecord { body, flush, reply };
         self.queue.send(record).map_err(|_| NotStored::Stopped)?;
-        result.await.unwrap_or(Err(NotStored::Stopped))
+        // The appender's thread ended, perhaps with this append in flight.
+        result.await.unwrap_or(Err(NotStored::Unknown))
     }
 }
 
@@ -123,6 +126,14 @@
     reply: oneshot::Sender<Result<StoredRecord, NotStored>>,
 }
 
+impl OwnRecords {
+    fn add(&mut self, record: StoredRecord) {
+        if self.accepted.last().is_none_or(|last| record.sequence > last.sequence) {
+            self.accepted.push(record);
+        }
+    }
+}
+
 /// Identity of a record, without its body.
 #[derive(Deserialize)]
 struct RecordHeader {
@@ -136,7 +147,8 @@
 /// Own records found by reading back.
 #[derive(Default)]
 struct OwnRecords {
-    stored: Vec<StoredRecord>,
+    /// Those that the fold accepts: a record after one with a higher number is not.
+    accepted: Vec<StoredRecord>,
     /// Whether retention dropped some of the records in question.
     gap: bool,
 }
@@ -253,9 +265,14 @@
         };
         self.known_end = Some(end + 1);
         for record in group {
-            let found = own.stored.iter().find(|found| found.sequence == record.sequence);
-            let missing = if own.gap { NotStored::Unknown } else { NotStored::Lost };
-            let _ = record.reply.send(found.copied().ok_or(missing));
+            let found = own.accepted.iter().find(|found| found.sequence == record.sequence);
+            let result = match found {
+                // A no-op among the dropped records may have made the fold drop this one.
+                _ if own.gap => Err(NotStored::Unknown),
+                Some(stored) => Ok(*stored),
+                None => Err(NotStored::Lost),
+            };
+            let _ = record.reply.send(result);
         }
     }
 
@@ -288,7 +305,7 @@
             };
             let Some(last) = page.records.last() else { break };
             from = last.offset + 1;
-            own.stored.extend(page.records.iter().filter_map(|record| self.own(record)));
+            page.records.iter().filter_map(|record| self.own(record)).for_each(|r| own.add(r));
         }
         Ok(own)
     }
--- a/crates/log/src/client.rs
+++ b/crates/log/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use cactusdoor_core::name::StreamName;
 use cactusdoor_core::unit::{Millis, Offset};
@@ -100,6 +100,8 @@
     ) -> Result<AppendedRange, AppendError> {
         let request = self.http.post(self.url(stream)).send_json(&AppendRequest { records });
         let mut response = request.await.map_err(|error| match error {
+            // Also reported when the connection closes after the request was sent.
+            SendRequestError::Connect(ConnectError::Disconnected) => AppendError::Uncertain,
             SendRequestError::Connect(_) => AppendError::Unavailable,
             _ => AppendError::Uncertain,
         })?;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,11 @@
-//! Stand-ins for the platform, for tests and the demo.
+//! Stand-ins for everything outside the system, and a harness for tests.
+//!
+//! [`log_service`], [`worker`] and [`upstream`] speak the published interfaces
+//! and can be made to fail; [`relay`] disturbs TCP connections. Checkers use the
+//! histories that the stand-ins record. [`harness`] runs the daemons as child
+//! processes against them.
+
+pub mod history;
+pub mod log_service;
+pub mod server;
+pub mod stream;
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,103 @@
+//! HTTP servers that run in threads of their own.
+//!
+//! A stand-in has to answer while the test's own thread is busy, and some faults
+//! end a connection without an answer, which needs the socket below the server.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsFd;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
+
+use actix_web::dev::{Extensions, ServerHandle};
+use actix_web::rt::net::TcpStream as ServerStream;
+use actix_web::web::{JsonConfig, PayloadConfig, ServiceConfig};
+use actix_web::{App, HttpRequest, HttpServer};
+
+/// Largest body that a stand-in takes: an append of large records.
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// Handle to a running server; dropping it ends the server and its connections.
+pub struct RunningServer {
+    address: SocketAddr,
+    server: ServerHandle,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl RunningServer {
+    /// Listens on `address`; port 0 selects a free one.
+    pub fn spawn<F>(address: SocketAddr, threads: usize, configure: F) -> io::Result<Self>
+    where
+        F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let (started, server) = mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            actix_web::rt::System::new().block_on(async move {
+                match listen(listener, threads, configure) {
+                    Ok(server) => {
+                        drop(started.send(Ok(server.handle())));
+                        if let Err(error) = server.await {
+                            log::error!("server at {address} ended: {error}");
+                        }
+                    }
+                    Err(error) => drop(started.send(Err(error))),
+                }
+            });
+        });
+        let server = server.recv().map_err(io::Error::other)??;
+        Ok(Self { address, server, thread: Some(thread) })
+    }
+
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for RunningServer {
+    fn drop(&mut self) {
+        // The command is sent by the call; the future only waits for the end.
+        drop(self.server.stop(false));
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+fn listen<F>(
+    listener: TcpListener,
+    threads: usize,
+    configure: F,
+) -> io::Result<actix_web::dev::Server>
+where
+    F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
+{
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(JsonConfig::default().limit(MAX_BODY_BYTES))
+            .app_data(PayloadConfig::default().limit(MAX_BODY_BYTES))
+            .configure(configure.clone())
+    });
+    let server = server.on_connect(keep_socket).workers(threads).disable_signals();
+    Ok(server.listen(listener)?.run())
+}
+
+/// The socket of a connection, kept so that a fault can cut it.
+struct ConnectionSocket(TcpStream);
+
+fn keep_socket(connection: &dyn std::any::Any, data: &mut Extensions) {
+    let Some(stream) = connection.downcast_ref::<ServerStream>() else { return };
+    match stream.as_fd().try_clone_to_owned() {
+        Ok(socket) => drop(data.insert(ConnectionSocket(TcpStream::from(socket)))),
+        Err(error) => log::error!("could not keep the socket of a connection: {error}"),
+    }
+}
+
+/// Ends the connection of `request` at once, whatever was sent before.
+pub fn cut_connection(request: &HttpRequest) {
+    if let Some(socket) = request.conn_data::<ConnectionSocket>() {
+        drop(socket.0.shutdown(Shutdown::Both));
+    }
+}
