--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,135 @@
+//! Runs a world of the system under test through random steps.
+//!
+//! A world holds the code under test together with a simple oracle; after each
+//! step it compares the two. Steps refer to things by number, and a world takes
+//! each number modulo what it has, so any sequence of steps is valid and
+//! shrinks well.
+#![allow(dead_code)] // Each test file uses a part of this module.
+
+pub mod log;
+pub mod names;
+
+use std::collections::hash_map::RandomState;
+use std::fmt::Debug;
+use std::hash::BuildHasher;
+use std::marker::PhantomData;
+use std::ops::Range;
+
+use proptest::prelude::*;
+use proptest::test_runner::{RngSeed, TestRunner};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+/// Raises the number of cases of every test and draws a fresh seed.
+pub const CASES_VARIABLE: &str = "CACTUSDOOR_FUZZ_CASES";
+
+/// Seed of the normal run, so that its verdict is the same each time.
+const FIXED_SEED: u64 = 20_261_204;
+
+/// Code under test with its oracle.
+pub trait World: Sized + 'static {
+    type Step: Clone + Debug + 'static;
+
+    fn steps() -> BoxedStrategy<Self::Step>;
+    fn new() -> Self;
+    fn step(&mut self, step: Self::Step);
+    /// Compares with the oracle; runs after each step.
+    fn check(&self);
+    /// Runs once after the last step.
+    fn finish(self) {}
+}
+
+/// Generates steps that do not depend on a state.
+pub struct Script<W>(PhantomData<W>);
+
+impl<W: World> ReferenceStateMachine for Script<W> {
+    type State = ();
+    type Transition = W::Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<W::Step> {
+        W::steps()
+    }
+
+    fn apply((): (), _: &W::Step) {}
+}
+
+struct Trial<W>(PhantomData<W>);
+
+impl<W: World> StateMachineTest for Trial<W> {
+    type SystemUnderTest = W;
+    type Reference = Script<W>;
+
+    fn init_test((): &()) -> W {
+        W::new()
+    }
+
+    fn apply(mut world: W, (): &(), step: W::Step) -> W {
+        world.step(step);
+        world
+    }
+
+    fn check_invariants(world: &W, (): &()) {
+        world.check();
+    }
+
+    fn teardown(world: W, (): ()) {
+        world.finish();
+    }
+}
+
+fn config(subject: &str, cases: u32) -> ProptestConfig {
+    let (cases, seed) = match std::env::var(CASES_VARIABLE) {
+        Ok(text) => {
+            let cases = text.parse().expect("CACTUSDOOR_FUZZ_CASES must be a number");
+            let seed = RandomState::new().hash_one(subject);
+            println!("{subject}: {cases} cases with seed {seed}");
+            (cases, seed)
+        }
+        Err(_) => (cases, FIXED_SEED),
+    };
+    let seed = std::env::var("CACTUSDOOR_FUZZ_SEED")
+        .map_or(seed, |text| text.parse().expect("CACTUSDOOR_FUZZ_SEED must be a number"));
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Runs `cases` scripts of a world; panics with the smallest one that fails.
+pub fn fuzz<W: World>(subject: &str, cases: u32, length: Range<usize>) {
+    let config = config(subject, cases);
+    let mut runner = TestRunner::new(config.clone());
+    let scripts = Script::<W>::sequential_strategy(length);
+    let verdict = runner.run(&scripts, |((), steps, seen)| {
+        Trial::<W>::test_sequential(config.clone(), (), steps, seen);
+        Ok(())
+    });
+    if let Err(failure) = verdict {
+        panic!("{subject}, seed {:?}: {failure}", config.rng_seed);
+    }
+}
+
+/// Runs `cases` random inputs of a property that keeps no state.
+pub fn property<S: Strategy>(
+    subject: &str,
+    cases: u32,
+    inputs: S,
+    test: impl Fn(S::Value) -> Result<(), TestCaseError>,
+) {
+    let config = config(subject, cases);
+    let seed = config.rng_seed;
+    if let Err(failure) = TestRunner::new(config).run(&inputs, test) {
+        panic!("{subject}, seed {seed:?}: {failure}");
+    }
+}
+
+/// The element that `number` selects; `None` if there are none.
+pub fn pick<T>(items: &[T], number: usize) -> Option<&T> {
+    (!items.is_empty()).then(|| &items[number % items.len()])
+}
