Recount the capacity book on every change

Cause: a sum that overflowed was replaced by the capacity, and a later release subtracted from that, so the book showed free room while other reservations stood. Found by fuzzing against a plain sum (adoption of an extreme need after a reservation; committed 32000 where 0 ran). The sum now saturates and is formed anew on each change. A VM has tens of reservations, so the cost is small.

--- a/crates/core/src/capacity.rs
+++ b/crates/core/src/capacity.rs
@@ -74,8 +74,8 @@
     /// Frees a reservation; `false` if there was none.
     pub fn release(&mut self, token: Token) -> bool {
         match self.reservations.swap_remove(&token) {
-            Some(need) => {
-                self.committed = self.committed.saturating_sub(need);
+            Some(_) => {
+                self.recount();
                 true
             }
             None => false,
@@ -84,6 +84,12 @@
 
     fn enter(&mut self, token: Token, need: ResourceVector) {
         self.reservations.insert(token, need);
-        self.committed = self.committed.checked_add(need).unwrap_or(self.capacity);
+        self.recount();
+    }
+
+    /// Sums up anew: a difference would be wrong after a sum that saturated.
+    fn recount(&mut self) {
+        let needs = self.reservations.values();
+        self.committed = needs.fold(ResourceVector::ZERO, |sum, need| sum.saturating_add(*need));
     }
 }
--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -52,6 +52,16 @@
         })
     }
 
+    /// Sum, each component at most the largest number.
+    #[must_use]
+    pub fn saturating_add(self, other: Self) -> Self {
+        Self {
+            processors: self.processors.saturating_add(other.processors),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
     /// Difference, each component at least 0.
     #[must_use]
     pub fn saturating_sub(self, other: Self) -> Self {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -26,16 +26,16 @@
     match item {
         0 | 1 => {
             let spec = PlanSpec { team: names::team(0), weight: content };
-            ItemValue::Plan(names::plan(item), (content % 4 != 0).then_some(spec))
+            ItemValue::Plan(names::plan(item), (!content.is_multiple_of(4)).then_some(spec))
         }
         2 => {
             let batch = ResourceVector::new(u64::from(content), 1, 0);
             let spec = AllowanceSpec { batch, requests_per_second: content };
-            ItemValue::Allowance(names::plan(0), (content % 4 != 0).then_some(spec))
+            ItemValue::Allowance(names::plan(0), (!content.is_multiple_of(4)).then_some(spec))
         }
         _ => {
             let state =
-                if content % 2 == 0 { DataCentreState::Out } else { DataCentreState::In };
+                if content.is_multiple_of(2) { DataCentreState::Out } else { DataCentreState::In };
             ItemValue::DataCentre(names::centre(0), state)
         }
     }
@@ -44,18 +44,43 @@
 #[derive(Clone, Debug)]
 enum Step {
     /// An operator looks at the configuration up to some record.
-    Look { operator: usize, count: usize },
+    Look {
+        operator: usize,
+        count: usize,
+    },
     /// An operator publishes a change that rests on what it last saw.
-    Publish { operator: usize, items: Vec<(usize, u32)>, fate: AppendFate },
-    Restart { operator: usize },
-    Deliver { number: usize, keep: bool },
-    Repeat { number: usize },
+    Publish {
+        operator: usize,
+        items: Vec<(usize, u32)>,
+        fate: AppendFate,
+    },
+    Restart {
+        operator: usize,
+    },
+    Deliver {
+        number: usize,
+        keep: bool,
+    },
+    Repeat {
+        number: usize,
+    },
     Garbage,
-    OwnerReads { owner: usize, count: usize },
-    OwnerRestarts { owner: usize },
+    OwnerReads {
+        owner: usize,
+        count: usize,
+    },
+    OwnerRestarts {
+        owner: usize,
+    },
     /// An owner puts a delta since some revision on its way to the agents.
-    Send { owner: usize, since: Revision },
-    Receive { agent: usize, number: usize },
+    Send {
+        owner: usize,
+        since: Revision,
+    },
+    Receive {
+        agent: usize,
+        number: usize,
+    },
 }
 
 /// The oracle: for each accepted change, all items as they were after it.
@@ -118,7 +143,8 @@
             }
             table.insert(name, (revision, change.value.clone()));
         }
-        if items.is_empty() || table.values().filter(|(at, _)| *at == revision).count() != items.len()
+        if items.is_empty()
+            || table.values().filter(|(at, _)| *at == revision).count() != items.len()
         {
             return false;
         }
--- a/crates/core/tests/support/log.rs
+++ b/crates/core/tests/support/log.rs
@@ -107,11 +107,7 @@
     }
 
     /// Folds up to `count` records that `fold` has not seen.
-    pub fn read<F: StreamFold>(
-        &self,
-        fold: &mut F,
-        count: usize,
-    ) -> Vec<FoldedRecord<F::Effect>> {
+    pub fn read<F: StreamFold>(&self, fold: &mut F, count: usize) -> Vec<FoldedRecord<F::Effect>> {
         let from = fold.next();
         let to = self.next().min(from.saturating_add(count as Offset));
         (from..to)
