Allow for clock rates in a relayed confirmation

Cause: the age of the owner's read was subtracted on the agent's clock as it was. An owner whose clock is 1% slower reports an age that is too small, and whole milliseconds round it down, so the agent dated its view after the read (100 us in the smallest failing script). Ruled out: the agent's own arithmetic, which rounds to the safe side.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -34,6 +34,15 @@
 /// Age after which an agent that its owner no longer lists is forgotten.
 pub const ROSTER_LIFETIME: Millis = 10_000;
 
+/// Longest time that may pass on another VM's clock within `millis` on this one.
+///
+/// A difference of two moments in whole milliseconds may be one too small.
+#[must_use]
+pub fn with_rate_margin(millis: Millis) -> Millis {
+    let millis = millis.saturating_add(1);
+    millis.saturating_add(millis.saturating_mul(CLOCK_RATE_MARGIN_PERCENT).div_ceil(100))
+}
+
 /// The grantor's bound for a lease of `term`: when the holder has surely stopped.
 #[must_use]
 pub fn with_lease_margins(term: Millis) -> Millis {
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -1,6 +1,6 @@
 //! How recently a view of the configuration was confirmed.
 
-use crate::constants::CONFIG_FRESHNESS;
+use crate::constants::{CONFIG_FRESHNESS, with_rate_margin};
 use crate::unit::{Millis, Moment};
 
 /// The moment up to which a view is known to be complete.
@@ -16,7 +16,10 @@
     }
 
     /// Records a reply to a message sent at `sent`, whose view was `age` old.
+    ///
+    /// The age was measured on the sender's clock, which may be the slower one.
     pub fn confirm_relayed(&mut self, sent: Moment, age: Millis) {
+        let age = with_rate_margin(age);
         if age <= sent.0 {
             self.confirm(sent.before(age));
         }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -6,6 +6,7 @@
 //! shrinks well.
 #![allow(dead_code)] // Each test file uses a part of this module.
 
+pub mod clock;
 pub mod log;
 pub mod names;
 
