--- /dev/null
+++ b/crates/policy/src/placement/allowance.rs
@@ -0,0 +1,77 @@
+//! What the plans of a home shard use of their allowances.
+
+use cactusdoor_core::name::PlanName;
+use cactusdoor_core::resource::{ResourceKind, ResourceVector};
+use indexmap::IndexMap;
+
+/// Use per plan, as the sum of what its tasks hold or reserve.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AllowanceBook {
+    used: IndexMap<PlanName, ResourceVector>,
+}
+
+impl AllowanceBook {
+    #[must_use]
+    pub fn used(&self, plan: &PlanName) -> ResourceVector {
+        self.used.get(plan).copied().unwrap_or_default()
+    }
+
+    pub fn add(&mut self, plan: &PlanName, need: ResourceVector) {
+        let used = self.used.entry(plan.clone()).or_default();
+        *used = sum(*used, need);
+    }
+
+    pub fn remove(&mut self, plan: &PlanName, need: ResourceVector) {
+        if let Some(used) = self.used.get_mut(plan) {
+            *used = used.saturating_sub(need);
+            if *used == ResourceVector::ZERO {
+                self.used.swap_remove(plan);
+            }
+        }
+    }
+
+    /// The resource of which `limit` leaves too little for `need`.
+    #[must_use]
+    pub fn shortage(
+        &self,
+        plan: &PlanName,
+        limit: ResourceVector,
+        need: ResourceVector,
+    ) -> Option<ResourceKind> {
+        limit.shortage(sum(self.used(plan), need))
+    }
+
+    pub fn plans(&self) -> impl Iterator<Item = (&PlanName, ResourceVector)> {
+        self.used.iter().map(|(plan, used)| (plan, *used))
+    }
+}
+
+/// Sum that stays at the largest amount instead of overflowing.
+#[must_use]
+pub fn sum(a: ResourceVector, b: ResourceVector) -> ResourceVector {
+    ResourceVector {
+        processors: a.processors.saturating_add(b.processors),
+        memory: a.memory.saturating_add(b.memory),
+        accelerators: a.accelerators.saturating_add(b.accelerators),
+    }
+}
+
+/// Componentwise maximum.
+#[must_use]
+pub fn max(a: ResourceVector, b: ResourceVector) -> ResourceVector {
+    ResourceVector {
+        processors: a.processors.max(b.processors),
+        memory: a.memory.max(b.memory),
+        accelerators: a.accelerators.max(b.accelerators),
+    }
+}
+
+/// Componentwise minimum.
+#[must_use]
+pub fn min(a: ResourceVector, b: ResourceVector) -> ResourceVector {
+    ResourceVector {
+        processors: a.processors.min(b.processors),
+        memory: a.memory.min(b.memory),
+        accelerators: a.accelerators.min(b.accelerators),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement/interference.rs
@@ -0,0 +1,64 @@
+//! Slowdown that one kind of task causes in another.
+//!
+//! The slowdown of a task is modelled as the sum of one weight per neighbour,
+//! by the pair of kinds. Each observation moves the weights of the neighbours
+//! that were present by an equal part of the error, so a kind that is there when
+//! nothing is slow loses the blame that it shared with others.
+
+use cactusdoor_core::name::TaskKind;
+use indexmap::IndexMap;
+
+/// Part of the error that one observation corrects.
+const LEARNING_RATE: f64 = 0.2;
+
+/// Learned weights, in percent of speed lost per neighbour.
+#[derive(Clone, Debug, Default)]
+pub struct PairTable {
+    weights: IndexMap<(TaskKind, TaskKind), f64>,
+}
+
+impl PairTable {
+    /// A task of kind `victim` ran at `speed_percent` beside `neighbours`.
+    pub fn observe(&mut self, victim: &TaskKind, neighbours: &[&TaskKind], speed_percent: u8) {
+        if neighbours.is_empty() {
+            return;
+        }
+        let slowdown = 100.0 - f64::from(speed_percent.min(100));
+        let error = slowdown - self.suffered(victim, neighbours);
+        let step = LEARNING_RATE * error / neighbours.len() as f64;
+        for neighbour in neighbours {
+            let pair = (victim.clone(), (*neighbour).clone());
+            let weight = self.weights.entry(pair).or_default();
+            *weight = (*weight + step).clamp(0.0, 100.0);
+        }
+    }
+
+    /// Slowdown that a task of kind `victim` is expected to suffer, in percent.
+    #[must_use]
+    pub fn suffered(&self, victim: &TaskKind, neighbours: &[&TaskKind]) -> f64 {
+        neighbours.iter().map(|neighbour| self.weight(victim, neighbour)).sum()
+    }
+
+    /// Slowdown that a newcomer is expected to suffer and cause, in percent.
+    #[must_use]
+    pub fn added(&self, newcomer: &TaskKind, residents: &[&TaskKind]) -> f64 {
+        let caused: f64 = residents.iter().map(|resident| self.weight(resident, newcomer)).sum();
+        caused + self.suffered(newcomer, residents)
+    }
+
+    /// Whether any pair was observed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.weights.is_empty()
+    }
+
+    /// Slowdown that one `neighbour` causes in `victim`, in percent.
+    #[must_use]
+    pub fn weight(&self, victim: &TaskKind, neighbour: &TaskKind) -> f64 {
+        if self.weights.is_empty() {
+            return 0.0;
+        }
+        let pair = (victim.clone(), neighbour.clone());
+        self.weights.get(&pair).copied().unwrap_or(0.0)
+    }
+}
