--- a/crates/agent/src/board.rs
+++ b/crates/agent/src/board.rs
@@ -219,25 +219,41 @@
             return Err(StartRefusal::DataCentreOut);
         }
         // An inherited lease was granted for the tasks that run, not for new ones.
-        if self.renewed.is_none() || !self.holds_lease(now) {
+        if self.renewed.is_none() || !self.holds_lease(now.after(CHECKPOINT_MARGIN)) {
             return Err(StartRefusal::NotReady);
         }
         Ok(())
     }
 
     /// Checks a start and reserves what it needs.
+    ///
+    /// A refused token never starts later, because the owner records the refusal
+    /// as the end of the placement. A refusal for a stale epoch cannot be recorded,
+    /// so the newer owner may still start that token. Before the inventory is taken
+    /// a refusal must not be passed on: an earlier incarnation may have started it.
     pub fn begin_start(
         &mut self,
         now: Moment,
         start: &TaskStart,
     ) -> Result<StartStep, StartRefusal> {
+        if let Some(step) = self.repeated(start.token) {
+            return step;
+        }
+        let result = self.reserve(now, start);
+        if let Err(refusal) = result
+            && refusal != StartRefusal::EpochStale
+            && let Some(table) = &mut self.table
+        {
+            table.forbid(start.token);
+        }
+        result
+    }
+
+    fn reserve(&mut self, now: Moment, start: &TaskStart) -> Result<StartStep, StartRefusal> {
         if start.agent_incarnation != self.identity.incarnation
             || start.shard != self.identity.shard
         {
-            return Err(StartRefusal::EpochStale);
-        }
-        if let Some(step) = self.repeated(start.token) {
-            return step;
+            return Err(StartRefusal::NotReady);
         }
         self.gate(now, start.epoch)?;
         self.epoch = start.epoch;
@@ -268,7 +284,7 @@
         match table.end_of(token) {
             Some(PlacementEnd::Refused(refusal)) => Some(Err(*refusal)),
             Some(_) => Some(Ok(StartStep::Repeated)),
-            None if table.is_spent(token) => Some(Err(StartRefusal::EpochStale)),
+            None if table.is_spent(token) => Some(Err(StartRefusal::NotReady)),
             None => None,
         }
     }
@@ -287,7 +303,7 @@
         let Some(table) = &mut self.table else { return Err(StartRefusal::NotReady) };
         let refusal = match (gate, table.get(token)) {
             (Ok(()), Some(LiveTask::Reserved(_))) => return Ok(left),
-            (Ok(()), _) => StartRefusal::EpochStale,
+            (Ok(()), _) => StartRefusal::NotReady,
             (Err(refusal), _) => refusal,
         };
         table.refuse(token, refusal);
@@ -426,8 +442,8 @@
     pub fn ended(&self) -> Vec<EndedTask> {
         let ended = self.table.iter().flat_map(TaskTable::ended);
         let ended = ended.map(|task| EndedTask {
-            token: task.placed.token,
-            task: task.placed.task.clone(),
+            token: task.token,
+            task: task.task.clone(),
             end: task.end.clone(),
         });
         ended.collect()
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -101,6 +101,8 @@
     pub(crate) usage: RefCell<(Moment, Vec<UsageSample>)>,
     /// A heartbeat is due at once.
     pub(crate) beat_wanted: Notify,
+    /// The inventory was taken.
+    pub(crate) inventoried: Notify,
     /// The lease was renewed.
     pub(crate) renewed: Notify,
     /// A task ended.
@@ -133,6 +135,7 @@
             link: OwnerLink::default(),
             usage: RefCell::new((now, Vec::new())),
             beat_wanted: Notify::new(),
+            inventoried: Notify::new(),
             renewed: Notify::new(),
             ended: Notify::new(),
             reported: RefCell::default(),
@@ -211,6 +214,9 @@
 
     async fn start(self: &Rc<Self>, start: TaskStart) -> Result<(), StartRefusal> {
         self.settings.monitor.events.observe(start.at);
+        while self.board.borrow().table().is_none() {
+            self.inventoried.notified().await;
+        }
         let result = self.try_start(&start).await;
         let outcome = match &result {
             Ok(()) => "accepted",
@@ -381,12 +387,12 @@
         let mut reported = self.reported.borrow_mut();
         let mut new = false;
         for task in table.ended() {
-            if reported.insert(task.placed.token) {
+            if reported.insert(task.token) {
                 new = true;
                 self.settings.metrics.ends.with_label_values(&[end_label(&task.end)]).inc();
                 self.record(EventKind::TaskEnded {
-                    task: task.placed.task.clone(),
-                    token: task.placed.token,
+                    task: task.task.clone(),
+                    token: task.token,
                     vm: self.settings.identity.vm.clone(),
                     end: task.end.clone(),
                 });
--- a/crates/agent/src/life.rs
+++ b/crates/agent/src/life.rs
@@ -54,7 +54,7 @@
 
     #[must_use]
     pub fn refuse(self, refusal: StartRefusal) -> FinalTask {
-        FinalTask { placed: self.placed, end: PlacementEnd::Refused(refusal) }
+        FinalTask::new(self.placed, PlacementEnd::Refused(refusal))
     }
 }
 
@@ -76,7 +76,7 @@
 
     #[must_use]
     pub fn end(self, end: PlacementEnd) -> FinalTask {
-        FinalTask { placed: self.placed, end }
+        FinalTask::new(self.placed, end)
     }
 }
 
@@ -94,17 +94,24 @@
 impl StoppingTask {
     #[must_use]
     pub fn end(self, end: PlacementEnd) -> FinalTask {
-        FinalTask { placed: self.placed, end }
+        FinalTask::new(self.placed, end)
     }
 }
 
 /// The task ended and its resources are free.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FinalTask {
-    pub placed: PlacedTask,
+    pub token: Token,
+    pub task: TaskId,
     pub end: PlacementEnd,
 }
 
+impl FinalTask {
+    fn new(placed: PlacedTask, end: PlacementEnd) -> Self {
+        Self { token: placed.token, task: placed.task, end }
+    }
+}
+
 /// A task that may occupy the worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LiveTask {
@@ -141,6 +148,6 @@
             Self::Running(task) => task.placed,
             Self::Stopping(task) => task.placed,
         };
-        FinalTask { placed, end }
+        FinalTask::new(placed, end)
     }
 }
--- a/crates/agent/src/table.rs
+++ b/crates/agent/src/table.rs
@@ -11,7 +11,9 @@
 use cactusdoor_core::job::{PlacementEnd, StartRefusal, TaskId};
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Moment, Token};
-use cactusdoor_worker::{RunningTask as WorkerTask, TaskEnd, TaskInventory};
+use cactusdoor_worker::{
+    EndedTask as WorkerEnd, RunningTask as WorkerTask, TaskEnd, TaskInventory,
+};
 use indexmap::IndexMap;
 
 use crate::life::{
@@ -40,7 +42,7 @@
     Uncertain,
 }
 
-/// Tokens that must never start again.
+/// Tokens that must never start, or not again.
 #[derive(Clone, Debug, Default)]
 struct SpentTokens {
     floor: Token,
@@ -234,17 +236,11 @@
         }
     }
 
-    fn adopt_end(&mut self, task: &cactusdoor_worker::EndedTask) {
-        let Ok(kind) = "unknown".parse() else { return };
-        let placed = PlacedTask {
-            token: task.token,
-            task: task.task.clone(),
-            kind,
-            need: ResourceVector::ZERO,
-        };
+    fn adopt_end(&mut self, task: &WorkerEnd) {
         let end = placement_end(task.end.clone(), false);
         self.spent.insert(task.token);
-        self.ended.insert(task.token, FinalTask { placed, end });
+        let ended = FinalTask { token: task.token, task: task.task.clone(), end };
+        self.ended.insert(task.token, ended);
     }
 
     /// A start that was given up took effect after all: the task has to stop.
--- a/crates/agent/src/upkeep.rs
+++ b/crates/agent/src/upkeep.rs
@@ -3,12 +3,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactusdoor_core::constants::HEARTBEAT_INTERVAL;
+use cactusdoor_core::constants::{HEARTBEAT_INTERVAL, PAUSE_MARGIN};
+use cactusdoor_core::unit::Millis;
 use cactusdoor_peer::heartbeat::UsageSample;
 use cactusdoor_worker::{CallError, EndAcknowledgement, LeaseRenewal};
 
 use crate::keeper::KeeperState;
 
+/// Longest time to an answer of a worker that was not paused.
+const PROMPT_ANSWER: Millis = 100;
+
 impl KeeperState {
     fn poll_time(&self) -> Duration {
         Duration::from_millis(self.settings.worker_poll)
@@ -16,10 +20,12 @@
 
     /// Takes the inventory, then follows what the worker runs.
     pub(crate) async fn watch_worker(self: Rc<Self>) {
+        self.await_worker().await;
         while let Err(error) = self.take_inventory().await {
             log::warn!("could not take the inventory: {error}");
             tokio::time::sleep(self.poll_time()).await;
         }
+        self.inventoried.notify_waiters();
         let draining = self.board.borrow().is_draining();
         self.settings.monitor.set_ready(!draining);
         log::info!("inventory is taken");
@@ -32,6 +38,24 @@
         }
     }
 
+    /// Waits until the worker answers promptly, or has answered for a while.
+    ///
+    /// A start of an earlier incarnation can lie in the socket of a paused worker,
+    /// which reads it soon after it resumes.
+    async fn await_worker(&self) {
+        let asked = self.now();
+        let mut answered = self.settings.worker.status().await.is_ok();
+        if answered && self.now().since(asked) <= PROMPT_ANSWER {
+            return;
+        }
+        while !answered {
+            log::warn!("worker does not answer");
+            tokio::time::sleep(self.poll_time()).await;
+            answered = self.settings.worker.status().await.is_ok();
+        }
+        tokio::time::sleep(Duration::from_millis(PAUSE_MARGIN)).await;
+    }
+
     async fn take_inventory(self: &Rc<Self>) -> Result<(), CallError> {
         let status = self.settings.worker.status().await?;
         let sent = self.now();
