--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -1,6 +1,9 @@
 //! Builders shared by the tests.
 #![allow(dead_code)]
 
+pub mod fake_owner;
+pub mod fake_worker;
+
 use cactusdoor_agent::board::{BoardIdentity, StartStep, TaskBoard};
 use cactusdoor_agent::table::LaunchAnswer;
 use cactusdoor_core::config::{ConfigDelta, ConfigItem, DataCentreState, ItemValue};
