Fence a delivery that waits for a slot in the test of fences

With the check before the send removed the fence test still passed, because the fence was handled before the delivery had joined the queue; the test now waits until it is queued and fails under that mutation. Sending binding requests through the shared pool instead fails the test of connections.

--- a/crates/agent/tests/relay.rs
+++ b/crates/agent/tests/relay.rs
@@ -279,6 +279,9 @@
         upstream.await_requests(1).await;
         let waiting = bench.relay.send(delivery(6));
         let fence = async {
+            while bench.relay.send(ListUpstreams).await.unwrap()[0].load.queued == 0 {
+                tokio::task::yield_now().await;
+            }
             assert_eq!(bench.fence(6).await.unwrap(), FenceReply::Fenced);
             upstream.go.notify_waiters();
         };
--- a/crates/upstream/src/client.rs
+++ b/crates/upstream/src/client.rs
@@ -66,8 +66,8 @@
 #[derive(Clone)]
 pub struct UpstreamClient {
     pooled: awc::Client,
-    /// Opens a connection per request: a pooled one can close under the request,
-    /// which would leave the outcome of a binding request unknown.
+    /// Its requests close their connections, so each opens one: a pooled one can close
+    /// under the request, which would leave the outcome of a binding request unknown.
     single: awc::Client,
     closed: ClosureFlag,
 }
@@ -76,9 +76,7 @@
     #[must_use]
     pub fn open() -> Self {
         let closed = ClosureFlag::default();
-        let pooled = client(KEEP_ALIVE, &closed);
-        let single = client(Duration::ZERO, &closed);
-        Self { pooled, single, closed }
+        Self { pooled: client(&closed), single: client(&closed), closed }
     }
 
     /// Sends a request once and waits for the whole answer.
@@ -167,7 +165,7 @@
     format!("{:016x}-{}-{}", id.entry, id.number, id.attempt)
 }
 
-fn client(keep_alive: Duration, closed: &ClosureFlag) -> awc::Client {
+fn client(closed: &ClosureFlag) -> awc::Client {
     let closed = closed.clone();
     let watched = TcpConnector::new(Resolver::default()).service().map(
         move |connection: actix_tls::connect::Connection<Uri, actix_rt::net::TcpStream>| {
@@ -178,7 +176,7 @@
     let connector = Connector::new()
         .connector(watched)
         .timeout(CONNECT_TIMEOUT)
-        .conn_keep_alive(keep_alive)
+        .conn_keep_alive(KEEP_ALIVE)
         .limit(0);
     // A redirect would send the request a second time.
     awc::Client::builder().connector(connector).disable_timeout().disable_redirects().finish()
