Add the decisions of a shard owner as a pure state

The book takes folded records, heartbeats, answers and ticks, and gives typed actions. A decision counts only once its record has come back through the fold under the own epoch.

--- /dev/null
+++ b/crates/owner/src/book/placing.rs
@@ -0,0 +1,363 @@
+//! Placement rounds: which pending tasks get which VMs.
+
+use std::collections::HashMap;
+
+use cactusdoor_core::config::DataCentreState;
+use cactusdoor_core::constants::CONFIG_FRESHNESS;
+use cactusdoor_core::job::{JobClass, JobId, JobSpec, ParkReason, TaskId};
+use cactusdoor_core::name::{PlanName, RackName, TaskKind, VmName};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::shard::TaskRecord;
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_policy::placement::allowance::{max, min, sum};
+use cactusdoor_policy::placement::attribution::VmStanding;
+use cactusdoor_policy::placement::choice::{VmOffer, choose};
+use cactusdoor_policy::placement::eviction::PressureStep;
+use cactusdoor_policy::placement::order::{DeadlineSlack, FairQueue, JobDemand, PlanShare};
+use cactusdoor_timeline::event::{EventKind, WaitReason};
+use indexmap::IndexMap;
+
+use super::ShardBook;
+use super::append::{AppendKey, PlacementHold};
+
+/// Most placements in one round, so that a round stays within milliseconds.
+const ROUND_PLACEMENTS: usize = 512;
+/// Most appends under way; beyond it the log is the bottleneck.
+const MAX_OPEN_APPENDS: usize = 2_048;
+/// Time after which a round is repeated although nothing changed: backoffs end
+/// and deadlines come closer.
+const ROUND_INTERVAL: Millis = 500;
+
+/// A VM that takes tasks in this round.
+struct OpenVm {
+    vm: VmName,
+    rack: RackName,
+    capacity: ResourceVector,
+    free: ResourceVector,
+    kinds: Vec<TaskKind>,
+    /// Takes no more than one task, as a probe.
+    probing: bool,
+    /// Takes no tasks that may be held back, to protect latency-critical ones.
+    protected: bool,
+}
+
+/// A job with tasks to place.
+struct OpenJob {
+    id: JobId,
+    need: ResourceVector,
+    tasks: Vec<u32>,
+    /// Placements that the plan's allowance still covers are checked one by one.
+    home: bool,
+}
+
+impl ShardBook {
+    /// Runs a placement round if one is due.
+    pub(super) fn place(&mut self, now: Moment, unix_ms: Millis) {
+        let due = self.placing_due || now.since(self.last_round) >= ROUND_INTERVAL;
+        if !due || self.tenure().is_none() || self.handing_back {
+            return;
+        }
+        self.placing_due = false;
+        self.last_round = now;
+        if self.index.pending().is_empty() {
+            return;
+        }
+        if let Some(reason) = self.standstill(now) {
+            let jobs: Vec<JobId> = self.index.pending().keys().cloned().collect();
+            for job in jobs {
+                self.wait(now, &job, reason.clone());
+            }
+            return;
+        }
+        let vms = self.open_vms(now);
+        let (jobs, queue) = self.demands(now, unix_ms, &vms);
+        self.round(now, vms, jobs, queue);
+    }
+
+    /// Why nothing at all can be placed.
+    fn standstill(&self, now: Moment) -> Option<WaitReason> {
+        if self.config.data_centre(&self.data_centre) == DataCentreState::Out {
+            return Some(WaitReason::DataCentreOut);
+        }
+        if self.tasks_view.age(now).is_none_or(|age| age > CONFIG_FRESHNESS) {
+            return Some(WaitReason::LogUnreachable);
+        }
+        if !self.config_view.allows_start(now) {
+            return Some(WaitReason::ConfigurationStale);
+        }
+        None
+    }
+
+    fn open_vms(&self, now: Moment) -> Vec<OpenVm> {
+        let mut open = Vec::new();
+        for (vm, agent) in &self.agents {
+            let standing = self.ledger.standing(vm, now);
+            if !agent.takes_tasks(now) || matches!(standing, VmStanding::HeldBack(_)) {
+                continue;
+            }
+            let load = self.index.vm(vm);
+            let probing = standing == VmStanding::Probing;
+            let occupied = load.is_some_and(|load| !load.tasks.is_empty());
+            if probing && (occupied || self.appends.held(vm) != ResourceVector::ZERO) {
+                continue;
+            }
+            let committed = load.map_or(ResourceVector::ZERO, |load| load.committed);
+            let taken = sum(sum(committed, self.appends.held(vm)), agent.stray);
+            let kinds = if self.pairs.is_empty() { Vec::new() } else { self.kinds_on(vm) };
+            open.push(OpenVm {
+                vm: vm.clone(),
+                rack: agent.identity.rack.clone(),
+                capacity: agent.capacity,
+                free: agent.capacity.saturating_sub(taken),
+                kinds,
+                probing,
+                protected: agent.ladder.step() != PressureStep::Free,
+            });
+        }
+        let count = self.ramp.open(now, open.len());
+        open.truncate(count);
+        open
+    }
+
+    fn kinds_on(&self, vm: &VmName) -> Vec<TaskKind> {
+        let tasks = self.index.vm(vm).into_iter().flat_map(|load| load.tasks.values());
+        tasks.filter_map(|task| self.spec(&task.job)).map(|spec| spec.kind.clone()).collect()
+    }
+
+    /// Largest capacity of a known VM.
+    pub(super) fn largest_capacity(&self) -> ResourceVector {
+        self.agents.values().fold(ResourceVector::ZERO, |largest, agent| {
+            if largest.holds(agent.capacity) { largest } else { max(largest, agent.capacity) }
+        })
+    }
+
+    /// Whether some known VM could hold `need` if it were empty.
+    pub(super) fn some_vm_holds(&self, need: ResourceVector) -> bool {
+        self.agents.values().any(|agent| agent.capacity.holds(need))
+    }
+
+    /// The amount to commit for a task of the job.
+    ///
+    /// Away from home it stays within the declared need, which is what the home
+    /// shard reserves in the plan's allowance. It also stays within what the
+    /// plan and some VM can hold at all, as far as the declared need does.
+    fn need(&self, spec: &JobSpec, home: bool) -> ResourceVector {
+        let learned = self.learner.need(&spec.kind, spec.need);
+        if !home {
+            return min(learned, spec.need);
+        }
+        let allowed = self
+            .config
+            .allowance(&spec.id.plan)
+            .is_none_or(|allowance| allowance.batch.holds(learned));
+        if allowed && self.some_vm_holds(learned) { learned } else { min(learned, spec.need) }
+    }
+
+    fn demands(
+        &mut self,
+        now: Moment,
+        unix_ms: Millis,
+        vms: &[OpenVm],
+    ) -> (Vec<OpenJob>, FairQueue) {
+        let mut plans: IndexMap<PlanName, PlanShare> = IndexMap::new();
+        let mut jobs = Vec::new();
+        let mut demands = Vec::new();
+        let pending: Vec<JobId> = self.index.pending().keys().cloned().collect();
+        for job in pending {
+            let Some((spec, home, since)) = self.placeable(now, &job) else { continue };
+            let open = self.index.pending().get(&job).into_iter().flatten();
+            // Popped from the end, so the lowest index goes first.
+            let mut tasks: Vec<u32> = open
+                .filter(|index| !self.is_task_busy(&TaskId { job: job.clone(), index: **index }))
+                .take(ROUND_PLACEMENTS)
+                .copied()
+                .collect();
+            tasks.reverse();
+            if tasks.is_empty() {
+                continue;
+            }
+            let weight = self.config.plan(&job.plan).map_or(1, |plan| plan.weight);
+            let used = self.index.local_use(&job.plan);
+            let entry = plans.entry(job.plan.clone());
+            let plan = entry.index();
+            entry.or_insert(PlanShare { weight, used });
+            let run_time = self.learner.run_time(&spec.kind, spec.run_time_ms);
+            let need = self.need(&spec, home);
+            demands.push(JobDemand {
+                plan,
+                urgent: spec.urgent,
+                slack: DeadlineSlack::new(spec.deadline_unix_ms, run_time, unix_ms),
+                run_time,
+                since,
+                need,
+            });
+            jobs.push(OpenJob { id: job, need, tasks, home });
+        }
+        let total = vms.iter().fold(ResourceVector::ZERO, |total, vm| sum(total, vm.capacity));
+        (jobs, FairQueue::new(total, plans.into_values().collect(), demands))
+    }
+
+    /// The job's specification if its tasks may be placed now.
+    fn placeable(
+        &mut self,
+        now: Moment,
+        job: &JobId,
+    ) -> Option<(std::sync::Arc<JobSpec>, bool, u64)> {
+        let entry = self.fold.job(job)?;
+        if entry.cancelled || self.appends.is_busy(&AppendKey::Job(job.clone())) {
+            return None;
+        }
+        let found = (entry.spec.clone(), entry.home, entry.since);
+        if let Some(reason) = entry.parked.clone() {
+            self.wait(now, job, WaitReason::Parked(reason));
+            return None;
+        }
+        if self.backoffs.get(job).is_some_and(|backoff| now < backoff.until) {
+            self.wait(now, job, WaitReason::Backoff);
+            return None;
+        }
+        if let Some(reason) = self.never(now, &found.0, found.1) {
+            self.park(job, reason);
+            return None;
+        }
+        Some(found)
+    }
+
+    /// Why no task of the job can run, whatever else ends.
+    fn never(&self, now: Moment, spec: &JobSpec, home: bool) -> Option<ParkReason> {
+        if home {
+            let Some(allowance) = self.config.allowance(&spec.id.plan) else {
+                return Some(ParkReason::UnknownPlan);
+            };
+            if let Some(kind) = allowance.batch.shortage(spec.need) {
+                return Some(ParkReason::ExceedsAllowance(kind));
+            }
+        }
+        if !self.knows_its_vms(now) || self.some_vm_holds(spec.need) {
+            return None;
+        }
+        if self.moves.some_shard_holds(spec.need) {
+            return None;
+        }
+        let kind = self.largest_capacity().shortage(spec.need);
+        // No single VM has enough of everything at once; memory is named then.
+        Some(ParkReason::NeverFits(kind.unwrap_or(cactusdoor_core::resource::ResourceKind::Memory)))
+    }
+
+    fn round(
+        &mut self,
+        now: Moment,
+        mut vms: Vec<OpenVm>,
+        mut jobs: Vec<OpenJob>,
+        mut queue: FairQueue,
+    ) {
+        let mut racks = self.rack_counts(&jobs);
+        let mut placed = 0;
+        while let Some(position) = queue.peek() {
+            if placed >= ROUND_PLACEMENTS || self.appends.len() >= MAX_OPEN_APPENDS {
+                self.placing_due = true;
+                break;
+            }
+            let job = &mut jobs[position];
+            let Some(index) = job.tasks.pop() else {
+                queue.finish(position);
+                continue;
+            };
+            let task = TaskId { job: job.id.clone(), index };
+            let (need, home) = (job.need, job.home);
+            match self.place_task(&task, need, home, &mut vms, &mut racks) {
+                Ok(()) => {
+                    placed += 1;
+                    queue.placed(position);
+                    self.waits.remove(&task.job);
+                }
+                Err(reason) => {
+                    queue.finish(position);
+                    self.wait(now, &task.job, reason);
+                }
+            }
+        }
+    }
+
+    fn place_task(
+        &mut self,
+        task: &TaskId,
+        need: ResourceVector,
+        home: bool,
+        vms: &mut [OpenVm],
+        racks: &mut HashMap<JobId, HashMap<RackName, u32>>,
+    ) -> Result<(), WaitReason> {
+        let Some(epoch) = self.owned_epoch() else { return Err(WaitReason::LogUnreachable) };
+        let Some(spec) = self.spec(&task.job).cloned() else { return Err(WaitReason::NoRoom) };
+        let charged = if home { max(need, spec.need) } else { ResourceVector::ZERO };
+        if home && !self.allowance_covers(&task.job.plan, charged) {
+            return Err(WaitReason::AllowanceUsed);
+        }
+        let in_racks = racks.entry(task.job.clone()).or_default();
+        let job_running: u32 = in_racks.values().sum();
+        let offers = vms.iter().enumerate().filter_map(|(position, open)| {
+            let critical = spec.class == JobClass::LatencyCritical;
+            if (open.protected && !critical) || !open.free.holds(need) {
+                return None;
+            }
+            let residents: Vec<&TaskKind> = open.kinds.iter().collect();
+            let offer = VmOffer {
+                capacity: open.capacity,
+                free: open.free,
+                slowdown_percent: self.pairs.added(&spec.kind, &residents),
+                job_in_rack: in_racks.get(&open.rack).copied().unwrap_or(0),
+                job_running,
+                failed_here: self.ledger.has_failed_on(&task.job, &open.vm),
+            };
+            Some((position, offer))
+        });
+        let Some(position) = choose(offers, need) else { return Err(WaitReason::NoRoom) };
+        let open = &mut vms[position];
+        open.free =
+            if open.probing { ResourceVector::ZERO } else { open.free.saturating_sub(need) };
+        if !self.pairs.is_empty() {
+            open.kinds.push(spec.kind.clone());
+        }
+        *in_racks.entry(open.rack.clone()).or_default() += 1;
+        let vm = open.vm.clone();
+        let record = TaskRecord::TaskPlaced { epoch, task: task.clone(), vm: vm.clone(), need };
+        let ticket = self.append(AppendKey::Task(task.clone()), record, spec.urgent);
+        let plan = task.job.plan.clone();
+        self.appends.hold(ticket, PlacementHold { vm, need, plan, charged });
+        Ok(())
+    }
+
+    /// Whether the plan may use `need` more, with what is being placed.
+    pub(super) fn allowance_covers(&self, plan: &PlanName, need: ResourceVector) -> bool {
+        let Some(allowance) = self.config.allowance(plan) else { return false };
+        let more = sum(self.appends.charged(plan), need);
+        self.index.allowances().shortage(plan, allowance.batch, more).is_none()
+    }
+
+    fn rack_counts(&self, jobs: &[OpenJob]) -> HashMap<JobId, HashMap<RackName, u32>> {
+        let mut counts: HashMap<JobId, HashMap<RackName, u32>> =
+            jobs.iter().map(|job| (job.id.clone(), HashMap::new())).collect();
+        for (vm, load) in self.index.vms() {
+            let Some(agent) = self.agents.get(vm) else { continue };
+            for task in load.tasks.values() {
+                if let Some(racks) = counts.get_mut(&task.job) {
+                    *racks.entry(agent.identity.rack.clone()).or_default() += 1;
+                }
+            }
+        }
+        counts
+    }
+
+    /// Notes why a job's next task is not placed.
+    pub(super) fn wait(&mut self, now: Moment, job: &JobId, reason: WaitReason) {
+        if self.waits.get(job).is_some_and(|(known, _)| *known == reason) {
+            return;
+        }
+        self.waits.insert(job.clone(), (reason.clone(), now));
+        let first = self.index.pending().get(job).and_then(|tasks| tasks.first());
+        if let Some(index) = first.copied() {
+            let task = TaskId { job: job.clone(), index };
+            self.event(EventKind::TaskWaits { task, reason });
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/book/roster.rs
@@ -0,0 +1,142 @@
+//! What entries are told about the shard, and what they tell in return.
+
+use cactusdoor_core::constants::{REMOTE_OWNER_SILENCE, ROSTER_LIFETIME};
+use cactusdoor_core::name::{ShardName, VmName};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_peer::heartbeat::{AgentIdentity, OwnerNotice};
+use cactusdoor_peer::roster::{RosterMember, RosterReply, RosterUpdate, ShardRoom};
+use cactusdoor_policy::placement::allowance::sum;
+use cactusdoor_timeline::HybridTime;
+use indexmap::IndexMap;
+
+use super::ShardBook;
+use super::action::BookAction;
+
+/// Age of the last answer of an entry up to which its view of shards counts.
+const REPLY_LIFETIME: Millis = 5_000;
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct RosterBook {
+    /// When a roster of each shard was last heard of.
+    heard: IndexMap<ShardName, Moment>,
+    last_reply: Option<Moment>,
+    /// Agents that were introduced to the new owner.
+    announced: IndexMap<VmName, Moment>,
+}
+
+/// What one entry was told last.
+#[derive(Clone, Debug, Default)]
+pub struct EntryView {
+    number: u64,
+    members: IndexMap<VmName, RosterMember>,
+}
+
+impl EntryView {
+    /// The entry needs the complete list next.
+    pub fn reset(&mut self) {
+        self.members.clear();
+        self.number = 0;
+    }
+}
+
+impl ShardBook {
+    /// The update for an entry, `None` while this process does not own the shard.
+    pub fn roster(&self, now: Moment, view: &mut EntryView) -> Option<RosterUpdate> {
+        let epoch = self.owned_epoch()?;
+        let mut members: IndexMap<VmName, RosterMember> = IndexMap::new();
+        for (vm, agent) in &self.agents {
+            if now.since(agent.last_beat) < ROSTER_LIFETIME {
+                let upstreams = agent.upstreams.clone();
+                let (agent, draining) = (agent.identity.clone(), agent.draining);
+                members.insert(vm.clone(), RosterMember { agent, draining, upstreams });
+            }
+        }
+        let full = view.number == 0;
+        let known = &view.members;
+        let changed = members.iter().filter(|(vm, member)| known.get(*vm) != Some(*member));
+        let changed: Vec<RosterMember> = changed.map(|(_, member)| member.clone()).collect();
+        let gone = known.keys().filter(|vm| !members.contains_key(*vm)).cloned().collect();
+        view.members = members;
+        view.number += 1;
+        Some(RosterUpdate {
+            at: HybridTime::default(),
+            shard: self.settings.shard.clone(),
+            data_centre: self.data_centre.clone(),
+            epoch,
+            owner: self.settings.identity.vm.clone(),
+            owner_address: self.settings.identity.address,
+            number: view.number,
+            full,
+            members: changed,
+            gone,
+            room: self.room(now),
+        })
+    }
+
+    fn room(&self, now: Moment) -> ShardRoom {
+        let mut room = ShardRoom {
+            pending_tasks: u32::try_from(self.index.pending_count()).unwrap_or(u32::MAX),
+            ..ShardRoom::default()
+        };
+        for (vm, agent) in self.agents.iter().filter(|(_, agent)| agent.takes_tasks(now)) {
+            let committed = self.index.vm(vm).map_or(ResourceVector::ZERO, |load| load.committed);
+            let taken = sum(sum(committed, self.appends.held(vm)), agent.stray);
+            let free = agent.capacity.saturating_sub(taken);
+            room.free = sum(room.free, free);
+            let size = |amount: ResourceVector| (amount.accelerators, amount.processors);
+            if size(free) > size(room.largest) {
+                room.largest = free;
+            }
+        }
+        room
+    }
+
+    /// Takes an entry's answer to a roster.
+    pub fn roster_answered(&mut self, now: Moment, reply: &RosterReply) {
+        if self.tenure().is_none() {
+            return;
+        }
+        self.roster.last_reply = Some(now);
+        for summary in &reply.shards {
+            self.roster.heard.insert(summary.shard.clone(), now);
+            if summary.shard != self.settings.shard {
+                self.moves.learn(now, summary.clone());
+            }
+        }
+        for shard in &self.settings.shards {
+            self.roster.heard.entry(shard.clone()).or_insert(now);
+        }
+        for agent in &reply.earlier_members {
+            self.announce(now, agent);
+        }
+    }
+
+    /// Introduces this owner to an agent that has not been heard.
+    fn announce(&mut self, now: Moment, agent: &AgentIdentity) {
+        let heard = self.agents.get(&agent.vm).is_some_and(|known| known.adopted);
+        let last = self.roster.announced.get(&agent.vm).copied();
+        let recently = last.is_some_and(|at| now.since(at) < REPLY_LIFETIME);
+        let Some(epoch) = self.owned_epoch() else { return };
+        if heard || recently {
+            return;
+        }
+        self.roster.announced.insert(agent.vm.clone(), now);
+        let notice = OwnerNotice {
+            shard: self.settings.shard.clone(),
+            epoch,
+            address: self.settings.identity.address,
+        };
+        self.act(BookAction::Announce { address: agent.address, notice });
+    }
+
+    /// Shards of which no entry has had a roster for long.
+    pub(super) fn silent_shards(&self, now: Moment) -> Vec<ShardName> {
+        if self.roster.last_reply.is_none_or(|at| now.since(at) > REPLY_LIFETIME) {
+            return Vec::new();
+        }
+        let silent = |at: &Moment| now.since(*at) >= REMOTE_OWNER_SILENCE;
+        let heard = self.roster.heard.iter().filter(|(_, at)| silent(at));
+        heard.map(|(shard, _)| shard.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/owner/src/book/tasks.rs
@@ -0,0 +1,252 @@
+//! Starts and stops on agents, until they are acknowledged.
+
+use cactusdoor_core::job::{JobId, PlacementEnd, StartRefusal, TaskId};
+use cactusdoor_core::name::VmName;
+use cactusdoor_core::shard::TaskState;
+use cactusdoor_core::unit::{Incarnation, Millis, Moment, Token};
+use cactusdoor_peer::task::{StopMode, StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_timeline::{EventKind, HybridTime};
+
+use super::ShardBook;
+use super::action::{BookAction, CallOutcome};
+
+/// Pause before a lost or refused call is repeated.
+const RETRY_PAUSE: Millis = 500;
+
+/// A committed placement on its way to the agent.
+#[derive(Clone, Debug)]
+pub(super) struct StartFlight {
+    task: TaskId,
+    vm: VmName,
+    /// Of the agent when the start was first sent.
+    pub incarnation: Incarnation,
+    in_flight: bool,
+    /// An answer was lost, so a copy of the start may still be on its way.
+    uncertain: bool,
+    next_try: Moment,
+    pub started: Option<Moment>,
+    pub missing_since: Option<Moment>,
+}
+
+/// A stop to be repeated until it is acknowledged.
+#[derive(Clone, Debug)]
+pub(super) struct StopWish {
+    task: TaskId,
+    vm: VmName,
+    mode: StopMode,
+    in_flight: bool,
+    next_try: Moment,
+}
+
+impl ShardBook {
+    /// Sends the start of a placement that has just been committed.
+    pub(super) fn begin_start(&mut self, now: Moment, token: Token, task: &TaskId) {
+        let Some(placement) = self.index.placement(task) else { return };
+        let vm = placement.vm.clone();
+        let incarnation = self.agents.get(&vm).map_or(0, |agent| agent.identity.incarnation);
+        let flight = StartFlight {
+            task: task.clone(),
+            vm,
+            incarnation,
+            in_flight: false,
+            uncertain: false,
+            next_try: now,
+            started: None,
+            missing_since: None,
+        };
+        self.flights.insert(token, flight);
+        self.send_start(now, token);
+    }
+
+    fn send_start(&mut self, now: Moment, token: Token) {
+        let Some(epoch) = self.owned_epoch() else { return };
+        let Some(flight) = self.flights.get(&token) else { return };
+        let Some(agent) = self.agents.get(&flight.vm) else { return };
+        if agent.identity.incarnation != flight.incarnation {
+            return;
+        }
+        let Some(entry) = self.fold.job(&flight.task.job) else { return };
+        let state = entry.tasks.get(&flight.task.index).map(|task| &task.state);
+        let Some(TaskState::Placed { need, checkpoint, .. }) = state else { return };
+        let start = TaskStart {
+            at: HybridTime::default(),
+            shard: self.settings.shard.clone(),
+            epoch,
+            agent_incarnation: flight.incarnation,
+            token,
+            task: flight.task.clone(),
+            kind: entry.spec.kind.clone(),
+            class: entry.spec.class,
+            need: *need,
+            run_time_ms: entry.spec.run_time_ms,
+            checkpoint: checkpoint.clone(),
+        };
+        let (vm, address) = (flight.vm.clone(), agent.identity.address);
+        if let Some(flight) = self.flights.get_mut(&token) {
+            flight.in_flight = true;
+            flight.next_try = now.after(RETRY_PAUSE);
+        }
+        self.act(BookAction::Start { vm, address, start });
+    }
+
+    /// The answer to a start.
+    pub fn start_answered(
+        &mut self,
+        now: Moment,
+        token: Token,
+        answer: CallOutcome<Result<(), StartRefusal>>,
+    ) {
+        let Some(flight) = self.flights.get_mut(&token) else { return };
+        flight.in_flight = false;
+        let (task, vm, uncertain) = (flight.task.clone(), flight.vm.clone(), flight.uncertain);
+        match answer {
+            CallOutcome::Answered(Ok(())) => {
+                flight.started = Some(now);
+                self.event(EventKind::TaskStarted { task, token, vm });
+            }
+            // An earlier copy of the start may still arrive; the stop forbids it.
+            CallOutcome::Answered(Err(_)) if uncertain => {
+                self.wish_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
+                self.send_stops(now);
+            }
+            CallOutcome::Answered(Err(refusal)) => {
+                self.record_end(&task, token, PlacementEnd::Refused(refusal));
+                if let Some(flight) = self.flights.get_mut(&token) {
+                    // If the append fails, the stop brings the end.
+                    flight.uncertain = true;
+                    flight.next_try = now.after(4 * RETRY_PAUSE);
+                }
+            }
+            CallOutcome::Lost => {
+                flight.uncertain = true;
+                flight.next_try = now.after(RETRY_PAUSE);
+            }
+        }
+    }
+
+    /// Repeats starts whose answers were lost.
+    pub(super) fn retry_starts(&mut self, now: Moment) {
+        let due: Vec<Token> = self
+            .flights
+            .iter()
+            .filter(|(token, flight)| {
+                flight.started.is_none()
+                    && !flight.in_flight
+                    && now >= flight.next_try
+                    && !self.stops.contains_key(*token)
+                    && !self.is_task_busy(&flight.task)
+            })
+            .map(|(token, _)| *token)
+            .collect();
+        for token in due {
+            self.send_start(now, token);
+        }
+    }
+
+    /// Asks for a stop, which is repeated until it is acknowledged.
+    pub(super) fn wish_stop(
+        &mut self,
+        now: Moment,
+        token: Token,
+        task: &TaskId,
+        vm: &VmName,
+        mode: StopMode,
+    ) {
+        let wish = self.stops.entry(token).or_insert_with(|| StopWish {
+            task: task.clone(),
+            vm: vm.clone(),
+            mode,
+            in_flight: false,
+            next_try: now,
+        });
+        // A cancellation needs no checkpoint any more.
+        if mode == StopMode::Cancel {
+            wish.mode = mode;
+        }
+    }
+
+    /// Stops what a cancelled job has placed.
+    pub(super) fn stop_cancelled(&mut self, now: Moment, job: &JobId) {
+        let Some(entry) = self.fold.job(job).filter(|entry| entry.cancelled) else { return };
+        let placed: Vec<(TaskId, Token, VmName)> = entry
+            .tasks
+            .iter()
+            .filter_map(|(index, task)| match &task.state {
+                TaskState::Placed { token, vm, .. } => {
+                    Some((TaskId { job: job.clone(), index: *index }, *token, vm.clone()))
+                }
+                _ => None,
+            })
+            .collect();
+        for (task, token, vm) in placed {
+            self.wish_stop(now, token, &task, &vm, StopMode::Cancel);
+        }
+        self.send_stops(now);
+    }
+
+    /// Sends the stops that are due to agents that are known.
+    pub(super) fn send_stops(&mut self, now: Moment) {
+        let Some(epoch) = self.owned_epoch() else { return };
+        let mut due = Vec::new();
+        for (token, wish) in &mut self.stops {
+            if wish.in_flight || now < wish.next_try {
+                continue;
+            }
+            let Some(agent) = self.agents.get(&wish.vm).filter(|agent| !agent.silent) else {
+                continue;
+            };
+            wish.in_flight = true;
+            wish.next_try = now.after(RETRY_PAUSE);
+            let stop = TaskStop {
+                at: HybridTime::default(),
+                shard: self.settings.shard.clone(),
+                epoch,
+                task: wish.task.clone(),
+                token: *token,
+                mode: wish.mode,
+            };
+            let (vm, address) = (wish.vm.clone(), agent.identity.address);
+            due.push(BookAction::Stop { vm, address, stop });
+        }
+        self.actions.append(&mut due);
+    }
+
+    /// The answer of `vm` to a stop or throttle.
+    pub fn stop_answered(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        stop: &TaskStop,
+        answer: CallOutcome<Result<StopReply, TaskRefusal>>,
+    ) {
+        let token = stop.token;
+        if let StopMode::Throttle(percent) = stop.mode {
+            if let CallOutcome::Answered(Ok(StopReply::Throttled)) = answer {
+                let (task, vm) = (stop.task.clone(), vm.clone());
+                self.event(EventKind::TaskThrottled { task, token, vm, percent });
+            }
+            return;
+        }
+        let Some(wish) = self.stops.get_mut(&token) else { return };
+        wish.in_flight = false;
+        wish.next_try = now.after(RETRY_PAUSE);
+        let (task, vm) = (wish.task.clone(), wish.vm.clone());
+        let end = match answer {
+            CallOutcome::Answered(Ok(StopReply::Ended(end))) => end,
+            CallOutcome::Answered(Ok(StopReply::NotRunning)) => {
+                PlacementEnd::Evicted { checkpoint: None }
+            }
+            CallOutcome::Answered(Ok(StopReply::Throttled) | Err(_)) | CallOutcome::Lost => return,
+        };
+        if let Some(agent) = self.agents.get_mut(&vm) {
+            agent.fences.swap_remove(&token);
+        }
+        let current = self.index.placement(&task).is_some_and(|placed| placed.token == token);
+        if current {
+            // The wish stays until the end is folded, in case the append fails.
+            self.record_end(&task, token, end);
+        } else {
+            self.stops.swap_remove(&token);
+        }
+    }
+}
--- /dev/null
+++ b/crates/owner/src/book/upkeep.rs
@@ -0,0 +1,153 @@
+//! What happens with time: leases that are over, parked jobs, ended jobs.
+
+use cactusdoor_core::constants::{
+    ENDED_JOB_LIFETIME, OUTAGE_LEASE, TASK_LEASE, with_lease_margins,
+};
+use cactusdoor_core::job::{JobId, ParkReason, PlacementEnd, TaskId};
+use cactusdoor_core::name::VmName;
+use cactusdoor_core::shard::TaskRecord;
+use cactusdoor_core::unit::{Millis, Moment, Token};
+use cactusdoor_timeline::EventKind;
+
+use super::ShardBook;
+use super::append::AppendKey;
+
+/// Time after a claim by which the agents of the shard have reported.
+const INVENTORY_TIME: Millis = 10_000;
+/// Time between looks at parked and ended jobs.
+const SLOW_INTERVAL: Millis = 1_000;
+
+impl ShardBook {
+    /// The timer; called several times a second.
+    pub fn tick(&mut self, now: Moment, unix_ms: Millis) {
+        if self.tenure().is_none() {
+            return;
+        }
+        self.note_silence(now);
+        self.lapse(now);
+        self.send_stops(now);
+        self.retry_starts(now);
+        if self.moves.slow_due(now, SLOW_INTERVAL) {
+            self.release_parked(now);
+            self.stop_all_cancelled(now);
+            self.forget_ended(now);
+            self.forget_agents(now);
+            self.plan_moves(now);
+        }
+        self.send_moves(now);
+        self.place(now, unix_ms);
+    }
+
+    /// Ends the placements on VMs whose leases are surely over.
+    fn lapse(&mut self, now: Moment) {
+        let over: Vec<VmName> = self
+            .index
+            .vms()
+            .filter(|(vm, load)| !load.tasks.is_empty() && now >= self.surely_over(vm))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in over {
+            let load = self.index.vm(&vm);
+            let tasks: Vec<(Token, TaskId)> = load
+                .into_iter()
+                .flat_map(|load| load.tasks.iter().map(|(token, task)| (*token, task.clone())))
+                .filter(|(_, task)| !self.is_task_busy(task))
+                .collect();
+            if tasks.is_empty() {
+                continue;
+            }
+            for (token, task) in tasks {
+                self.record_end(&task, token, PlacementEnd::Lapsed);
+            }
+            let shard = self.settings.shard.clone();
+            self.event(EventKind::LeaseLapsed { vm, shard });
+        }
+    }
+
+    /// Whether the agents of the shard had time to report.
+    pub(super) fn knows_its_vms(&self, now: Moment) -> bool {
+        let since = self.tenure().map(|tenure| tenure.since);
+        !self.agents.is_empty() && since.is_some_and(|since| now.since(since) >= INVENTORY_TIME)
+    }
+
+    pub(super) fn park(&mut self, job: &JobId, reason: ParkReason) {
+        let Some(epoch) = self.owned_epoch() else { return };
+        let key = AppendKey::Job(job.clone());
+        if !self.appends.is_busy(&key) {
+            let record = TaskRecord::JobParked { epoch, job: job.clone(), reason };
+            self.append(key, record, false);
+        }
+    }
+
+    fn release_parked(&mut self, now: Moment) {
+        let parked: Vec<(JobId, ParkReason)> = self
+            .index
+            .pending()
+            .keys()
+            .filter_map(|job| Some((job.clone(), self.fold.job(job)?.parked.clone()?)))
+            .collect();
+        for (job, reason) in parked {
+            let Some(entry) = self.fold.job(&job) else { continue };
+            let (need, home) = (entry.spec.need, entry.home);
+            let allowance = self.config.allowance(&job.plan).map(|allowance| allowance.batch);
+            let free = match reason {
+                ParkReason::UnknownPlan => !home || allowance.is_some(),
+                ParkReason::ExceedsAllowance(_) => {
+                    !home || allowance.is_some_and(|limit| limit.holds(need))
+                }
+                ParkReason::NeverFits(_) => {
+                    self.some_vm_holds(need) || self.moves.some_shard_holds(need)
+                }
+                ParkReason::FailsEverywhere { .. } => {
+                    let until = self.ledger.parked_until(&job);
+                    now >= until.unwrap_or_else(|| self.ledger.adopt_parked(&job, now))
+                }
+            };
+            let key = AppendKey::Job(job.clone());
+            if let (true, Some(epoch)) = (free && !self.appends.is_busy(&key), self.owned_epoch()) {
+                self.append(key, TaskRecord::JobReleased { epoch, job }, false);
+            }
+        }
+    }
+
+    /// Covers cancellations folded before the claim.
+    fn stop_all_cancelled(&mut self, now: Moment) {
+        let cancelled: Vec<JobId> = self.index.cancelled().iter().cloned().collect();
+        for job in cancelled {
+            self.stop_cancelled(now, &job);
+        }
+    }
+
+    /// Forgets jobs that ended, or left this shard, long ago.
+    ///
+    /// A job that left is kept as long as one that ended: until then a repeated
+    /// hand-over of an earlier move must find the higher move number.
+    fn forget_ended(&mut self, now: Moment) {
+        let Some(epoch) = self.owned_epoch() else { return };
+        let over: Vec<JobId> = self.index.over().iter().cloned().collect();
+        for job in over {
+            let since = *self.ended_since.entry(job.clone()).or_insert(now);
+            let key = AppendKey::Job(job.clone());
+            if now.since(since) >= ENDED_JOB_LIFETIME && !self.appends.is_busy(&key) {
+                self.append(key, TaskRecord::JobForgotten { epoch, job }, false);
+            }
+        }
+    }
+
+    /// Forgets agents that are gone and hold nothing.
+    fn forget_agents(&mut self, now: Moment) {
+        let keep = with_lease_margins(OUTAGE_LEASE.max(TASK_LEASE));
+        let gone: Vec<VmName> = self
+            .agents
+            .iter()
+            .filter(|(vm, agent)| {
+                let idle = self.index.vm(vm).is_none_or(|load| load.tasks.is_empty());
+                idle && now.since(agent.last_beat) >= keep
+            })
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in gone {
+            self.agents.swap_remove(&vm);
+        }
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`host`] is the actor that the agent talks to; it finds owners, claims
 //! shards and answers heartbeats for the shards owned here.
 
+pub mod book;
 pub mod host;
 
 pub use host::{FindError, FindOwner, HandBack, HostBeat, HostSettings, OwnerHost, SilentShards};
