--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -38,7 +38,9 @@
 use indexmap::IndexMap;
 
 pub use action::{BookAction, CallOutcome, Ticket};
+pub use agents::PROBE_INCARNATION;
 pub use index::{Placement, TaskIndex, VmLoad};
+pub use roster::EntryView;
 
 use agents::AgentBook;
 use append::{AppendKey, AppendTable};
--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -331,6 +331,12 @@
         }
     }
 
+    /// Number of agents that send heartbeats.
+    #[must_use]
+    pub fn agent_count(&self) -> usize {
+        self.agents.values().filter(|agent| !agent.silent).count()
+    }
+
     /// Notes agents that stopped sending heartbeats.
     pub(super) fn note_silence(&mut self, now: Moment) {
         let mut silent = Vec::new();
--- a/crates/owner/src/book/roster.rs
+++ b/crates/owner/src/book/roster.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EntryView {
     number: u64,
+    /// Whether the entry has what `members` says.
+    synchronised: bool,
     members: IndexMap<VmName, RosterMember>,
 }
 
@@ -36,7 +38,7 @@
     /// The entry needs the complete list next.
     pub fn reset(&mut self) {
         self.members.clear();
-        self.number = 0;
+        self.synchronised = false;
     }
 }
 
@@ -52,13 +54,14 @@
                 members.insert(vm.clone(), RosterMember { agent, draining, upstreams });
             }
         }
-        let full = view.number == 0;
+        let full = !view.synchronised;
         let known = &view.members;
         let changed = members.iter().filter(|(vm, member)| known.get(*vm) != Some(*member));
         let changed: Vec<RosterMember> = changed.map(|(_, member)| member.clone()).collect();
         let gone = known.keys().filter(|vm| !members.contains_key(*vm)).cloned().collect();
         view.members = members;
         view.number += 1;
+        view.synchronised = true;
         Some(RosterUpdate {
             at: HybridTime::default(),
             shard: self.settings.shard.clone(),
--- /dev/null
+++ b/crates/owner/src/dispatch.rs
@@ -0,0 +1,130 @@
+//! Starts and stops, collected into one call per agent.
+
+use std::net::SocketAddr;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use cactusdoor_core::name::VmName;
+use cactusdoor_peer::heartbeat::OwnerNotice;
+use cactusdoor_peer::task::{TaskStart, TaskStop};
+use indexmap::IndexMap;
+
+use crate::book::CallOutcome;
+use crate::keeper::ShardKeeper;
+use crate::peers::{CallError, TASK_CALL_TIMEOUT, call_within, short_call};
+
+/// Calls that go out after the current event.
+#[derive(Default)]
+pub struct CallDispatch {
+    starts: IndexMap<SocketAddr, Vec<TaskStart>>,
+    stops: IndexMap<(VmName, SocketAddr), Vec<TaskStop>>,
+}
+
+impl CallDispatch {
+    pub fn start(&mut self, _: VmName, address: SocketAddr, start: TaskStart) {
+        self.starts.entry(address).or_default().push(start);
+    }
+
+    pub fn stop(&mut self, vm: VmName, address: SocketAddr, stop: TaskStop) {
+        self.stops.entry((vm, address)).or_default().push(stop);
+    }
+}
+
+impl ShardKeeper {
+    pub(crate) fn send_calls(&mut self, ctx: &mut Context<Self>) {
+        for (address, starts) in std::mem::take(&mut self.calls.starts) {
+            self.send_starts(ctx, address, starts);
+        }
+        for ((vm, address), stops) in std::mem::take(&mut self.calls.stops) {
+            self.send_stops(ctx, vm, address, stops);
+        }
+    }
+
+    fn send_starts(
+        &mut self,
+        ctx: &mut Context<Self>,
+        address: SocketAddr,
+        mut starts: Vec<TaskStart>,
+    ) {
+        let at = self.core.settings.events.stamp();
+        starts.iter_mut().for_each(|start| start.at = at);
+        let tokens: Vec<_> = starts.iter().map(|start| start.token).collect();
+        let peers = self.core.peers.clone();
+        let call = async move {
+            let client = peers.agent(address).await?;
+            let sent = client.start(call_within(TASK_CALL_TIMEOUT), starts).await;
+            peers.answer(address, sent)
+        };
+        ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
+            let answers = keeper.outcomes(result, tokens.len());
+            let now = keeper.core.settings.clock.now();
+            for (token, answer) in tokens.into_iter().zip(answers) {
+                keeper.book.start_answered(now, token, answer);
+            }
+            keeper.carry_out(ctx);
+        }));
+    }
+
+    fn send_stops(
+        &mut self,
+        ctx: &mut Context<Self>,
+        vm: VmName,
+        address: SocketAddr,
+        mut stops: Vec<TaskStop>,
+    ) {
+        let at = self.core.settings.events.stamp();
+        stops.iter_mut().for_each(|stop| stop.at = at);
+        let asked = stops.clone();
+        let peers = self.core.peers.clone();
+        let call = async move {
+            let client = peers.agent(address).await?;
+            let sent = client.stop(call_within(TASK_CALL_TIMEOUT), stops).await;
+            peers.answer(address, sent)
+        };
+        ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
+            let answers = keeper.outcomes(result, asked.len());
+            let now = keeper.core.settings.clock.now();
+            for (stop, answer) in asked.iter().zip(answers) {
+                keeper.book.stop_answered(now, &vm, stop, answer);
+            }
+            keeper.carry_out(ctx);
+        }));
+    }
+
+    /// One outcome per call of a batch; a batch of another length is not believed.
+    fn outcomes<T>(
+        &self,
+        result: Result<Vec<T>, CallError>,
+        expected: usize,
+    ) -> Vec<CallOutcome<T>> {
+        match result {
+            Ok(answers) if answers.len() == expected => {
+                answers.into_iter().map(CallOutcome::Answered).collect()
+            }
+            other => {
+                if let Err(error) = other {
+                    log::debug!("{error}");
+                }
+                self.core.measure(|metrics| metrics.lost_calls.inc());
+                (0..expected).map(|_| CallOutcome::Lost).collect()
+            }
+        }
+    }
+
+    pub(crate) fn announce(
+        &self,
+        ctx: &mut Context<Self>,
+        address: SocketAddr,
+        notice: OwnerNotice,
+    ) {
+        let peers = self.core.peers.clone();
+        let call = async move {
+            let client = peers.agent(address).await?;
+            peers.answer(address, client.announce_owner(short_call(), notice).await)
+        };
+        ctx.spawn(call.into_actor(self).map(|result: Result<(), CallError>, _, _| {
+            if let Err(error) = result {
+                log::debug!("owner notice: {error}");
+            }
+        }));
+    }
+}
--- a/crates/owner/src/host.rs
+++ b/crates/owner/src/host.rs
@@ -1,18 +1,48 @@
 //! The actor that an agent asks about owners, and that owns shards itself.
 
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
-use actix::{Actor, Addr, Context, Handler, Message, ResponseFuture};
+use actix::{
+    Actor, ActorFutureExt, Addr, AsyncContext, Context, Handler, Message, ResponseFuture,
+    WrapFuture,
+};
+use cactusdoor_core::config::ConfigFold;
+use cactusdoor_core::constants::{CLAIM_JITTER, OWNER_SILENCE, REMOTE_OWNER_SILENCE};
 use cactusdoor_core::envelope::WriterId;
 use cactusdoor_core::name::ShardName;
-use cactusdoor_core::shard::ShardOwnership;
+use cactusdoor_core::rendezvous::stream;
+use cactusdoor_core::shard::{ShardOwnership, TaskRecord};
 use cactusdoor_core::unit::Millis;
+use cactusdoor_log::appender::GroupAppender;
 use cactusdoor_log::client::LogClient;
+use cactusdoor_log::snapshot::{LoadError, load};
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, AgentIdentity, HeartbeatRefusal, HeartbeatReply};
 use cactusdoor_timeline::EventLog;
+use futures::future::join_all;
 use prometheus::Registry;
 use thiserror::Error;
+use tokio::sync::{Mutex, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::book::{BookSettings, ShardBook};
+use crate::finder::{ReadShard, is_owner_alive, read_shard, read_tail};
+use crate::keeper::{KeeperState, Resign, ShardBeat, ShardKeeper};
+use crate::metrics::OwnerMetrics;
+use crate::peers::PeerPool;
+
+/// Least time between two grouped appends to one stream. 11 shards then make at
+/// most 220 appends a second, of several hundred that the log service takes.
+const GROUP_INTERVAL: Millis = 50;
+/// Longest wait for a claim to come back through the fold.
+const CLAIM_TIME: Duration = Duration::from_secs(5);
+/// Largest random delay before a shard of a lost data centre is claimed. All
+/// agents elsewhere are candidates, so it is longer than within a shard.
+const REMOTE_CLAIM_JITTER: Millis = 10_000;
 
 /// What the host needs of its process.
 pub struct HostSettings {
@@ -71,16 +101,204 @@
     Stopping,
 }
 
+/// State shared by the host and its keepers.
+pub struct HostCore {
+    pub(crate) settings: HostSettings,
+    pub(crate) peers: Rc<PeerPool>,
+    metrics: Option<OwnerMetrics>,
+    /// One appender per stream for the life of the process: a second one would
+    /// start over with sequence numbers that the folds drop.
+    appenders: RefCell<HashMap<ShardName, GroupAppender<TaskRecord>>>,
+    kept: RefCell<HashMap<ShardName, KeptShard>>,
+    /// Newest owners found in the streams of other shards.
+    known: RefCell<HashMap<ShardName, ShardOwnership>>,
+    finding: RefCell<HashMap<ShardName, Rc<Mutex<()>>>>,
+    stopping: Cell<bool>,
+}
+
+struct KeptShard {
+    keeper: Addr<ShardKeeper>,
+    state: watch::Receiver<KeeperState>,
+}
+
+impl HostCore {
+    /// Changes figures, if there are any.
+    pub(crate) fn measure(&self, change: impl FnOnce(&OwnerMetrics)) {
+        if let Some(metrics) = &self.metrics {
+            change(metrics);
+        }
+    }
+
+    /// The appender to the task stream of `shard`.
+    pub(crate) fn appender(&self, shard: &ShardName) -> Option<GroupAppender<TaskRecord>> {
+        let mut appenders = self.appenders.borrow_mut();
+        if let Some(appender) = appenders.get(shard) {
+            return Some(appender.clone());
+        }
+        let stream = stream::tasks(shard).ok()?;
+        let (log, writer) = (self.settings.log.clone(), self.settings.writer.clone());
+        let appender = GroupAppender::spawn(log, stream, writer, GROUP_INTERVAL);
+        appenders.insert(shard.clone(), appender.clone());
+        Some(appender)
+    }
+
+    /// The keeper of a shard that is owned here, and its ownership.
+    fn owned(&self, shard: &ShardName) -> Option<(Addr<ShardKeeper>, ShardOwnership)> {
+        let kept = self.kept.borrow();
+        let kept = kept.get(shard)?;
+        match &*kept.state.borrow() {
+            KeeperState::Owned(ownership) => Some((kept.keeper.clone(), ownership.clone())),
+            _ => None,
+        }
+    }
+
+    async fn find(self: Rc<Self>, ask: FindOwner) -> Result<ShardOwnership, FindError> {
+        if !self.settings.shards.contains(&ask.shard) {
+            return Err(FindError::UnknownShard(ask.shard));
+        }
+        let lock = self.finding.borrow_mut().entry(ask.shard.clone()).or_default().clone();
+        let _guard = lock.lock().await;
+        if let Some(settled) = self.settle_claim(&ask.shard).await {
+            return settled;
+        }
+        let mut read = self.read(&ask.shard).await?;
+        if let Some(found) = self.judge(&ask, &read).await? {
+            return Ok(found);
+        }
+        if self.stopping.get() {
+            return Err(FindError::Stopping);
+        }
+        let delay = rand::random_range(0..=CLAIM_JITTER);
+        sleep(Duration::from_millis(delay)).await;
+        let epoch = read.fold.epoch();
+        let tail = read_tail(&self.settings.log, &mut read).await;
+        tail.map_err(|_| FindError::LogUnavailable)?;
+        match read.fold.ownership() {
+            Some(ownership) if read.fold.epoch() != epoch => {
+                self.known.borrow_mut().insert(ask.shard, ownership.clone());
+                Ok(ownership.clone())
+            }
+            _ if self.stopping.get() => Err(FindError::Stopping),
+            _ => self.claim(&ask.shard, read).await,
+        }
+    }
+
+    async fn read(&self, shard: &ShardName) -> Result<ReadShard, FindError> {
+        let read = read_shard(&self.settings.log, shard).await.map_err(|error| match error {
+            LoadError::Uncovered { .. } => FindError::Uncovered(shard.clone()),
+            LoadError::Read(_) | LoadError::Name(_) => FindError::LogUnavailable,
+        })?;
+        if let Some(ownership) = read.fold.ownership() {
+            self.known.borrow_mut().insert(shard.clone(), ownership.clone());
+        }
+        Ok(read)
+    }
+
+    /// The owner to go to; `None` if the shard is to be claimed.
+    async fn judge(
+        &self,
+        ask: &FindOwner,
+        read: &ReadShard,
+    ) -> Result<Option<ShardOwnership>, FindError> {
+        let identity = &self.settings.identity;
+        let patience =
+            if ask.shard == self.settings.own_shard { OWNER_SILENCE } else { REMOTE_OWNER_SILENCE };
+        let Some(ownership) = read.fold.ownership() else {
+            if ask.shard == self.settings.own_shard || ask.silent_for >= patience {
+                return Ok(None);
+            }
+            return Err(FindError::NoOwner(ask.shard.clone()));
+        };
+        if ownership.owner == identity.vm {
+            // An earlier run of this process, or a tenure that it gave up.
+            return Ok(None);
+        }
+        let (address, at) = (ownership.address, self.settings.events.stamp());
+        let alive = is_owner_alive(&self.peers, identity, &ask.shard, address, at).await;
+        let wait = alive || ask.silent_for < patience;
+        Ok(wait.then(|| ownership.clone()))
+    }
+
+    async fn claim(
+        self: &Rc<Self>,
+        shard: &ShardName,
+        read: ReadShard,
+    ) -> Result<ShardOwnership, FindError> {
+        let stream = stream::config().map_err(|_| FindError::LogUnavailable)?;
+        let config = load(&self.settings.log, &stream, ConfigFold::default()).await;
+        let config = config.map_err(|_| FindError::LogUnavailable)?;
+        let (sender, state) = watch::channel(KeeperState::Claiming);
+        let settings = BookSettings {
+            shard: shard.clone(),
+            identity: self.settings.identity.clone(),
+            writer: self.settings.writer.clone(),
+            shards: self.settings.shards.clone(),
+        };
+        let book = ShardBook::new(settings, read.fold.clone());
+        let core = Rc::clone(self);
+        let keeper = ShardKeeper::new(core, book, &read, config.fold, stream, sender).start();
+        self.kept.borrow_mut().insert(shard.clone(), KeptShard { keeper, state });
+        let settled = self.settle_claim(shard).await;
+        settled.unwrap_or_else(|| Err(FindError::ClaimNotStored(shard.clone())))
+    }
+
+    /// What came of a claim made here; `None` if there is none.
+    async fn settle_claim(&self, shard: &ShardName) -> Option<Result<ShardOwnership, FindError>> {
+        let mut state = self.kept.borrow().get(shard)?.state.clone();
+        let settled = state.wait_for(|state| *state != KeeperState::Claiming);
+        let settled =
+            timeout(CLAIM_TIME, settled).await.ok().map(|state| state.ok().map(|s| s.clone()));
+        match settled {
+            Some(Some(KeeperState::Owned(ownership))) => Some(Ok(ownership)),
+            Some(Some(KeeperState::Lost(newest))) => {
+                self.kept.borrow_mut().remove(shard);
+                let newest = newest.filter(|newest| newest.owner != self.settings.identity.vm)?;
+                self.known.borrow_mut().insert(shard.clone(), newest.clone());
+                Some(Ok(newest))
+            }
+            Some(_) => {
+                self.kept.borrow_mut().remove(shard);
+                None
+            }
+            None => Some(Err(FindError::ClaimNotStored(shard.clone()))),
+        }
+    }
+
+    fn not_owner(&self, shard: ShardName) -> HeartbeatRefusal {
+        let known = self.known.borrow().get(&shard).cloned();
+        let epoch = known.as_ref().map_or(0, |known| known.epoch);
+        let own = self.settings.identity.address;
+        let owner = known.map(|known| known.address).filter(|address| *address != own);
+        HeartbeatRefusal::NotOwner { shard, epoch, owner }
+    }
+}
+
 /// The owner side of an agent.
 pub struct OwnerHost {
-    _settings: HostSettings,
+    core: Rc<HostCore>,
+    pursued: HashSet<ShardName>,
 }
 
 impl OwnerHost {
     /// Starts the host on the current thread.
+    ///
+    /// It counts nothing if the registry has its figures already.
     #[must_use]
     pub fn spawn(settings: HostSettings) -> Addr<Self> {
-        Self { _settings: settings }.start()
+        let metrics = OwnerMetrics::register(&settings.registry)
+            .inspect_err(|error| log::error!("could not register metrics: {error}"))
+            .ok();
+        let core = HostCore {
+            metrics,
+            settings,
+            peers: Rc::default(),
+            appenders: RefCell::default(),
+            kept: RefCell::default(),
+            known: RefCell::default(),
+            finding: RefCell::default(),
+            stopping: Cell::new(false),
+        };
+        Self { core: Rc::new(core), pursued: HashSet::new() }.start()
     }
 }
 
@@ -92,8 +310,15 @@
     type Result = ResponseFuture<Result<HeartbeatReply, HeartbeatRefusal>>;
 
     fn handle(&mut self, HostBeat(beat): HostBeat, _: &mut Context<Self>) -> Self::Result {
-        let refusal = HeartbeatRefusal::NotOwner { shard: beat.shard, epoch: 0, owner: None };
-        Box::pin(async move { Err(refusal) })
+        let shard = beat.shard.clone();
+        let core = Rc::clone(&self.core);
+        Box::pin(async move {
+            let Some((keeper, _)) = core.owned(&shard) else { return Err(core.not_owner(shard)) };
+            match keeper.send(ShardBeat(beat)).await {
+                Ok(reply) => reply,
+                Err(_) => Err(core.not_owner(shard)),
+            }
+        })
     }
 }
 
@@ -101,20 +326,50 @@
     type Result = ResponseFuture<Result<ShardOwnership, FindError>>;
 
     fn handle(&mut self, ask: FindOwner, _: &mut Context<Self>) -> Self::Result {
-        Box::pin(async move { Err(FindError::NoOwner(ask.shard)) })
+        Box::pin(Rc::clone(&self.core).find(ask))
     }
 }
 
 impl Handler<SilentShards> for OwnerHost {
     type Result = ();
 
-    fn handle(&mut self, _: SilentShards, _: &mut Context<Self>) {}
+    fn handle(&mut self, SilentShards(shards): SilentShards, ctx: &mut Context<Self>) {
+        for shard in shards {
+            let own = shard == self.core.settings.own_shard;
+            if own || self.core.owned(&shard).is_some() || !self.pursued.insert(shard.clone()) {
+                continue;
+            }
+            let core = Rc::clone(&self.core);
+            let delay = Duration::from_millis(rand::random_range(0..=REMOTE_CLAIM_JITTER));
+            let ask = FindOwner { shard: shard.clone(), silent_for: REMOTE_OWNER_SILENCE };
+            let found = async move {
+                sleep(delay).await;
+                core.find(ask).await
+            };
+            ctx.spawn(found.into_actor(self).map(move |result, host, _| {
+                host.pursued.remove(&shard);
+                if let Err(error) = result {
+                    log::info!("silent shard {shard}: {error}");
+                }
+            }));
+        }
+    }
 }
 
 impl Handler<HandBack> for OwnerHost {
     type Result = ResponseFuture<()>;
 
     fn handle(&mut self, _: HandBack, _: &mut Context<Self>) -> Self::Result {
-        Box::pin(async {})
+        self.core.stopping.set(true);
+        let kept = self.core.kept.borrow();
+        let keepers: Vec<_> = kept.values().map(|kept| kept.keeper.clone()).collect();
+        Box::pin(async move {
+            for result in join_all(keepers.iter().map(|keeper| keeper.send(Resign))).await {
+                // A keeper that has stopped already has nothing to give back.
+                if let Err(error) = result {
+                    log::debug!("hand back: {error}");
+                }
+            }
+        })
     }
 }
--- /dev/null
+++ b/crates/owner/src/keeper.rs
@@ -0,0 +1,424 @@
+//! The actor that owns one shard: carries out what its book decides.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{
+    Actor, ActorContext, ActorFutureExt, AsyncContext, Context, Handler, Message,
+    ResponseActFuture, StreamHandler, WrapFuture,
+};
+use cactusdoor_core::config::ConfigFold;
+use cactusdoor_core::envelope::LogEnvelope;
+use cactusdoor_core::fold::fold_text;
+use cactusdoor_core::name::StreamName;
+use cactusdoor_core::shard::{ShardFold, ShardOwnership, TaskRecord};
+use cactusdoor_core::snapshot::is_due;
+use cactusdoor_core::unit::{Millis, Offset};
+use cactusdoor_log::appender::{FlushMode, NotStored, StoredRecord};
+use cactusdoor_log::client::{LogRecord, StreamBounds};
+use cactusdoor_log::follower::{FollowEvent, StreamFollower};
+use cactusdoor_log::snapshot::{newest_snapshot, publish};
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply};
+use cactusdoor_timeline::EventKind;
+use tokio::sync::watch;
+
+use crate::book::{BookAction, ShardBook, Ticket};
+use crate::dispatch::CallDispatch;
+use crate::finder::ReadShard;
+use crate::host::HostCore;
+use crate::rosters::EntryBook;
+
+/// Time between ticks of the book. A tenth of a heartbeat, so that timers are
+/// seldom the cause of a delay.
+const TICK: Duration = Duration::from_millis(50);
+const ROSTER_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest random delay before a snapshot is published.
+const SNAPSHOT_JITTER: Millis = 1_000;
+/// Longest wait for open appends when the shard is handed back.
+const HAND_BACK_TIME: Duration = Duration::from_secs(3);
+
+/// How far this process has come with owning the shard.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeeperState {
+    Claiming,
+    Owned(ShardOwnership),
+    /// Not owner; with the owner that the stream names.
+    Lost(Option<ShardOwnership>),
+}
+
+/// Owner of one shard.
+pub struct ShardKeeper {
+    pub(crate) core: Rc<HostCore>,
+    pub(crate) book: ShardBook,
+    pub(crate) calls: CallDispatch,
+    pub(crate) entries: EntryBook,
+    stream: StreamName,
+    config: Option<(ConfigFold, StreamName)>,
+    state: watch::Sender<KeeperState>,
+    /// Offset that the newest known snapshot covers.
+    covers: Offset,
+    publishing: bool,
+    log_reachable: bool,
+    followers: Vec<StreamFollower>,
+}
+
+/// A heartbeat for this shard.
+#[derive(Message)]
+#[rtype(result = "Result<HeartbeatReply, HeartbeatRefusal>")]
+pub struct ShardBeat(pub AgentHeartbeat);
+
+/// Ends the ownership once open appends are settled.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Resign;
+
+#[derive(Message)]
+#[rtype(result = "()")]
+struct Appended(Ticket, Result<StoredRecord, NotStored>);
+
+struct TaskEvents(FollowEvent);
+struct ConfigEvents(FollowEvent);
+
+impl ShardKeeper {
+    /// A keeper that claims the shard once it is started.
+    #[must_use]
+    pub fn new(
+        core: Rc<HostCore>,
+        book: ShardBook,
+        read: &ReadShard,
+        config: ConfigFold,
+        config_stream: StreamName,
+        state: watch::Sender<KeeperState>,
+    ) -> Self {
+        let entries = EntryBook::new(&core.settings.entries);
+        Self {
+            calls: CallDispatch::default(),
+            entries,
+            stream: read.stream.clone(),
+            covers: read.covers,
+            config: Some((config, config_stream)),
+            core,
+            book,
+            state,
+            publishing: false,
+            log_reachable: true,
+            followers: Vec::new(),
+        }
+    }
+
+    fn follow(&mut self, ctx: &mut Context<Self>) {
+        let settings = &self.core.settings;
+        let spawn = |stream: &StreamName, from: Offset| {
+            StreamFollower::spawn(settings.log.clone(), stream.clone(), from, settings.clock)
+        };
+        let (follower, events) = spawn(&self.stream, self.book.fold().next());
+        ctx.add_stream(unbounded(events, TaskEvents));
+        self.followers.push(follower);
+        if let Some((fold, stream)) = &self.config {
+            let (follower, events) = spawn(stream, fold.next());
+            ctx.add_stream(unbounded(events, ConfigEvents));
+            self.followers.push(follower);
+        }
+    }
+
+    /// Carries out what the book has decided.
+    pub(crate) fn carry_out(&mut self, ctx: &mut Context<Self>) {
+        for action in self.book.take_actions() {
+            match action {
+                BookAction::Append { ticket, record, urgent } => {
+                    let shard = self.book.shard().clone();
+                    let flush = if urgent { FlushMode::Immediate } else { FlushMode::Grouped };
+                    self.append(ctx, ticket, &shard, record, flush);
+                }
+                BookAction::AppendElsewhere { ticket, shard, record } => {
+                    self.append(ctx, ticket, &shard, record, FlushMode::Grouped);
+                }
+                BookAction::Start { vm, address, start } => self.calls.start(vm, address, start),
+                BookAction::Stop { vm, address, stop } => self.calls.stop(vm, address, stop),
+                BookAction::Announce { address, notice } => self.announce(ctx, address, notice),
+                BookAction::Event(event) => {
+                    self.core.measure(|metrics| metrics.count(&event));
+                    self.core.settings.events.record(event);
+                }
+                BookAction::Owned(epoch) => {
+                    log::info!("own shard {} in epoch {epoch}", self.book.shard());
+                    if let Some(ownership) = self.book.ownership() {
+                        self.state.send_replace(KeeperState::Owned(ownership.clone()));
+                    }
+                }
+                BookAction::Lost { current } => {
+                    log::info!("shard {} is owned in epoch {current}", self.book.shard());
+                    self.give_up(ctx);
+                }
+            }
+        }
+        self.send_calls(ctx);
+    }
+
+    fn give_up(&mut self, ctx: &mut Context<Self>) {
+        let newest = self.book.ownership().cloned();
+        self.state.send_replace(KeeperState::Lost(newest));
+        ctx.stop();
+    }
+
+    fn append(
+        &mut self,
+        ctx: &mut Context<Self>,
+        ticket: Ticket,
+        shard: &cactusdoor_core::name::ShardName,
+        record: TaskRecord,
+        flush: FlushMode,
+    ) {
+        let Some(appender) = self.core.appender(shard) else {
+            ctx.notify(Appended(ticket, Err(NotStored::Stopped)));
+            return;
+        };
+        let stored = async move { appender.append(record, flush).await };
+        ctx.spawn(stored.into_actor(self).map(move |result, _, ctx| {
+            ctx.notify(Appended(ticket, result));
+        }));
+    }
+
+    fn take_tasks(&mut self, records: &[LogRecord]) {
+        let now = self.core.settings.clock.now();
+        for record in records {
+            match LogEnvelope::<TaskRecord>::decode(&record.body) {
+                Ok(envelope) => self.book.folded(now, record.offset, envelope),
+                Err(error) => {
+                    log::warn!("record {} of stream {}: {error}", record.offset, self.stream);
+                    self.book.skipped(record.offset);
+                }
+            }
+        }
+    }
+
+    fn take_config(&mut self, records: &[LogRecord]) {
+        let Some((fold, stream)) = &mut self.config else { return };
+        let before = fold.state().revision();
+        for record in records {
+            if let Err(error) = fold_text(fold, record.offset, &record.body) {
+                log::warn!("record {} of stream {stream}: {error}", record.offset);
+            }
+        }
+        if fold.state().revision() > before {
+            let now = self.core.settings.clock.now();
+            self.book.configured(now, Arc::new(fold.state().clone()));
+        }
+    }
+
+    fn note_log(&mut self, reachable: bool) {
+        if self.log_reachable != reachable {
+            self.log_reachable = reachable;
+            let event = if reachable { EventKind::LogReachable } else { EventKind::LogUnreachable };
+            self.core.settings.events.record(event);
+        }
+    }
+
+    /// Publishes a snapshot if one is due and nobody else does.
+    fn snapshot(&mut self, ctx: &mut Context<Self>, bounds: StreamBounds) {
+        let owned = self.book.owned_epoch().is_some();
+        if self.publishing || !owned || !is_due(self.covers, bounds.start, bounds.next) {
+            return;
+        }
+        self.publishing = true;
+        let (log, stream) = (self.core.settings.log.clone(), self.stream.clone());
+        let delay = rand::random_range(0..=SNAPSHOT_JITTER);
+        let newest = async move {
+            actix_rt::time::sleep(Duration::from_millis(delay)).await;
+            newest_snapshot::<ShardFold>(&log, &stream).await.ok().flatten()
+        };
+        ctx.spawn(newest.into_actor(self).then(move |newest, keeper, _| {
+            let covers = newest.map_or(0, |snapshot| snapshot.covers);
+            keeper.covers = keeper.covers.max(covers);
+            let due = is_due(keeper.covers, bounds.start, bounds.next);
+            let fold = due.then(|| keeper.book.fold().clone());
+            let (log, stream) = (keeper.core.settings.log.clone(), keeper.stream.clone());
+            async move {
+                let fold = fold?;
+                match publish(&log, &stream, &fold).await {
+                    Ok(()) => Some(fold.next()),
+                    Err(error) => {
+                        log::warn!("could not publish snapshot of stream {stream}: {error}");
+                        None
+                    }
+                }
+            }
+            .into_actor(keeper)
+            .map(|covers, keeper, _| {
+                keeper.covers = keeper.covers.max(covers.unwrap_or(0));
+                keeper.publishing = false;
+            })
+        }));
+    }
+
+    fn show(&self) {
+        let shard = self.book.shard().as_str();
+        let amount = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let pending = amount(self.book.index().pending_count());
+        let agents = amount(self.book.agent_count());
+        self.core.measure(|metrics| {
+            metrics.pending.with_label_values(&[shard]).set(pending);
+            metrics.agents.with_label_values(&[shard]).set(agents);
+        });
+    }
+}
+
+/// Wraps the events of a follower.
+fn unbounded<T>(
+    mut events: tokio::sync::mpsc::UnboundedReceiver<FollowEvent>,
+    wrap: fn(FollowEvent) -> T,
+) -> impl futures::Stream<Item = T> {
+    futures::stream::poll_fn(move |context| events.poll_recv(context).map(|e| e.map(wrap)))
+}
+
+impl Actor for ShardKeeper {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        if let Some((fold, _)) = &self.config {
+            let now = self.core.settings.clock.now();
+            self.book.configured(now, Arc::new(fold.state().clone()));
+        }
+        self.follow(ctx);
+        self.core.measure(|metrics| metrics.claims.inc());
+        self.book.claim();
+        self.carry_out(ctx);
+        ctx.run_interval(TICK, |keeper, ctx| {
+            keeper.book.tick(keeper.core.settings.clock.now(), unix_ms());
+            keeper.carry_out(ctx);
+        });
+        ctx.run_interval(ROSTER_INTERVAL, |keeper, ctx| {
+            keeper.show();
+            keeper.send_rosters(ctx);
+        });
+    }
+
+    fn stopped(&mut self, _: &mut Self::Context) {
+        let shard = self.book.shard().as_str();
+        self.core.measure(|metrics| metrics.remove(shard));
+        if !matches!(*self.state.borrow(), KeeperState::Lost(_)) {
+            self.state.send_replace(KeeperState::Lost(self.book.ownership().cloned()));
+        }
+    }
+}
+
+impl StreamHandler<TaskEvents> for ShardKeeper {
+    fn handle(&mut self, TaskEvents(event): TaskEvents, ctx: &mut Self::Context) {
+        match event {
+            FollowEvent::Read { sent, records, at_end, bounds } => {
+                self.note_log(true);
+                self.take_tasks(&records);
+                if at_end {
+                    self.book.confirmed(sent);
+                }
+                self.carry_out(ctx);
+                self.snapshot(ctx, bounds);
+            }
+            FollowEvent::Gap(bounds) => {
+                log::error!(
+                    "stream {} starts at {} beyond what was read; giving up the shard",
+                    self.stream,
+                    bounds.start
+                );
+                self.give_up(ctx);
+            }
+            FollowEvent::Failed(error) => {
+                log::debug!("stream {}: {error}", self.stream);
+                self.note_log(false);
+            }
+        }
+    }
+
+    /// The follower ends only after a gap, which has been dealt with.
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl StreamHandler<ConfigEvents> for ShardKeeper {
+    fn handle(&mut self, ConfigEvents(event): ConfigEvents, ctx: &mut Self::Context) {
+        match event {
+            FollowEvent::Read { sent, records, at_end, .. } => {
+                self.take_config(&records);
+                if at_end {
+                    self.book.config_confirmed(sent);
+                }
+                self.carry_out(ctx);
+            }
+            FollowEvent::Gap(bounds) => {
+                log::error!(
+                    "configuration starts at {} beyond what was read; giving up shard {}",
+                    bounds.start,
+                    self.book.shard()
+                );
+                self.give_up(ctx);
+            }
+            FollowEvent::Failed(error) => log::debug!("configuration: {error}"),
+        }
+    }
+
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl Handler<Appended> for ShardKeeper {
+    type Result = ();
+
+    fn handle(&mut self, Appended(ticket, result): Appended, ctx: &mut Self::Context) {
+        if let Err(error) = result {
+            self.core.measure(|metrics| metrics.failed_appends.inc());
+            log::warn!("append for shard {}: {error}", self.book.shard());
+        }
+        self.book.appended(self.core.settings.clock.now(), ticket, result);
+        self.carry_out(ctx);
+        let claiming = *self.state.borrow() == KeeperState::Claiming;
+        if claiming && result.is_err() && !self.book.has_open_appends() {
+            self.give_up(ctx);
+        }
+    }
+}
+
+impl Handler<ShardBeat> for ShardKeeper {
+    type Result = Result<HeartbeatReply, HeartbeatRefusal>;
+
+    fn handle(&mut self, ShardBeat(beat): ShardBeat, ctx: &mut Self::Context) -> Self::Result {
+        let settings = &self.core.settings;
+        settings.events.observe(beat.at);
+        let reply = self.book.beat(settings.clock.now(), settings.events.stamp(), &beat);
+        self.core.measure(|metrics| metrics.heartbeats.inc());
+        self.carry_out(ctx);
+        reply
+    }
+}
+
+impl Handler<Resign> for ShardKeeper {
+    type Result = ResponseActFuture<Self, ()>;
+
+    fn handle(&mut self, _: Resign, _: &mut Self::Context) -> Self::Result {
+        self.book.hand_back();
+        let wait = async { actix_rt::time::sleep(TICK).await };
+        let started = std::time::Instant::now();
+        Box::pin(wait.into_actor(self).then(move |(), keeper, _| keeper.settle_and_stop(started)))
+    }
+}
+
+impl ShardKeeper {
+    /// Waits for open appends, publishes a snapshot and stops.
+    fn settle_and_stop(&mut self, started: std::time::Instant) -> ResponseActFuture<Self, ()> {
+        if self.book.has_open_appends() && started.elapsed() < HAND_BACK_TIME {
+            let wait = async { actix_rt::time::sleep(TICK).await };
+            return Box::pin(
+                wait.into_actor(self).then(move |(), keeper, _| keeper.settle_and_stop(started)),
+            );
+        }
+        let fold = self.book.owned_epoch().map(|_| self.book.fold().clone());
+        let (log, stream) = (self.core.settings.log.clone(), self.stream.clone());
+        let published = async move {
+            if let Some(fold) = fold
+                && let Err(error) = publish(&log, &stream, &fold).await
+            {
+                log::warn!("could not publish snapshot of stream {stream}: {error}");
+            }
+        };
+        Box::pin(published.into_actor(self).map(|(), keeper, ctx| keeper.give_up(ctx)))
+    }
+}
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -1,9 +1,16 @@
 //! The owner of a scheduling shard.
 //!
 //! [`host`] is the actor that the agent talks to; it finds owners, claims
-//! shards and answers heartbeats for the shards owned here.
+//! shards and answers heartbeats for the shards owned here. Each of these has a
+//! keeper, the actor that does the I/O for the decisions of its [`book`].
 
 pub mod book;
+mod dispatch;
+mod finder;
 pub mod host;
+mod keeper;
+mod metrics;
+mod peers;
+mod rosters;
 
 pub use host::{FindError, FindOwner, HandBack, HostBeat, HostSettings, OwnerHost, SilentShards};
--- /dev/null
+++ b/crates/owner/src/rosters.rs
@@ -0,0 +1,94 @@
+//! Rosters sent to entries each second.
+
+use std::net::SocketAddr;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use cactusdoor_peer::roster::RosterReply;
+use indexmap::IndexMap;
+
+use crate::book::EntryView;
+use crate::keeper::ShardKeeper;
+use crate::peers::{CallError, short_call};
+
+/// Entries known to this owner.
+pub struct EntryBook {
+    entries: IndexMap<SocketAddr, KnownEntry>,
+}
+
+#[derive(Default)]
+struct KnownEntry {
+    view: EntryView,
+    calling: bool,
+    /// From the settings; kept although it does not answer.
+    seed: bool,
+    /// Calls without an answer since the last one.
+    failures: u32,
+}
+
+/// Failures after which an entry that others named is forgotten.
+const MAX_FAILURES: u32 = 30;
+
+impl EntryBook {
+    #[must_use]
+    pub fn new(seeds: &[SocketAddr]) -> Self {
+        let seed = || KnownEntry { seed: true, ..KnownEntry::default() };
+        Self { entries: seeds.iter().map(|address| (*address, seed())).collect() }
+    }
+}
+
+impl ShardKeeper {
+    /// Sends every entry its update.
+    pub(crate) fn send_rosters(&mut self, ctx: &mut Context<Self>) {
+        let now = self.core.settings.clock.now();
+        let mut updates = Vec::new();
+        for (address, entry) in &mut self.entries.entries {
+            if entry.calling {
+                continue;
+            }
+            if let Some(mut update) = self.book.roster(now, &mut entry.view) {
+                update.at = self.core.settings.events.stamp();
+                entry.calling = true;
+                updates.push((*address, update));
+            }
+        }
+        for (address, update) in updates {
+            let peers = self.core.peers.clone();
+            let call = async move {
+                let client = peers.entry(address).await?;
+                peers.answer(address, client.roster(short_call(), update).await)
+            };
+            ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
+                keeper.roster_answered(address, result);
+                keeper.carry_out(ctx);
+            }));
+        }
+    }
+
+    fn roster_answered(&mut self, address: SocketAddr, result: Result<RosterReply, CallError>) {
+        let Some(entry) = self.entries.entries.get_mut(&address) else { return };
+        entry.calling = false;
+        match result {
+            Ok(reply) => {
+                entry.failures = 0;
+                if reply.needs_full {
+                    entry.view.reset();
+                }
+                let settings = &self.core.settings;
+                settings.events.observe(reply.at);
+                self.book.roster_answered(settings.clock.now(), &reply);
+                for other in reply.entries {
+                    self.entries.entries.entry(other).or_default();
+                }
+            }
+            Err(error) => {
+                log::debug!("roster: {error}");
+                entry.failures += 1;
+                // Whether the update arrived is not known.
+                entry.view.reset();
+                if !entry.seed && entry.failures >= MAX_FAILURES {
+                    self.entries.entries.swap_remove(&address);
+                }
+            }
+        }
+    }
+}
