--- /dev/null
+++ b/crates/owner/tests/host.rs
@@ -0,0 +1,292 @@
+//! Hosts of several processes against a log service, over real connections.
+
+#[path = "support/log_service.rs"]
+mod log_service;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::Addr;
+use cactusdoor_core::envelope::{LogEnvelope, WriterId};
+use cactusdoor_core::job::{JobClass, JobId, JobSpec, PlacementEnd, StartRefusal};
+use cactusdoor_core::name::ShardName;
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::shard::{ShardOwnership, TaskRecord};
+use cactusdoor_log::client::LogClient;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_owner::{FindOwner, HandBack, HostBeat, HostSettings, OwnerHost};
+use cactusdoor_peer::AgentService;
+use cactusdoor_peer::answer::{
+    CallFailure, CallRefusal, ClaimDelivery, ClaimFence, DeliveryFailure, FenceReply,
+    UpstreamAnswer, UpstreamCall,
+};
+use cactusdoor_peer::heartbeat::{
+    AgentHeartbeat, AgentIdentity, EndedTask, HeartbeatRefusal, HeartbeatReply, OwnerNotice,
+};
+use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_timeline::EventLog;
+use futures::StreamExt;
+use log_service::LogService;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Longest wait for anything; far above what it takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[derive(Clone)]
+struct FakeAgent {
+    host: Addr<OwnerHost>,
+    starts: mpsc::UnboundedSender<TaskStart>,
+}
+
+impl AgentService for FakeAgent {
+    async fn heartbeat(
+        self,
+        _: Context,
+        beat: AgentHeartbeat,
+    ) -> Result<HeartbeatReply, HeartbeatRefusal> {
+        self.host.send(HostBeat(beat)).await.unwrap()
+    }
+
+    async fn announce_owner(self, _: Context, _: OwnerNotice) {}
+
+    async fn start(self, _: Context, starts: Vec<TaskStart>) -> Vec<Result<(), StartRefusal>> {
+        starts
+            .into_iter()
+            .map(|start| self.starts.send(start).map_err(|_| StartRefusal::Draining))
+            .collect()
+    }
+
+    async fn stop(self, _: Context, stops: Vec<TaskStop>) -> Vec<Result<StopReply, TaskRefusal>> {
+        stops.iter().map(|_| Ok(StopReply::NotRunning)).collect()
+    }
+
+    async fn call(self, _: Context, _: UpstreamCall) -> Result<UpstreamAnswer, CallFailure> {
+        Err(CallFailure::NotRun(CallRefusal::NoUpstream))
+    }
+
+    async fn deliver(
+        self,
+        _: Context,
+        _: ClaimDelivery,
+    ) -> Result<UpstreamAnswer, DeliveryFailure> {
+        Err(DeliveryFailure::NotRun(CallRefusal::NoUpstream))
+    }
+
+    async fn fence(self, _: Context, _: ClaimFence) -> FenceReply {
+        FenceReply::Fenced
+    }
+}
+
+struct Process {
+    host: Addr<OwnerHost>,
+    identity: AgentIdentity,
+    starts: mpsc::UnboundedReceiver<TaskStart>,
+    serving: actix_rt::task::JoinHandle<()>,
+    beats: u64,
+    epoch: u64,
+}
+
+impl Process {
+    async fn spawn(name: &str, log: SocketAddr) -> Self {
+        let mut listener =
+            tarpc::serde_transport::tcp::listen("127.0.0.1:0", Bincode::default).await.unwrap();
+        let identity = AgentIdentity {
+            vm: name.parse().unwrap(),
+            incarnation: rand::random::<u64>().max(1),
+            address: listener.local_addr(),
+            data_centre: "north".parse().unwrap(),
+            rack: "rack".parse().unwrap(),
+        };
+        let process = name.parse().unwrap();
+        let host = OwnerHost::spawn(HostSettings {
+            identity: identity.clone(),
+            writer: WriterId { process, incarnation: identity.incarnation },
+            shards: vec![shard()],
+            own_shard: shard(),
+            entries: Vec::new(),
+            log: LogClient::open(log),
+            clock: MonotonicClock::open(),
+            events: EventLog::open(name.parse().unwrap()),
+            registry: prometheus::Registry::new(),
+        });
+        let (sender, starts) = mpsc::unbounded_channel();
+        let agent = FakeAgent { host: host.clone(), starts: sender };
+        let serving = actix_rt::spawn(async move {
+            // Connections end with the process, as they do when it is killed.
+            let mut connections = tokio::task::JoinSet::new();
+            while let Some(Ok(transport)) = listener.next().await {
+                let requests = BaseChannel::with_defaults(transport).execute(agent.clone().serve());
+                connections.spawn_local(requests.for_each_concurrent(None, |answer| answer));
+            }
+        });
+        Self { host, identity, starts, serving, beats: 0, epoch: 0 }
+    }
+
+    async fn find(&self, silent_for: u64) -> ShardOwnership {
+        let ask = FindOwner { shard: shard(), silent_for };
+        timeout(PATIENCE, self.host.send(ask)).await.unwrap().unwrap().unwrap()
+    }
+
+    fn beat(&mut self, ended: Vec<EndedTask>) -> AgentHeartbeat {
+        self.beats += 1;
+        AgentHeartbeat {
+            at: cactusdoor_timeline::HybridTime { wall_ms: self.beats, counter: 0 },
+            agent: self.identity.clone(),
+            shard: shard(),
+            epoch: self.epoch,
+            config_revision: 0,
+            lease_left_ms: 0,
+            capacity: ResourceVector::new(4_000, 4_096, 0),
+            committed: ResourceVector::ZERO,
+            draining: false,
+            held: Vec::new(),
+            ended,
+            usage: Vec::new(),
+            upstreams: Vec::new(),
+        }
+    }
+
+    async fn beat_to(
+        &mut self,
+        owner: &Addr<OwnerHost>,
+        ended: Vec<EndedTask>,
+    ) -> Result<HeartbeatReply, HeartbeatRefusal> {
+        let beat = self.beat(ended);
+        let reply = owner.send(HostBeat(beat)).await.unwrap();
+        if let Ok(reply) = &reply {
+            self.epoch = reply.epoch;
+        }
+        reply
+    }
+
+    /// Ends the process without notice.
+    fn kill(self) {
+        self.serving.abort();
+    }
+}
+
+fn shard() -> ShardName {
+    ShardName::new("north-0").unwrap()
+}
+
+async fn append(log: &LogClient, stream: &str, sequence: u64, body: impl serde::Serialize) {
+    let writer = WriterId { process: "entry".parse().unwrap(), incarnation: 3 };
+    let text = LogEnvelope { writer, sequence, body }.encode().unwrap();
+    log.append(&stream.parse().unwrap(), &[text]).await.unwrap();
+}
+
+async fn publish_plan(log: &LogClient) {
+    use cactusdoor_core::config::{AllowanceSpec, ConfigRecord, ItemChange, ItemValue};
+    let batch = ResourceVector::new(100_000, 100_000, 0);
+    let allowance = AllowanceSpec { batch, requests_per_second: 1 };
+    let value = ItemValue::Allowance("gold".parse().unwrap(), Some(allowance));
+    let change = ConfigRecord::Changed { items: vec![ItemChange { premise: 0, value }] };
+    append(log, "config", 1, change).await;
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        id: JobId { plan: "gold".parse().unwrap(), key: "a".parse().unwrap() },
+        kind: "transcription".parse().unwrap(),
+        class: JobClass::Batch,
+        tasks: 1,
+        need: ResourceVector::new(1_000, 1_024, 0),
+        run_time_ms: 1_000,
+        urgent: true,
+        deadline_unix_ms: None,
+        checkpoints: false,
+    }
+}
+
+/// Guards against a host that claims, but whose placements never reach the
+/// agent or whose ends never reach the log.
+#[actix_rt::test]
+async fn an_owner_places_and_records_over_the_wire() {
+    let (service, address) = LogService::spawn();
+    let log = LogClient::open(address);
+    publish_plan(&log).await;
+    let mut process = Process::spawn("vm-1", address).await;
+    let host = process.host.clone();
+    let ownership = process.find(0).await;
+    assert_eq!((ownership.epoch, ownership.owner.as_str()), (1, "vm-1"));
+    append(&log, "tasks-north-0", 1, TaskRecord::JobSubmitted(job())).await;
+    let start = timeout(PATIENCE, async {
+        loop {
+            process.beat_to(&host, Vec::new()).await.unwrap();
+            if let Ok(Some(start)) =
+                timeout(Duration::from_millis(200), process.starts.recv()).await
+            {
+                return start;
+            }
+        }
+    })
+    .await
+    .unwrap();
+    let ended = EndedTask {
+        token: start.token,
+        task: start.task.clone(),
+        end: PlacementEnd::Finished { digest: 4 },
+    };
+    timeout(PATIENCE, async {
+        loop {
+            let reply = process.beat_to(&host, vec![ended.clone()]).await.unwrap();
+            if reply.recorded.contains(&start.token) {
+                return;
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await
+    .unwrap();
+    let ends = service.records("tasks-north-0");
+    assert_eq!(ends.iter().filter(|record| record.contains("task_ended")).count(), 1);
+}
+
+/// Guards against agents that stay with an owner that has died, and against
+/// two owners after a simultaneous claim.
+#[actix_rt::test]
+async fn agents_agree_on_the_next_owner() {
+    let (_service, address) = LogService::spawn();
+    let first = Process::spawn("vm-1", address).await;
+    let second = Process::spawn("vm-2", address).await;
+    let third = Process::spawn("vm-3", address).await;
+    assert_eq!(first.find(0).await.owner.as_str(), "vm-1");
+    assert_eq!(second.find(5_000).await.owner.as_str(), "vm-1", "a living owner is not replaced");
+    let restless = first.host.clone();
+    first.kill();
+    let (a, b) = futures::join!(second.find(5_000), third.find(5_000));
+    assert_eq!(a.epoch, 2);
+    let again = third.find(5_000).await;
+    assert_eq!(again, a);
+    assert!(b.epoch <= 2);
+    // The first host is still running and reads that it was replaced.
+    let mut probe = second;
+    timeout(PATIENCE, async {
+        loop {
+            if probe.beat_to(&restless, Vec::new()).await.is_err() {
+                return;
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await
+    .unwrap();
+}
+
+/// Guards against a shard that keeps answering after it was handed back.
+#[actix_rt::test]
+async fn a_host_that_hands_back_owns_nothing() {
+    let (_service, address) = LogService::spawn();
+    let mut process = Process::spawn("vm-1", address).await;
+    let host = process.host.clone();
+    process.find(0).await;
+    process.beat_to(&host, Vec::new()).await.unwrap();
+    timeout(PATIENCE, host.send(HandBack)).await.unwrap().unwrap();
+    assert!(process.beat_to(&host, Vec::new()).await.is_err());
+    let other = Process::spawn("vm-2", address).await;
+    assert_eq!(other.find(5_000).await.owner.as_str(), "vm-2");
+}
--- /dev/null
+++ b/crates/owner/tests/leases.rs
@@ -0,0 +1,269 @@
+//! When a task may run elsewhere, and who may say so.
+
+mod support;
+
+use assert_matches::assert_matches;
+use cactusdoor_core::constants::{OUTAGE_LEASE, TASK_LEASE, with_lease_margins};
+use cactusdoor_core::job::PlacementEnd;
+use cactusdoor_core::shard::{TaskRecord, TaskState};
+use cactusdoor_core::unit::Millis;
+use cactusdoor_owner::book::CallOutcome;
+use cactusdoor_peer::heartbeat::HeartbeatRefusal;
+use cactusdoor_peer::task::{StopMode, StopReply, TaskStart};
+use cactusdoor_timeline::HybridTime;
+use support::{Bench, FakeAgent, address, job, task, vm};
+
+/// An owner `vm-0` with a task that runs on `vm-1`.
+fn with_running_task() -> (Bench, FakeAgent, TaskStart) {
+    let mut bench = Bench::owner("vm-0");
+    let mut agent = FakeAgent::new("vm-1");
+    bench.join(&mut agent);
+    bench.submit(&job("gold", "a", 1));
+    bench.tick();
+    let start = bench.take_starts().remove(0);
+    bench.book.start_answered(bench.now, start.token, CallOutcome::Answered(Ok(())));
+    agent.hold(&start);
+    bench.beat(&mut agent).unwrap();
+    (bench, agent, start)
+}
+
+fn is_placed(bench: &Bench) -> bool {
+    let state = &bench.book.fold().task(&task(&job("gold", "a", 1), 0)).unwrap().state;
+    matches!(state, TaskState::Placed { .. })
+}
+
+/// Guards against reassignment while the holder may still run the task, and
+/// against a task that is never reassigned.
+#[test]
+fn a_silent_agents_task_waits_for_lease_and_margins() {
+    let (mut bench, _agent, _) = with_running_task();
+    bench.pass(with_lease_margins(TASK_LEASE) - 1);
+    assert!(is_placed(&bench));
+    bench.pass(1);
+    assert!(!is_placed(&bench));
+}
+
+/// Guards against a new owner that takes over tasks of agents which it has never
+/// heard, and whom the owner before may have granted the long lease.
+#[test]
+fn a_new_owner_waits_for_the_longest_grant() {
+    let (bench, _, _) = with_running_task();
+    let mut next = Bench::with_stream("vm-9", bench.stream.clone());
+    next.claim();
+    next.pass(with_lease_margins(OUTAGE_LEASE) - 1);
+    assert!(is_placed(&next));
+    next.pass(1);
+    assert!(!is_placed(&next));
+}
+
+/// Guards against the long wait for the VM of the previous owner, which never
+/// grants itself the long lease.
+#[test]
+fn a_new_owner_waits_briefly_for_the_previous_owners_vm() {
+    let mut bench = Bench::owner("vm-1");
+    let mut agent = FakeAgent::new("vm-1");
+    bench.join(&mut agent);
+    bench.submit(&job("gold", "a", 1));
+    bench.tick();
+    assert!(is_placed(&bench));
+    let mut next = Bench::with_stream("vm-9", bench.stream.clone());
+    next.claim();
+    next.pass(with_lease_margins(TASK_LEASE) - 1);
+    assert!(is_placed(&next));
+    next.pass(1);
+    assert!(!is_placed(&next));
+}
+
+/// Guards against a grant that outlasts the wait of a later owner: an owner that
+/// is cut off from the log cannot see that it was replaced.
+#[test]
+fn grants_end_within_the_wait_of_a_later_owner() {
+    let (mut bench, mut agent, _) = with_running_task();
+    bench.tick();
+    let confirmed = bench.now;
+    bench.log_reachable = false;
+    let mut own = FakeAgent::new("vm-0");
+    let mut longest: Millis = 0;
+    for _ in 0..1_400 {
+        bench.now = bench.now.after(500);
+        let term = bench.beat(&mut agent).unwrap().lease_ms;
+        longest = longest.max(term);
+        assert!(bench.now.after(term) <= confirmed.after(OUTAGE_LEASE).max(bench.now));
+        let term = bench.beat(&mut own).unwrap().lease_ms;
+        assert!(bench.now.after(term) <= confirmed.after(TASK_LEASE).max(bench.now));
+    }
+    assert!(longest > OUTAGE_LEASE - 15_000, "the outage lease is granted, got {longest}");
+}
+
+/// Guards against reassignment before a long grant is over, when the log comes
+/// back and the answer with the short term is lost.
+#[test]
+fn a_long_grant_counts_until_the_agent_reports_a_short_one() {
+    let (mut bench, mut agent, _) = with_running_task();
+    bench.tick();
+    bench.log_reachable = false;
+    bench.pass_with(12_000, &mut [&mut agent]);
+    assert!(agent.lease_left_ms > TASK_LEASE);
+    let long = agent.lease_left_ms;
+    bench.log_reachable = true;
+    bench.tick();
+    // The agent's heartbeat arrives, the answer to it does not.
+    let mut deaf = agent.clone();
+    bench.beat(&mut deaf).unwrap();
+    bench.pass(60_000);
+    assert!(is_placed(&bench));
+    bench.pass(with_lease_margins(long));
+    assert!(!is_placed(&bench));
+}
+
+/// Guards against two owners that both believe: the one whose epoch is over must
+/// not end, place or grant anything that counts.
+#[test]
+fn of_two_owners_only_the_later_decides() {
+    let (mut first, mut agent, start) = with_running_task();
+    first.prompt = false;
+    let mut second = Bench::with_stream("vm-9", first.stream.clone());
+    second.claim();
+    let claim = second.stream.last().unwrap().clone();
+    // The first goes on, because it has not read the claim.
+    let mut other = agent.clone();
+    other.end(start.token, PlacementEnd::Failed);
+    first.beat(&mut other).unwrap();
+    assert_eq!(first.open.len(), 1);
+    // Its record stands behind the claim and has no effect for anybody.
+    let late = first.open.remove(0);
+    let offset = second.stream.len() as u64;
+    second.foreign("vm-0", 1_000, late.record);
+    assert!(is_placed(&second));
+    assert_eq!(second.stream.len() as u64, offset + 1);
+    // The agent that follows the second refuses the first's epoch, and the
+    // first does not answer it.
+    second.join(&mut agent);
+    assert_eq!(agent.epoch, 2);
+    assert_matches!(first.beat(&mut agent), Err(HeartbeatRefusal::NotOwner { epoch: 2, .. }));
+    let at = first.stream.len() as u64;
+    first.book.folded(first.now, at, claim);
+    first.collect();
+    assert!(first.lost && first.book.is_replaced());
+    assert_matches!(
+        first.beat(&mut agent),
+        Err(HeartbeatRefusal::NotOwner { owner: Some(owner), .. })
+            if owner == second.book.ownership().unwrap().address
+    );
+}
+
+/// Guards against a lost claim that is taken for ownership.
+#[test]
+fn the_second_claim_of_an_epoch_loses() {
+    let mut bench = Bench::new("vm-0");
+    bench.prompt = false;
+    bench.claim();
+    let own = bench.open.remove(0);
+    let rival = TaskRecord::OwnerClaimed { epoch: 1, owner: vm("vm-5"), address: address(5) };
+    bench.foreign("vm-5", 1, rival);
+    bench.store(own, true);
+    assert_eq!(bench.book.owned_epoch(), None);
+    assert!(bench.lost);
+}
+
+/// Guards against a heartbeat that arrives late and brings back an old state.
+#[test]
+fn a_late_heartbeat_changes_nothing() {
+    let (mut bench, mut agent, start) = with_running_task();
+    let old = agent.beat();
+    agent.end(start.token, PlacementEnd::Finished { digest: 1 });
+    bench.beat(&mut agent).unwrap();
+    bench.beat(&mut agent).unwrap();
+    assert!(agent.ended.is_empty());
+    bench.take_stops();
+    let (now, at) = (bench.now, HybridTime::default());
+    bench.book.beat(now, at, &old).unwrap();
+    bench.settle();
+    assert!(bench.take_stops().is_empty(), "the task is not held any more");
+}
+
+/// Guards against an end that is recorded twice because its heartbeat came twice.
+#[test]
+fn a_repeated_heartbeat_records_an_end_once() {
+    let (mut bench, mut agent, start) = with_running_task();
+    agent.end(start.token, PlacementEnd::Finished { digest: 1 });
+    bench.prompt = false;
+    let beat = agent.beat();
+    bench.deliver(&mut agent, &beat).unwrap();
+    bench.deliver(&mut agent, &beat).unwrap();
+    bench.beat(&mut agent).unwrap();
+    assert_eq!(bench.open.len(), 1);
+}
+
+/// Guards against a heartbeat of a process that was restarted since.
+#[test]
+fn an_earlier_incarnation_is_refused() {
+    let (mut bench, mut agent, _) = with_running_task();
+    let old = agent.beat();
+    agent.identity.incarnation += 1;
+    agent.held.clear();
+    bench.beat(&mut agent).unwrap();
+    assert!(bench.book.beat(bench.now, HybridTime::default(), &old).is_err());
+}
+
+/// Guards against a start that is still on its way when the lease of its VM has
+/// lapsed, and that finds a new lease there.
+#[test]
+fn a_lapsed_token_is_renounced_before_the_next_lease() {
+    let mut bench = Bench::owner("vm-0");
+    let mut agent = FakeAgent::new("vm-1");
+    bench.join(&mut agent);
+    bench.submit(&job("gold", "a", 1));
+    bench.tick();
+    let token = bench.take_starts().remove(0).token;
+    bench.book.start_answered(bench.now, token, CallOutcome::Lost);
+    bench.pass(20_000);
+    assert!(!is_placed(&bench));
+    bench.take_stops();
+    assert_eq!(bench.beat(&mut agent).unwrap().lease_ms, 0);
+    let stops = bench.take_stops();
+    assert_eq!(stops.len(), 1);
+    let (name, stop) = &stops[0];
+    assert_eq!((stop.token, stop.mode), (token, StopMode::Cancel));
+    let answer = CallOutcome::Answered(Ok(StopReply::NotRunning));
+    bench.book.stop_answered(bench.now, name, stop, answer);
+    bench.settle();
+    assert!(bench.beat(&mut agent).unwrap().lease_ms > 0);
+}
+
+/// Guards against a task of an earlier epoch that the agent does not list and
+/// that is placed elsewhere before the agent has renounced it.
+#[test]
+fn a_missing_task_of_an_earlier_epoch_is_fenced_first() {
+    let (bench, mut agent, start) = with_running_task();
+    agent.held.clear();
+    let mut next = Bench::with_stream("vm-9", bench.stream.clone());
+    next.claim();
+    next.beat(&mut agent).unwrap();
+    assert!(is_placed(&next));
+    let stops = next.take_stops();
+    assert_eq!(stops.len(), 1);
+    assert_eq!(stops[0].1.token, start.token);
+    let answer = CallOutcome::Answered(Ok(StopReply::NotRunning));
+    next.book.stop_answered(next.now, &stops[0].0, &stops[0].1, answer);
+    next.settle();
+    assert!(!is_placed(&next));
+}
+
+/// Guards against a new owner that believes an agent on its old lease, although
+/// that agent may not have accepted the new epoch.
+#[test]
+fn an_agent_that_has_not_accepted_the_epoch_is_waited_for() {
+    let (bench, mut agent, _) = with_running_task();
+    let mut next = Bench::with_stream("vm-9", bench.stream.clone());
+    next.claim();
+    // The heartbeat arrives, the answer is lost.
+    let mut deaf = agent.clone();
+    next.beat(&mut deaf).unwrap();
+    next.pass(60_000);
+    assert!(is_placed(&next));
+    agent.lease_left_ms = 1_000;
+    next.join(&mut agent);
+    next.pass(with_lease_margins(TASK_LEASE));
+    assert!(!is_placed(&next));
+}
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -172,10 +172,7 @@
         items.push(ItemValue::Allowance(plan, Some(allowance)));
     }
     let mut fold = ConfigFold::default();
-    let items = items
-        .into_iter()
-        .map(|value| ItemChange { premise: 0, value })
-        .collect();
+    let items = items.into_iter().map(|value| ItemChange { premise: 0, value }).collect();
     let body = ConfigRecord::Changed { items };
     fold.apply(0, LogEnvelope { writer: writer("entry"), sequence: 1, body });
     assert_eq!(fold.state().premise(&ItemName::DataCentre("north".parse().unwrap())), 1);
@@ -198,10 +195,7 @@
         Self::with_settings(settings, stream)
     }
 
-    pub fn with_settings(
-        settings: BookSettings,
-        stream: Vec<LogEnvelope<TaskRecord>>,
-    ) -> Self {
+    pub fn with_settings(settings: BookSettings, stream: Vec<LogEnvelope<TaskRecord>>) -> Self {
         let mut fold = ShardFold::new(settings.shard.clone());
         for (offset, record) in (0..).zip(stream.iter().cloned()) {
             fold.apply(offset, record);
