Test appends of unknown fate and holds of appends under way

Mutations of the book showed that the tests did not notice a released hold or a second placement before the read to the end; both are noticed now.

--- a/crates/owner/tests/placing.rs
+++ b/crates/owner/tests/placing.rs
@@ -97,7 +97,7 @@
     bench.submit(&job("gold", "a", 5));
     bench.tick();
     assert_eq!(bench.open.len(), 3);
-    bench.tick();
+    bench.pass_with(2_000, &mut [&mut agent]);
     assert_eq!(bench.open.len(), 3);
 }
 
@@ -111,6 +111,7 @@
     let spec = job("tin", "a", 5);
     bench.submit(&spec);
     bench.tick();
+    bench.pass_with(2_000, &mut [&mut agent]);
     assert_eq!(bench.open.len(), 2);
     let waits = EventKind::TaskWaits { task: task(&spec, 0), reason: WaitReason::AllowanceUsed };
     assert!(bench.events.contains(&waits));
@@ -159,3 +160,29 @@
     assert_eq!(stops.len(), 1);
     assert_eq!(stops[0].1.token, token);
 }
+
+/// Guards against a second placement before a read to the end has shown that the
+/// first is not stored, and against one that never comes.
+#[test]
+fn a_placement_of_unknown_fate_waits_for_a_read_to_the_end() {
+    let mut bench = Bench::owner("vm-0");
+    let mut agent = FakeAgent::new("vm-1");
+    bench.join(&mut agent);
+    bench.prompt = false;
+    bench.submit(&job("gold", "a", 1));
+    bench.tick();
+    let append = bench.open.remove(0);
+    bench.refuse(&append, NotStored::Unknown);
+    // Reads that were sent before the append was given up show nothing.
+    let sent = bench.now;
+    for _ in 0..4 {
+        bench.now = bench.now.after(500);
+        bench.beat(&mut agent).unwrap();
+        bench.book.confirmed(sent);
+        bench.book.tick(bench.now, 0);
+        bench.collect();
+    }
+    assert!(bench.open.is_empty());
+    bench.pass_with(1_000, &mut [&mut agent]);
+    assert_eq!(bench.open.len(), 1);
+}
