Trim plans beyond a reduced allowance, and settle unknown claims

A reduced allowance stops the newest tasks of its plan. A claim of unknown fate is given up once a read to the end has shown that it is not stored.

--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -29,6 +29,8 @@
 const PAST_INCARNATIONS: usize = 16;
 /// Pause of placements on a VM after it refused one.
 const REFUSAL_PAUSE: Millis = 1_000;
+/// Longest such pause; doubled with each refusal in a row.
+const LONGEST_REFUSAL_PAUSE: Millis = 60_000;
 /// Time after which a started task that heartbeats do not list is asked about.
 const MISSING_TIME: Millis = 3_000;
 
@@ -66,6 +68,8 @@
     pub ladder: PressureLadder,
     past: Vec<Incarnation>,
     avoid_until: Moment,
+    /// Refused starts in a row.
+    refusals: u32,
     pub silent: bool,
 }
 
@@ -87,6 +91,7 @@
             ladder: PressureLadder::default(),
             past: Vec::new(),
             avoid_until: Moment::default(),
+            refusals: 0,
             silent: false,
         }
     }
@@ -106,7 +111,14 @@
     }
 
     pub fn refused(&mut self, now: Moment) {
-        self.avoid_until = now.after(REFUSAL_PAUSE);
+        let pause = REFUSAL_PAUSE << self.refusals.min(6);
+        self.refusals += 1;
+        self.avoid_until = now.after(pause.min(LONGEST_REFUSAL_PAUSE));
+    }
+
+    /// The agent has started a task.
+    pub fn accepted(&mut self) {
+        self.refusals = 0;
     }
 
     fn restart(&mut self, identity: AgentIdentity) {
--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -1,7 +1,8 @@
 //! Folds records and reacts to those that took effect.
 
+use cactusdoor_core::config::DataCentreState;
 use cactusdoor_core::envelope::LogEnvelope;
-use cactusdoor_core::job::{JobId, PlacementEnd, StartRefusal, TaskId};
+use cactusdoor_core::job::{JobId, PlacementEnd, StartRefusal, TaskId, TaskMove};
 use cactusdoor_core::shard::{ShardOwnership, TaskEffect, TaskRecord};
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_log::appender::{NotStored, StoredRecord};
@@ -11,7 +12,7 @@
 use super::action::{BookAction, Ticket};
 use super::append::AppendKey;
 use super::index::Placement;
-use super::{OwnerRole, OwnerTenure, ShardBook};
+use super::{OwnerRole, OwnerTenure, ShardBook, data_centre_of};
 
 /// First delay of a job after a failure or refusal; doubled each time.
 const FIRST_BACKOFF: Millis = 500;
@@ -120,6 +121,7 @@
                 let (task, number) = (task_move.task.clone(), task_move.number);
                 self.event(EventKind::TaskHandedOver { task, from, to, number });
             }
+            TaskRecord::TaskReceived { task_move, .. } => self.returned(now, &task_move),
             TaskRecord::HandOverConfirmed { task, .. } => self.moves.confirmed(&task),
             TaskRecord::JobForgotten { job, .. } => {
                 self.ledger.forget_job(&job);
@@ -159,17 +161,39 @@
                 self.failed(now, task, placement);
             }
             PlacementEnd::Refused(refusal) => self.refused(now, task, placement, *refusal),
+            PlacementEnd::Evicted { .. } => self.return_evicted(task),
+            PlacementEnd::Cancelled => {}
             PlacementEnd::Lapsed => {
+                self.return_evicted(task);
                 // A start that is still on its way must not find a new lease there.
                 if let (Some(agent), Some(_)) = (self.agents.get_mut(&vm), &flight) {
                     agent.fences.insert(token, task.clone());
                 }
             }
-            PlacementEnd::Evicted { .. } | PlacementEnd::Cancelled => {}
         }
         self.event(EventKind::TaskEnded { task: task.clone(), token, vm, end });
     }
 
+    /// A task that lost its place away from home returns there.
+    fn return_evicted(&mut self, task: &TaskId) {
+        if self.fold.job(&task.job).is_some_and(|entry| !entry.home) {
+            self.moves.evicted(task);
+        }
+    }
+
+    /// A task is back at home; it waits a little if nothing forced it back, so
+    /// that a job which fits or works nowhere does not circle between shards.
+    fn returned(&mut self, now: Moment, task_move: &TaskMove) {
+        let home = self.fold.job(&task_move.task.job).is_some_and(|entry| entry.home);
+        let waiting =
+            self.backoffs.get(&task_move.task.job).is_some_and(|backoff| now < backoff.until);
+        let forced = data_centre_of(&task_move.from)
+            .is_some_and(|name| self.config.data_centre(&name) == DataCentreState::Out);
+        if home && task_move.ended.is_none() && !waiting && !forced {
+            self.back_off(now, &task_move.task.job);
+        }
+    }
+
     fn failed(&mut self, now: Moment, task: &TaskId, placement: &Placement) {
         self.back_off(now, &task.job);
         match self.ledger.failed(&placement.vm, &task.job, now) {
--- a/crates/owner/src/book/moves.rs
+++ b/crates/owner/src/book/moves.rs
@@ -51,6 +51,8 @@
     /// Cancellations that the receiving shard's stream holds or is about to.
     cancelled: IndexSet<(JobId, ShardName)>,
     summaries: IndexMap<ShardName, (ShardSummary, Moment)>,
+    /// Evicted in a shard other than their home.
+    returning: IndexSet<TaskId>,
     last_look: Moment,
 }
 
@@ -68,10 +70,16 @@
         self.summaries.values().any(|(summary, _)| summary.room.largest.holds(need))
     }
 
+    /// The task was evicted away from home.
+    pub fn evicted(&mut self, task: &TaskId) {
+        self.returning.insert(task.clone());
+    }
+
     /// The hand-over is confirmed in the own stream.
     pub fn confirmed(&mut self, task: &TaskId) {
         self.trying.swap_remove(task);
         self.delivered.swap_remove(task);
+        self.returning.swap_remove(task);
     }
 
     pub fn learn(&mut self, now: Moment, summary: ShardSummary) {
@@ -213,8 +221,7 @@
             _ => false,
         };
         for task in self.pending_of(job, *budget) {
-            let placed_before = self.fold.task(&task).is_some_and(|task| task.placements > 0);
-            if out || stuck || placed_before {
+            if out || stuck || self.moves.returning.contains(&task) {
                 self.hand_over(&task, home.clone());
                 *budget -= 1;
             }
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -233,7 +233,8 @@
                 return Some(ParkReason::ExceedsAllowance(kind));
             }
         }
-        if !self.knows_its_vms(now) || self.some_vm_holds(spec.need) {
+        // A task that came from another shard goes back there instead.
+        if !home || !self.knows_its_vms(now) || self.some_vm_holds(spec.need) {
             return None;
         }
         if self.moves.some_shard_holds(spec.need) {
--- a/crates/owner/src/book/tasks.rs
+++ b/crates/owner/src/book/tasks.rs
@@ -32,7 +32,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct StopWish {
     task: TaskId,
-    vm: VmName,
+    pub vm: VmName,
     mode: StopMode,
     in_flight: bool,
     next_try: Moment,
@@ -102,6 +102,9 @@
         match answer {
             CallOutcome::Answered(Ok(())) => {
                 flight.started = Some(now);
+                if let Some(agent) = self.agents.get_mut(&vm) {
+                    agent.accepted();
+                }
                 self.event(EventKind::TaskStarted { task, token, vm });
             }
             // An earlier copy of the start may still arrive; the stop forbids it.
--- a/crates/owner/src/book/upkeep.rs
+++ b/crates/owner/src/book/upkeep.rs
@@ -4,10 +4,14 @@
     ENDED_JOB_LIFETIME, OUTAGE_LEASE, TASK_LEASE, with_lease_margins,
 };
 use cactusdoor_core::job::{JobId, ParkReason, PlacementEnd, TaskId};
-use cactusdoor_core::name::VmName;
+use cactusdoor_core::name::{PlanName, VmName};
+use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::shard::TaskRecord;
 use cactusdoor_core::unit::{Millis, Moment, Token};
+use cactusdoor_peer::task::StopMode;
+use cactusdoor_policy::placement::allowance::max;
 use cactusdoor_timeline::EventKind;
+use indexmap::IndexMap;
 
 use super::ShardBook;
 use super::append::AppendKey;
@@ -32,7 +36,12 @@
             self.stop_all_cancelled(now);
             self.forget_ended(now);
             self.forget_agents(now);
-            self.plan_moves(now);
+            // An old view may show a data centre out that is back, or an allowance
+            // that has grown.
+            if self.config_view.allows_start(now) {
+                self.trim_allowances(now);
+                self.plan_moves(now);
+            }
         }
         self.send_moves(now);
         self.place(now, unix_ms);
@@ -118,6 +127,48 @@
         }
     }
 
+    /// Stops the newest tasks of plans that use more than a reduced allowance.
+    fn trim_allowances(&mut self, now: Moment) {
+        let mut surplus: IndexMap<PlanName, ResourceVector> = IndexMap::new();
+        for (plan, used) in self.index.allowances().plans() {
+            let limit = self.config.allowance(plan).map(|allowance| allowance.batch);
+            let limit = limit.unwrap_or(ResourceVector::ZERO);
+            if !limit.holds(used) {
+                surplus.insert(plan.clone(), used.saturating_sub(limit));
+            }
+        }
+        if surplus.is_empty() {
+            return;
+        }
+        let mut placed: Vec<(Token, TaskId, VmName)> = Vec::new();
+        for (vm, load) in self.index.vms() {
+            for (token, task) in &load.tasks {
+                let home = self.fold.job(&task.job).is_some_and(|job| job.home);
+                if home && surplus.contains_key(&task.job.plan) {
+                    placed.push((*token, task.clone(), vm.clone()));
+                }
+            }
+        }
+        // Stops under way come first, so that their share is not freed twice.
+        placed.sort_by_key(|(token, _, _)| {
+            (!self.stops.contains_key(token), std::cmp::Reverse(*token))
+        });
+        for (token, task, vm) in placed {
+            let (Some(left), Some(placement), Some(spec)) = (
+                surplus.get_mut(&task.job.plan),
+                self.index.placement(&task),
+                self.fold.job(&task.job).map(|job| job.spec.clone()),
+            ) else {
+                continue;
+            };
+            if *left != ResourceVector::ZERO {
+                *left = left.saturating_sub(max(placement.need, spec.need));
+                self.wish_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
+            }
+        }
+        self.send_stops(now);
+    }
+
     /// Forgets jobs that ended, or left this shard, long ago.
     ///
     /// A job that left is kept as long as one that ended: until then a repeated
@@ -142,12 +193,14 @@
             .iter()
             .filter(|(vm, agent)| {
                 let idle = self.index.vm(vm).is_none_or(|load| load.tasks.is_empty());
-                idle && now.since(agent.last_beat) >= keep
+                // A start that was given up may still arrive after the agent is back.
+                idle && agent.fences.is_empty() && now.since(agent.last_beat) >= keep
             })
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in gone {
             self.agents.swap_remove(&vm);
+            self.stops.retain(|_, wish| wish.vm != vm);
         }
     }
 }
--- a/crates/owner/src/keeper.rs
+++ b/crates/owner/src/keeper.rs
@@ -163,6 +163,14 @@
         ctx.stop();
     }
 
+    /// Gives up if the claim is known not to be stored.
+    fn give_up_lost_claim(&mut self, ctx: &mut Context<Self>) {
+        let claiming = *self.state.borrow() == KeeperState::Claiming;
+        if claiming && !self.book.has_open_appends() {
+            self.give_up(ctx);
+        }
+    }
+
     fn append(
         &mut self,
         ctx: &mut Context<Self>,
@@ -314,6 +322,7 @@
                     self.book.confirmed(sent);
                 }
                 self.carry_out(ctx);
+                self.give_up_lost_claim(ctx);
                 self.snapshot(ctx, bounds);
             }
             FollowEvent::Gap(bounds) => {
@@ -370,10 +379,7 @@
         }
         self.book.appended(self.core.settings.clock.now(), ticket, result);
         self.carry_out(ctx);
-        let claiming = *self.state.borrow() == KeeperState::Claiming;
-        if claiming && result.is_err() && !self.book.has_open_appends() {
-            self.give_up(ctx);
-        }
+        self.give_up_lost_claim(ctx);
     }
 }
 
