--- /dev/null
+++ b/crates/caller/src/error.rs
@@ -0,0 +1,125 @@
+//! Errors as callers see them.
+
+use std::fmt;
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, ResponseError};
+use serde::{Deserialize, Serialize};
+
+/// What went wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ErrorCode {
+    /// The request itself is faulty.
+    Malformed,
+    TooLarge,
+    /// No such route, job or data centre.
+    NotFound,
+    UnknownPlan,
+    /// The plan's requests per second are used up.
+    OverAllowance,
+    /// No room, or no room in time.
+    Overloaded,
+    NoUpstream,
+    /// The entry is stopping.
+    Draining,
+    /// The entry has not loaded its state yet.
+    NotReady,
+    /// Every attempt was refused, or the key was settled as not run.
+    NotRun,
+    /// No whole answer arrived.
+    NoAnswer,
+    DeadlineExceeded,
+    /// The idempotency key was used for another request.
+    KeyConflict,
+    LogUnavailable,
+}
+
+impl ErrorCode {
+    #[must_use]
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::UnknownPlan => StatusCode::FORBIDDEN,
+            Self::OverAllowance => StatusCode::TOO_MANY_REQUESTS,
+            Self::KeyConflict => StatusCode::CONFLICT,
+            Self::NoAnswer => StatusCode::BAD_GATEWAY,
+            Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
+            Self::Overloaded
+            | Self::NoUpstream
+            | Self::Draining
+            | Self::NotReady
+            | Self::NotRun
+            | Self::LogUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// What the caller may conclude about the work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OutcomeWord {
+    NotRun,
+    Unknown,
+}
+
+/// How the caller may go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RetryAdvice {
+    SameKey,
+    NewRequest,
+    Never,
+}
+
+/// An error as sent to callers, inside `{"error": ...}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallerError {
+    pub code: ErrorCode,
+    pub message: String,
+    pub outcome: OutcomeWord,
+    pub retry: RetryAdvice,
+}
+
+/// Body of an error answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    pub error: CallerError,
+}
+
+impl CallerError {
+    /// An error after which the work has not run.
+    pub fn not_run(code: ErrorCode, retry: RetryAdvice, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), outcome: OutcomeWord::NotRun, retry }
+    }
+
+    /// An error after which the work may have run.
+    pub fn unknown(code: ErrorCode, retry: RetryAdvice, message: impl Into<String>) -> Self {
+        Self { code, message: message.into(), outcome: OutcomeWord::Unknown, retry }
+    }
+
+    /// A faulty request.
+    pub fn malformed(message: impl Into<String>) -> Self {
+        Self::not_run(ErrorCode::Malformed, RetryAdvice::Never, message)
+    }
+}
+
+impl fmt::Display for CallerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for CallerError {}
+
+impl ResponseError for CallerError {
+    fn status_code(&self) -> StatusCode {
+        self.code.status()
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        HttpResponse::build(self.status_code()).json(ErrorBody { error: self.clone() })
+    }
+}
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -119,6 +119,10 @@
         self.claims.get(key)
     }
 
+    pub fn claims(&self) -> impl Iterator<Item = &ClaimEntry> {
+        self.claims.values()
+    }
+
     #[must_use]
     pub fn len(&self) -> usize {
         self.claims.len()
--- /dev/null
+++ b/crates/entry/src/binding.rs
@@ -0,0 +1,8 @@
+//! Binding requests: claimed in the log, delivered once, settled, answered.
+
+mod machine;
+mod runner;
+mod serve;
+
+pub use machine::{ClaimAction, ClaimInput, ClaimMachine, ClaimSight, DeliveryEnd};
+pub use serve::{BindingCore, serve_binding};
--- /dev/null
+++ b/crates/entry/src/binding/machine.rs
@@ -0,0 +1,277 @@
+//! The course of one binding request, without I/O.
+//!
+//! The machine names the next action and takes its result. Two rules keep a
+//! request from running twice: `Deliver` is named at most once, and only after
+//! the fold has accepted this process's own claim.
+
+use cactusdoor_core::claim::{ClaimEntry, ClaimOutcome};
+use cactusdoor_core::name::VmName;
+use cactusdoor_core::unit::{Incarnation, Offset};
+use cactusdoor_peer::answer::FenceReply;
+
+/// What the fold says of a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimSight {
+    pub claim: Offset,
+    pub request_digest: u64,
+    pub agent: VmName,
+    pub agent_incarnation: Incarnation,
+    pub claimed_unix_ms: u64,
+    pub outcome: Option<ClaimOutcome>,
+}
+
+impl From<&ClaimEntry> for ClaimSight {
+    fn from(entry: &ClaimEntry) -> Self {
+        Self {
+            claim: entry.offset,
+            request_digest: entry.spec.request_digest,
+            agent: entry.spec.agent.clone(),
+            agent_incarnation: entry.spec.agent_incarnation,
+            claimed_unix_ms: entry.spec.claimed_unix_ms,
+            outcome: entry.outcome.clone(),
+        }
+    }
+}
+
+/// How the delivery ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DeliveryEnd {
+    /// The whole answer, checked.
+    Answered(ClaimOutcome),
+    /// Surely not delivered.
+    NotDelivered,
+    /// The agent does not know what came of the call.
+    Unknown,
+    /// No usable word from the agent; it has to be asked.
+    Unclear,
+}
+
+/// The next thing to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAction {
+    /// Looks at the fold.
+    View,
+    /// Appends a claim and reads it back.
+    Claim,
+    /// Sends the request under the own claim at this offset.
+    Deliver { claim: Offset },
+    /// Waits until the fold holds an outcome, or the holder is silent for too long.
+    Await { sight: ClaimSight },
+    /// Asks the agent for the outcome, or forbids the delivery.
+    Fence { sight: ClaimSight },
+    /// Waits a moment before the agent is asked again.
+    Pause,
+    /// Appends an outcome and reads it back.
+    Settle { claim: Offset, outcome: ClaimOutcome },
+    /// Waits a moment before the outcome is appended again.
+    PauseSettle { claim: Offset, outcome: ClaimOutcome },
+    /// Tells the caller; nothing remains to be done.
+    Answer(ClaimAnswer),
+}
+
+/// What the caller is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The final outcome of the key.
+    Outcome(ClaimOutcome),
+    /// The key belongs to another request.
+    Conflict,
+    /// Not decided: the same key may be sent again.
+    Undecided,
+}
+
+/// Result of an action.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimInput {
+    /// To `View` and `Await`: the key as the fold has it.
+    Viewed(Option<ClaimSight>),
+    /// The fold is not loaded.
+    NotLoaded,
+    /// The fold accepted the own claim; `late` if the caller has been told `unknown` by now.
+    Won {
+        claim: Offset,
+        late: bool,
+    },
+    /// Another claim was first, or the fold dropped this one.
+    Lost,
+    /// The claim has no effect, or none that this process can see.
+    NotClaimed,
+    Delivered(DeliveryEnd),
+    /// To `Await`: the holder has been silent past the deadline.
+    Silent(ClaimSight),
+    FenceAnswered(FenceReply),
+    /// The agent did not answer; `given_up` after long enough.
+    FenceFailed {
+        given_up: bool,
+    },
+    /// The pause is over.
+    Resumed,
+    /// An outcome for the key stands in the fold.
+    Settled,
+    /// The outcome was not stored; `given_up` after long enough.
+    NotSettled {
+        given_up: bool,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Phase {
+    Viewing,
+    Claiming,
+    Delivering {
+        claim: Offset,
+    },
+    /// Watches a claim of another process, or an own one with unclear delivery.
+    Watching,
+    Fencing {
+        sight: ClaimSight,
+    },
+    Settling {
+        claim: Offset,
+        outcome: ClaimOutcome,
+    },
+    Settled,
+    Done,
+}
+
+/// State machine of one binding request.
+#[derive(Clone, Debug)]
+pub struct ClaimMachine {
+    request_digest: u64,
+    phase: Phase,
+    /// Whether this process sent the request under its own claim.
+    delivered: bool,
+    /// Whether this process claimed the key before; it claims only once.
+    claimed: bool,
+}
+
+impl ClaimMachine {
+    #[must_use]
+    pub fn new(request_digest: u64) -> Self {
+        Self { request_digest, phase: Phase::Viewing, delivered: false, claimed: false }
+    }
+
+    /// The first action.
+    #[must_use]
+    pub fn start(&self) -> ClaimAction {
+        ClaimAction::View
+    }
+
+    /// The action after `input`; an input that does not belong to the phase ends undecided.
+    pub fn step(&mut self, input: ClaimInput) -> ClaimAction {
+        match (std::mem::replace(&mut self.phase, Phase::Done), input) {
+            (Phase::Viewing | Phase::Watching, ClaimInput::Viewed(sight)) => self.viewed(sight),
+            (Phase::Settled, ClaimInput::Viewed(Some(sight))) => match sight.outcome {
+                Some(outcome) => self.answer(ClaimAnswer::Outcome(outcome)),
+                None => self.answer(ClaimAnswer::Undecided),
+            },
+            (Phase::Claiming, ClaimInput::Won { claim, late: false }) => {
+                self.phase = Phase::Delivering { claim };
+                self.delivered = true;
+                ClaimAction::Deliver { claim }
+            }
+            // The caller knows nothing of the outcome, and only this process
+            // may deliver its claim, so it is safe to settle it as not run.
+            (Phase::Claiming, ClaimInput::Won { claim, late: true }) => {
+                self.settle(claim, ClaimOutcome::NotRun)
+            }
+            (Phase::Claiming, ClaimInput::Lost) => {
+                self.phase = Phase::Viewing;
+                ClaimAction::View
+            }
+            (Phase::Delivering { claim }, ClaimInput::Delivered(end)) => self.ended(claim, end),
+            (Phase::Watching, ClaimInput::Silent(sight)) => self.fence(sight),
+            (Phase::Fencing { sight }, ClaimInput::FenceAnswered(reply)) => {
+                self.fenced(sight, reply)
+            }
+            (Phase::Fencing { sight }, ClaimInput::FenceFailed { given_up }) => {
+                if given_up {
+                    self.settle(sight.claim, ClaimOutcome::Unknown)
+                } else {
+                    self.pause()
+                }
+            }
+            (Phase::Watching, ClaimInput::Resumed) => {
+                self.phase = Phase::Watching;
+                ClaimAction::View
+            }
+            (Phase::Settling { .. }, ClaimInput::Settled) => {
+                self.phase = Phase::Settled;
+                ClaimAction::View
+            }
+            (Phase::Settling { claim, outcome }, ClaimInput::NotSettled { given_up: false }) => {
+                self.phase = Phase::Settling { claim, outcome: outcome.clone() };
+                ClaimAction::PauseSettle { claim, outcome }
+            }
+            (Phase::Settling { claim, outcome }, ClaimInput::Resumed) => {
+                self.settle(claim, outcome)
+            }
+            _ => self.answer(ClaimAnswer::Undecided),
+        }
+    }
+
+    fn viewed(&mut self, sight: Option<ClaimSight>) -> ClaimAction {
+        let Some(sight) = sight else {
+            // A key that was claimed and is absent now has been forgotten.
+            if self.claimed {
+                return self.answer(ClaimAnswer::Undecided);
+            }
+            self.claimed = true;
+            self.phase = Phase::Claiming;
+            return ClaimAction::Claim;
+        };
+        if sight.request_digest != self.request_digest {
+            return self.answer(ClaimAnswer::Conflict);
+        }
+        if let Some(outcome) = sight.outcome {
+            return self.answer(ClaimAnswer::Outcome(outcome));
+        }
+        if self.delivered {
+            // The holder is this process, so there is nobody else to wait for.
+            return self.fence(sight);
+        }
+        self.phase = Phase::Watching;
+        ClaimAction::Await { sight }
+    }
+
+    fn ended(&mut self, claim: Offset, end: DeliveryEnd) -> ClaimAction {
+        match end {
+            DeliveryEnd::Answered(outcome) => self.settle(claim, outcome),
+            DeliveryEnd::NotDelivered => self.settle(claim, ClaimOutcome::NotRun),
+            DeliveryEnd::Unknown => self.settle(claim, ClaimOutcome::Unknown),
+            DeliveryEnd::Unclear => {
+                self.phase = Phase::Watching;
+                ClaimAction::View
+            }
+        }
+    }
+
+    fn fence(&mut self, sight: ClaimSight) -> ClaimAction {
+        self.phase = Phase::Fencing { sight: sight.clone() };
+        ClaimAction::Fence { sight }
+    }
+
+    fn fenced(&mut self, sight: ClaimSight, reply: FenceReply) -> ClaimAction {
+        match reply {
+            FenceReply::Fenced => self.settle(sight.claim, ClaimOutcome::NotRun),
+            FenceReply::Ended(outcome) => self.settle(sight.claim, outcome),
+            FenceReply::OtherIncarnation => self.settle(sight.claim, ClaimOutcome::Unknown),
+            FenceReply::InProgress => self.pause(),
+        }
+    }
+
+    fn pause(&mut self) -> ClaimAction {
+        self.phase = Phase::Watching;
+        ClaimAction::Pause
+    }
+
+    fn settle(&mut self, claim: Offset, outcome: ClaimOutcome) -> ClaimAction {
+        self.phase = Phase::Settling { claim, outcome: outcome.clone() };
+        ClaimAction::Settle { claim, outcome }
+    }
+
+    fn answer(&mut self, answer: ClaimAnswer) -> ClaimAction {
+        self.phase = Phase::Done;
+        ClaimAction::Answer(answer)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/binding/runner.rs
@@ -0,0 +1,295 @@
+//! Carries out the actions of a claim machine.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cactusdoor_caller::CallerError;
+use cactusdoor_caller::request::BindingRequest;
+use cactusdoor_core::claim::{
+    ClaimEffect, ClaimFold, ClaimOutcome, ClaimRecord, ClaimSpec, KeptAnswer,
+};
+use cactusdoor_core::config::ConfigState;
+use cactusdoor_core::constants::MAX_KEPT_ANSWER_BYTES;
+use cactusdoor_core::unit::{Millis, Moment, Offset};
+use cactusdoor_log::appender::FlushMode;
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_peer::answer::{
+    ClaimDelivery, ClaimFence, DeliveryFailure, RequestId, UpstreamAnswer, UpstreamCall,
+};
+use cactusdoor_policy::routing::pool::AttemptResult;
+use cactusdoor_timeline::EventKind;
+use tokio::time::sleep;
+
+use super::machine::{ClaimAction, ClaimAnswer, ClaimInput, ClaimMachine, ClaimSight, DeliveryEnd};
+use super::serve::{BindingCore, RunResult, request_digest};
+use crate::links::LinkFailure;
+use crate::request::{SlotGuard, check_answer, request_name};
+use crate::stream::StreamHandle;
+
+/// Time past the deadline for which an answer of the agent is still awaited,
+/// so that it can be settled.
+const DELIVERY_GRACE: Millis = 2_000;
+const FENCE_TIMEOUT: Millis = 1_000;
+const PAUSE: Duration = Duration::from_millis(250);
+/// Time past the deadline after which an agent that cannot be reached makes
+/// the outcome unknown for good.
+const AGENT_PATIENCE: Millis = 30_000;
+/// Time past the deadline after which a settlement is left to the next request
+/// with the key.
+const SETTLE_PATIENCE: Millis = 600_000;
+
+/// One binding request under way.
+pub(super) struct ClaimRun {
+    core: Rc<BindingCore>,
+    request: BindingRequest,
+    id: RequestId,
+    name: String,
+    deadline: Moment,
+    config: Arc<ConfigState>,
+    /// Place at the upstream, kept from the claim to the end of the delivery.
+    slot: Option<SlotGuard>,
+    body: Option<Bytes>,
+}
+
+impl ClaimRun {
+    pub fn new(
+        core: Rc<BindingCore>,
+        request: BindingRequest,
+        id: RequestId,
+        deadline: Moment,
+        config: Arc<ConfigState>,
+    ) -> Self {
+        let name = request_name(id);
+        Self { core, request, id, name, deadline, config, slot: None, body: None }
+    }
+
+    /// Runs to the end; an error if nothing was claimed for lack of an upstream.
+    pub async fn run(mut self) -> Result<RunResult, CallerError> {
+        let Some(stream) = self.core.stream(&self.request).cloned() else {
+            return Ok(RunResult { answer: ClaimAnswer::Undecided, body: None });
+        };
+        let mut machine = ClaimMachine::new(request_digest(&self.request));
+        let mut action = machine.start();
+        loop {
+            let input = match action {
+                ClaimAction::View => self.view(&stream).await,
+                ClaimAction::Claim => self.claim(&stream).await?,
+                ClaimAction::Deliver { claim } => ClaimInput::Delivered(self.deliver(claim).await),
+                ClaimAction::Await { sight } => self.watch(&stream, sight).await,
+                ClaimAction::Fence { sight } => self.fence(sight).await,
+                ClaimAction::Settle { claim, outcome } => {
+                    self.settle(&stream, claim, outcome).await
+                }
+                ClaimAction::Pause | ClaimAction::PauseSettle { .. } => {
+                    if self.now() >= self.deadline.after(SETTLE_PATIENCE) {
+                        return Ok(RunResult { answer: ClaimAnswer::Undecided, body: None });
+                    }
+                    sleep(PAUSE).await;
+                    ClaimInput::Resumed
+                }
+                ClaimAction::Answer(answer) => return Ok(RunResult { answer, body: self.body }),
+            };
+            action = machine.step(input);
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.core.requests.now()
+    }
+
+    async fn view(&self, stream: &StreamHandle<ClaimFold>) -> ClaimInput {
+        let key = self.request.key.clone();
+        let sight = stream.inspect(move |view| view.fold.claim(&key).map(ClaimSight::from));
+        sight.await.map_or(ClaimInput::NotLoaded, ClaimInput::Viewed)
+    }
+
+    async fn claim(&mut self, stream: &StreamHandle<ClaimFold>) -> Result<ClaimInput, CallerError> {
+        let requests = Rc::clone(&self.core.requests);
+        let service = &self.request.service;
+        let slot = requests.acquire(service, &self.config, self.deadline, &[]).await?;
+        let spec = ClaimSpec {
+            key: self.request.key.clone(),
+            request_digest: request_digest(&self.request),
+            agent: slot.agent.vm.clone(),
+            agent_incarnation: slot.agent.incarnation,
+            claimed_unix_ms: unix_ms(),
+        };
+        let vm = slot.agent.vm.clone();
+        self.slot = Some(slot);
+        let committed = stream.commit(ClaimRecord::Claimed(spec), FlushMode::Grouped).await;
+        let (result, input) = match committed {
+            Ok(committed) if committed.effect == Some(ClaimEffect::Won) => {
+                let late = self.now() >= self.deadline;
+                let request = self.name.clone();
+                self.core.requests.parts.events.record(EventKind::ClaimWon { request, vm });
+                ("won", ClaimInput::Won { claim: committed.offset, late })
+            }
+            Ok(_) => ("lost", ClaimInput::Lost),
+            Err(error) => {
+                log::info!("claim of {} was not stored: {error}", self.request.key);
+                ("not_stored", ClaimInput::NotClaimed)
+            }
+        };
+        if !matches!(input, ClaimInput::Won { late: false, .. }) {
+            self.slot = None;
+        }
+        requests.parts.metrics.claims.with_label_values(&[result]).inc();
+        Ok(input)
+    }
+
+    async fn deliver(&mut self, claim: Offset) -> DeliveryEnd {
+        let Some(slot) = self.slot.take() else { return DeliveryEnd::NotDelivered };
+        let requests = &self.core.requests;
+        let left = self.deadline.since(self.now());
+        let call = UpstreamCall {
+            id: self.id,
+            plan: self.request.key.plan.clone(),
+            service: self.request.service.clone(),
+            deadline_left_ms: left,
+            body: self.request.body.clone(),
+        };
+        let key = self.request.key.clone();
+        let agent_incarnation = slot.agent.incarnation;
+        let delivery = ClaimDelivery { key, claim, agent_incarnation, call };
+        let until = requests.instant(self.deadline.after(DELIVERY_GRACE));
+        let sent = Instant::now();
+        let answer = requests
+            .links
+            .call(slot.agent.address, until, |client, context| async move {
+                client.deliver(context, delivery).await
+            })
+            .await;
+        let latency = u64::try_from(sent.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let (result, end) = self.judge(answer, latency);
+        slot.end(result);
+        end
+    }
+
+    fn judge(
+        &mut self,
+        answer: Result<Result<UpstreamAnswer, DeliveryFailure>, LinkFailure>,
+        latency: u64,
+    ) -> (AttemptResult, DeliveryEnd) {
+        match answer {
+            Ok(Ok(answer)) => match check_answer(self.id, &answer) {
+                Ok(()) => {
+                    let outcome = ClaimOutcome::Done(keep(&answer));
+                    self.body = Some(answer.body);
+                    (AttemptResult::Answered(latency), DeliveryEnd::Answered(outcome))
+                }
+                Err(fault) => {
+                    log::warn!("dropped answer to {}: {fault}", self.request.key);
+                    self.core.requests.parts.metrics.dropped_answers.inc();
+                    (AttemptResult::Failed, DeliveryEnd::Unclear)
+                }
+            },
+            Ok(Err(failure)) => match failure {
+                // This process sends a claim only once, so a claim that was
+                // refused here was not delivered and never will be.
+                DeliveryFailure::NotRun(_) | DeliveryFailure::Fenced => {
+                    (AttemptResult::Busy, DeliveryEnd::NotDelivered)
+                }
+                DeliveryFailure::OtherIncarnation => {
+                    (AttemptResult::Closed, DeliveryEnd::NotDelivered)
+                }
+                DeliveryFailure::DeliveredBefore => (AttemptResult::Failed, DeliveryEnd::Unclear),
+                DeliveryFailure::Unknown => (AttemptResult::Failed, DeliveryEnd::Unknown),
+            },
+            Err(LinkFailure::NotSent(_)) => (AttemptResult::Failed, DeliveryEnd::NotDelivered),
+            Err(failure) => {
+                log::info!("delivery of {} is unclear: {failure}", self.request.key);
+                (AttemptResult::Failed, DeliveryEnd::Unclear)
+            }
+        }
+    }
+
+    /// Waits for an outcome in the fold until the holder counts as silent: when
+    /// the time that this caller allows has passed since the claim was written.
+    ///
+    /// The time of the claim is by the holder's wall clock. A wrong clock makes
+    /// the agent be asked too early or too late, both of which are safe.
+    async fn watch(&self, stream: &StreamHandle<ClaimFold>, sight: ClaimSight) -> ClaimInput {
+        let due = sight.claimed_unix_ms.saturating_add(self.request.deadline_ms);
+        let left = due.saturating_sub(unix_ms());
+        let silent_at = self.now().after(left).min(self.deadline);
+        let until = self.core.requests.instant(silent_at).into();
+        let mut progress = stream.progress();
+        loop {
+            progress.mark_unchanged();
+            match self.view(stream).await {
+                ClaimInput::Viewed(Some(current)) if current.outcome.is_none() => {}
+                other => return other,
+            }
+            match tokio::time::timeout_at(until, progress.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return ClaimInput::NotLoaded,
+                Err(_) => return ClaimInput::Silent(sight),
+            }
+        }
+    }
+
+    async fn fence(&self, sight: ClaimSight) -> ClaimInput {
+        let given_up = self.now() >= self.deadline.after(AGENT_PATIENCE);
+        let requests = &self.core.requests;
+        let Some(agent) = requests.agent(&sight.agent) else {
+            return ClaimInput::FenceFailed { given_up };
+        };
+        let key = self.request.key.clone();
+        let agent_incarnation = sight.agent_incarnation;
+        let fence = ClaimFence { key, claim: sight.claim, agent_incarnation };
+        let until = requests.instant(self.now().after(FENCE_TIMEOUT));
+        let reply = requests.links.call(agent.address, until, |client, context| async move {
+            client.fence(context, fence).await
+        });
+        match reply.await {
+            Ok(reply) => ClaimInput::FenceAnswered(reply),
+            Err(failure) => {
+                log::info!("could not fence claim of {}: {failure}", self.request.key);
+                ClaimInput::FenceFailed { given_up }
+            }
+        }
+    }
+
+    async fn settle(
+        &self,
+        stream: &StreamHandle<ClaimFold>,
+        claim: Offset,
+        outcome: ClaimOutcome,
+    ) -> ClaimInput {
+        let parts = &self.core.requests.parts;
+        let word = match &outcome {
+            ClaimOutcome::Done(_) => "done",
+            ClaimOutcome::NotRun => "not_run",
+            ClaimOutcome::Unknown => "unknown",
+        };
+        let key = self.request.key.clone();
+        let record = ClaimRecord::Settled { key, claim, outcome };
+        match stream.commit(record, FlushMode::Grouped).await {
+            Ok(committed) => {
+                if committed.effect == Some(ClaimEffect::Settled) {
+                    parts.metrics.settlements.with_label_values(&[word]).inc();
+                    let (request, outcome) = (self.name.clone(), word.to_owned());
+                    parts.events.record(EventKind::ClaimSettled { request, outcome });
+                }
+                ClaimInput::Settled
+            }
+            Err(error) => {
+                log::info!("outcome of {} was not stored: {error}", self.request.key);
+                let given_up = self.now() >= self.deadline.after(SETTLE_PATIENCE);
+                ClaimInput::NotSettled { given_up }
+            }
+        }
+    }
+}
+
+fn keep(answer: &UpstreamAnswer) -> KeptAnswer {
+    let small = answer.body.len() <= MAX_KEPT_ANSWER_BYTES;
+    KeptAnswer {
+        status: answer.status,
+        length: answer.length,
+        digest: answer.digest,
+        body: small.then(|| answer.body.to_vec()),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/binding/serve.rs
@@ -0,0 +1,139 @@
+//! Admission of binding requests and their answers.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use cactusdoor_caller::answer::ServiceAnswer;
+use cactusdoor_caller::request::BindingRequest;
+use cactusdoor_caller::{CallerError, ErrorCode, OutcomeWord, RetryAdvice};
+use cactusdoor_core::claim::{ClaimFold, ClaimOutcome};
+use cactusdoor_core::rendezvous::claim_stream;
+use cactusdoor_timeline::EventKind;
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use super::machine::ClaimAnswer;
+use super::runner::ClaimRun;
+use crate::request::RequestCore;
+use crate::request::request_name;
+use crate::stream::StreamHandle;
+
+/// What binding requests work with.
+pub struct BindingCore {
+    pub requests: Rc<RequestCore>,
+    /// One handle for each claim stream.
+    pub claims: Vec<StreamHandle<ClaimFold>>,
+}
+
+/// A final or undecided answer, with the body of the answer if this process has it.
+pub(super) struct RunResult {
+    pub answer: ClaimAnswer,
+    pub body: Option<Bytes>,
+}
+
+impl BindingCore {
+    /// The claim stream of a key.
+    pub(super) fn stream(&self, request: &BindingRequest) -> Option<&StreamHandle<ClaimFold>> {
+        let number = claim_stream(request.key.plan.as_str(), request.key.key.as_str());
+        self.claims.get(usize::try_from(number).ok()?)
+    }
+}
+
+/// Digest by which a reused key is recognised.
+pub(super) fn request_digest(request: &BindingRequest) -> u64 {
+    xxh3_64_with_seed(&request.body, xxh3_64(request.service.as_str().as_bytes()))
+}
+
+/// Serves one binding request. What is left to do after the caller's deadline
+/// goes on in the background.
+pub async fn serve_binding(
+    core: Rc<BindingCore>,
+    request: BindingRequest,
+) -> Result<ServiceAnswer, CallerError> {
+    let parts = &core.requests.parts;
+    let (metrics, events) = (parts.metrics.clone(), parts.events.clone());
+    let (id, started) = (core.requests.next_id(), std::time::Instant::now());
+    let name = request_name(id);
+    let result = run(&core, request, id).await;
+    let outcome = match &result {
+        Ok(_) => "done",
+        Err(error) if error.outcome == OutcomeWord::NotRun => "not_run",
+        Err(_) => "unknown",
+    };
+    metrics.requests.with_label_values(&["binding", outcome]).inc();
+    let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let (request, outcome) = (name.clone(), outcome.to_owned());
+    events.record(EventKind::RequestEnded { request, outcome, elapsed_ms });
+    result.map(|mut answer| {
+        answer.request = name;
+        answer
+    })
+}
+
+async fn run(
+    core: &Rc<BindingCore>,
+    request: BindingRequest,
+    id: cactusdoor_peer::answer::RequestId,
+) -> Result<ServiceAnswer, CallerError> {
+    let deadline = core.requests.now().after(request.deadline_ms);
+    // Another entry may run the key, so a refusal here must not promise "not run".
+    let (config, _work) = core.requests.admit(&request.key.plan).map_err(undecided)?;
+    let settling = core.requests.parts.board.background();
+    let (sender, receiver) = oneshot::channel();
+    let run = ClaimRun::new(Rc::clone(core), request, id, deadline, config);
+    actix_rt::spawn(async move {
+        let _settling = settling;
+        // The caller may have given up; the outcome is settled all the same.
+        drop(sender.send(run.run().await));
+    });
+    let until = core.requests.instant(deadline).into();
+    match tokio::time::timeout_at(until, receiver).await {
+        Ok(Ok(Ok(result))) => answer(result),
+        Ok(Ok(Err(error))) => Err(undecided(error)),
+        Ok(Err(_)) | Err(_) => {
+            let text = "the outcome is not settled yet; ask again with the same key";
+            Err(CallerError::unknown(ErrorCode::DeadlineExceeded, RetryAdvice::SameKey, text))
+        }
+    }
+}
+
+/// A refusal before the claim: this entry sends nothing, but another one may.
+fn undecided(error: CallerError) -> CallerError {
+    let retry = match error.retry {
+        RetryAdvice::Never => RetryAdvice::Never,
+        _ => RetryAdvice::SameKey,
+    };
+    CallerError { outcome: OutcomeWord::Unknown, retry, ..error }
+}
+
+fn answer(result: RunResult) -> Result<ServiceAnswer, CallerError> {
+    match result.answer {
+        ClaimAnswer::Outcome(ClaimOutcome::Done(kept)) => Ok(ServiceAnswer {
+            request: String::new(),
+            status: kept.status,
+            length: kept.length,
+            digest: kept.digest,
+            body: kept.body.map(Bytes::from).or(result.body),
+        }),
+        ClaimAnswer::Outcome(ClaimOutcome::NotRun) => Err(CallerError::not_run(
+            ErrorCode::NotRun,
+            RetryAdvice::NewRequest,
+            "the request did not run and this key never will; use a new key",
+        )),
+        ClaimAnswer::Outcome(ClaimOutcome::Unknown) => Err(CallerError::unknown(
+            ErrorCode::NoAnswer,
+            RetryAdvice::Never,
+            "the request may have run; its outcome could not be determined",
+        )),
+        ClaimAnswer::Conflict => Err(CallerError::unknown(
+            ErrorCode::KeyConflict,
+            RetryAdvice::Never,
+            "the idempotency key was used for another request",
+        )),
+        ClaimAnswer::Undecided => Err(CallerError::unknown(
+            ErrorCode::LogUnavailable,
+            RetryAdvice::SameKey,
+            "the log service did not take the request; ask again with the same key",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,45 @@
+//! Hands callers' requests to the actors.
+
+use actix::prelude::*;
+use cactusdoor_caller::answer::ServiceAnswer;
+use cactusdoor_caller::job::{JobReceipt, JobStatus};
+use cactusdoor_caller::request::{BindingRequest, InteractiveRequest};
+use cactusdoor_caller::{CallerError, CallerHandler, ErrorCode, RetryAdvice};
+use cactusdoor_core::job::{JobId, JobSpec};
+
+use crate::job::{CancelJob, JobActor, ShowJob, SubmitJob};
+use crate::request::{RequestActor, ServeBinding, ServeInteractive};
+
+/// Handler of the routes for callers.
+#[derive(Clone)]
+pub struct CallerGate {
+    pub requests: Addr<RequestActor>,
+    pub jobs: Addr<JobActor>,
+}
+
+fn lost(_: MailboxError) -> CallerError {
+    let text = "this entry is stopping";
+    CallerError::unknown(ErrorCode::Draining, RetryAdvice::SameKey, text)
+}
+
+impl CallerHandler for CallerGate {
+    async fn interactive(&self, request: InteractiveRequest) -> Result<ServiceAnswer, CallerError> {
+        self.requests.send(ServeInteractive(request)).await.map_err(lost)?
+    }
+
+    async fn binding(&self, request: BindingRequest) -> Result<ServiceAnswer, CallerError> {
+        self.requests.send(ServeBinding(request)).await.map_err(lost)?
+    }
+
+    async fn submit(&self, spec: JobSpec) -> Result<JobReceipt, CallerError> {
+        self.jobs.send(SubmitJob(spec)).await.map_err(lost)?
+    }
+
+    async fn job(&self, job: JobId) -> Result<JobStatus, CallerError> {
+        self.jobs.send(ShowJob(job)).await.map_err(lost)?
+    }
+
+    async fn cancel(&self, job: JobId) -> Result<JobReceipt, CallerError> {
+        self.jobs.send(CancelJob(job)).await.map_err(lost)?
+    }
+}
--- /dev/null
+++ b/crates/entry/src/forget.rs
@@ -0,0 +1,48 @@
+//! Forgets keys of binding requests whose lifetime has ended.
+
+use std::time::Duration;
+
+use cactusdoor_core::claim::{ClaimFold, ClaimRecord};
+use cactusdoor_core::constants::KEY_LIFETIME;
+use cactusdoor_core::unit::Millis;
+use cactusdoor_log::appender::FlushMode;
+use cactusdoor_node::clock::unix_ms;
+
+use crate::stream::StreamHandle;
+
+/// Least time between two passes; a random delay of the same length is added.
+const PASS_INTERVAL_MS: Millis = 600_000;
+
+/// The time before which claims may be forgotten, if some are that old.
+///
+/// The newest claim bounds the own wall clock, so that a clock that runs far
+/// ahead does not forget keys that callers may still repeat.
+#[must_use]
+pub fn forget_before(claimed: impl Iterator<Item = Millis>, unix_ms: Millis) -> Option<Millis> {
+    let (mut oldest, mut newest) = (Millis::MAX, 0);
+    for at in claimed {
+        oldest = oldest.min(at);
+        newest = newest.max(at);
+    }
+    let before = unix_ms.min(newest).saturating_sub(KEY_LIFETIME);
+    (oldest < before).then_some(before)
+}
+
+/// Starts the passes over one claim stream on the current thread.
+pub fn forget_keys(stream: StreamHandle<ClaimFold>) {
+    actix_rt::spawn(async move {
+        loop {
+            let delay = PASS_INTERVAL_MS + rand::random::<u64>() % PASS_INTERVAL_MS;
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+            let now = unix_ms();
+            let before = stream.inspect(move |view| {
+                forget_before(view.fold.claims().map(|entry| entry.spec.claimed_unix_ms), now)
+            });
+            let Some(before_unix_ms) = before.await.flatten() else { continue };
+            let record = ClaimRecord::Forgotten { before_unix_ms };
+            if let Err(error) = stream.commit(record, FlushMode::Grouped).await {
+                log::info!("could not forget old keys: {error}");
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/entry/src/job/actor.rs
@@ -0,0 +1,308 @@
+//! The actor that appends submissions and answers job queries.
+//!
+//! A task stream is followed only while its jobs are asked for: a shard's fold
+//! is dropped [`FOLLOW_TIME`] after the last query, and at most
+//! [`MAX_FOLLOWED`] shards are followed at once.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use actix::prelude::*;
+use cactusdoor_caller::job::{JobReceipt, JobStatus};
+use cactusdoor_caller::{CallerError, ErrorCode, RetryAdvice};
+use cactusdoor_core::envelope::WriterId;
+use cactusdoor_core::job::{JobId, JobSpec};
+use cactusdoor_core::name::ShardName;
+use cactusdoor_core::rendezvous::{home_shard, stream};
+use cactusdoor_core::shard::{ShardFold, TaskRecord};
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_log::appender::{FlushMode, GroupAppender, NotStored};
+use cactusdoor_log::client::LogClient;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_peer::roster::ShardRoom;
+use cactusdoor_timeline::{EventKind, EventLog};
+use indexmap::IndexMap;
+
+use super::status::{StatusSource, data_centre_of, describe};
+use crate::config::ConfigSlot;
+use crate::membership::{MembershipActor, ShowRoom};
+use crate::metrics::EntryMetrics;
+use crate::readiness::{ReadinessBoard, WorkGuard};
+use crate::stream::{StreamHandle, StreamParts};
+
+/// Time for which a task stream is followed after a query.
+const FOLLOW_TIME: Millis = 60_000;
+/// Task streams that are followed at the same time.
+const MAX_FOLLOWED: usize = 4;
+/// Longest wait for the log.
+const LOG_PATIENCE: Duration = Duration::from_secs(3);
+/// Age of the fold's last full read above which the log counts as unreachable.
+const MAX_VIEW_AGE: Millis = 3_000;
+
+type Reply<T> = Result<T, CallerError>;
+
+#[derive(Message)]
+#[rtype(result = "Reply<JobReceipt>")]
+pub struct SubmitJob(pub JobSpec);
+
+#[derive(Message)]
+#[rtype(result = "Reply<JobReceipt>")]
+pub struct CancelJob(pub JobId);
+
+#[derive(Message)]
+#[rtype(result = "Reply<JobStatus>")]
+pub struct ShowJob(pub JobId);
+
+/// Jobs of a shard; `None` if there is no such shard.
+#[derive(Message)]
+#[rtype(result = "Option<Reply<Vec<JobStatus>>>")]
+pub struct ShowShard(pub ShardName);
+
+/// What the actor works with.
+pub struct JobParts {
+    pub client: LogClient,
+    pub clock: MonotonicClock,
+    pub writer: WriterId,
+    pub shards: Vec<ShardName>,
+    pub flush_ms: Millis,
+    pub config: ConfigSlot,
+    pub events: EventLog,
+    pub metrics: EntryMetrics,
+    pub board: ReadinessBoard,
+    pub membership: Addr<MembershipActor>,
+}
+
+struct FollowedShard {
+    handle: StreamHandle<ShardFold>,
+    asked: Moment,
+}
+
+/// Serves jobs.
+pub struct JobActor {
+    parts: JobParts,
+    appenders: HashMap<ShardName, GroupAppender<TaskRecord>>,
+    followed: IndexMap<ShardName, FollowedShard>,
+}
+
+impl JobActor {
+    #[must_use]
+    pub fn new(parts: JobParts) -> Self {
+        Self { parts, appenders: HashMap::new(), followed: IndexMap::new() }
+    }
+
+    fn admit(&self) -> Reply<WorkGuard> {
+        if self.parts.board.is_draining() {
+            let text = "this entry is stopping";
+            return Err(CallerError::not_run(ErrorCode::Draining, RetryAdvice::SameKey, text));
+        }
+        Ok(self.parts.board.work())
+    }
+
+    fn home(&self, job: &JobId) -> Reply<ShardName> {
+        home_shard(&job.plan, &self.parts.shards).cloned().ok_or_else(|| {
+            let text = "no shard is configured";
+            CallerError::unknown(ErrorCode::NotReady, RetryAdvice::SameKey, text)
+        })
+    }
+
+    fn appender(&mut self, shard: &ShardName) -> Reply<GroupAppender<TaskRecord>> {
+        if let Some(appender) = self.appenders.get(shard) {
+            return Ok(appender.clone());
+        }
+        let name = stream::tasks(shard).map_err(|error| bad_name(shard, &error))?;
+        let (client, writer) = (self.parts.client.clone(), self.parts.writer.clone());
+        let appender = GroupAppender::spawn(client, name, writer, self.parts.flush_ms);
+        self.appenders.insert(shard.clone(), appender.clone());
+        Ok(appender)
+    }
+
+    fn append(
+        &mut self,
+        job: JobId,
+        record: TaskRecord,
+        kind: &'static str,
+    ) -> ResponseFuture<Reply<JobReceipt>> {
+        let prepared = self.admit().and_then(|work| {
+            let shard = self.home(&job)?;
+            Ok((work, self.appender(&shard)?, shard))
+        });
+        let (events, metrics) = (self.parts.events.clone(), self.parts.metrics.clone());
+        Box::pin(async move {
+            let (_work, appender, shard) = prepared?;
+            let storing = appender.append(record, FlushMode::Grouped);
+            let stored = tokio::time::timeout(LOG_PATIENCE, storing).await;
+            let result = if matches!(stored, Ok(Ok(_))) { "stored" } else { "not_stored" };
+            metrics.jobs.with_label_values(&[kind, result]).inc();
+            stored.unwrap_or(Err(NotStored::Unknown)).map_err(not_stored)?;
+            events.record(if kind == "submit" {
+                EventKind::JobSubmitted { job: job.clone(), shard: shard.clone() }
+            } else {
+                EventKind::JobCancelled { job: job.clone() }
+            });
+            Ok(JobReceipt { plan: job.plan, key: job.key, shard })
+        })
+    }
+
+    /// The fold of a shard, followed from now on.
+    fn follow(&mut self, shard: &ShardName) -> Reply<StreamHandle<ShardFold>> {
+        let asked = self.parts.clock.now();
+        if let Some(followed) = self.followed.get_mut(shard) {
+            followed.asked = asked;
+            return Ok(followed.handle.clone());
+        }
+        if self.followed.len() >= MAX_FOLLOWED {
+            let oldest = self.followed.iter().min_by_key(|(_, followed)| followed.asked);
+            if let Some(shard) = oldest.map(|(shard, _)| shard.clone()) {
+                self.followed.swap_remove(&shard);
+            }
+        }
+        let handle = StreamHandle::spawn(StreamParts {
+            client: self.parts.client.clone(),
+            clock: self.parts.clock,
+            stream: stream::tasks(shard).map_err(|error| bad_name(shard, &error))?,
+            writer: self.parts.writer.clone(),
+            flush_ms: self.parts.flush_ms,
+            empty: ShardFold::new(shard.clone()),
+            publishes: false,
+            board: None,
+            hook: None,
+        });
+        self.followed.insert(shard.clone(), FollowedShard { handle: handle.clone(), asked });
+        Ok(handle)
+    }
+
+    fn drop_idle(&mut self) {
+        let now = self.parts.clock.now();
+        self.followed.retain(|_, followed| now.since(followed.asked) <= FOLLOW_TIME);
+    }
+
+    /// Looks at the fold of a shard once it holds all that is stored now.
+    fn look<R: Send + 'static>(
+        &mut self,
+        shard: ShardName,
+        call: impl FnOnce(&ShardFold, &StatusSource) -> R + Send + 'static,
+    ) -> ResponseFuture<Reply<R>> {
+        let handle = self.follow(&shard);
+        let (config, membership) = (self.parts.config.get(), self.parts.membership.clone());
+        let clock = self.parts.clock;
+        let call = Box::new(call);
+        Box::pin(look_at(handle, shard, config, membership, clock, call))
+    }
+}
+
+type Look<R> = Box<dyn FnOnce(&ShardFold, &StatusSource) -> R + Send>;
+
+async fn look_at<R: Send + 'static>(
+    handle: Reply<StreamHandle<ShardFold>>,
+    shard: ShardName,
+    config: Option<std::sync::Arc<cactusdoor_core::config::ConfigState>>,
+    membership: Addr<MembershipActor>,
+    clock: MonotonicClock,
+    call: Look<R>,
+) -> Reply<R> {
+    let handle = handle?;
+    let caught_up = tokio::time::timeout(LOG_PATIENCE, handle.catch_up()).await;
+    let current = matches!(caught_up, Ok(Ok(())));
+    let data_centre = data_centre_of(&shard);
+    let room: Option<ShardRoom> = membership.send(ShowRoom(shard)).await.ok().flatten();
+    let now = clock.now();
+    let looked = handle.inspect(move |view| {
+        let recent = view.confirmed.age(now).is_some_and(|age| age <= MAX_VIEW_AGE);
+        let log_unreachable = !current && !recent;
+        let source = StatusSource { config, room, data_centre, log_unreachable };
+        // A fold that never reached the end of its stream says nothing yet.
+        (current || view.confirmed.age(now).is_some()).then(|| call(view.fold, &source))
+    });
+    looked.await.flatten().ok_or_else(|| {
+        let text = "the task stream could not be read";
+        CallerError::unknown(ErrorCode::LogUnavailable, RetryAdvice::SameKey, text)
+    })
+}
+
+fn bad_name(shard: &ShardName, error: &cactusdoor_core::name::NameError) -> CallerError {
+    CallerError::malformed(format!("shard {shard}: {error}"))
+}
+
+fn not_stored(error: NotStored) -> CallerError {
+    let (code, retry) = (ErrorCode::LogUnavailable, RetryAdvice::SameKey);
+    match error {
+        NotStored::Unknown | NotStored::Stopped => {
+            CallerError::unknown(code, retry, error.to_string())
+        }
+        _ => CallerError::not_run(code, retry, error.to_string()),
+    }
+}
+
+impl Actor for JobActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.run_interval(Duration::from_secs(5), |actor, _| actor.drop_idle());
+    }
+}
+
+impl Handler<SubmitJob> for JobActor {
+    type Result = ResponseFuture<Reply<JobReceipt>>;
+
+    fn handle(&mut self, SubmitJob(spec): SubmitJob, _: &mut Self::Context) -> Self::Result {
+        let known = self.parts.config.get().map(|config| config.plan(&spec.id.plan).is_some());
+        let refusal = match known {
+            Some(true) => None,
+            Some(false) => {
+                let text = format!("plan {} does not exist", spec.id.plan);
+                Some(CallerError::not_run(ErrorCode::UnknownPlan, RetryAdvice::Never, text))
+            }
+            None => {
+                let text = "the configuration is not loaded yet";
+                Some(CallerError::not_run(ErrorCode::NotReady, RetryAdvice::SameKey, text))
+            }
+        };
+        match refusal {
+            Some(error) => Box::pin(async { Err(error) }),
+            None => self.append(spec.id.clone(), TaskRecord::JobSubmitted(spec), "submit"),
+        }
+    }
+}
+
+impl Handler<CancelJob> for JobActor {
+    type Result = ResponseFuture<Reply<JobReceipt>>;
+
+    fn handle(&mut self, CancelJob(job): CancelJob, _: &mut Self::Context) -> Self::Result {
+        self.append(job.clone(), TaskRecord::JobCancelled(job), "cancel")
+    }
+}
+
+impl Handler<ShowJob> for JobActor {
+    type Result = ResponseFuture<Reply<JobStatus>>;
+
+    fn handle(&mut self, ShowJob(job): ShowJob, _: &mut Self::Context) -> Self::Result {
+        let shard = match self.home(&job) {
+            Ok(shard) => shard,
+            Err(error) => return Box::pin(async { Err(error) }),
+        };
+        let name = job.clone();
+        let looked = self.look(shard, move |fold, source| {
+            fold.job(&job).map(|entry| describe(fold, entry, source))
+        });
+        Box::pin(async move {
+            looked.await?.ok_or_else(|| {
+                let text = format!("job {name} does not exist or was forgotten");
+                CallerError::unknown(ErrorCode::NotFound, RetryAdvice::Never, text)
+            })
+        })
+    }
+}
+
+impl Handler<ShowShard> for JobActor {
+    type Result = ResponseFuture<Option<Reply<Vec<JobStatus>>>>;
+
+    fn handle(&mut self, ShowShard(shard): ShowShard, _: &mut Self::Context) -> Self::Result {
+        if !self.parts.shards.contains(&shard) {
+            return Box::pin(async { None });
+        }
+        let looked = self.look(shard, |fold, source| {
+            fold.jobs().map(|entry| describe(fold, entry, source)).collect()
+        });
+        Box::pin(async move { Some(looked.await) })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/job/status.rs
@@ -0,0 +1,97 @@
+//! State of jobs as the entry can tell it from a task stream.
+
+use std::sync::Arc;
+
+use cactusdoor_caller::job::{JobStatus, TaskStatus, TaskWhere};
+use cactusdoor_core::config::{ConfigState, DataCentreState};
+use cactusdoor_core::name::{DataCentre, PlanName, ShardName};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::shard::{JobEntry, ShardFold, TaskEntry, TaskState};
+use cactusdoor_peer::roster::ShardRoom;
+use cactusdoor_timeline::event::WaitReason;
+
+/// What the reasons of waiting tasks are derived from.
+#[derive(Clone, Default)]
+pub struct StatusSource {
+    pub config: Option<Arc<ConfigState>>,
+    /// Data centre and room of the shard, if its owner reported lately.
+    pub room: Option<ShardRoom>,
+    pub data_centre: Option<DataCentre>,
+    /// Whether the log could not be read.
+    pub log_unreachable: bool,
+}
+
+/// State of a job in the shard of `fold`.
+#[must_use]
+pub fn describe(fold: &ShardFold, job: &JobEntry, source: &StatusSource) -> JobStatus {
+    let used = used_by(fold, &job.spec.id.plan);
+    let tasks = job.tasks.iter().map(|(index, task)| TaskStatus {
+        index: *index,
+        state: place(job, task, used, source),
+        failures: task.failures,
+        placements: task.placements,
+    });
+    JobStatus {
+        plan: job.spec.id.plan.clone(),
+        key: job.spec.id.key.clone(),
+        shard: fold.shard().clone(),
+        home: job.home,
+        kind: job.spec.kind.clone(),
+        class: job.spec.class,
+        need: job.spec.need,
+        cancelled: job.cancelled,
+        parked: job.parked.clone(),
+        tasks: tasks.collect(),
+    }
+}
+
+/// Resources of the plan's tasks that are placed in this shard.
+fn used_by(fold: &ShardFold, plan: &PlanName) -> ResourceVector {
+    let jobs = fold.jobs().filter(|job| job.spec.id.plan == *plan);
+    let needs = jobs.flat_map(|job| job.tasks.values()).filter_map(|task| match &task.state {
+        TaskState::Placed { need, .. } => Some(*need),
+        _ => None,
+    });
+    needs.fold(ResourceVector::ZERO, |sum, need| sum.checked_add(need).unwrap_or(sum))
+}
+
+fn place(
+    job: &JobEntry,
+    task: &TaskEntry,
+    used: ResourceVector,
+    source: &StatusSource,
+) -> TaskWhere {
+    match &task.state {
+        TaskState::Pending { .. } => TaskWhere::Pending { reason: reason(job, used, source) },
+        TaskState::Placed { vm, token, .. } => TaskWhere::Placed { vm: vm.clone(), token: *token },
+        TaskState::Ended(outcome) => TaskWhere::Ended(outcome.clone()),
+        TaskState::Away { task_move, .. } => TaskWhere::Moved { to: task_move.to.clone() },
+    }
+}
+
+fn reason(job: &JobEntry, used: ResourceVector, source: &StatusSource) -> Option<WaitReason> {
+    if let Some(reason) = &job.parked {
+        return Some(WaitReason::Parked(reason.clone()));
+    }
+    if source.log_unreachable {
+        return Some(WaitReason::LogUnreachable);
+    }
+    let config = source.config.as_ref()?;
+    let out = |name: &DataCentre| config.data_centre(name) == DataCentreState::Out;
+    if source.data_centre.as_ref().is_some_and(out) {
+        return Some(WaitReason::DataCentreOut);
+    }
+    let need = job.spec.need;
+    let allowed = config.allowance(&job.spec.id.plan).map_or(ResourceVector::ZERO, |a| a.batch);
+    if used.checked_add(need).is_none_or(|sum| !allowed.holds(sum)) {
+        return Some(WaitReason::AllowanceUsed);
+    }
+    source.room.filter(|room| !room.largest.holds(need)).map(|_| WaitReason::NoRoom)
+}
+
+/// The data centre of a shard, which is named `<data centre>-<index>`.
+#[must_use]
+pub fn data_centre_of(shard: &ShardName) -> Option<DataCentre> {
+    let (data_centre, _) = shard.as_str().rsplit_once('-')?;
+    DataCentre::new(data_centre).ok()
+}
--- /dev/null
+++ b/crates/entry/src/links.rs
@@ -0,0 +1,140 @@
+//! Connections to agents: one per agent, reused, and opened again after a failure.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusdoor_peer::AgentServiceClient;
+use cactusdoor_peer::wire::connect_agent;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use thiserror::Error;
+use tokio::sync::Mutex;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after a failed connect during which calls fail at once.
+const CONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Calls without an answer in a row after which a connection counts as half-open.
+const MAX_SILENT_CALLS: u32 = 3;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum LinkFailure {
+    /// There was no connection, so nothing was sent.
+    #[error("could not connect to agent at {0}")]
+    NotSent(SocketAddr),
+    #[error("connection to agent broke: {0}")]
+    Broken(String),
+    #[error("agent did not answer in time")]
+    TimedOut,
+}
+
+#[derive(Clone)]
+struct LiveClient {
+    client: AgentServiceClient,
+    alive: Rc<Cell<bool>>,
+}
+
+#[derive(Default)]
+struct LinkState {
+    live: Option<LiveClient>,
+    failed: Option<Instant>,
+}
+
+struct AgentLink {
+    address: SocketAddr,
+    state: Mutex<LinkState>,
+    silent_calls: Cell<u32>,
+}
+
+/// All connections to agents, on one thread.
+#[derive(Clone, Default)]
+pub struct AgentLinks {
+    links: Rc<RefCell<HashMap<SocketAddr, Rc<AgentLink>>>>,
+}
+
+impl AgentLinks {
+    /// Calls the agent at `address`; nothing is sent after `deadline`.
+    pub async fn call<T, C>(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+        call: impl FnOnce(AgentServiceClient, Context) -> C,
+    ) -> Result<T, LinkFailure>
+    where
+        C: Future<Output = Result<T, RpcError>>,
+    {
+        let link = self.link(address);
+        let live = link.connect(deadline).await?;
+        let mut context = tarpc::context::current();
+        context.deadline = deadline;
+        let answer = call(live.client.clone(), context).await;
+        link.judge(&live, answer)
+    }
+
+    /// Closes the connection to an agent that is gone.
+    pub fn forget(&self, address: SocketAddr) {
+        self.links.borrow_mut().remove(&address);
+    }
+
+    fn link(&self, address: SocketAddr) -> Rc<AgentLink> {
+        let mut links = self.links.borrow_mut();
+        Rc::clone(links.entry(address).or_insert_with(|| {
+            let (state, silent_calls) = (Mutex::default(), Cell::new(0));
+            Rc::new(AgentLink { address, state, silent_calls })
+        }))
+    }
+}
+
+impl AgentLink {
+    async fn connect(&self, deadline: Instant) -> Result<LiveClient, LinkFailure> {
+        let mut state = self.state.lock().await;
+        if let Some(live) = state.live.as_ref().filter(|live| live.alive.get()) {
+            return Ok(live.clone());
+        }
+        let now = Instant::now();
+        let paused = state.failed.is_some_and(|failed| now < failed + CONNECT_PAUSE);
+        if paused || now >= deadline {
+            return Err(LinkFailure::NotSent(self.address));
+        }
+        let limit = CONNECT_TIMEOUT.min(deadline - now);
+        let connected = tokio::time::timeout(limit, connect_agent(self.address)).await;
+        let Ok(Ok((client, dispatch))) = connected else {
+            state.failed = Some(Instant::now());
+            return Err(LinkFailure::NotSent(self.address));
+        };
+        let live = LiveClient { client, alive: Rc::new(Cell::new(true)) };
+        let alive = Rc::clone(&live.alive);
+        actix_rt::spawn(async move {
+            dispatch.await;
+            alive.set(false);
+        });
+        state.live = Some(live.clone());
+        state.failed = None;
+        self.silent_calls.set(0);
+        Ok(live)
+    }
+
+    fn judge<T>(&self, live: &LiveClient, answer: Result<T, RpcError>) -> Result<T, LinkFailure> {
+        match answer {
+            Ok(answer) => {
+                self.silent_calls.set(0);
+                Ok(answer)
+            }
+            Err(RpcError::DeadlineExceeded) => {
+                self.silent_calls.set(self.silent_calls.get() + 1);
+                if self.silent_calls.get() >= MAX_SILENT_CALLS {
+                    live.alive.set(false);
+                }
+                Err(LinkFailure::TimedOut)
+            }
+            Err(error) => {
+                live.alive.set(false);
+                Err(LinkFailure::Broken(error.to_string()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/membership/actor.rs
@@ -0,0 +1,199 @@
+//! The actor that keeps the table and introduces this entry to others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::prelude::*;
+use cactusdoor_core::name::ShardName;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_operator::types::RosterView;
+use cactusdoor_peer::EntryServiceClient;
+use cactusdoor_peer::roster::{RosterReply, RosterUpdate, ShardRoom};
+use cactusdoor_peer::wire::connect_entry;
+use cactusdoor_timeline::{EventKind, EventLog};
+use tokio::sync::watch;
+
+use super::directory::EntryDirectory;
+use super::table::{MembershipTable, RosterChange, RosterVerdict};
+use crate::config::ConfigSlot;
+use crate::metrics::EntryMetrics;
+
+/// Time between introductions to other entries, and between ageing passes.
+const INTRODUCE_INTERVAL: Duration = Duration::from_secs(2);
+const AGE_INTERVAL: Duration = Duration::from_millis(500);
+const INTRODUCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A roster update of an owner.
+#[derive(Message)]
+#[rtype(result = "RosterReply")]
+pub struct TakeRoster(pub RosterUpdate);
+
+/// Another entry introduces itself.
+#[derive(Message)]
+#[rtype(result = "Vec<SocketAddr>")]
+pub struct Introduce(pub SocketAddr);
+
+/// The roster as operators see it.
+#[derive(Message)]
+#[rtype(result = "RosterView")]
+pub struct ShowRoster;
+
+/// Room of one shard.
+#[derive(Message)]
+#[rtype(result = "Option<ShardRoom>")]
+pub struct ShowRoom(pub ShardName);
+
+/// What the actor works with.
+pub struct MembershipParts {
+    pub own_address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub clock: MonotonicClock,
+    pub events: EventLog,
+    pub metrics: EntryMetrics,
+    pub config: ConfigSlot,
+    /// Receives changes of members.
+    pub changes: Recipient<MembersChanged>,
+    /// Number of live entries, this one included.
+    pub entries: watch::Sender<usize>,
+}
+
+/// Tells the router which members changed.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct MembersChanged(pub RosterChange);
+
+/// Keeps the membership table.
+pub struct MembershipActor {
+    parts: MembershipParts,
+    table: MembershipTable,
+    directory: EntryDirectory,
+    clients: HashMap<SocketAddr, EntryServiceClient>,
+}
+
+impl MembershipActor {
+    #[must_use]
+    pub fn new(parts: MembershipParts) -> Self {
+        let directory = EntryDirectory::new(parts.own_address, parts.seeds.clone());
+        Self { parts, table: MembershipTable::default(), directory, clients: HashMap::new() }
+    }
+
+    fn publish(&self, change: RosterChange) {
+        if !change.is_empty() {
+            self.parts.changes.do_send(MembersChanged(change));
+        }
+    }
+
+    fn age(&mut self) {
+        let now = self.parts.clock.now();
+        self.directory.age(now);
+        self.parts.entries.send_replace(self.directory.live().len());
+        let change = self.table.age(now);
+        self.publish(change);
+    }
+
+    fn introduce(&mut self, ctx: &mut Context<Self>) {
+        for contact in self.directory.contacts() {
+            let (own, known) = (self.parts.own_address, self.clients.get(&contact).cloned());
+            let call = tokio::time::timeout(INTRODUCE_TIMEOUT, introduce(own, contact, known));
+            ctx.spawn(call.into_actor(self).map(move |answer, actor, _| {
+                let Ok(Some((client, entries))) = answer else {
+                    actor.clients.remove(&contact);
+                    return;
+                };
+                actor.clients.insert(contact, client);
+                let now = actor.parts.clock.now();
+                actor.directory.heard(contact, now);
+                // Second-hand addresses count only once they answer themselves.
+                let unknown = entries.into_iter().filter(|entry| *entry != own);
+                actor.directory.suggest(unknown);
+                actor.parts.entries.send_replace(actor.directory.live().len());
+            }));
+        }
+    }
+}
+
+async fn introduce(
+    own: SocketAddr,
+    contact: SocketAddr,
+    known: Option<EntryServiceClient>,
+) -> Option<(EntryServiceClient, Vec<SocketAddr>)> {
+    let client = match known {
+        Some(client) => client,
+        None => {
+            let (client, dispatch) = connect_entry(contact).await.ok()?;
+            actix_rt::spawn(dispatch);
+            client
+        }
+    };
+    let entries = client.introduce(tarpc::context::current(), own).await.ok()?;
+    Some((client, entries))
+}
+
+impl Actor for MembershipActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        self.introduce(ctx);
+        ctx.run_interval(INTRODUCE_INTERVAL, Self::introduce);
+        ctx.run_interval(AGE_INTERVAL, |actor, _| actor.age());
+    }
+}
+
+impl Handler<TakeRoster> for MembershipActor {
+    type Result = MessageResult<TakeRoster>;
+
+    fn handle(&mut self, TakeRoster(update): TakeRoster, _: &mut Self::Context) -> Self::Result {
+        self.parts.events.observe(update.at);
+        let (shard, now) = (update.shard.clone(), self.parts.clock.now());
+        let (verdict, change) = self.table.apply(update, now);
+        let (result, newer_epoch) = match verdict {
+            RosterVerdict::Applied => ("applied", None),
+            RosterVerdict::Repeated => ("repeated", None),
+            RosterVerdict::Gap => ("gap", None),
+            RosterVerdict::Stale { newer } => ("stale", Some(newer)),
+        };
+        self.parts.metrics.rosters.with_label_values(&[result]).inc();
+        for vm in &change.gone {
+            let (vm, shard) = (vm.clone(), shard.clone());
+            self.parts.events.record(EventKind::AgentSilent { vm, shard });
+        }
+        self.publish(change);
+        MessageResult(RosterReply {
+            at: self.parts.events.stamp(),
+            needs_full: verdict == RosterVerdict::Gap,
+            newer_epoch,
+            entries: self.directory.live(),
+            shards: self.table.summaries(&shard, now),
+            earlier_members: self.table.earlier_members(&shard),
+            config_revision: self.parts.config.revision(),
+        })
+    }
+}
+
+impl Handler<Introduce> for MembershipActor {
+    type Result = MessageResult<Introduce>;
+
+    fn handle(&mut self, Introduce(entry): Introduce, _: &mut Self::Context) -> Self::Result {
+        self.directory.heard(entry, self.parts.clock.now());
+        self.parts.entries.send_replace(self.directory.live().len());
+        MessageResult(self.directory.live())
+    }
+}
+
+impl Handler<ShowRoster> for MembershipActor {
+    type Result = MessageResult<ShowRoster>;
+
+    fn handle(&mut self, _: ShowRoster, _: &mut Self::Context) -> Self::Result {
+        let shards = self.table.view(self.parts.clock.now());
+        MessageResult(RosterView { entries: self.directory.live(), shards })
+    }
+}
+
+impl Handler<ShowRoom> for MembershipActor {
+    type Result = MessageResult<ShowRoom>;
+
+    fn handle(&mut self, ShowRoom(shard): ShowRoom, _: &mut Self::Context) -> Self::Result {
+        MessageResult(self.table.room(&shard, self.parts.clock.now()))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/membership/directory.rs
@@ -0,0 +1,62 @@
+//! Entries known to this one: the seeds, and those that introduced themselves.
+
+use std::net::SocketAddr;
+
+use cactusdoor_core::constants::ROSTER_LIFETIME;
+use cactusdoor_core::unit::Moment;
+use indexmap::{IndexMap, IndexSet};
+
+/// Most entries that are remembered; the platform has a few.
+const MAX_ENTRIES: usize = 256;
+
+/// Addresses of entries and when they were last heard of.
+#[derive(Clone, Debug)]
+pub struct EntryDirectory {
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    /// Named by other entries and not heard of directly.
+    suggested: Vec<SocketAddr>,
+    heard: IndexMap<SocketAddr, Moment>,
+}
+
+impl EntryDirectory {
+    #[must_use]
+    pub fn new(own: SocketAddr, seeds: Vec<SocketAddr>) -> Self {
+        Self { own, seeds, suggested: Vec::new(), heard: IndexMap::new() }
+    }
+
+    /// Takes note of an entry that spoke at `now`.
+    pub fn heard(&mut self, entry: SocketAddr, now: Moment) {
+        if entry != self.own && (self.heard.len() < MAX_ENTRIES || self.heard.contains_key(&entry))
+        {
+            self.heard.insert(entry, now);
+        }
+    }
+
+    /// Replaces the entries that others named.
+    pub fn suggest(&mut self, entries: impl Iterator<Item = SocketAddr>) {
+        self.suggested = entries.take(MAX_ENTRIES).collect();
+    }
+
+    /// Forgets entries that were silent for too long.
+    pub fn age(&mut self, now: Moment) {
+        self.heard.retain(|_, heard| now.since(*heard) <= ROSTER_LIFETIME);
+    }
+
+    /// This entry and all that were heard of lately.
+    #[must_use]
+    pub fn live(&self) -> Vec<SocketAddr> {
+        std::iter::once(self.own).chain(self.heard.keys().copied()).collect()
+    }
+
+    /// Entries to introduce this one to.
+    #[must_use]
+    pub fn contacts(&self) -> Vec<SocketAddr> {
+        let mut contacts: Vec<_> = self.heard.keys().copied().collect();
+        let new = |seed: &&SocketAddr| **seed != self.own && !self.heard.contains_key(*seed);
+        let others: IndexSet<_> =
+            self.seeds.iter().chain(&self.suggested).filter(new).copied().collect();
+        contacts.extend(others);
+        contacts
+    }
+}
--- /dev/null
+++ b/crates/entry/src/operator.rs
@@ -0,0 +1,212 @@
+//! Operators' changes and views.
+//!
+//! A change is answered only after its record was read back through the fold,
+//! so `200` means accepted and `409` means that another change came first.
+
+use std::time::Duration;
+
+use actix::prelude::*;
+use cactusdoor_caller::job::JobStatus;
+use cactusdoor_core::config::{
+    ConfigEffect, ConfigFold, ConfigRecord, DataCentreState, ItemChange, ItemName, ItemValue,
+};
+use cactusdoor_core::name::{DataCentre, ShardName};
+use cactusdoor_log::appender::FlushMode;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_operator::types::{ChangeAccepted, ConfigView, RosterView};
+use cactusdoor_operator::{OperatorError, OperatorHandler};
+
+use crate::job::{JobActor, ShowShard};
+use crate::membership::{MembershipActor, ShowRoster};
+use crate::metrics::EntryMetrics;
+use crate::readiness::ReadinessBoard;
+use crate::stream::StreamHandle;
+
+/// Longest wait for the log before a change is answered as unknown.
+const LOG_PATIENCE: Duration = Duration::from_secs(5);
+const WEIGHT_RANGE: std::ops::RangeInclusive<u32> = 1..=1_000;
+
+/// A change of the configuration.
+#[derive(Message)]
+#[rtype(result = "Result<ChangeAccepted, OperatorError>")]
+pub struct ChangeConfig(pub Vec<ItemChange>);
+
+/// A change of a data centre's state.
+#[derive(Message)]
+#[rtype(result = "Result<ChangeAccepted, OperatorError>")]
+pub struct ChangeDataCentre(pub DataCentre, pub DataCentreState);
+
+/// The configuration as this entry knows it.
+#[derive(Message)]
+#[rtype(result = "Result<ConfigView, OperatorError>")]
+pub struct ShowConfig;
+
+/// Serves operators.
+pub struct OperatorActor {
+    pub config: StreamHandle<ConfigFold>,
+    pub data_centres: Vec<DataCentre>,
+    pub clock: MonotonicClock,
+    pub metrics: EntryMetrics,
+    pub board: ReadinessBoard,
+}
+
+type Reply<T> = Result<T, OperatorError>;
+
+impl Actor for OperatorActor {
+    type Context = Context<Self>;
+}
+
+impl OperatorActor {
+    fn check(&self, items: &[ItemChange]) -> Reply<()> {
+        if self.board.is_draining() {
+            let message = "this entry is stopping".to_owned();
+            return Err(OperatorError::NotChanged { message });
+        }
+        for item in items {
+            match &item.value {
+                ItemValue::Plan(name, Some(spec)) if !WEIGHT_RANGE.contains(&spec.weight) => {
+                    let (low, high) = (WEIGHT_RANGE.start(), WEIGHT_RANGE.end());
+                    let text = format!("weight of plan {name} must be from {low} to {high}");
+                    return Err(OperatorError::malformed(text));
+                }
+                ItemValue::DataCentre(name, _) if !self.data_centres.contains(name) => {
+                    let message = format!("data centre {name} does not exist");
+                    return Err(OperatorError::NotFound { message });
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Appends a change and waits for what the fold makes of it.
+async fn change(
+    config: StreamHandle<ConfigFold>,
+    items: Vec<ItemChange>,
+    metrics: EntryMetrics,
+) -> Reply<ChangeAccepted> {
+    let committing = config.commit(ConfigRecord::Changed { items }, FlushMode::Immediate);
+    let result = match tokio::time::timeout(LOG_PATIENCE, committing).await {
+        Ok(Ok(committed)) => match committed.effect {
+            Some(ConfigEffect::Accepted(revision)) => Ok(ChangeAccepted { revision }),
+            Some(ConfigEffect::Rejected(conflict)) => Err(OperatorError::Conflict { conflict }),
+            Some(ConfigEffect::Ignored) | None => {
+                let message = "the log dropped the change".to_owned();
+                Err(OperatorError::NotChanged { message })
+            }
+        },
+        Ok(Err(error)) if error.is_uncertain() => {
+            Err(OperatorError::Unknown { message: error.to_string() })
+        }
+        Ok(Err(error)) => Err(OperatorError::NotChanged { message: error.to_string() }),
+        Err(_) => {
+            let message = "the log service did not answer in time".to_owned();
+            Err(OperatorError::Unknown { message })
+        }
+    };
+    let word = match &result {
+        Ok(_) => "accepted",
+        Err(OperatorError::Conflict { .. }) => "conflict",
+        Err(OperatorError::Unknown { .. }) => "unknown",
+        Err(_) => "not_changed",
+    };
+    metrics.changes.with_label_values(&[word]).inc();
+    result
+}
+
+fn not_loaded() -> OperatorError {
+    OperatorError::NotReady { message: "the configuration is not loaded yet".to_owned() }
+}
+
+impl Handler<ChangeConfig> for OperatorActor {
+    type Result = ResponseFuture<Reply<ChangeAccepted>>;
+
+    fn handle(&mut self, ChangeConfig(items): ChangeConfig, _: &mut Self::Context) -> Self::Result {
+        let checked = self.check(&items);
+        let (config, metrics) = (self.config.clone(), self.metrics.clone());
+        let work = self.board.work();
+        Box::pin(async move {
+            let _work = work;
+            checked?;
+            change(config, items, metrics).await
+        })
+    }
+}
+
+impl Handler<ChangeDataCentre> for OperatorActor {
+    type Result = ResponseFuture<Reply<ChangeAccepted>>;
+
+    fn handle(&mut self, message: ChangeDataCentre, _: &mut Self::Context) -> Self::Result {
+        let ChangeDataCentre(name, state) = message;
+        let item = ItemName::DataCentre(name.clone());
+        let value = ItemValue::DataCentre(name, state);
+        let checked = self.check(&[ItemChange { premise: 0, value: value.clone() }]);
+        let (config, metrics) = (self.config.clone(), self.metrics.clone());
+        let work = self.board.work();
+        Box::pin(async move {
+            let _work = work;
+            checked?;
+            let premise = config.inspect(move |view| view.fold.state().premise(&item)).await;
+            let premise = premise.ok_or_else(not_loaded)?;
+            change(config, vec![ItemChange { premise, value }], metrics).await
+        })
+    }
+}
+
+impl Handler<ShowConfig> for OperatorActor {
+    type Result = ResponseFuture<Reply<ConfigView>>;
+
+    fn handle(&mut self, _: ShowConfig, _: &mut Self::Context) -> Self::Result {
+        let (config, now) = (self.config.clone(), self.clock.now());
+        Box::pin(async move {
+            let view = config.inspect(move |view| ConfigView {
+                revision: view.fold.state().revision(),
+                confirmed_age_ms: view.confirmed.age(now),
+                items: view.fold.state().items().cloned().collect(),
+            });
+            view.await.ok_or_else(not_loaded)
+        })
+    }
+}
+
+/// Handler of the routes for operators.
+#[derive(Clone)]
+pub struct OperatorGate {
+    pub operators: Addr<OperatorActor>,
+    pub membership: Addr<MembershipActor>,
+    pub jobs: Addr<JobActor>,
+}
+
+fn lost(_: MailboxError) -> OperatorError {
+    OperatorError::Unknown { message: "this entry is stopping".to_owned() }
+}
+
+impl OperatorHandler for OperatorGate {
+    async fn config(&self) -> Reply<ConfigView> {
+        self.operators.send(ShowConfig).await.map_err(lost)?
+    }
+
+    async fn change(&self, items: Vec<ItemChange>) -> Reply<ChangeAccepted> {
+        self.operators.send(ChangeConfig(items)).await.map_err(lost)?
+    }
+
+    async fn set_data_centre(
+        &self,
+        data_centre: DataCentre,
+        state: DataCentreState,
+    ) -> Reply<ChangeAccepted> {
+        self.operators.send(ChangeDataCentre(data_centre, state)).await.map_err(lost)?
+    }
+
+    async fn roster(&self) -> Reply<RosterView> {
+        self.membership.send(ShowRoster).await.map_err(lost)
+    }
+
+    async fn shard_jobs(&self, shard: ShardName) -> Reply<Vec<JobStatus>> {
+        let message = format!("shard {shard} does not exist");
+        let jobs = self.jobs.send(ShowShard(shard)).await.map_err(lost)?;
+        let jobs = jobs.ok_or(OperatorError::NotFound { message })?;
+        jobs.map_err(|error| OperatorError::NotReady { message: error.message })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,11 @@
+//! Interactive requests: admission, choice of upstreams, attempts.
+
+mod actor;
+mod check;
+mod core;
+mod interactive;
+
+pub use self::actor::{RequestActor, ServeBinding, ServeInteractive};
+pub use self::check::{AnswerFault, check_answer};
+pub use self::core::{Acquired, RequestCore, RequestParts, SlotGuard};
+pub use self::interactive::request_name;
--- /dev/null
+++ b/crates/entry/src/request/core.rs
@@ -0,0 +1,339 @@
+//! State shared by all requests: pools, queues, budgets and rates.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cactusdoor_caller::{CallerError, ErrorCode, RetryAdvice};
+use cactusdoor_core::config::{ConfigState, DataCentreState};
+use cactusdoor_core::name::{DataCentre, PlanName, ServiceName, VmName};
+use cactusdoor_core::unit::{Incarnation, Moment};
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_peer::answer::{RequestId, RequestNumber};
+use cactusdoor_peer::heartbeat::AgentIdentity;
+use cactusdoor_policy::routing::allowance::PlanRates;
+use cactusdoor_policy::routing::budget::RetryBudget;
+use cactusdoor_policy::routing::pool::{AttemptResult, PoolChoice, ServicePool};
+use cactusdoor_policy::routing::queue::{QueueRefusal, WaitQueue};
+use cactusdoor_policy::routing::upstream::UpstreamListing;
+use cactusdoor_timeline::EventLog;
+use tokio::sync::{oneshot, watch};
+
+use crate::config::ConfigSlot;
+use crate::links::AgentLinks;
+use crate::membership::RosterChange;
+use crate::metrics::EntryMetrics;
+use crate::readiness::{ReadinessBoard, WorkGuard};
+
+/// What requests work with.
+pub struct RequestParts {
+    pub incarnation: Incarnation,
+    pub data_centre: DataCentre,
+    pub clock: MonotonicClock,
+    pub events: EventLog,
+    pub metrics: EntryMetrics,
+    pub board: ReadinessBoard,
+    pub config: ConfigSlot,
+    pub entries: watch::Receiver<usize>,
+    pub queue_length: usize,
+    pub requests_in_progress: usize,
+}
+
+struct ServiceState {
+    pool: ServicePool,
+    queue: WaitQueue<oneshot::Sender<()>>,
+    budget: RetryBudget,
+}
+
+/// Shared by all requests of this process, on one thread.
+pub struct RequestCore {
+    pub parts: RequestParts,
+    pub links: AgentLinks,
+    number: Cell<RequestNumber>,
+    services: RefCell<HashMap<ServiceName, ServiceState>>,
+    agents: RefCell<HashMap<VmName, AgentIdentity>>,
+    rates: RefCell<PlanRates>,
+}
+
+/// A place at an upstream; given back when dropped.
+pub struct SlotGuard {
+    core: Rc<RequestCore>,
+    service: ServiceName,
+    pub agent: AgentIdentity,
+    result: Option<AttemptResult>,
+}
+
+/// Outcome of asking for a place.
+pub enum Acquired {
+    Slot(SlotGuard),
+    NoUpstream,
+    Full,
+}
+
+impl RequestCore {
+    #[must_use]
+    pub fn new(parts: RequestParts) -> Rc<Self> {
+        Rc::new(Self {
+            parts,
+            links: AgentLinks::default(),
+            number: Cell::new(0),
+            services: RefCell::default(),
+            agents: RefCell::default(),
+            rates: RefCell::default(),
+        })
+    }
+
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.parts.clock.now()
+    }
+
+    /// Identity of the next request's first attempt.
+    pub fn next_id(&self) -> RequestId {
+        self.number.set(self.number.get() + 1);
+        RequestId { entry: self.parts.incarnation, number: self.number.get(), attempt: 0 }
+    }
+
+    /// The configuration, if `plan` may send a request now.
+    pub fn admit(
+        &self,
+        plan: &PlanName,
+    ) -> Result<(std::sync::Arc<ConfigState>, WorkGuard), CallerError> {
+        let refuse = |code, retry, text: String| Err(CallerError::not_run(code, retry, text));
+        if self.parts.board.is_draining() {
+            let text = "this entry is stopping".to_owned();
+            return refuse(ErrorCode::Draining, RetryAdvice::NewRequest, text);
+        }
+        let Some(config) = self.parts.config.get() else {
+            let text = "the configuration is not loaded yet".to_owned();
+            return refuse(ErrorCode::NotReady, RetryAdvice::NewRequest, text);
+        };
+        if config.plan(plan).is_none() {
+            let text = format!("plan {plan} does not exist");
+            return refuse(ErrorCode::UnknownPlan, RetryAdvice::Never, text);
+        }
+        if self.parts.board.in_progress() >= self.parts.requests_in_progress {
+            let text = "too many requests are in progress".to_owned();
+            return refuse(ErrorCode::Overloaded, RetryAdvice::NewRequest, text);
+        }
+        let rate = config.allowance(plan).map_or(0, |allowance| allowance.requests_per_second);
+        let entries = *self.parts.entries.borrow();
+        if !self.rates.borrow_mut().admit(plan, rate, entries, self.now()) {
+            let text = format!("plan {plan} may send {rate} requests per second");
+            return refuse(ErrorCode::OverAllowance, RetryAdvice::NewRequest, text);
+        }
+        Ok((config, self.parts.board.work()))
+    }
+
+    /// Takes a place at an upstream without waiting.
+    pub fn try_acquire(
+        self: &Rc<Self>,
+        service: &ServiceName,
+        config: &ConfigState,
+        tried: &[VmName],
+    ) -> Acquired {
+        let mut services = self.services.borrow_mut();
+        let Some(state) = services.get_mut(service) else { return Acquired::NoUpstream };
+        let open = |name: &DataCentre| config.data_centre(name) == DataCentreState::In;
+        let random = [rand::random(), rand::random()];
+        let local = &self.parts.data_centre;
+        match state.pool.choose(self.now(), local, open, tried, random) {
+            PoolChoice::Send(vm) => {
+                let Some(agent) = self.agents.borrow().get(&vm).cloned() else {
+                    return Acquired::NoUpstream;
+                };
+                state.pool.sent(&vm);
+                let (core, service) = (Rc::clone(self), service.clone());
+                Acquired::Slot(SlotGuard { core, service, agent, result: None })
+            }
+            PoolChoice::Full => Acquired::Full,
+            PoolChoice::None => Acquired::NoUpstream,
+        }
+    }
+
+    /// Takes a place at an upstream, waiting in the queue if all are full.
+    pub async fn acquire(
+        self: &Rc<Self>,
+        service: &ServiceName,
+        config: &ConfigState,
+        deadline: Moment,
+        tried: &[VmName],
+    ) -> Result<SlotGuard, CallerError> {
+        let mut first = !self.has_waiting(service);
+        loop {
+            if first {
+                match self.try_acquire(service, config, tried) {
+                    Acquired::Slot(slot) => {
+                        self.wake(service);
+                        return Ok(slot);
+                    }
+                    Acquired::NoUpstream => return Err(no_upstream(service)),
+                    Acquired::Full => {}
+                }
+            }
+            first = true;
+            let turn = self.join_queue(service, deadline)?;
+            let until = self.parts.clock.instant(deadline).into();
+            let woken = tokio::time::timeout_at(until, turn).await;
+            self.parts.metrics.queued.dec();
+            if !matches!(woken, Ok(Ok(()))) {
+                let text = "no upstream had room before the deadline";
+                return Err(overloaded(ErrorCode::DeadlineExceeded, text));
+            }
+        }
+    }
+
+    fn has_waiting(&self, service: &ServiceName) -> bool {
+        self.services.borrow().get(service).is_some_and(|state| !state.queue.is_empty())
+    }
+
+    fn join_queue(
+        &self,
+        service: &ServiceName,
+        deadline: Moment,
+    ) -> Result<oneshot::Receiver<()>, CallerError> {
+        let mut services = self.services.borrow_mut();
+        let Some(state) = services.get_mut(service) else { return Err(no_upstream(service)) };
+        let now = self.now();
+        let (latency, room) = (state.pool.mean_latency(), state.pool.concurrency(now));
+        state.queue.check(now, deadline, latency, room).map_err(|refusal| match refusal {
+            QueueRefusal::Full => overloaded(ErrorCode::Overloaded, "the queue is full"),
+            QueueRefusal::DeadlineTooShort => {
+                overloaded(ErrorCode::Overloaded, "the deadline cannot be met")
+            }
+        })?;
+        let (sender, receiver) = oneshot::channel();
+        state.queue.push(deadline, sender);
+        self.parts.metrics.queued.inc();
+        Ok(receiver)
+    }
+
+    /// Gives the next waiting request its turn.
+    fn wake(&self, service: &ServiceName) {
+        let mut services = self.services.borrow_mut();
+        let Some(state) = services.get_mut(service) else { return };
+        let now = self.now();
+        if !state.pool.has_room(now) {
+            return;
+        }
+        while let Some(waiter) = state.queue.pop(now) {
+            if waiter.send(()).is_ok() {
+                return;
+            }
+        }
+    }
+
+    /// Counts a request towards the budget of extra attempts.
+    pub fn earn(&self, service: &ServiceName) {
+        if let Some(state) = self.services.borrow_mut().get_mut(service) {
+            state.budget.earn();
+        }
+    }
+
+    /// Takes an extra attempt from the budget.
+    pub fn spend(&self, service: &ServiceName) -> bool {
+        self.services.borrow_mut().get_mut(service).is_some_and(|state| state.budget.spend())
+    }
+
+    /// Time after which an answer of `vm` counts as late.
+    #[must_use]
+    pub fn late_after(&self, service: &ServiceName, vm: &VmName) -> Option<Duration> {
+        let services = self.services.borrow();
+        let late = services.get(service)?.pool.upstream(vm)?.late_after()?;
+        Some(Duration::from_micros(late))
+    }
+
+    /// The agent on `vm` as last listed.
+    #[must_use]
+    pub fn agent(&self, vm: &VmName) -> Option<AgentIdentity> {
+        self.agents.borrow().get(vm).cloned()
+    }
+
+    /// Takes over changes of the membership.
+    pub fn update(&self, change: &RosterChange) {
+        for vm in &change.gone {
+            if let Some(agent) = self.agents.borrow_mut().remove(vm) {
+                self.links.forget(agent.address);
+            }
+        }
+        let mut services = self.services.borrow_mut();
+        for state in services.values_mut() {
+            state.pool.retain(|vm| !change.gone.contains(vm));
+        }
+        for member in &change.listed {
+            let agent = &member.agent;
+            self.agents.borrow_mut().insert(agent.vm.clone(), agent.clone());
+            let offers = |name: &ServiceName| member.upstreams.iter().any(|up| up.service == *name);
+            for (name, state) in services.iter_mut() {
+                state.pool.retain(|vm| *vm != agent.vm || offers(name));
+            }
+            for upstream in &member.upstreams {
+                let listing = UpstreamListing {
+                    data_centre: agent.data_centre.clone(),
+                    incarnation: agent.incarnation,
+                    leaving: upstream.leaving || member.draining,
+                    slots: upstream.slots,
+                    connections: upstream.connections,
+                    latency: upstream.latency_us,
+                };
+                let state =
+                    services.entry(upstream.service.clone()).or_insert_with(|| ServiceState {
+                        pool: ServicePool::default(),
+                        queue: WaitQueue::new(self.parts.queue_length),
+                        budget: RetryBudget::default(),
+                    });
+                state.pool.list(&agent.vm, listing);
+            }
+        }
+        services.retain(|_, state| !state.pool.is_empty() || !state.queue.is_empty());
+        let names: Vec<_> = services.keys().cloned().collect();
+        drop(services);
+        for name in names {
+            self.wake(&name);
+        }
+    }
+
+    /// Drops the rates of plans that no longer exist.
+    pub fn forget_plans(&self) {
+        if let Some(config) = self.parts.config.get() {
+            self.rates.borrow_mut().retain(|plan| config.plan(plan).is_some());
+        }
+    }
+
+    /// Instant of `deadline`.
+    #[must_use]
+    pub fn instant(&self, deadline: Moment) -> Instant {
+        self.parts.clock.instant(deadline)
+    }
+}
+
+fn no_upstream(service: &ServiceName) -> CallerError {
+    let text = format!("no upstream of service {service} takes requests");
+    CallerError::not_run(ErrorCode::NoUpstream, RetryAdvice::NewRequest, text)
+}
+
+fn overloaded(code: ErrorCode, text: &str) -> CallerError {
+    CallerError::not_run(code, RetryAdvice::NewRequest, text)
+}
+
+impl SlotGuard {
+    /// Takes note of how the attempt ended, and gives the place back.
+    pub fn end(mut self, result: AttemptResult) {
+        self.result = Some(result);
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        let result = self.result.unwrap_or(AttemptResult::Abandoned);
+        let now = self.core.now();
+        if let Some(state) = self.core.services.borrow_mut().get_mut(&self.service)
+            && state.pool.ended(&self.agent.vm, now, result)
+        {
+            log::warn!("ejected upstream of {} on {}", self.service, self.agent.vm);
+            self.core.parts.metrics.ejections.inc();
+        }
+        self.core.wake(&self.service);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream/actor.rs
@@ -0,0 +1,289 @@
+//! The actor of one stream.
+
+use std::collections::HashMap;
+
+use actix::prelude::*;
+use cactusdoor_core::envelope::WriterId;
+use cactusdoor_core::fold::{FoldedRecord, StreamFold, fold_text};
+use cactusdoor_core::freshness::ConfirmedView;
+use cactusdoor_core::name::StreamName;
+use cactusdoor_core::unit::{Millis, Offset};
+use cactusdoor_log::appender::{FlushMode, GroupAppender, NotStored};
+use cactusdoor_log::client::{LogClient, LogRecord, StreamBounds};
+use cactusdoor_log::follower::{FollowEvent, StreamFollower};
+use cactusdoor_node::clock::MonotonicClock;
+use indexmap::IndexMap;
+use thiserror::Error;
+use tokio::sync::{oneshot, watch};
+
+use super::{EntryFold, FoldHook};
+use crate::readiness::ReadinessBoard;
+
+/// Effects of own records that nobody has asked for; a bound for those whose
+/// asker is gone.
+const MAX_KEPT_EFFECTS: usize = 8_192;
+
+/// What a stream actor is made of.
+pub struct StreamParts<F: EntryFold> {
+    pub client: LogClient,
+    pub clock: MonotonicClock,
+    pub stream: StreamName,
+    pub writer: WriterId,
+    /// Least time between two grouped appends.
+    pub flush_ms: Millis,
+    pub empty: F,
+    /// Whether this process publishes snapshots of the stream.
+    pub publishes: bool,
+    /// Set if the process is not ready without this stream.
+    pub board: Option<ReadinessBoard>,
+    pub hook: Option<FoldHook<F>>,
+}
+
+/// Why an append has no effect to report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum CommitError {
+    /// Not stored unless the reason is [`NotStored::Unknown`].
+    #[error("{0}")]
+    NotStored(#[from] NotStored),
+    /// Stored, but retention dropped it before it was read back.
+    #[error("record was stored but could not be read back")]
+    NotRead,
+    #[error("the process is stopping")]
+    Stopping,
+}
+
+impl CommitError {
+    /// Whether the record may have an effect.
+    #[must_use]
+    pub fn is_uncertain(self) -> bool {
+        !matches!(
+            self,
+            Self::NotStored(
+                NotStored::RateLimited
+                    | NotStored::Unavailable
+                    | NotStored::Lost
+                    | NotStored::Encoding
+            )
+        )
+    }
+}
+
+/// An own record after it was read back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Committed<E> {
+    pub offset: Offset,
+    /// `None` if the fold dropped the record.
+    pub effect: Option<E>,
+}
+
+pub type CommitResult<E> = Result<Committed<E>, CommitError>;
+type EffectSender<F> = oneshot::Sender<Option<<F as StreamFold>::Effect>>;
+
+/// Appends a record and reads it back.
+#[derive(Message)]
+#[rtype(result = "CommitResult<F::Effect>")]
+pub(super) struct Commit<F: EntryFold> {
+    pub body: F::Record,
+    pub flush: FlushMode,
+}
+
+/// The fold and how recent it is.
+pub struct StreamView<'a, F> {
+    pub fold: &'a F,
+    pub confirmed: ConfirmedView,
+}
+
+type InspectCall<F, R> = Box<dyn FnOnce(StreamView<'_, F>) -> R + Send>;
+
+/// Looks at the fold; `None` if it is not loaded.
+#[derive(Message)]
+#[rtype(result = "Option<R>")]
+pub(super) struct Inspect<F: EntryFold, R: Send + 'static> {
+    pub call: InspectCall<F, R>,
+}
+
+/// Keeps the fold of one stream.
+pub struct StreamActor<F: EntryFold> {
+    pub(super) parts: StreamParts<F>,
+    pub(super) fold: Option<F>,
+    pub(super) confirmed: ConfirmedView,
+    pub(super) bounds: StreamBounds,
+    pub(super) newest_covers: Offset,
+    pub(super) publishing: bool,
+    appender: GroupAppender<F::Record>,
+    follower: Option<StreamFollower>,
+    /// Effects of own records, by offset.
+    effects: IndexMap<Offset, F::Effect>,
+    waiters: HashMap<Offset, EffectSender<F>>,
+    progress: watch::Sender<Offset>,
+}
+
+impl<F: EntryFold> StreamActor<F> {
+    pub(super) fn new(parts: StreamParts<F>, progress: watch::Sender<Offset>) -> Self {
+        let appender = GroupAppender::spawn(
+            parts.client.clone(),
+            parts.stream.clone(),
+            parts.writer.clone(),
+            parts.flush_ms,
+        );
+        Self {
+            parts,
+            fold: None,
+            confirmed: ConfirmedView::default(),
+            bounds: StreamBounds { start: 0, next: 0 },
+            newest_covers: 0,
+            publishing: false,
+            appender,
+            follower: None,
+            effects: IndexMap::new(),
+            waiters: HashMap::new(),
+            progress,
+        }
+    }
+
+    /// Takes over a loaded fold if it is ahead, and follows the stream from there.
+    pub(super) fn install(&mut self, fold: F, ctx: &mut Context<Self>) {
+        let ahead = self.fold.as_ref().is_none_or(|own| own.next() < fold.next());
+        let fold = match self.fold.take() {
+            Some(own) if !ahead => own,
+            _ => fold,
+        };
+        let from = fold.next();
+        if let Some(hook) = &mut self.parts.hook {
+            hook(&fold, None);
+        }
+        // Own records below the loaded state have effects that nobody saw.
+        self.waiters.retain(|offset, _| *offset >= from);
+        self.fold = Some(fold);
+        self.progress.send_replace(from);
+        let (client, stream) = (self.parts.client.clone(), self.parts.stream.clone());
+        let (follower, mut events) = StreamFollower::spawn(client, stream, from, self.parts.clock);
+        self.follower = Some(follower);
+        ctx.add_stream(futures::stream::poll_fn(move |context| events.poll_recv(context)));
+    }
+
+    fn read(&mut self, records: &[LogRecord]) {
+        let Some(fold) = &mut self.fold else { return };
+        for record in records {
+            match fold_text(fold, record.offset, &record.body) {
+                Ok(folded) => {
+                    if let Some(hook) = &mut self.parts.hook {
+                        hook(fold, Some(&folded));
+                    }
+                    if folded.writer == self.parts.writer {
+                        report(&mut self.waiters, &mut self.effects, folded);
+                    }
+                }
+                Err(error) => {
+                    let stream = &self.parts.stream;
+                    log::error!("record {} of stream {stream}: {error}", record.offset);
+                }
+            }
+        }
+        let next = fold.next();
+        self.waiters.retain(|offset, sender| *offset >= next && !sender.is_closed());
+        if !records.is_empty() {
+            self.progress.send_replace(next);
+        }
+    }
+
+    /// Tells the effect of an own record once it is folded.
+    fn effect(&mut self, offset: Offset) -> oneshot::Receiver<Option<F::Effect>> {
+        let (sender, receiver) = oneshot::channel();
+        if let Some(effect) = self.effects.swap_remove(&offset) {
+            drop(sender.send(Some(effect)));
+        } else if self.fold.as_ref().is_some_and(|fold| fold.next() > offset) {
+            // Folded without a record of this writer's effect: a loaded
+            // snapshot covers it. The sender is dropped.
+        } else {
+            self.waiters.insert(offset, sender);
+        }
+        receiver
+    }
+}
+
+fn report<E>(
+    waiters: &mut HashMap<Offset, oneshot::Sender<Option<E>>>,
+    effects: &mut IndexMap<Offset, E>,
+    folded: FoldedRecord<E>,
+) {
+    match waiters.remove(&folded.offset) {
+        Some(waiter) => drop(waiter.send(Some(folded.effect))),
+        None => {
+            if effects.len() >= MAX_KEPT_EFFECTS {
+                effects.shift_remove_index(0);
+            }
+            effects.insert(folded.offset, folded.effect);
+        }
+    }
+}
+
+impl<F: EntryFold> Actor for StreamActor<F> {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        ctx.set_mailbox_capacity(4_096);
+        self.load(ctx);
+    }
+}
+
+impl<F: EntryFold> StreamHandler<FollowEvent> for StreamActor<F> {
+    fn handle(&mut self, event: FollowEvent, ctx: &mut Self::Context) {
+        match event {
+            FollowEvent::Read { sent, records, at_end, bounds } => {
+                self.read(&records);
+                self.bounds = bounds;
+                if at_end {
+                    self.confirmed.confirm(sent);
+                    if let Some(board) = &self.parts.board {
+                        board.have(self.parts.stream.as_str());
+                    }
+                }
+                self.consider_snapshot(ctx);
+            }
+            FollowEvent::Gap(bounds) => {
+                log::error!(
+                    "stream {} was dropped up to offset {} before it was read",
+                    self.parts.stream,
+                    bounds.start
+                );
+                self.load(ctx);
+            }
+            FollowEvent::Failed(error) => {
+                log::debug!("could not read stream {}: {error}", self.parts.stream);
+            }
+        }
+    }
+
+    /// A follower that ended after a gap must not stop the actor.
+    fn finished(&mut self, _: &mut Self::Context) {}
+}
+
+impl<F: EntryFold> Handler<Commit<F>> for StreamActor<F> {
+    type Result = ResponseActFuture<Self, CommitResult<F::Effect>>;
+
+    fn handle(&mut self, message: Commit<F>, _: &mut Self::Context) -> Self::Result {
+        let appender = self.appender.clone();
+        let stored = async move { appender.append(message.body, message.flush).await };
+        let read = stored.into_actor(self).then(|stored, actor, _| {
+            let effect = stored.map(|stored| (stored.offset, actor.effect(stored.offset)));
+            async move {
+                let (offset, effect) = effect?;
+                let effect = effect.await.map_err(|_| CommitError::NotRead)?;
+                Ok(Committed { offset, effect })
+            }
+            .into_actor(actor)
+        });
+        Box::pin(read)
+    }
+}
+
+impl<F: EntryFold, R: Send + 'static> Handler<Inspect<F, R>> for StreamActor<F> {
+    type Result = MessageResult<Inspect<F, R>>;
+
+    fn handle(&mut self, message: Inspect<F, R>, _: &mut Self::Context) -> Self::Result {
+        let confirmed = self.confirmed;
+        let view = self.fold.as_ref().map(|fold| StreamView { fold, confirmed });
+        MessageResult(view.map(message.call))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream/handle.rs
@@ -0,0 +1,69 @@
+//! Handle to a stream actor.
+
+use actix::prelude::*;
+use cactusdoor_core::unit::Offset;
+use cactusdoor_log::appender::FlushMode;
+use cactusdoor_log::client::{LogClient, ReadError};
+use tokio::sync::watch;
+
+use super::EntryFold;
+use super::actor::{
+    Commit, CommitError, CommitResult, Inspect, StreamActor, StreamParts, StreamView,
+};
+
+/// Shared handle; the actor stops when all handles are dropped.
+pub struct StreamHandle<F: EntryFold> {
+    address: Addr<StreamActor<F>>,
+    client: LogClient,
+    stream: cactusdoor_core::name::StreamName,
+    progress: watch::Receiver<Offset>,
+}
+
+impl<F: EntryFold> Clone for StreamHandle<F> {
+    fn clone(&self) -> Self {
+        Self {
+            address: self.address.clone(),
+            client: self.client.clone(),
+            stream: self.stream.clone(),
+            progress: self.progress.clone(),
+        }
+    }
+}
+
+impl<F: EntryFold> StreamHandle<F> {
+    /// Starts the actor on the current thread.
+    #[must_use]
+    pub fn spawn(parts: StreamParts<F>) -> Self {
+        let (sender, progress) = watch::channel(0);
+        let (client, stream) = (parts.client.clone(), parts.stream.clone());
+        let address = StreamActor::new(parts, sender).start();
+        Self { address, client, stream, progress }
+    }
+
+    /// Appends `body` and tells what the fold made of it.
+    pub async fn commit(&self, body: F::Record, flush: FlushMode) -> CommitResult<F::Effect> {
+        self.address.send(Commit { body, flush }).await.unwrap_or(Err(CommitError::Stopping))
+    }
+
+    /// Looks at the fold; `None` if it is not loaded.
+    pub async fn inspect<R: Send + 'static>(
+        &self,
+        call: impl FnOnce(StreamView<'_, F>) -> R + Send + 'static,
+    ) -> Option<R> {
+        self.address.send(Inspect { call: Box::new(call) }).await.ok().flatten()
+    }
+
+    /// Follows how far the fold has read.
+    #[must_use]
+    pub fn progress(&self) -> watch::Receiver<Offset> {
+        self.progress.clone()
+    }
+
+    /// Waits until the fold holds everything that is stored now.
+    pub async fn catch_up(&self) -> Result<(), ReadError> {
+        let bounds = self.client.bounds(&self.stream).await?;
+        let mut progress = self.progress.clone();
+        let caught_up = progress.wait_for(|next| *next >= bounds.next).await;
+        caught_up.map(drop).map_err(|_| ReadError::Unavailable)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream/upkeep.rs
@@ -0,0 +1,92 @@
+//! Loading and publishing of snapshots.
+
+use std::time::Duration;
+
+use actix::prelude::*;
+use cactusdoor_core::snapshot::is_due;
+use cactusdoor_log::snapshot;
+
+use super::EntryFold;
+use super::actor::StreamActor;
+
+/// Pause before a fold that could not be loaded is tried again.
+const LOAD_PAUSE: Duration = Duration::from_millis(500);
+/// Longest random delay before a snapshot, so that entries do not all publish.
+const PUBLISH_DELAY_MS: u64 = 3_000;
+
+impl<F: EntryFold> StreamActor<F> {
+    /// Loads the newest snapshot, and tries again until the state is covered.
+    pub(super) fn load(&mut self, ctx: &mut Context<Self>) {
+        let stream = self.parts.stream.clone();
+        if let Some(board) = &self.parts.board {
+            board.lack(stream.as_str(), "not loaded");
+        }
+        let (client, empty) = (self.parts.client.clone(), self.parts.empty.clone());
+        let loading = async move { snapshot::load(&client, &stream, empty).await };
+        ctx.spawn(loading.into_actor(self).map(|loaded, actor, ctx| match loaded {
+            Ok(loaded) => {
+                actor.newest_covers = loaded.covers;
+                actor.install(loaded.fold, ctx);
+            }
+            Err(error) => {
+                log::warn!("could not load stream {}: {error}", actor.parts.stream);
+                if let Some(board) = &actor.parts.board {
+                    board.lack(actor.parts.stream.as_str(), error.to_string());
+                }
+                ctx.run_later(LOAD_PAUSE, Self::load);
+            }
+        }));
+    }
+
+    fn snapshot_due(&self) -> bool {
+        let Some(fold) = &self.fold else { return false };
+        is_due(self.newest_covers, self.bounds.start, fold.next())
+    }
+
+    /// Publishes a snapshot after a random delay if none is recent enough.
+    pub(super) fn consider_snapshot(&mut self, ctx: &mut Context<Self>) {
+        if !self.parts.publishes || self.publishing || !self.snapshot_due() {
+            return;
+        }
+        self.publishing = true;
+        let delay = Duration::from_millis(rand::random::<u64>() % PUBLISH_DELAY_MS);
+        ctx.run_later(delay, |actor, ctx| {
+            let (client, stream) = (actor.parts.client.clone(), actor.parts.stream.clone());
+            let newest = async move { snapshot::newest_snapshot::<F>(&client, &stream).await };
+            ctx.spawn(newest.into_actor(actor).map(|newest, actor, ctx| match newest {
+                Ok(newest) => {
+                    let covers = newest.map_or(0, |snapshot| snapshot.covers);
+                    actor.newest_covers = actor.newest_covers.max(covers);
+                    actor.publish(ctx);
+                }
+                Err(error) => {
+                    log::debug!("could not read snapshots: {error}");
+                    actor.publishing = false;
+                }
+            }));
+        });
+    }
+
+    fn publish(&mut self, ctx: &mut Context<Self>) {
+        let due = self.snapshot_due();
+        let Some(fold) = self.fold.clone().filter(|_| due) else {
+            self.publishing = false;
+            return;
+        };
+        let (client, stream) = (self.parts.client.clone(), self.parts.stream.clone());
+        let publishing = async move {
+            let covers = fold.next();
+            snapshot::publish(&client, &stream, &fold).await.map(|()| covers)
+        };
+        ctx.spawn(publishing.into_actor(self).map(|published, actor, _| {
+            actor.publishing = false;
+            match published {
+                Ok(covers) => actor.newest_covers = actor.newest_covers.max(covers),
+                // A lost answer costs at most one snapshot too many.
+                Err(error) => {
+                    log::warn!("could not publish snapshot of {}: {error}", actor.parts.stream);
+                }
+            }
+        }));
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/daemon.rs
@@ -0,0 +1,42 @@
+//! The four kinds of work, each once through a running entry.
+
+mod support;
+
+use cactusdoor_peer::digest;
+use support::agent::FakeAgent;
+use support::entry::TestEntry;
+use support::log::FakeLog;
+
+/// Guards against an entry whose parts work only by themselves.
+#[actix::test]
+async fn serves_each_kind_of_work() {
+    let log = FakeLog::open();
+    let agent = FakeAgent::open("vm1").await;
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    entry.publish_plan().await;
+    entry.list(1, vec![agent.member("dc1")]).await;
+
+    let reply = entry.interactive(b"draft", 2_000).await;
+    assert_eq!((reply.status, &*reply.body), (200, &b"echo:draft"[..]));
+    assert_eq!(reply.length.as_deref(), Some("10"));
+    assert_eq!(reply.digest, Some(format!("{:016x}", digest(b"echo:draft"))));
+    assert!(reply.request.is_some());
+
+    let reply = entry.binding("certify-1", b"record", 5_000).await;
+    assert_eq!((reply.status, &*reply.body), (200, &b"echo:record"[..]));
+    let again = entry.binding("certify-1", b"record", 5_000).await;
+    assert_eq!((again.status, &again.body), (200, &reply.body));
+    assert_eq!(agent.runs(), ["koperasi/certify-1"]);
+
+    let job = br#"{"plan": "koperasi", "kind": "transcription", "class": "batch", "tasks": 2,
+        "need": {"processors": 1000, "memory": 512, "accelerators": 0}, "run_time_ms": 60000}"#;
+    let reply = entry.post("/v1/jobs", &[("Idempotency-Key", "evening")], job).await;
+    assert_eq!(reply.status, 202, "{}", String::from_utf8_lossy(&reply.body));
+    let shard = reply.json()["shard"].as_str().unwrap().to_owned();
+    assert_eq!(log.state().records(&format!("tasks-{shard}")).len(), 1);
+
+    let url = format!("http://{}/v1/jobs/koperasi/evening", entry.daemon.caller_address);
+    let mut shown = entry.http.get(url).send().await.unwrap();
+    let shown: serde_json::Value = shown.json().await.unwrap();
+    assert_eq!(shown["tasks"].as_array().unwrap().len(), 2, "{shown}");
+}
--- /dev/null
+++ b/crates/entry/tests/support/log.rs
@@ -0,0 +1,153 @@
+//! A log service in memory whose answers can be lost or refused.
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use actix_web::web::{Data, Json, Path, Query, get, post, resource};
+use actix_web::{App, HttpResponse, HttpServer};
+use serde::Deserialize;
+use serde_json::json;
+
+#[derive(Default)]
+struct FakeStream {
+    start: u64,
+    records: Vec<String>,
+}
+
+#[derive(Default)]
+pub struct LogState {
+    streams: HashMap<String, FakeStream>,
+    pub down: bool,
+    /// Streams whose next appends are stored without an answer.
+    pub lose_answers: HashMap<String, u32>,
+    /// Streams whose next appends are neither stored nor answered.
+    pub lose_appends: HashMap<String, u32>,
+    /// Streams that do not answer appends until this is lifted.
+    pub stall: Option<String>,
+    pub appends: u32,
+}
+
+impl LogState {
+    /// Bodies of a stream's records.
+    pub fn records(&self, stream: &str) -> Vec<String> {
+        self.streams.get(stream).map(|stream| stream.records.clone()).unwrap_or_default()
+    }
+
+    /// All records of streams whose names start with `prefix`.
+    pub fn all(&self, prefix: &str) -> Vec<String> {
+        let wanted = self.streams.iter().filter(|(name, _)| name.starts_with(prefix));
+        wanted.flat_map(|(_, stream)| stream.records.clone()).collect()
+    }
+
+    pub fn push(&mut self, stream: &str, body: String) {
+        self.streams.entry(stream.to_owned()).or_default().records.push(body);
+    }
+
+    /// Drops all records before `start`.
+    pub fn drop_before(&mut self, stream: &str, start: u64) {
+        self.streams.entry(stream.to_owned()).or_default().start = start;
+    }
+}
+
+fn take(table: &mut HashMap<String, u32>, stream: &str) -> bool {
+    match table.get_mut(stream) {
+        Some(left) if *left > 0 => {
+            *left -= 1;
+            true
+        }
+        _ => false,
+    }
+}
+
+#[derive(Clone)]
+pub struct FakeLog {
+    pub address: SocketAddr,
+    state: Arc<Mutex<LogState>>,
+}
+
+#[derive(Deserialize)]
+struct AppendBody {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    max: usize,
+    wait_ms: u64,
+}
+
+impl FakeLog {
+    pub fn open() -> Self {
+        let state = Arc::new(Mutex::new(LogState::default()));
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = state.clone();
+        let server = HttpServer::new(move || {
+            let records = resource("/v1/streams/{stream}/records")
+                .route(post().to(append))
+                .route(get().to(read));
+            let json = actix_web::web::JsonConfig::default().limit(64 << 20);
+            App::new().app_data(Data::new(shared.clone())).app_data(json).service(records)
+        });
+        let server = server.workers(1).disable_signals().listen(listener).unwrap().run();
+        actix_rt::spawn(server);
+        Self { address, state }
+    }
+
+    pub fn state(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap()
+    }
+}
+
+type Shared = Data<Arc<Mutex<LogState>>>;
+
+async fn append(state: Shared, stream: Path<String>, body: Json<AppendBody>) -> HttpResponse {
+    while state.lock().unwrap().stall.as_deref() == Some(stream.as_str()) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut state = state.lock().unwrap();
+    if state.down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    if take(&mut state.lose_appends, &stream) {
+        return HttpResponse::InternalServerError().finish();
+    }
+    state.appends += 1;
+    let lost = take(&mut state.lose_answers, &stream);
+    let log = state.streams.entry(stream.into_inner()).or_default();
+    let first = log.records.len() as u64;
+    log.records.extend(body.into_inner().records);
+    if lost {
+        return HttpResponse::InternalServerError().finish();
+    }
+    HttpResponse::Ok().json(json!({"first": first, "next": log.records.len()}))
+}
+
+async fn read(state: Shared, stream: Path<String>, query: Query<ReadQuery>) -> HttpResponse {
+    let deadline = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let mut state = state.lock().unwrap();
+            if state.down {
+                return HttpResponse::ServiceUnavailable().finish();
+            }
+            let log = state.streams.entry(stream.clone()).or_default();
+            let next = log.records.len() as u64;
+            if query.from < log.start {
+                return HttpResponse::Gone().json(json!({"start": log.start, "next": next}));
+            }
+            if query.from < next || Instant::now() >= deadline {
+                let records: Vec<_> = (query.from.min(next)..next)
+                    .take(query.max)
+                    .map(|at| json!({"offset": at, "body": log.records[at as usize]}))
+                    .collect();
+                let page = json!({"start": log.start, "next": next, "records": records});
+                return HttpResponse::Ok().json(page);
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,31 @@
+//! Small fakes of the log service and of agents, and an entry between them.
+#![allow(dead_code)]
+
+pub mod agent;
+pub mod entry;
+pub mod log;
+
+use std::future::Future;
+use std::time::Duration;
+
+/// Longest time that a test waits for an event.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Polls until `check` gives a value.
+pub async fn eventually<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    mut check: impl FnMut() -> F,
+) -> T {
+    let poll = async {
+        loop {
+            if let Some(value) = check().await {
+                return value;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    match tokio::time::timeout(PATIENCE, poll).await {
+        Ok(value) => value,
+        Err(_) => panic!("waited in vain: {what}"),
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,6 +9,9 @@
 pub mod heartbeat;
 pub mod roster;
 pub mod task;
+pub mod wire;
+
+use std::net::SocketAddr;
 
 use crate::answer::{
     AnswerDigest, CallFailure, ClaimDelivery, ClaimFence, DeliveryFailure, FenceReply,
@@ -43,6 +46,8 @@
 pub trait EntryService {
     /// From the owner of a shard.
     async fn roster(update: RosterUpdate) -> RosterReply;
+    /// From another entry, with its own address; answers with the entries known here.
+    async fn introduce(entry: SocketAddr) -> Vec<SocketAddr>;
 }
 
 /// Digest of an answer or a request body.
