--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -44,7 +44,9 @@
 }
 
 /// The grantor's bound for a lease of `term`: when the holder has surely stopped.
+///
+/// The pause passes on the holder's clock too, so the rate margin covers both.
 #[must_use]
 pub fn with_lease_margins(term: Millis) -> Millis {
-    term + term * CLOCK_RATE_MARGIN_PERCENT / 100 + PAUSE_MARGIN
+    with_rate_margin(term.saturating_add(PAUSE_MARGIN))
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -134,3 +134,9 @@
 pub fn pick<T>(items: &[T], number: usize) -> Option<&T> {
     (!items.is_empty()).then(|| &items[number % items.len()])
 }
+
+/// The element that `number` selects, mostly among the newest three.
+pub fn pick_recent<T>(items: &[T], number: usize) -> Option<&T> {
+    let recent = &items[items.len().saturating_sub(3)..];
+    if number.is_multiple_of(8) { pick(items, number / 8) } else { pick(recent, number / 8) }
+}
