--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -246,7 +246,8 @@
 
     fn apply_owned(&mut self, offset: Offset, record: TaskRecord) -> TaskEffect {
         let Some(epoch) = epoch_of(&record) else { return TaskEffect::Ignored };
-        if epoch != self.epoch() {
+        // Epoch 0 stands for a shard without an owner.
+        if epoch == 0 || epoch != self.epoch() {
             return TaskEffect::StaleEpoch { current: self.epoch() };
         }
         let applied = match record {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -169,7 +169,7 @@
     fn steps() -> BoxedStrategy<Step> {
         let change = proptest::collection::vec((0..ITEMS, 0..8_u32), 0..4);
         prop_oneof![
-            3 => (0..OPERATORS, 0..8_usize)
+            6 => (0..OPERATORS, 0..30_usize)
                 .prop_map(|(operator, count)| Step::Look { operator, count }),
             6 => (0..OPERATORS, change, fates())
                 .prop_map(|(operator, items, fate)| Step::Publish { operator, items, fate }),
@@ -178,10 +178,10 @@
                 .prop_map(|(number, keep)| Step::Deliver { number, keep }),
             1 => any::<usize>().prop_map(|number| Step::Repeat { number }),
             1 => Just(Step::Garbage),
-            3 => (0..OWNERS, 0..8_usize)
+            5 => (0..OWNERS, 0..15_usize)
                 .prop_map(|(owner, count)| Step::OwnerReads { owner, count }),
             1 => (0..OWNERS).prop_map(|owner| Step::OwnerRestarts { owner }),
-            3 => (0..OWNERS, 0..12_u64).prop_map(|(owner, since)| Step::Send { owner, since }),
+            4 => (0..OWNERS, prop_oneof![0..2_u64, 0..12_u64]).prop_map(|(owner, since)| Step::Send { owner, since }),
             5 => (0..AGENTS, any::<usize>())
                 .prop_map(|(agent, number)| Step::Receive { agent, number }),
         ]
@@ -257,7 +257,7 @@
 
 #[test]
 fn config_matches_list_of_accepted_changes() {
-    fuzz::<ConfigWorld>("config", 256, 1..80);
+    fuzz::<ConfigWorld>("config", 384, 1..100);
 }
 
 /// Guards against operators being shown a state that was never published.
