Close gaps in the shard fold that the life cycle oracle found

- A job that was received here could be forgotten while an ended task had not returned, so its home shard never learned the outcome.
- TaskReceived counted for a task that is not away: a late record of an earlier job under the same key made a placed task pending without an end.
- TaskReceived with number 0 created a pending task out of nothing.
- The home shard could hand an ended task over, which reopened the job.
Ruled out: an error in the move number itself; numbers above the known one are needed for tasks that this shard has forgotten in between.

--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::map::Entry;
 use serde::{Deserialize, Serialize};
 
 use crate::envelope::{LogEnvelope, WriterTable};
@@ -294,27 +295,41 @@
         TaskEffect::Applied
     }
 
+    /// Takes a task in: one that is new here, or that left and comes back.
+    ///
+    /// A late record of an earlier stay finds a higher number, and one of an
+    /// earlier job under the same key finds a task that is not away.
     fn receive(&mut self, offset: Offset, spec: JobSpec, task_move: TaskMove) -> TaskEffect {
-        if task_move.to != self.shard {
+        if task_move.to != self.shard || task_move.number == 0 {
             return TaskEffect::StalePremise;
         }
-        let entry = self
+        let job = self
             .jobs
             .entry(spec.id.clone())
             .or_insert_with(|| JobEntry::new(spec, offset, false, IndexMap::new()));
-        let cancelled = entry.cancelled;
-        let task =
-            entry.tasks.entry(task_move.task.index).or_insert_with(|| TaskEntry::pending(None, 0));
-        if task_move.number <= task.moves {
-            return TaskEffect::Ignored;
-        }
-        task.moves = task_move.number;
-        task.state = match task_move.ended {
+        let state = match task_move.ended {
             Some(outcome) => TaskState::Ended(outcome),
-            None if cancelled => TaskState::Ended(TaskOutcome::Cancelled),
+            None if job.cancelled => TaskState::Ended(TaskOutcome::Cancelled),
             None => TaskState::Pending { checkpoint: task_move.checkpoint },
         };
-        TaskEffect::Applied
+        match job.tasks.entry(task_move.task.index) {
+            Entry::Vacant(vacant) => {
+                vacant.insert(TaskEntry { state, ..TaskEntry::pending(None, task_move.number) });
+                TaskEffect::Applied
+            }
+            Entry::Occupied(occupied) => {
+                let task = occupied.into_mut();
+                if task_move.number <= task.moves {
+                    return TaskEffect::Ignored;
+                }
+                if !matches!(task.state, TaskState::Away { .. }) {
+                    return TaskEffect::StalePremise;
+                }
+                task.moves = task_move.number;
+                task.state = state;
+                TaskEffect::Applied
+            }
+        }
     }
 
     fn entry_mut(&mut self, task: &TaskId) -> Option<(&mut TaskEntry, &JobSpec, bool)> {
@@ -376,13 +391,15 @@
 
     fn hand_over(&mut self, task_move: TaskMove) -> Option<()> {
         let from_here = task_move.from == self.shard && task_move.to != self.shard;
+        let home = self.jobs.get(&task_move.task.job)?.home;
         let (entry, _, _) = self.entry_mut(&task_move.task)?;
         if !from_here || task_move.number != entry.moves + 1 {
             return None;
         }
         let ready = match (&entry.state, &task_move.ended) {
             (TaskState::Pending { checkpoint }, None) => *checkpoint == task_move.checkpoint,
-            (TaskState::Ended(outcome), Some(moved)) => outcome == moved,
+            // The home shard keeps what has ended.
+            (TaskState::Ended(outcome), Some(moved)) => !home && outcome == moved,
             _ => false,
         };
         if !ready {
@@ -404,11 +421,15 @@
         }
     }
 
-    /// Forgets a job that has ended, or whose tasks have all left this shard.
+    /// Forgets a job that has ended here at home, or whose tasks have all left again.
+    ///
+    /// A late `TaskReceived` or `JobSubmitted` would bring the job back, so an
+    /// owner writes this only once no append of that age can still arrive.
     fn forget(&mut self, job: &JobId) -> Option<()> {
         let entry = self.jobs.get(job)?;
         let over = |task: &TaskEntry| match &task.state {
-            TaskState::Ended(_) => true,
+            // Elsewhere, the home shard has yet to learn the outcome.
+            TaskState::Ended(_) => entry.home,
             TaskState::Away { confirmed, .. } => *confirmed && !entry.home,
             _ => false,
         };
