Add stand-ins for the platform worker and upstreams, and a relay

Worker: tasks proceed on a simulated clock that is advanced to the present by every call, so a task stops exactly at the end of its lease, whatever the load of the machine. Checkpoint names carry the progress, because any worker may resume the task. Upstream: the work goes on when the agent closes the connection, and every start and end of an execution is recorded. Relay: cuts hold bytes back instead of dropping them, like a network that repeats packets.

A test found that awc reports a body that ends before its Content-Length, or in the middle of a chunked encoding, as complete: three trials with 5 of 10 announced bytes, an unfinished chunk and a missing last chunk all gave Ok. A caller has to compare the length itself, and cannot tell for chunked answers.

--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -3,18 +3,23 @@
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::path::Path;
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
 
 /// Unix time in microseconds.
 pub type UnixMicros = u64;
 
+/// Now; never runs backwards within a process, even if the wall clock is set.
 #[must_use]
 pub fn unix_us() -> UnixMicros {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
+    static START: OnceLock<(Instant, UnixMicros)> = OnceLock::new();
+    let (start, unix) = START.get_or_init(|| {
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (Instant::now(), u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+    });
+    unix.saturating_add(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX))
 }
 
 /// Locks `mutex` even if a thread panicked while it held the lock: a stand-in
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,14 @@
 //! histories that the stand-ins record. [`harness`] runs the daemons as child
 //! processes against them.
 
+pub mod announcer;
 pub mod history;
 pub mod log_service;
+pub mod relay;
 pub mod server;
 pub mod stream;
+pub mod task_clock;
+pub mod upstream;
+pub mod upstream_state;
+pub mod worker;
+pub mod worker_state;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -6,13 +6,14 @@
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
-use std::sync::mpsc;
+use std::sync::{Mutex, mpsc};
 use std::thread::JoinHandle;
 
 use actix_web::dev::{Extensions, ServerHandle};
 use actix_web::rt::net::TcpStream as ServerStream;
 use actix_web::web::{JsonConfig, PayloadConfig, ServiceConfig};
 use actix_web::{App, HttpRequest, HttpServer};
+use tokio::sync::OwnedSemaphorePermit;
 
 /// Largest body that a stand-in takes: an append of large records.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
@@ -87,7 +88,12 @@
 /// The socket of a connection, kept so that a fault can cut it.
 struct ConnectionSocket(TcpStream);
 
+/// Right of a connection to carry requests, held until it ends.
+#[derive(Default)]
+pub struct ConnectionPermit(pub(crate) Mutex<Option<OwnedSemaphorePermit>>);
+
 fn keep_socket(connection: &dyn std::any::Any, data: &mut Extensions) {
+    data.insert(ConnectionPermit::default());
     let Some(stream) = connection.downcast_ref::<ServerStream>() else { return };
     match stream.as_fd().try_clone_to_owned() {
         Ok(socket) => drop(data.insert(ConnectionSocket(TcpStream::from(socket)))),
