Add the harness that runs daemons as child processes

Children are killed when the set is dropped, also on panic; a test process that is itself killed leaves them behind, since the alternative, a parent death signal, needs unsafe code. Ports lie below the range of outgoing connections and on a loopback network per process, so that parallel tests cannot take each other's. The client of the HTTP interfaces compares the length of each answer, as awc does not.

--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -11,8 +11,8 @@
 
 use actix_web::dev::{Extensions, ServerHandle};
 use actix_web::rt::net::TcpStream as ServerStream;
-use actix_web::web::{JsonConfig, PayloadConfig, ServiceConfig};
-use actix_web::{App, HttpRequest, HttpServer};
+use actix_web::web::{JsonConfig, PayloadConfig, ServiceConfig, get};
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use tokio::sync::OwnedSemaphorePermit;
 
 /// Largest body that a stand-in takes: an append of large records.
@@ -79,6 +79,7 @@
         App::new()
             .app_data(JsonConfig::default().limit(MAX_BODY_BYTES))
             .app_data(PayloadConfig::default().limit(MAX_BODY_BYTES))
+            .route("/readyz", get().to(HttpResponse::Ok))
             .configure(configure.clone())
     });
     let server = server.on_connect(keep_socket).workers(threads).disable_signals();
--- /dev/null
+++ b/crates/standin/tests/harness.rs
@@ -0,0 +1,184 @@
+//! The harness, with stand-ins as children: the daemons have tests of their own.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use awc::http::Method;
+use cactusdoor_node::process::read_process;
+use cactusdoor_node::settings::SettingsFile;
+use cactusdoor_standin::harness::address::{free_address, loopback_ip};
+use cactusdoor_standin::harness::child::{ChildSet, ChildSpec, HarnessError, program};
+use cactusdoor_standin::harness::settings::{
+    ProcessAddresses, SharedSettings, agent, entry, write,
+};
+use cactusdoor_standin::harness::{ApiClient, ApiError};
+use cactusdoor_standin::upstream::{UpstreamFault, UpstreamOptions, UpstreamStandin};
+
+use common::loopback;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A log service as child `log`.
+fn log_child(directory: &Path) -> (ChildSet, SocketAddr) {
+    let operator = free_address().unwrap();
+    let spec = ChildSpec {
+        program: env!("CARGO_BIN_EXE_cactusdoor-standin").into(),
+        arguments: vec!["log".into(), operator.to_string().into()],
+        log: directory.join("log.log"),
+        operator,
+    };
+    let mut children = ChildSet::default();
+    children.spawn("log", spec).unwrap();
+    (children, operator)
+}
+
+/// Guards against a child that is reported ready before it answers, and against
+/// one that cannot be restarted at its address after a crash.
+#[actix_rt::test]
+async fn child_is_killed_and_restarted() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut children, _) = log_child(directory.path());
+    for _ in 0..3 {
+        children.wait_ready("log", PATIENCE).await.unwrap();
+        assert!(children.is_running("log").unwrap());
+        children.kill("log").unwrap();
+        assert!(!children.is_running("log").unwrap());
+        children.start("log").unwrap();
+    }
+    children.wait_ready("log", PATIENCE).await.unwrap();
+}
+
+/// Guards against a paused child that goes on answering or does not resume.
+#[actix_rt::test]
+async fn child_is_paused_and_resumed() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut children, operator) = log_child(directory.path());
+    children.wait_ready("log", PATIENCE).await.unwrap();
+    children.pause("log").unwrap();
+    let http = awc::Client::builder().timeout(Duration::from_millis(200)).finish();
+    assert!(http.get(format!("http://{operator}/readyz")).send().await.is_err());
+    children.resume("log").unwrap();
+    children.wait_ready("log", PATIENCE).await.unwrap();
+}
+
+/// Guards against a graceful stop that is reported as a crash, or never.
+#[actix_rt::test]
+async fn child_ends_gracefully() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut children, _) = log_child(directory.path());
+    children.wait_ready("log", PATIENCE).await.unwrap();
+    children.terminate("log").unwrap();
+    assert!(children.wait_exit("log", PATIENCE).await.unwrap().success());
+    assert_matches!(children.terminate("log"), Err(HarnessError::NotRunning { .. }));
+    assert_matches!(children.kill("other"), Err(HarnessError::UnknownChild(_)));
+}
+
+/// Guards against waiting without end for a child that has ended, and against an
+/// error without the child's last words.
+#[actix_rt::test]
+async fn ended_child_is_reported_with_its_log() {
+    let directory = tempfile::tempdir().unwrap();
+    let spec = ChildSpec {
+        program: env!("CARGO_BIN_EXE_cactusdoor-standin").into(),
+        arguments: vec!["nothing".into()],
+        log: directory.path().join("child.log"),
+        operator: free_address().unwrap(),
+    };
+    let mut children = ChildSet::default();
+    children.spawn("child", spec).unwrap();
+    let ended = children.wait_ready("child", PATIENCE).await;
+    assert_matches!(ended, Err(HarnessError::Ended { tail, .. }) => {
+        assert!(tail.contains("nothing"), "{tail}");
+    });
+    assert_matches!(program("cactusdoor-none"), Err(HarnessError::ProgramMissing { .. }));
+}
+
+/// Guards against children that outlive a test that panics.
+#[actix_rt::test]
+async fn panic_ends_the_children() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().to_owned();
+    let (mut children, operator) = log_child(&path);
+    children.wait_ready("log", PATIENCE).await.unwrap();
+    let panicking = std::thread::spawn(move || {
+        let _children = children;
+        panic!("test panic");
+    });
+    assert!(panicking.join().is_err());
+    assert!(std::net::TcpStream::connect(operator).is_err());
+}
+
+/// Guards against two processes with the same address.
+#[actix_rt::test]
+async fn addresses_differ() {
+    let addresses: Vec<SocketAddr> = (0..50).map(|_| free_address().unwrap()).collect();
+    for (position, address) in addresses.iter().enumerate() {
+        assert!(!addresses[..position].contains(address));
+        assert!(address.ip().is_loopback());
+    }
+    assert!(loopback_ip().is_loopback());
+}
+
+/// Guards against settings that the daemons' reader does not take.
+#[actix_rt::test]
+async fn settings_are_read_back() {
+    let directory = tempfile::tempdir().unwrap();
+    let address = free_address().unwrap();
+    let data_centre = cactusdoor_core::name::DataCentre::new("a").unwrap();
+    let shared = SharedSettings {
+        data_centres: vec![data_centre.clone()],
+        shards_per_data_centre: 1,
+        entries: vec![address],
+        level: "info".into(),
+        limits: Vec::new(),
+    };
+    let process = ProcessAddresses {
+        name: "entry-a-0".into(),
+        vm: "a-entry-vm-0".into(),
+        data_centre,
+        rack: "a-rack-0".into(),
+        peer: address,
+        operator: address,
+        log: address,
+    };
+    let path = directory.path().join("settings.ini");
+    for ini in [entry(&shared, &process, address), agent(&shared, &process, address, address)] {
+        write(&ini, &path).unwrap();
+        let mut file = SettingsFile::open(&path).unwrap();
+        let read = read_process(&mut file).unwrap();
+        assert_eq!(read.name.as_str(), process.name);
+        assert_eq!(read.peer_address, address);
+        let expected = "addresses";
+        assert_eq!(file.required("log", "address", expected), Some(address));
+        assert_eq!(file.list("entries", "peers", expected), Some(vec![address]));
+        assert_eq!(file.list("shards", "data_centres", expected), Some(vec!["a".to_owned()]));
+    }
+}
+
+/// Guards against a broken answer that is taken for a whole one.
+#[actix_rt::test]
+async fn broken_answer_is_not_whole() {
+    let options = UpstreamOptions {
+        name: "upstream-1".into(),
+        service: cactusdoor_core::name::ServiceName::new("counter").unwrap(),
+        agent: None,
+        announced: None,
+        slots: 1,
+        connections: 8,
+        service_time_ms: 0,
+        answer_bytes: 1_000,
+        history: None,
+    };
+    let upstream = UpstreamStandin::spawn(loopback(), options).unwrap();
+    let client = ApiClient::open(upstream.address());
+    let post = || client.send(Method::POST, "/v1/requests", &[], bytes::Bytes::new());
+    assert_eq!(post().await.unwrap().success().unwrap().body.len(), 1_000);
+    upstream.set_fault(UpstreamFault { break_answers: 1, ..UpstreamFault::default() });
+    assert_matches!(post().await, Err(ApiError::NotWhole { .. }));
+    let missing = client.get("/v1/none").await.unwrap().success();
+    assert_matches!(missing, Err(ApiError::Status { status: 404, .. }));
+}
