Add the demo and one limits section per daemon

The demo runs one request, one settlement through two entries and one job in three data centres and judges them by the histories of the stand-ins. Entries and agents take different keys in [limits], and an unknown key is a fault, so the harness keeps them apart.

--- a/crates/standin/src/bin/demo.rs
+++ b/crates/standin/src/bin/demo.rs
@@ -1,1 +1,34 @@
-fn main() {}
+//! Runs a small installation through one request, one settlement and one job.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use bpaf::Bpaf;
+use cactusdoor_standin::demo;
+
+/// Starts three data centres with all outside systems embedded, runs one
+/// interactive request, one settlement and one batch job, and stops everything.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Longest time of the whole run
+    #[bpaf(fallback(120), display_fallback)]
+    limit_s: u64,
+}
+
+#[actix_web::main]
+async fn main() -> ExitCode {
+    match run(arguments().run()).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cactusdoor-demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: Arguments) -> Result<()> {
+    let limit = Duration::from_secs(arguments.limit_s);
+    tokio::time::timeout(limit, demo::run()).await.context("did not succeed in time")?
+}
--- a/crates/standin/src/harness/child.rs
+++ b/crates/standin/src/harness/child.rs
@@ -230,7 +230,7 @@
     let directories = running.ancestors().skip(1).take(2);
     let mut candidates = directories.map(|directory| directory.join(name));
     candidates.find(|candidate| candidate.is_file()).ok_or_else(|| {
-        let directory = running.ancestors().nth(2).unwrap_or(&running).into();
+        let directory = running.parent().unwrap_or(&running).into();
         HarnessError::ProgramMissing { name: name.into(), directory }
     })
 }
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -42,8 +42,9 @@
     /// Directory for histories as JSON lines, one file per stand-in.
     pub history: Option<PathBuf>,
     pub level: String,
-    /// Keys of `[limits]` in all settings files.
-    pub limits: Vec<(String, String)>,
+    /// Keys of `[limits]`, which differ between the daemons.
+    pub entry_limits: Vec<(String, String)>,
+    pub agent_limits: Vec<(String, String)>,
     /// Puts a relay between every process and the log service.
     pub log_relays: bool,
 }
@@ -63,7 +64,8 @@
             upstream: None,
             history: None,
             level: "info".into(),
-            limits: Vec::new(),
+            entry_limits: Vec::new(),
+            agent_limits: Vec::new(),
             log_relays: false,
         }
     }
@@ -336,6 +338,7 @@
         shards_per_data_centre: plan.shards_per_data_centre,
         entries: entries.map(|entry| entry.addresses.peer).take(SEED_ENTRIES).collect(),
         level: plan.level.clone(),
-        limits: plan.limits.clone(),
+        entry_limits: plan.entry_limits.clone(),
+        agent_limits: plan.agent_limits.clone(),
     })
 }
--- a/crates/standin/src/harness/settings.rs
+++ b/crates/standin/src/harness/settings.rs
@@ -17,8 +17,9 @@
     pub entries: Vec<SocketAddr>,
     /// Level of the logs.
     pub level: String,
-    /// Keys of `[limits]`.
-    pub limits: Vec<(String, String)>,
+    /// Keys of `[limits]`, which differ between the daemons.
+    pub entry_limits: Vec<(String, String)>,
+    pub agent_limits: Vec<(String, String)>,
 }
 
 /// Identity and addresses of one process.
@@ -36,7 +37,7 @@
 /// Settings of an entry that callers reach at `callers`.
 #[must_use]
 pub fn entry(shared: &SharedSettings, process: &ProcessAddresses, callers: SocketAddr) -> Ini {
-    let mut ini = common(shared, process);
+    let mut ini = common(shared, process, &shared.entry_limits);
     ini.with_section(Some("callers")).set("address", callers.to_string());
     ini
 }
@@ -49,13 +50,13 @@
     worker: SocketAddr,
     upstream: SocketAddr,
 ) -> Ini {
-    let mut ini = common(shared, process);
+    let mut ini = common(shared, process, &shared.agent_limits);
     ini.with_section(Some("worker")).set("address", worker.to_string());
     ini.with_section(Some("upstream")).set("address", upstream.to_string());
     ini
 }
 
-fn common(shared: &SharedSettings, process: &ProcessAddresses) -> Ini {
+fn common(shared: &SharedSettings, process: &ProcessAddresses, limits: &[(String, String)]) -> Ini {
     let mut ini = Ini::new();
     ini.with_section(Some("process"))
         .set("name", &process.name)
@@ -70,7 +71,7 @@
         .set("data_centres", list(&shared.data_centres))
         .set("per_data_centre", shared.shards_per_data_centre.to_string());
     ini.with_section(Some("logging")).set("level", &shared.level);
-    for (key, value) in &shared.limits {
+    for (key, value) in limits {
         ini.with_section(Some("limits")).set(key, value);
     }
     ini
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! processes against them.
 
 pub mod announcer;
+pub mod demo;
 pub mod harness;
 pub mod history;
 pub mod log_service;
--- a/crates/standin/tests/harness.rs
+++ b/crates/standin/tests/harness.rs
@@ -134,7 +134,8 @@
         shards_per_data_centre: 1,
         entries: vec![address],
         level: "info".into(),
-        limits: Vec::new(),
+        entry_limits: Vec::new(),
+        agent_limits: Vec::new(),
     };
     let process = ProcessAddresses {
         name: "entry-a-0".into(),
