--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -54,14 +54,13 @@
     let service = ServiceName::new("counter")?;
     let cluster = Cluster::spawn(&installation(&service)).context("could not start")?;
     let mut demo = Demo { narrator, cluster, plan: PlanName::new("franchise-1")?, service };
-    demo.wait_ready().await?;
-    demo.publish().await.context("could not publish the plan")?;
-    demo.interactive().await.context("interactive request failed")?;
-    demo.settlement().await.context("settlement failed")?;
-    demo.job().await.context("batch job failed")?;
-    demo.stop().await.context("could not stop gracefully")?;
-    demo.narrator.tell("everything succeeded");
-    Ok(())
+    let result = demo.steps().await;
+    if result.is_ok() {
+        demo.narrator.tell("everything succeeded");
+    } else if let Some(directory) = demo.cluster.keep_directory() {
+        demo.narrator.tell(format!("logs and settings are kept in {}", directory.display()));
+    }
+    result
 }
 
 fn installation(service: &ServiceName) -> ClusterPlan {
@@ -83,6 +82,15 @@
 }
 
 impl Demo {
+    async fn steps(&mut self) -> Result<()> {
+        self.wait_ready().await?;
+        self.publish().await.context("could not publish the plan")?;
+        self.interactive().await.context("interactive request failed")?;
+        self.settlement().await.context("settlement failed")?;
+        self.job().await.context("batch job failed")?;
+        self.stop().await.context("could not stop gracefully")
+    }
+
     async fn wait_ready(&mut self) -> Result<()> {
         let children: Vec<String> = self.cluster.children.names().map(str::to_owned).collect();
         self.narrator.tell(format!("log service at {}", self.cluster.log.address()));
--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -63,7 +63,7 @@
             worker: WorkerOptions { capacity, usage_lag_ms: 1_000, ..WorkerOptions::default() },
             upstream: None,
             history: None,
-            level: "info".into(),
+            level: "info, tarpc=warn, actix_server=warn".into(),
             entry_limits: Vec::new(),
             agent_limits: Vec::new(),
             log_relays: false,
@@ -110,9 +110,9 @@
 impl Drop for Cluster {
     fn drop(&mut self) {
         if std::thread::panicking()
-            && let Some(directory) = self.directory.take()
+            && let Some(directory) = self.keep_directory()
         {
-            eprintln!("logs and settings are kept in {}", directory.keep().display());
+            eprintln!("logs and settings are kept in {}", directory.display());
         }
     }
 }
@@ -166,6 +166,11 @@
         self.directory.as_ref().map(TempDir::path)
     }
 
+    /// Keeps the directory after the end; `None` if that was done before.
+    pub fn keep_directory(&mut self) -> Option<PathBuf> {
+        self.directory.take().map(TempDir::keep)
+    }
+
     /// Ends everything on a VM at once and forgets its tasks.
     pub fn lose_vm(&mut self, index: usize) -> Result<(), HarnessError> {
         let Some(vm) = self.vms.get_mut(index) else {
