Number heartbeats, so that a lease bound is lowered only by the newest request

The fuzzing of the lease pair found that a grantor which lowers its bound on any request can fall behind a holder that later accepts an older, longer reply. The core pair now counts requests. The owner had its own remedy, a second bound kept for 20 s; it is replaced by the numbers, which need no time limit. Ruled out: never lowering the bound, which would make every reassignment after a log outage wait for the outage lease.

--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub mod fake_owner;
 pub mod fake_worker;
 
-use cactusdoor_agent::board::{BoardIdentity, StartStep, TaskBoard};
+use cactusdoor_agent::board::{BoardIdentity, ReplyEffect, StaleReply, StartStep, TaskBoard};
 use cactusdoor_agent::table::LaunchAnswer;
 use cactusdoor_core::config::{ConfigDelta, ConfigItem, DataCentreState, ItemValue};
 use cactusdoor_core::constants::TASK_LEASE;
@@ -88,7 +88,7 @@
 pub fn board() -> TaskBoard {
     let mut board = TaskBoard::new(identity());
     board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
-    board.receive(T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    receive(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
     board
 }
 
@@ -99,6 +99,17 @@
     board.launched(now, token, LaunchAnswer::Runs);
 }
 
+/// Asks for a renewal at `sent` and takes over the reply at `now`.
+pub fn receive(
+    board: &mut TaskBoard,
+    now: Moment,
+    sent: Moment,
+    reply: &HeartbeatReply,
+) -> Result<ReplyEffect, StaleReply> {
+    let request = board.ask_lease(sent);
+    board.receive(now, sent, request.number, reply)
+}
+
 pub fn listed(token: Token, lease_left_ms: Millis) -> RunningTask {
     RunningTask {
         token,
--- a/crates/core/src/lease.rs
+++ b/crates/core/src/lease.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// The holder restarted and counts its requests anew.
+    pub fn restart(&mut self) {
+        self.newest = 0;
+    }
+
     #[must_use]
     pub fn surely_over(&self) -> Moment {
         self.surely_over
--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -1,12 +1,12 @@
 //! Agents of the shard, as their heartbeats show them.
 
-use cactusdoor_core::constants::{HEARTBEAT_INTERVAL, OWNER_SILENCE, TASK_LEASE};
+use cactusdoor_core::constants::{HEARTBEAT_INTERVAL, OWNER_SILENCE};
 use cactusdoor_core::job::{PlacementEnd, TaskId};
-use cactusdoor_core::lease::GrantedLease;
+use cactusdoor_core::lease::{GrantedLease, LeaseRequest};
 use cactusdoor_core::name::VmName;
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::shard::TaskRecord;
-use cactusdoor_core::unit::{Incarnation, Millis, Moment, Token};
+use cactusdoor_core::unit::{Epoch, Incarnation, Millis, Moment, Token};
 use cactusdoor_peer::heartbeat::{
     AgentHeartbeat, AgentIdentity, HeartbeatRefusal, HeartbeatReply, UpstreamStatus,
 };
@@ -34,17 +34,6 @@
 /// Time after which a started task that heartbeats do not list is asked about.
 const MISSING_TIME: Millis = 3_000;
 
-/// Time after which an answer to a heartbeat is not accepted any more, and the
-/// heartbeats sent before that have arrived or are lost.
-const ANSWER_LIFETIME: Millis = 20_000;
-
-/// A long grant, which outlasts later short ones until they are surely accepted.
-#[derive(Clone, Copy, Debug)]
-struct LongGrant {
-    at: Moment,
-    lease: GrantedLease,
-}
-
 /// An agent and its VM.
 #[derive(Clone, Debug)]
 pub(super) struct AgentBook {
@@ -55,8 +44,6 @@
     /// Whether the agent has accepted an answer of this tenure.
     pub adopted: bool,
     lease: GrantedLease,
-    /// A grant beyond `TASK_LEASE`, or one that the agent reported.
-    long: Option<LongGrant>,
     pub capacity: ResourceVector,
     pub draining: bool,
     pub upstreams: Vec<UpstreamStatus>,
@@ -74,14 +61,13 @@
 }
 
 impl AgentBook {
-    fn new(beat: &AgentHeartbeat, now: Moment) -> Self {
+    fn new(beat: &AgentHeartbeat, now: Moment, epoch: Epoch) -> Self {
         Self {
             identity: beat.agent.clone(),
             at: HybridTime::default(),
             last_beat: now,
             adopted: false,
-            lease: GrantedLease::unknown(now, 0),
-            long: None,
+            lease: GrantedLease::unknown(epoch, now, 0),
             capacity: beat.capacity,
             draining: beat.draining,
             upstreams: Vec::new(),
@@ -106,8 +92,7 @@
     }
 
     fn bound(&self) -> Moment {
-        let short = self.lease.surely_over();
-        self.long.map_or(short, |long| short.max(long.lease.surely_over()))
+        self.lease.surely_over()
     }
 
     pub fn refused(&mut self, now: Moment) {
@@ -127,6 +112,7 @@
         }
         self.past.push(self.identity.incarnation);
         self.identity = identity;
+        self.lease.restart();
         self.at = HybridTime::default();
         self.adopted = false;
         // Starts name the incarnation, so the new one refuses those on their way.
@@ -164,7 +150,7 @@
         }
         let vm = &beat.agent.vm;
         reply.recorded = self.recorded(beat);
-        reply.lease_ms = self.grant(now, vm, beat.lease_left_ms);
+        reply.lease_ms = self.grant(now, beat);
         let newest = self.agents.get(vm).is_some_and(|agent| agent.at == beat.at);
         if newest {
             self.take_ends(beat);
@@ -188,7 +174,8 @@
     fn register(&mut self, now: Moment, beat: &AgentHeartbeat, epoch: u64) -> bool {
         let vm = beat.agent.vm.clone();
         let joined = !self.agents.contains_key(&vm);
-        let agent = self.agents.entry(vm.clone()).or_insert_with(|| AgentBook::new(beat, now));
+        let agent =
+            self.agents.entry(vm.clone()).or_insert_with(|| AgentBook::new(beat, now, epoch));
         if agent.past.contains(&beat.agent.incarnation) {
             return false;
         }
@@ -219,23 +206,13 @@
     }
 
     /// Renews the lease on the VM's tasks.
-    fn grant(&mut self, now: Moment, vm: &VmName, left: Millis) -> Millis {
+    fn grant(&mut self, now: Moment, beat: &AgentHeartbeat) -> Millis {
+        let vm = &beat.agent.vm;
         let term = self.lease_term(now, vm);
         let Some(agent) = self.agents.get_mut(vm) else { return 0 };
         let term = if agent.fences.is_empty() { term } else { 0 };
-        // An answer on its way may still be accepted after this one is lost, so
-        // a grant never shortens the bound at once.
-        let before = agent.lease.surely_over();
-        let mut lease = agent.lease;
-        lease.renew(now, term, left);
-        if term.max(left) > TASK_LEASE {
-            agent.long = Some(LongGrant { at: now, lease });
-            return term;
-        }
-        if lease.surely_over() > before {
-            agent.lease = lease;
-        }
-        agent.long.take_if(|long| now.since(long.at) >= ANSWER_LIFETIME);
+        let (epoch, number, left) = (beat.epoch, beat.number, beat.lease_left_ms);
+        agent.lease.renew(now, LeaseRequest { epoch, number, left }, term);
         term
     }
 
--- a/crates/owner/src/finder.rs
+++ b/crates/owner/src/finder.rs
@@ -65,6 +65,7 @@
         agent,
         shard: shard.clone(),
         epoch: 0,
+        number: 0,
         config_revision: u64::MAX,
         lease_left_ms: 0,
         capacity: ResourceVector::ZERO,
--- a/crates/owner/tests/host.rs
+++ b/crates/owner/tests/host.rs
@@ -138,6 +138,7 @@
             agent: self.identity.clone(),
             shard: shard(),
             epoch: self.epoch,
+            number: self.beats,
             config_revision: 0,
             lease_left_ms: 0,
             capacity: ResourceVector::new(4_000, 4_096, 0),
--- a/crates/owner/tests/support/mod.rs
+++ b/crates/owner/tests/support/mod.rs
@@ -108,6 +108,7 @@
             agent: self.identity.clone(),
             shard: shard(SHARD),
             epoch: self.epoch,
+            number: self.clock,
             config_revision: 0,
             lease_left_ms: self.lease_left_ms,
             capacity: self.capacity,
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -83,6 +83,8 @@
     /// Highest epoch that the agent knows.
     pub epoch: Epoch,
     pub config_revision: Revision,
+    /// Counts the heartbeats of this incarnation, to whichever owner, from 1.
+    pub number: u64,
     /// What is left of the lease on the VM's tasks.
     pub lease_left_ms: Millis,
     pub capacity: ResourceVector,
