Number the lease requests of the agent

Cause: the holder's side of leases now takes only the reply to its newest request. The board asks for a LeaseRequest per heartbeat and hands its number back with the reply. The heartbeat still carries epoch and what is left; the number has no field there yet, so the grantor cannot use it.

--- a/crates/agent/src/board.rs
+++ b/crates/agent/src/board.rs
@@ -8,7 +8,7 @@
 use cactusdoor_core::constants::TASK_LEASE;
 use cactusdoor_core::freshness::ConfirmedView;
 use cactusdoor_core::job::{PlacementEnd, StartRefusal};
-use cactusdoor_core::lease::HeldLease;
+use cactusdoor_core::lease::{HeldLease, LeaseRequest};
 use cactusdoor_core::name::{DataCentre, ShardName};
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Epoch, Incarnation, Millis, Moment, Token};
@@ -71,9 +71,9 @@
     epoch: Epoch,
     config: ConfigState,
     view: ConfirmedView,
-    lease: Option<HeldLease>,
-    /// Send time of the heartbeat that renewed the lease; `None` for an inherited lease.
-    renewed: Option<Moment>,
+    lease: HeldLease,
+    /// Whether an owner granted the lease; it is inherited otherwise.
+    granted: bool,
     draining: bool,
     /// `None` until the inventory is taken.
     table: Option<TaskTable>,
@@ -87,8 +87,8 @@
             epoch: 0,
             config: ConfigState::default(),
             view: ConfirmedView::default(),
-            lease: None,
-            renewed: None,
+            lease: HeldLease::default(),
+            granted: false,
             draining: false,
             table: None,
         }
@@ -120,18 +120,18 @@
     }
 
     #[must_use]
-    pub fn lease_deadline(&self) -> Option<Moment> {
-        self.lease.map(|lease| lease.deadline())
+    pub fn lease_deadline(&self) -> Moment {
+        self.lease.deadline()
     }
 
     #[must_use]
     pub fn lease_left(&self, now: Moment) -> Millis {
-        self.lease.map_or(0, |lease| lease.left(now))
+        self.lease.left(now)
     }
 
     #[must_use]
     pub fn holds_lease(&self, now: Moment) -> bool {
-        self.lease.is_some_and(|lease| lease.is_valid(now))
+        self.lease.is_valid(now)
     }
 
     /// Refuses new tasks from now on.
@@ -154,9 +154,7 @@
         table.adopt(now, inventory);
         self.table = Some(table);
         let left = inventory.running.iter().map(|task| task.lease_left_ms).max();
-        if self.lease.is_none() {
-            self.lease = left.map(|left| HeldLease::granted(sent, left));
-        }
+        self.lease = HeldLease::granted(sent, left.unwrap_or(0));
     }
 
     /// Adopts the epoch of an owner; `false` if a newer one is known.
@@ -165,7 +163,13 @@
         self.epoch == epoch
     }
 
-    /// Takes over the reply to a heartbeat that was sent at `sent`.
+    /// The request for a renewal that goes with a heartbeat sent at `now`.
+    pub fn ask_lease(&mut self, now: Moment) -> LeaseRequest {
+        self.lease.ask(now, self.epoch)
+    }
+
+    /// Takes over the reply to the heartbeat with lease request `number`, which was
+    /// sent at `sent`.
     ///
     /// A renewal does not revive tasks whose lease had passed: the owner may have
     /// placed them elsewhere, so they are stopped.
@@ -173,6 +177,7 @@
         &mut self,
         now: Moment,
         sent: Moment,
+        number: u64,
         reply: &HeartbeatReply,
     ) -> Result<ReplyEffect, StaleReply> {
         if !self.note_epoch(reply.epoch) {
@@ -181,12 +186,8 @@
         if !self.holds_lease(now) {
             self.stop_all();
         }
-        if self.renewed.is_none_or(|renewed| renewed <= sent) {
-            self.renewed = Some(sent);
-            match &mut self.lease {
-                Some(lease) => lease.renew(sent, reply.lease_ms),
-                None => self.lease = Some(HeldLease::granted(sent, reply.lease_ms)),
-            }
+        if self.lease.renew(number, reply.lease_ms) {
+            self.granted = true;
         }
         let before = self.config.revision();
         if self.config.apply_delta(&reply.config)
@@ -219,7 +220,7 @@
             return Err(StartRefusal::DataCentreOut);
         }
         // An inherited lease was granted for the tasks that run, not for new ones.
-        if self.renewed.is_none() || !self.holds_lease(now.after(CHECKPOINT_MARGIN)) {
+        if !self.granted || !self.holds_lease(now.after(CHECKPOINT_MARGIN)) {
             return Err(StartRefusal::NotReady);
         }
         Ok(())
@@ -406,7 +407,7 @@
     /// that is being stopped is not, as it may have been placed elsewhere.
     #[must_use]
     pub fn renewal(&self, now: Moment) -> Option<(Vec<Token>, Millis)> {
-        if self.renewed.is_none() || !self.holds_lease(now) {
+        if !self.granted || !self.holds_lease(now) {
             return None;
         }
         let entitled = self.table()?.live().filter(|t| !matches!(t, LiveTask::Stopping(_)));
--- a/crates/agent/src/pulse.rs
+++ b/crates/agent/src/pulse.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cactusdoor_core::constants::{CLAIM_JITTER, HEARTBEAT_INTERVAL, OWNER_SILENCE};
+use cactusdoor_core::lease::LeaseRequest;
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_owner::{FindOwner, HostBeat, SilentShards};
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply};
@@ -80,7 +81,8 @@
         // After a pause, tasks whose lease has passed must not be listed as running.
         self.stop_unentitled();
         let sent = self.now();
-        let beat = AgentHeartbeat { upstreams, ..self.heartbeat(sent) };
+        let lease = self.board.borrow_mut().ask_lease(sent);
+        let beat = AgentHeartbeat { upstreams, ..self.heartbeat(sent, lease) };
         let answer = if owner.address == self.settings.identity.address {
             let answer = self.settings.ownership.beat.send(HostBeat(beat));
             let limit = Duration::from_millis(HEARTBEAT_INTERVAL);
@@ -98,12 +100,12 @@
             }
         };
         match answer {
-            Ok(reply) => self.take_reply(sent, owner, &reply),
+            Ok(reply) => self.take_reply(sent, lease.number, owner, &reply),
             Err(refusal) => self.take_refusal(owner, &refusal),
         }
     }
 
-    fn heartbeat(&self, sent: Moment) -> AgentHeartbeat {
+    fn heartbeat(&self, sent: Moment, lease: LeaseRequest) -> AgentHeartbeat {
         let board = self.board.borrow();
         let book = board.table().map(TaskTable::book);
         let (measured, samples) = &*self.usage.borrow();
@@ -115,9 +117,9 @@
             at: self.settings.monitor.events.stamp(),
             agent: self.settings.identity.clone(),
             shard: self.settings.shard.clone(),
-            epoch: board.epoch(),
+            epoch: lease.epoch,
             config_revision: board.config().revision(),
-            lease_left_ms: board.lease_left(sent),
+            lease_left_ms: lease.left,
             capacity: book.map(|book| book.capacity()).unwrap_or_default(),
             committed: book.map(|book| book.committed()).unwrap_or_default(),
             draining: board.is_draining(),
@@ -131,12 +133,13 @@
     fn take_reply(
         self: &Rc<Self>,
         sent: Moment,
+        number: u64,
         owner: KnownOwner,
         reply: &HeartbeatReply,
     ) -> BeatOutcome {
         self.settings.monitor.events.observe(reply.at);
         let before = self.board.borrow().config().data_centre(&self.settings.identity.data_centre);
-        let received = self.board.borrow_mut().receive(self.now(), sent, reply);
+        let received = self.board.borrow_mut().receive(self.now(), sent, number, reply);
         let Ok(effect) = received else {
             self.owner.set(None);
             return BeatOutcome::OwnerUnknown;
--- a/crates/agent/tests/board.rs
+++ b/crates/agent/tests/board.rs
@@ -13,7 +13,8 @@
 use cactusdoor_peer::task::{StopMode, TaskRefusal};
 use cactusdoor_worker::{TaskEnd, TaskInventory};
 use support::{
-    T0, board, capacity, centre_delta, identity, inventory, listed, reply, run, small, start, stop,
+    T0, beat, board, capacity, centre_delta, identity, inventory, listed, reply, run, small, start,
+    stop,
 };
 
 /// Guards against a start under a configuration that may have changed since.
@@ -55,12 +56,12 @@
     let mut board = board();
     let config = centre_delta(0, 1, DataCentreState::Out);
     let out = HeartbeatReply { config, ..reply(1, TASK_LEASE, Some(0)) };
-    assert!(board.receive(T0, T0, &out).unwrap().config_changed);
+    assert!(beat(&mut board, T0, T0, &out).unwrap().config_changed);
     let refusal = Err(StartRefusal::DataCentreOut);
     assert_eq!(board.begin_start(T0, &small(10, 1)), refusal);
     let config = centre_delta(1, 2, DataCentreState::In);
     let back = HeartbeatReply { config, ..reply(1, TASK_LEASE, Some(0)) };
-    board.receive(T0, T0, &back).unwrap();
+    beat(&mut board, T0, T0, &back).unwrap();
     assert_eq!(board.begin_start(T0, &small(11, 1)), Ok(StartStep::Launch));
 }
 
@@ -72,7 +73,7 @@
     board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
     let config = centre_delta(5, 6, DataCentreState::In);
     let gap = HeartbeatReply { config, ..reply(1, TASK_LEASE, Some(0)) };
-    board.receive(T0, T0, &gap).unwrap();
+    beat(&mut board, T0, T0, &gap).unwrap();
     let refusal = Err(StartRefusal::ConfigurationStale);
     assert_eq!(board.begin_start(T0, &small(10, 1)), refusal);
 }
@@ -82,12 +83,12 @@
 fn stale_epoch_is_refused() {
     let mut board = board();
     run(&mut board, T0, 10, 1);
-    board.receive(T0, T0, &reply(2, TASK_LEASE, Some(0))).unwrap();
+    beat(&mut board, T0, T0, &reply(2, TASK_LEASE, Some(0))).unwrap();
     assert_eq!(board.begin_start(T0, &small(11, 1)), Err(StartRefusal::EpochStale));
     assert_eq!(board.begin_stop(&stop(10, 1, StopMode::Cancel)), Err(TaskRefusal::EpochStale));
     let later = T0.after(1_000);
-    assert!(board.receive(later, later, &reply(1, OUTAGE_LEASE, Some(0))).is_err());
-    assert_eq!(board.lease_deadline(), Some(T0.after(TASK_LEASE)));
+    assert!(beat(&mut board, later, later, &reply(1, OUTAGE_LEASE, Some(0))).is_err());
+    assert_eq!(board.lease_deadline(), T0.after(TASK_LEASE));
 }
 
 /// Guards against a token that the newer owner cannot start because the older one
@@ -131,7 +132,7 @@
     board.reconcile(T0.after(1), T0.after(1), &inventory(&[], &[(10, TaskEnd::Failed)]));
     assert_eq!(board.begin_start(T0.after(1), &small(10, 1)), Ok(StartStep::Repeated));
     let recorded = HeartbeatReply { recorded: vec![10], ..reply(1, TASK_LEASE, Some(0)) };
-    assert_eq!(board.receive(T0.after(1), T0.after(1), &recorded).unwrap().recorded, [10]);
+    assert_eq!(beat(&mut board, T0.after(1), T0.after(1), &recorded).unwrap().recorded, [10]);
     assert_matches!(board.begin_start(T0.after(1), &small(10, 1)), Err(_));
 }
 
@@ -191,7 +192,7 @@
     let mut board = board();
     run(&mut board, T0, 10, 1);
     let resumed = T0.after(TASK_LEASE + 5_000);
-    board.receive(resumed, resumed, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    beat(&mut board, resumed, resumed, &reply(1, TASK_LEASE, Some(0))).unwrap();
     assert!(board.holds_lease(resumed));
     assert_eq!(board.held()[0].state, RunState::Stopping);
     assert_eq!(board.renewal(resumed), None);
@@ -203,18 +204,21 @@
     let mut board = board();
     run(&mut board, T0, 10, 1);
     let received = T0.after(TASK_LEASE + 1);
-    board.receive(received, T0.after(500), &reply(1, TASK_LEASE, Some(0))).unwrap();
-    assert_eq!(board.lease_deadline(), Some(T0.after(500 + TASK_LEASE)));
+    beat(&mut board, received, T0.after(500), &reply(1, TASK_LEASE, Some(0))).unwrap();
+    assert_eq!(board.lease_deadline(), T0.after(500 + TASK_LEASE));
 }
 
 /// Guards against an older reply that shortens or extends a newer grant.
 #[test]
 fn reply_to_an_older_heartbeat_changes_no_lease() {
     let mut board = board();
-    let sent = T0.after(2_000);
-    board.receive(sent, sent, &reply(1, TASK_LEASE, Some(0))).unwrap();
-    board.receive(sent, T0.after(1_000), &reply(1, OUTAGE_LEASE, Some(0))).unwrap();
-    assert_eq!(board.lease_deadline(), Some(sent.after(TASK_LEASE)));
+    let (first, second) = (T0.after(1_000), T0.after(2_000));
+    let early = board.ask_lease(first).number;
+    let late = board.ask_lease(second).number;
+    board.receive(second, first, early, &reply(1, OUTAGE_LEASE, Some(0))).unwrap();
+    assert_eq!(board.lease_deadline(), T0.after(TASK_LEASE));
+    board.receive(second, second, late, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    assert_eq!(board.lease_deadline(), second.after(TASK_LEASE));
 }
 
 /// Guards against a worker that runs tasks beyond the agent's own deadline, and
@@ -225,7 +229,7 @@
     run(&mut board, T0, 10, 1);
     let now = T0.after(3_000);
     assert_eq!(board.renewal(now), Some((vec![10], TASK_LEASE - 3_000)));
-    board.receive(now, now, &reply(1, OUTAGE_LEASE, Some(0))).unwrap();
+    beat(&mut board, now, now, &reply(1, OUTAGE_LEASE, Some(0))).unwrap();
     assert_eq!(board.renewal(now), Some((vec![10], TASK_LEASE)));
 }
 
@@ -261,7 +265,7 @@
     let mut board = TaskBoard::new(identity());
     board.take_inventory(T0, T0, capacity(), &inventory(&[10], &[]));
     assert_matches!(board.begin_start(T0, &small(11, 1)), Err(_));
-    board.receive(T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    beat(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
     assert_eq!(board.begin_start(T0, &small(12, 1)), Ok(StartStep::Launch));
 }
 
@@ -295,6 +299,6 @@
 fn nearly_passed_lease_starts_nothing() {
     let mut board = board();
     let now = T0.after(1_000);
-    board.receive(now, now, &reply(1, 1_000, Some(0))).unwrap();
+    beat(&mut board, now, now, &reply(1, 1_000, Some(0))).unwrap();
     assert_eq!(board.begin_start(now, &small(10, 1)), Err(StartRefusal::NotReady));
 }
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub mod fake_owner;
 pub mod fake_worker;
 
-use cactusdoor_agent::board::{BoardIdentity, StartStep, TaskBoard};
+use cactusdoor_agent::board::{BoardIdentity, ReplyEffect, StaleReply, StartStep, TaskBoard};
 use cactusdoor_agent::table::LaunchAnswer;
 use cactusdoor_core::config::{ConfigDelta, ConfigItem, DataCentreState, ItemValue};
 use cactusdoor_core::constants::TASK_LEASE;
@@ -88,10 +88,21 @@
 pub fn board() -> TaskBoard {
     let mut board = TaskBoard::new(identity());
     board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
-    board.receive(T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    beat(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
     board
 }
 
+/// A heartbeat sent at `sent` whose reply is received at `now`.
+pub fn beat(
+    board: &mut TaskBoard,
+    now: Moment,
+    sent: Moment,
+    reply: &HeartbeatReply,
+) -> Result<ReplyEffect, StaleReply> {
+    let number = board.ask_lease(sent).number;
+    board.receive(now, sent, number, reply)
+}
+
 /// Starts a small task that the worker confirms.
 pub fn run(board: &mut TaskBoard, now: Moment, token: Token, epoch: Epoch) {
     assert_eq!(board.begin_start(now, &small(token, epoch)), Ok(StartStep::Launch));
--- a/crates/agent/tests/table.rs
+++ b/crates/agent/tests/table.rs
@@ -15,7 +15,7 @@
 use cactusdoor_worker::{TaskEnd, TaskInventory};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use support::{T0, board, inventory, reply, run, small, start, stop};
+use support::{T0, beat, board, inventory, reply, run, small, start, stop};
 
 fn launch_uncertain(board: &mut TaskBoard, token: Token) {
     board.begin_start(T0, &small(token, 1)).unwrap();
@@ -133,7 +133,7 @@
     assert_eq!(board.table().unwrap().acknowledgeable(&ended), Vec::<Token>::new());
     let recorded = HeartbeatReply { recorded: vec![10], ..reply(1, TASK_LEASE, Some(0)) };
     let now = T0.after(200);
-    board.receive(now, now, &recorded).unwrap();
+    beat(&mut board, now, now, &recorded).unwrap();
     assert_eq!(board.table().unwrap().acknowledgeable(&ended), [10]);
     look(&mut board, now, &ended);
     assert_eq!(board.ended(), []);
@@ -237,7 +237,7 @@
                 }
                 Step::Wait(time) => now = now.after(time),
                 Step::Beat { epoch } => {
-                    let _ = board.receive(now, now, &reply(epoch, TASK_LEASE, Some(0)));
+                    let _ = beat(&mut board, now, now, &reply(epoch, TASK_LEASE, Some(0)));
                 }
             }
             let table = board.table().unwrap();
