--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -9,6 +9,7 @@
 use anyhow::Context as _;
 use cactusdoor_core::envelope::WriterId;
 use cactusdoor_log::client::LogClient;
+use cactusdoor_node::agent::AgentSettings;
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_node::monitor::ProcessMonitor;
 use cactusdoor_node::process::draw_incarnation;
@@ -19,12 +20,12 @@
 use cactusdoor_worker::WorkerClient;
 
 use crate::keeper::{DrainTasks, KeeperSettings, TaskKeeper};
+use crate::ledger::LedgerLimits;
 use crate::metrics::AgentMetrics;
 use crate::ownership::OwnershipPort;
 use crate::relay::{DrainRequests, RelaySettings, RequestRelay};
 use crate::routes;
 use crate::service::AgentServer;
-use crate::settings::AgentSettings;
 
 /// Time for the last answers to leave through their connections.
 const LINGER: Duration = Duration::from_millis(100);
@@ -68,7 +69,10 @@
             incarnation: identity.incarnation,
             clock,
             upstreams: upstreams.clone(),
-            limits: limits.ledger,
+            limits: LedgerLimits {
+                claims: limits.remembered_claims,
+                answer_bytes: limits.kept_answer_bytes,
+            },
             metrics: metrics.clone(),
         });
         let host = OwnerHost::spawn(HostSettings {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,5 @@
 pub mod relay;
 pub mod routes;
 pub mod service;
-pub mod settings;
 pub mod table;
 pub mod upkeep;
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -3,7 +3,7 @@
 use anyhow::Context as _;
 use cactusdoor_agent::args::agent_args;
 use cactusdoor_agent::daemon::AgentDaemon;
-use cactusdoor_agent::settings::AgentSettings;
+use cactusdoor_node::agent::AgentSettings;
 use cactusdoor_node::{logging, shutdown};
 
 fn main() -> anyhow::Result<()> {
--- a/crates/agent/tests/daemon.rs
+++ b/crates/agent/tests/daemon.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use cactusdoor_agent::daemon::AgentDaemon;
-use cactusdoor_agent::settings::AgentSettings;
+use cactusdoor_node::agent::AgentSettings;
 use cactusdoor_peer::AgentServiceClient;
 use cactusdoor_peer::answer::{
     CallFailure, CallRefusal, ClaimDelivery, DeliveryFailure, RequestId, UpstreamCall,
--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/keeper.rs
@@ -11,11 +11,11 @@
 use cactusdoor_agent::keeper::{
     DescribeAgent, DrainTasks, KeeperSettings, NoteOwner, StartTasks, StopTasks, TaskKeeper,
 };
+use cactusdoor_agent::ledger::LedgerLimits;
 use cactusdoor_agent::metrics::AgentMetrics;
 use cactusdoor_agent::ownership::OwnershipPort;
 use cactusdoor_agent::relay::{RelaySettings, RequestRelay};
 use cactusdoor_agent::routes::AgentReport;
-use cactusdoor_agent::settings::AgentLimits;
 use cactusdoor_core::constants::OWNER_SILENCE;
 use cactusdoor_core::job::{PlacementEnd, StartRefusal};
 use cactusdoor_node::clock::MonotonicClock;
@@ -31,11 +31,7 @@
 
 /// Far beyond what any test needs.
 const PATIENCE: Duration = Duration::from_secs(30);
-const LIMITS: AgentLimits = AgentLimits {
-    worker_poll: 20,
-    ledger: cactusdoor_agent::ledger::LedgerLimits { claims: 1_000, answer_bytes: 1_000 },
-    stop: 1_000,
-};
+const LIMITS: LedgerLimits = LedgerLimits { claims: 1_000, answer_bytes: 1_000 };
 
 struct Bench {
     keeper: Addr<TaskKeeper>,
@@ -57,7 +53,7 @@
         incarnation: INCARNATION,
         clock,
         upstreams: UpstreamRegistry::open("vm".parse().unwrap(), clock, events),
-        limits: LIMITS.ledger,
+        limits: LIMITS,
         metrics: metrics.clone(),
     });
     let keeper = TaskKeeper::spawn(KeeperSettings {
@@ -72,7 +68,7 @@
         clock,
         monitor: monitor.clone(),
         worker: WorkerClient::open(worker),
-        worker_poll: LIMITS.worker_poll,
+        worker_poll: 20,
         ownership: OwnershipPort::of(&host),
         upstreams: relay.recipient(),
         metrics,
--- a/crates/agent/src/settings.rs
+++ b/crates/node/src/agent.rs
@@ -1,4 +1,5 @@
-//! Settings of the agent.
+//! Settings of an agent. They are read here so that the command line can check
+//! a file without the daemon.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -6,10 +7,9 @@
 use cactusdoor_core::name::{DataCentre, ShardName};
 use cactusdoor_core::rendezvous;
 use cactusdoor_core::unit::Millis;
-use cactusdoor_node::process::{ProcessSettings, read_process};
-use cactusdoor_node::settings::{FaultKind, SettingsError, SettingsFile};
 
-use crate::ledger::LedgerLimits;
+use crate::process::{ProcessSettings, read_process};
+use crate::settings::{FaultKind, SettingsError, SettingsFile};
 
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:7000";
 const MEBIBYTE: u64 = 1024 * 1024;
@@ -27,7 +27,10 @@
 pub struct AgentLimits {
     /// Time between looks at the worker's tasks.
     pub worker_poll: Millis,
-    pub ledger: LedgerLimits,
+    /// Claims of binding requests that are remembered one by one.
+    pub remembered_claims: usize,
+    /// Answers of binding requests that are kept.
+    pub kept_answer_bytes: usize,
     /// Longest graceful stop.
     pub stop: Millis,
 }
@@ -111,9 +114,10 @@
     let claims = file.integer("limits", "remembered_claims", (1_000, 1_000_000), Some(65_536));
     let answers = file.integer("limits", "kept_answer_mib", (1, 128), Some(32));
     let stop = file.integer("limits", "stop_ms", (1_000, 600_000), Some(90_000));
-    let ledger = LedgerLimits {
-        claims: usize::try_from(claims?).ok()?,
-        answer_bytes: usize::try_from(answers? * MEBIBYTE).ok()?,
-    };
-    Some(AgentLimits { worker_poll: poll?, ledger, stop: stop? })
+    Some(AgentLimits {
+        worker_poll: poll?,
+        remembered_claims: usize::try_from(claims?).ok()?,
+        kept_answer_bytes: usize::try_from(answers? * MEBIBYTE).ok()?,
+        stop: stop?,
+    })
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! Settings, logging and metrics that every daemon shares.
 
+pub mod agent;
 pub mod clock;
 pub mod logging;
 pub mod monitor;
--- a/crates/agent/tests/settings.rs
+++ b/crates/node/tests/agent.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use assert_matches::assert_matches;
-use cactusdoor_agent::settings::AgentSettings;
+use cactusdoor_node::agent::AgentSettings;
 use cactusdoor_node::settings::SettingsError;
 
 const TEXT: &str = "
