--- a/crates/agent/src/board.rs
+++ b/crates/agent/src/board.rs
@@ -72,8 +72,8 @@
     config: ConfigState,
     view: ConfirmedView,
     lease: HeldLease,
-    /// Whether an owner renewed the lease; an inherited one was not.
-    renewed: bool,
+    /// Whether an owner granted the lease; it is inherited otherwise.
+    granted: bool,
     draining: bool,
     /// `None` until the inventory is taken.
     table: Option<TaskTable>,
@@ -88,7 +88,7 @@
             config: ConfigState::default(),
             view: ConfirmedView::default(),
             lease: HeldLease::default(),
-            renewed: false,
+            granted: false,
             draining: false,
             table: None,
         }
@@ -154,11 +154,7 @@
         table.adopt(now, inventory);
         self.table = Some(table);
         let left = inventory.running.iter().map(|task| task.lease_left_ms).max();
-        if let Some(left) = left
-            && !self.renewed
-        {
-            self.lease = HeldLease::granted(sent, left);
-        }
+        self.lease = HeldLease::granted(sent, left.unwrap_or(0));
     }
 
     /// Adopts the epoch of an owner; `false` if a newer one is known.
@@ -172,7 +168,8 @@
         self.lease.ask(now, self.epoch)
     }
 
-    /// Takes over the reply to heartbeat `number`, which was sent at `sent`.
+    /// Takes over the reply to the heartbeat with lease request `number`, which was
+    /// sent at `sent`.
     ///
     /// A renewal does not revive tasks whose lease had passed: the owner may have
     /// placed them elsewhere, so they are stopped.
@@ -189,7 +186,9 @@
         if !self.holds_lease(now) {
             self.stop_all();
         }
-        self.renewed |= self.lease.renew(number, reply.lease_ms);
+        if self.lease.renew(number, reply.lease_ms) {
+            self.granted = true;
+        }
         let before = self.config.revision();
         if self.config.apply_delta(&reply.config)
             && let Some(age) = reply.config_age_ms
@@ -221,7 +220,7 @@
             return Err(StartRefusal::DataCentreOut);
         }
         // An inherited lease was granted for the tasks that run, not for new ones.
-        if !self.renewed || !self.holds_lease(now.after(CHECKPOINT_MARGIN)) {
+        if !self.granted || !self.holds_lease(now.after(CHECKPOINT_MARGIN)) {
             return Err(StartRefusal::NotReady);
         }
         Ok(())
@@ -408,7 +407,7 @@
     /// that is being stopped is not, as it may have been placed elsewhere.
     #[must_use]
     pub fn renewal(&self, now: Moment) -> Option<(Vec<Token>, Millis)> {
-        if !self.renewed || !self.holds_lease(now) {
+        if !self.granted || !self.holds_lease(now) {
             return None;
         }
         let entitled = self.table()?.live().filter(|t| !matches!(t, LiveTask::Stopping(_)));
--- a/crates/agent/src/pulse.rs
+++ b/crates/agent/src/pulse.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cactusdoor_core::constants::{CLAIM_JITTER, HEARTBEAT_INTERVAL, OWNER_SILENCE};
+use cactusdoor_core::lease::LeaseRequest;
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_owner::{FindOwner, HostBeat, SilentShards};
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply};
@@ -80,8 +81,8 @@
         // After a pause, tasks whose lease has passed must not be listed as running.
         self.stop_unentitled();
         let sent = self.now();
-        let beat = AgentHeartbeat { upstreams, ..self.heartbeat(sent) };
-        let number = beat.number;
+        let lease = self.board.borrow_mut().ask_lease(sent);
+        let beat = AgentHeartbeat { upstreams, ..self.heartbeat(sent, lease) };
         let answer = if owner.address == self.settings.identity.address {
             let answer = self.settings.ownership.beat.send(HostBeat(beat));
             let limit = Duration::from_millis(HEARTBEAT_INTERVAL);
@@ -99,13 +100,12 @@
             }
         };
         match answer {
-            Ok(reply) => self.take_reply(sent, number, owner, &reply),
+            Ok(reply) => self.take_reply(sent, lease.number, owner, &reply),
             Err(refusal) => self.take_refusal(owner, &refusal),
         }
     }
 
-    fn heartbeat(&self, sent: Moment) -> AgentHeartbeat {
-        let request = self.board.borrow_mut().ask_lease(sent);
+    fn heartbeat(&self, sent: Moment, lease: LeaseRequest) -> AgentHeartbeat {
         let board = self.board.borrow();
         let book = board.table().map(TaskTable::book);
         let (measured, samples) = &*self.usage.borrow();
@@ -117,10 +117,10 @@
             at: self.settings.monitor.events.stamp(),
             agent: self.settings.identity.clone(),
             shard: self.settings.shard.clone(),
-            epoch: request.epoch,
-            number: request.number,
+            epoch: lease.epoch,
+            number: lease.number,
             config_revision: board.config().revision(),
-            lease_left_ms: request.left,
+            lease_left_ms: lease.left,
             capacity: book.map(|book| book.capacity()).unwrap_or_default(),
             committed: book.map(|book| book.committed()).unwrap_or_default(),
             draining: board.is_draining(),
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -88,26 +88,26 @@
 pub fn board() -> TaskBoard {
     let mut board = TaskBoard::new(identity());
     board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
-    receive(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    beat(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
     board
 }
 
-/// Starts a small task that the worker confirms.
-pub fn run(board: &mut TaskBoard, now: Moment, token: Token, epoch: Epoch) {
-    assert_eq!(board.begin_start(now, &small(token, epoch)), Ok(StartStep::Launch));
-    board.launch_lease(now, token, epoch).unwrap();
-    board.launched(now, token, LaunchAnswer::Runs);
-}
-
-/// Asks for a renewal at `sent` and takes over the reply at `now`.
-pub fn receive(
+/// A heartbeat sent at `sent` whose reply is received at `now`.
+pub fn beat(
     board: &mut TaskBoard,
     now: Moment,
     sent: Moment,
     reply: &HeartbeatReply,
 ) -> Result<ReplyEffect, StaleReply> {
-    let request = board.ask_lease(sent);
-    board.receive(now, sent, request.number, reply)
+    let number = board.ask_lease(sent).number;
+    board.receive(now, sent, number, reply)
+}
+
+/// Starts a small task that the worker confirms.
+pub fn run(board: &mut TaskBoard, now: Moment, token: Token, epoch: Epoch) {
+    assert_eq!(board.begin_start(now, &small(token, epoch)), Ok(StartStep::Launch));
+    board.launch_lease(now, token, epoch).unwrap();
+    board.launched(now, token, LaunchAnswer::Runs);
 }
 
 pub fn listed(token: Token, lease_left_ms: Millis) -> RunningTask {
