Add checks of histories against the invariants

The demo counted runs by itself; tests of whole installations need the same checks: a task in two places, an overcommitted VM, a key executed twice, and work at an upstream that is leaving. Each check is shown a good history and one that differs in the fault alone.

--- /dev/null
+++ b/crates/standin/src/check.rs
@@ -0,0 +1,156 @@
+//! Checks of histories against the invariants of the design.
+
+use std::collections::BTreeMap;
+
+use cactusdoor_core::job::TaskId;
+use cactusdoor_core::resource::{ResourceKind, ResourceVector};
+use cactusdoor_core::unit::Token;
+use thiserror::Error;
+
+use crate::history::UnixMicros;
+use crate::upstream::{ExecutionChange, ExecutionHistory};
+use crate::worker::{StopReason, TaskChange, TaskHistory};
+
+/// A broken invariant.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Violation {
+    #[error("task {task} ran on {first} and on {second} at the same time")]
+    RanTwice { task: TaskId, first: String, second: String },
+    #[error("{worker} ran more than it has {resource} at {time_unix_us}")]
+    Overcommitted { worker: String, resource: ResourceKind, time_unix_us: UnixMicros },
+    #[error("key {plan}/{key} was executed {count} times")]
+    ExecutedTwice { plan: String, key: String, count: usize },
+    #[error("{upstream} started request {request_id} {leaving_us} us after it began to leave")]
+    StartedWhileLeaving { upstream: String, request_id: String, leaving_us: UnixMicros },
+}
+
+/// One run of a task on a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskRun {
+    pub worker: String,
+    pub task: TaskId,
+    pub token: Token,
+    pub need: ResourceVector,
+    pub started: UnixMicros,
+    /// When and why it stopped; `None` if it still runs.
+    pub stopped: Option<(UnixMicros, StopReason)>,
+}
+
+impl TaskRun {
+    fn end(&self) -> UnixMicros {
+        self.stopped.as_ref().map_or(UnixMicros::MAX, |(time, _)| *time)
+    }
+}
+
+/// The runs in the histories of any number of workers, in order of their starts.
+#[must_use]
+pub fn runs(history: &[TaskHistory]) -> Vec<TaskRun> {
+    let mut runs: Vec<TaskRun> = Vec::new();
+    for record in history {
+        match &record.change {
+            TaskChange::Started { .. } => runs.push(TaskRun {
+                worker: record.worker.clone(),
+                task: record.task.clone(),
+                token: record.token,
+                need: record.need,
+                started: record.time_unix_us,
+                stopped: None,
+            }),
+            TaskChange::Stopped(reason) => {
+                let open = runs.iter_mut().rev().find(|run| {
+                    run.worker == record.worker
+                        && run.token == record.token
+                        && run.stopped.is_none()
+                });
+                if let Some(run) = open {
+                    run.stopped = Some((record.time_unix_us, reason.clone()));
+                }
+            }
+        }
+    }
+    runs.sort_by_key(|run| run.started);
+    runs
+}
+
+/// Tasks that ran in two places at once.
+#[must_use]
+pub fn overlaps(runs: &[TaskRun]) -> Vec<Violation> {
+    let mut by_task: BTreeMap<&TaskId, Vec<&TaskRun>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(&run.task).or_default().push(run);
+    }
+    let mut violations = Vec::new();
+    for (task, runs) in by_task {
+        let mut latest: Option<&TaskRun> = None;
+        for run in runs {
+            if let Some(earlier) = latest.filter(|earlier| run.started < earlier.end()) {
+                let (first, second) = (earlier.worker.clone(), run.worker.clone());
+                violations.push(Violation::RanTwice { task: task.clone(), first, second });
+            }
+            if latest.is_none_or(|earlier| run.end() >= earlier.end()) {
+                latest = Some(run);
+            }
+        }
+    }
+    violations
+}
+
+/// Workers that ran more than their `capacity`.
+#[must_use]
+pub fn overcommitments(runs: &[TaskRun], capacity: ResourceVector) -> Vec<Violation> {
+    let mut by_worker: BTreeMap<&str, Vec<&TaskRun>> = BTreeMap::new();
+    for run in runs {
+        by_worker.entry(&run.worker).or_default().push(run);
+    }
+    let mut violations = Vec::new();
+    for (worker, runs) in by_worker {
+        // Usage only rises at starts, so only they need a look.
+        for start in runs.iter().map(|run| run.started) {
+            let running = runs.iter().filter(|run| run.started <= start && start < run.end());
+            let used = running
+                .fold(ResourceVector::ZERO, |used, run| used.checked_add(run.need).unwrap_or(used));
+            if let Some(resource) = capacity.shortage(used) {
+                let (worker, time_unix_us) = (worker.to_owned(), start);
+                violations.push(Violation::Overcommitted { worker, resource, time_unix_us });
+            }
+        }
+    }
+    violations
+}
+
+/// Idempotency keys that were executed more than once.
+#[must_use]
+pub fn repeated_keys(history: &[ExecutionHistory]) -> Vec<Violation> {
+    let mut counts: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for record in started(history) {
+        if let Some(key) = &record.key {
+            *counts.entry((&record.plan, key)).or_default() += 1;
+        }
+    }
+    let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+    let violation = |((plan, key), count): ((&str, &str), usize)| Violation::ExecutedTwice {
+        plan: plan.to_owned(),
+        key: key.to_owned(),
+        count,
+    };
+    repeated.map(violation).collect()
+}
+
+/// Executions that started later than `grace` after their upstream began to leave.
+#[must_use]
+pub fn late_starts(history: &[ExecutionHistory], grace: UnixMicros) -> Vec<Violation> {
+    let violation = |record: &ExecutionHistory| match record.change {
+        ExecutionChange::Started { leaving_us: Some(leaving_us) } if leaving_us > grace => {
+            let (upstream, request_id) = (record.upstream.clone(), record.request_id.clone());
+            Some(Violation::StartedWhileLeaving { upstream, request_id, leaving_us })
+        }
+        _ => None,
+    };
+    history.iter().filter_map(violation).collect()
+}
+
+fn started(history: &[ExecutionHistory]) -> impl Iterator<Item = &ExecutionHistory> {
+    let is_start =
+        |record: &&ExecutionHistory| matches!(record.change, ExecutionChange::Started { .. });
+    history.iter().filter(is_start)
+}
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -3,21 +3,21 @@
 //! What happened is judged by the histories of the stand-ins, not by what the
 //! daemons say about themselves.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail, ensure};
 use bytes::Bytes;
 use cactusdoor_core::config::{AllowanceSpec, ItemChange, ItemValue, PlanSpec};
-use cactusdoor_core::job::TaskId;
 use cactusdoor_core::name::{PlanName, ServiceName, TeamName};
 use cactusdoor_core::resource::ResourceVector;
 use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::check::{self, TaskRun};
 use crate::harness::{ApiClient, ApiReply, CentrePlan, Cluster, ClusterPlan};
 use crate::upstream::{AnswerBody, ExecutionChange, ExecutionHistory, UpstreamOptions};
-use crate::worker::{StopReason, TaskChange};
+use crate::worker::StopReason;
 
 /// Longest start of one daemon.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -260,28 +260,16 @@
 
     /// Number of finished tasks; fails if one finished twice or ran in two places at once.
     fn finished_tasks(&self) -> Result<usize> {
-        let mut history: Vec<_> =
-            self.cluster.vms.iter().flat_map(|vm| vm.worker.history()).collect();
-        history.sort_by_key(|record| record.time_unix_us);
-        let mut running: BTreeMap<TaskId, String> = BTreeMap::new();
-        let mut finished: BTreeMap<TaskId, u32> = BTreeMap::new();
-        for record in history {
-            match record.change {
-                TaskChange::Started { .. } => {
-                    let earlier = running.insert(record.task.clone(), record.worker);
-                    ensure!(earlier.is_none(), "task {} ran in two places", record.task);
-                }
-                TaskChange::Stopped(reason) => {
-                    running.remove(&record.task);
-                    if reason == StopReason::Finished {
-                        *finished.entry(record.task).or_default() += 1;
-                    }
-                }
-            }
+        let history: Vec<_> = self.cluster.vms.iter().flat_map(|vm| vm.worker.history()).collect();
+        let runs = check::runs(&history);
+        if let Some(violation) = check::overlaps(&runs).pop() {
+            return Err(violation.into());
         }
-        let repeated = finished.iter().find(|(_, count)| **count > 1);
-        ensure!(repeated.is_none(), "a task finished more than once: {repeated:?}");
-        Ok(finished.len())
+        let is_finished = |run: &&TaskRun| matches!(run.stopped, Some((_, StopReason::Finished)));
+        let finished: Vec<_> = runs.iter().filter(is_finished).map(|run| &run.task).collect();
+        let tasks: BTreeSet<_> = finished.iter().collect();
+        ensure!(tasks.len() == finished.len(), "a task finished more than once: {finished:?}");
+        Ok(tasks.len())
     }
 
     /// Stops all daemons gracefully, entries first.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! processes against them.
 
 pub mod announcer;
+pub mod check;
 pub mod demo;
 pub mod harness;
 pub mod history;
--- /dev/null
+++ b/crates/standin/tests/check.rs
@@ -0,0 +1,102 @@
+//! Each check accepts a good history and reports a bad one.
+
+mod common;
+
+use cactusdoor_core::resource::{ResourceKind, ResourceVector};
+use cactusdoor_standin::check::{
+    Violation, late_starts, overcommitments, overlaps, repeated_keys, runs,
+};
+use cactusdoor_standin::upstream::{ExecutionChange, ExecutionHistory};
+use cactusdoor_standin::worker::{StopReason, TaskChange, TaskHistory};
+
+use common::{kind, task};
+
+fn record(worker: &str, token: u64, time: u64, change: TaskChange) -> TaskHistory {
+    TaskHistory {
+        worker: worker.into(),
+        boot: 1,
+        time_unix_us: time,
+        task: task(0),
+        token,
+        kind: kind("transcription"),
+        need: ResourceVector::new(600, 10, 0),
+        change,
+    }
+}
+
+fn start(worker: &str, token: u64, time: u64) -> TaskHistory {
+    record(worker, token, time, TaskChange::Started { checkpoint: None })
+}
+
+fn stop(worker: &str, token: u64, time: u64) -> TaskHistory {
+    record(worker, token, time, TaskChange::Stopped(StopReason::Lapsed))
+}
+
+/// Guards against a checker that misses a second run or reports a successor.
+#[test]
+fn overlap_is_found() {
+    let good = [start("v", 1, 10), stop("v", 1, 20), start("w", 2, 20), stop("w", 2, 30)];
+    assert_eq!(overlaps(&runs(&good)), []);
+    let bad = [start("v", 1, 10), stop("v", 1, 21), start("w", 2, 20), stop("w", 2, 30)];
+    let (first, second) = ("v".to_owned(), "w".to_owned());
+    let twice = Violation::RanTwice { task: task(0), first, second };
+    assert_eq!(overlaps(&runs(&bad)), std::slice::from_ref(&twice));
+    let open = [start("v", 1, 10), start("w", 2, 20), stop("w", 2, 30)];
+    assert_eq!(overlaps(&runs(&open)), [twice]);
+    // The short run between lies within the long one, which the third meets too.
+    let nested = [start("v", 1, 10), start("w", 2, 20), stop("w", 2, 25), start("x", 3, 30)];
+    assert_eq!(overlaps(&runs(&nested)).len(), 2);
+}
+
+/// Guards against a checker that misses an overcommitted worker.
+#[test]
+fn overcommitment_is_found() {
+    let capacity = ResourceVector::new(1_000, 1_000, 0);
+    let good = [start("v", 1, 10), stop("v", 1, 20), start("v", 2, 20), start("w", 3, 20)];
+    assert_eq!(overcommitments(&runs(&good), capacity), []);
+    let bad = [start("v", 1, 10), start("v", 2, 15), stop("v", 1, 20)];
+    let expected = Violation::Overcommitted {
+        worker: "v".into(),
+        resource: ResourceKind::Processors,
+        time_unix_us: 15,
+    };
+    assert_eq!(overcommitments(&runs(&bad), capacity), [expected]);
+}
+
+fn execution(key: Option<&str>, change: ExecutionChange) -> ExecutionHistory {
+    ExecutionHistory {
+        upstream: "u".into(),
+        time_unix_us: 1,
+        execution: 1,
+        request_id: "r".into(),
+        key: key.map(str::to_owned),
+        plan: "plan".into(),
+        service: "counter".into(),
+        body_digest: 0,
+        change,
+    }
+}
+
+/// Guards against a checker that counts ends or requests without a key.
+#[test]
+fn repeated_key_is_found() {
+    let started = ExecutionChange::Started { leaving_us: None };
+    let once = [
+        execution(Some("k"), started),
+        execution(Some("k"), ExecutionChange::Completed),
+        execution(None, started),
+        execution(None, started),
+    ];
+    assert_eq!(repeated_keys(&once), []);
+    let twice = [execution(Some("k"), started), execution(Some("k"), started)];
+    let (plan, key) = ("plan".to_owned(), "k".to_owned());
+    assert_eq!(repeated_keys(&twice), [Violation::ExecutedTwice { plan, key, count: 2 }]);
+}
+
+/// Guards against a checker that ignores the time since the upstream began to leave.
+#[test]
+fn late_start_is_found() {
+    let started = |leaving_us| execution(None, ExecutionChange::Started { leaving_us });
+    assert_eq!(late_starts(&[started(None), started(Some(100))], 100), []);
+    assert_eq!(late_starts(&[started(Some(101))], 100).len(), 1);
+}
