--- /dev/null
+++ b/crates/standin/tests/cluster/site.rs
@@ -0,0 +1,224 @@
+//! An installation with one plan, and what the tests do with it.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use awc::http::Method;
+use bytes::Bytes;
+use cactusdoor_core::config::{AllowanceSpec, ItemChange, ItemValue, PlanSpec};
+use cactusdoor_core::name::{PlanName, ServiceName, TeamName};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_standin::check::{self, TaskRun};
+use cactusdoor_standin::harness::{ApiClient, ApiReply, Cluster, ClusterPlan};
+use cactusdoor_standin::upstream::{AnswerBody, ExecutionHistory, UpstreamOptions};
+use cactusdoor_standin::worker::StopReason;
+use serde_json::{Value, json};
+
+/// Longest wait for an event that has to happen. A VM that fails alone costs
+/// about 11 s, a lost owner about 4 s more, and a full move a checkpoint each.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+pub struct Site {
+    pub cluster: Cluster,
+    pub plan: PlanName,
+    pub service: ServiceName,
+    capacity: ResourceVector,
+}
+
+impl Site {
+    /// Two data centres with an entry and two agents each, ready for work.
+    pub async fn open() -> Self {
+        let service = ServiceName::new("counter").unwrap();
+        let mut plan = ClusterPlan::uniform(2, 1, 2);
+        plan.upstream = Some(UpstreamOptions {
+            name: String::new(),
+            service: service.clone(),
+            agent: None,
+            announced: None,
+            slots: 8,
+            connections: 64,
+            service_time_ms: 20,
+            answer_bytes: 500,
+            history: None,
+        });
+        // Eight tasks of one processor need two VMs, so that each test has tasks both
+        // beside an owner and elsewhere.
+        plan.worker.capacity = ResourceVector::new(6_000, 64_000, 0);
+        let capacity = plan.worker.capacity;
+        let mut cluster = Cluster::spawn(&plan).unwrap();
+        cluster.wait_ready(PATIENCE).await.unwrap();
+        let plan = PlanName::new("plan-1").unwrap();
+        let site = Self { cluster, plan, service, capacity };
+        site.publish().await;
+        site.warm_up().await;
+        site
+    }
+
+    pub fn caller(&self, entry: usize) -> ApiClient {
+        ApiClient::open(self.cluster.entries[entry].callers)
+    }
+
+    pub fn operator(&self, entry: usize) -> ApiClient {
+        ApiClient::open(self.cluster.entries[entry].operator)
+    }
+
+    async fn publish(&self) {
+        let batch = ResourceVector::new(8_000, 64_000, 0);
+        let allowance = AllowanceSpec { batch, requests_per_second: 10_000 };
+        let plan = PlanSpec { team: TeamName::new("team-1").unwrap(), weight: 1 };
+        let values = [
+            ItemValue::Plan(self.plan.clone(), Some(plan)),
+            ItemValue::Allowance(self.plan.clone(), Some(allowance)),
+        ];
+        let items = values.map(|value| ItemChange { premise: 0, value });
+        let body = json!({ "items": items });
+        let operator = self.operator(0);
+        let reply = operator.send_json(Method::POST, "/v1/config/changes", &[], &body).await;
+        reply.unwrap().success().unwrap();
+    }
+
+    /// Waits until every entry knows the plan and an upstream.
+    async fn warm_up(&self) {
+        for entry in 0..self.cluster.entries.len() {
+            let caller = self.caller(entry);
+            wait_for("an answer", async || self.ask(&caller, "warm-up").await.status == 200).await;
+        }
+    }
+
+    /// Sends an interactive request; an answer has to belong to it.
+    pub async fn ask(&self, caller: &ApiClient, question: &str) -> ApiReply {
+        let body = Bytes::from(json!({ "question": question }).to_string());
+        let reply = caller.interactive(&self.service, &self.plan, body.clone()).await.unwrap();
+        if reply.status == 200 {
+            let answer: AnswerBody = reply.json().unwrap();
+            assert_eq!(answer.body_digest, xxhash_rust::xxh3::xxh3_64(&body));
+        }
+        reply
+    }
+
+    /// Sends a binding request; `None` if the connection broke.
+    pub async fn settle(&self, caller: &ApiClient, key: &str) -> Option<ApiReply> {
+        let body = Bytes::from(json!({ "rental": key }).to_string());
+        caller.binding(&self.service, &self.plan, key, body).await.ok()
+    }
+
+    pub async fn submit(&self, key: &str, tasks: u32, run_time_ms: u64) {
+        let job = json!({
+            "plan": self.plan,
+            "kind": "transcription",
+            "class": "batch",
+            "tasks": tasks,
+            "need": ResourceVector::new(1_000, 1_000, 0),
+            "run_time_ms": run_time_ms,
+            "checkpoints": true,
+        });
+        let reply = self.caller(0).submit(key, &job).await.unwrap();
+        assert_eq!(reply.success().unwrap().status, 202);
+    }
+
+    pub fn runs(&self) -> Vec<TaskRun> {
+        let history: Vec<_> = self.cluster.vms.iter().flat_map(|vm| vm.worker.history()).collect();
+        check::runs(&history)
+    }
+
+    pub fn executions(&self) -> Vec<ExecutionHistory> {
+        let upstreams = self.cluster.vms.iter().filter_map(|vm| vm.upstream.as_ref());
+        upstreams.flat_map(|upstream| upstream.history()).collect()
+    }
+
+    /// Tasks that have finished.
+    pub fn finished(&self) -> usize {
+        let runs = self.runs();
+        let is_finished = |run: &&TaskRun| matches!(run.stopped, Some((_, StopReason::Finished)));
+        let tasks: std::collections::BTreeSet<_> =
+            runs.iter().filter(is_finished).map(|run| &run.task).collect();
+        tasks.len()
+    }
+
+    pub async fn wait_started(&self, tasks: usize) {
+        wait_for("tasks start", async || self.runs().len() >= tasks).await;
+    }
+
+    pub async fn wait_finished(&self, tasks: usize) {
+        wait_for("tasks finish", async || self.finished() >= tasks).await;
+    }
+
+    /// Checks the invariants that hold at all times.
+    pub fn check(&self) {
+        let runs = self.runs();
+        assert_eq!(check::overlaps(&runs), []);
+        assert_eq!(check::overcommitments(&runs, self.capacity), []);
+        assert_eq!(check::repeated_keys(&self.executions()), []);
+    }
+
+    /// Names of the VMs that own a shard.
+    pub async fn owners(&self) -> Vec<String> {
+        let roster: Value = self.operator(0).get("/v1/roster").await.unwrap().json().unwrap();
+        let shards = roster["shards"].as_array().unwrap();
+        shards.iter().map(|shard| shard["owner"].as_str().unwrap().to_owned()).collect()
+    }
+
+    /// Number of a VM that runs a task and, as asked, owns a shard or not.
+    pub async fn busy_vm(&self, owner: bool) -> Option<usize> {
+        let owners = self.owners().await;
+        let runs = self.runs();
+        let is_busy = |vm: &str| runs.iter().any(|run| run.worker == vm && run.stopped.is_none());
+        let mut vms = self.cluster.vms.iter();
+        vms.position(|vm| is_busy(&vm.vm) && owners.contains(&vm.vm) == owner)
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn wait_for(what: &str, condition: impl AsyncFn() -> bool) {
+    let started = Instant::now();
+    while !condition().await {
+        assert!(started.elapsed() < PATIENCE, "timed out: {what}");
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Callers that send interactive requests one after the other until told to stop.
+pub struct CallerLoad {
+    stopping: Rc<Cell<bool>>,
+    tasks: Vec<actix_rt::task::JoinHandle<Vec<Result<ApiReply, String>>>>,
+}
+
+impl CallerLoad {
+    pub fn start(site: &Site, callers: usize) -> Self {
+        let stopping = Rc::new(Cell::new(false));
+        let entries = site.cluster.entries.len();
+        let tasks = (0..callers).map(|number| {
+            let caller = site.caller(number % entries);
+            let (service, plan, stopping) =
+                (site.service.clone(), site.plan.clone(), stopping.clone());
+            actix_rt::spawn(async move {
+                let mut replies = Vec::new();
+                while !stopping.get() {
+                    let reply = caller.interactive(&service, &plan, Bytes::new()).await;
+                    replies.push(reply.map_err(|error| error.to_string()));
+                }
+                replies
+            })
+        });
+        Self { tasks: tasks.collect(), stopping }
+    }
+
+    /// Replies that are not an answer, and the number of all replies.
+    pub async fn finish(self) -> (Vec<String>, usize) {
+        self.stopping.set(true);
+        let (mut failures, mut count) = (Vec::new(), 0);
+        for task in self.tasks {
+            for reply in task.await.unwrap() {
+                count += 1;
+                match reply {
+                    Ok(reply) if reply.status == 200 => {}
+                    Ok(reply) => failures.push(format!("{}: {:?}", reply.status, reply.body)),
+                    Err(error) => failures.push(error),
+                }
+            }
+        }
+        (failures, count)
+    }
+}
