Let a task return only to a home shard that still knows it

Found by fuzzing three shards with replaced owners: a hand-over back home that was repeated after the home shard had forgotten the job created the job anew there, without its cancellation, and its task was placed again. Moves away from home have odd numbers and returns even ones, so a return is now refused where the job is unknown, and a task can return only to the shard it came from. Ruled out: the move number alone, as the forgotten job had lost it.

--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -130,6 +130,8 @@
     pub since: Offset,
     /// Whether this shard accounts for the plan's allowance.
     pub home: bool,
+    /// The home shard of a job that was received from there.
+    pub origin: Option<ShardName>,
     pub cancelled: bool,
     pub parked: Option<ParkReason>,
     pub tasks: IndexMap<u32, TaskEntry>,
@@ -280,7 +282,7 @@
             return TaskEffect::KnownJob;
         }
         let tasks = (0..spec.tasks).map(|index| (index, TaskEntry::pending(None, 0))).collect();
-        self.jobs.insert(spec.id.clone(), JobEntry::new(spec, offset, true, tasks));
+        self.jobs.insert(spec.id.clone(), JobEntry::new(spec, offset, None, tasks));
         TaskEffect::Applied
     }
 
@@ -298,21 +300,28 @@
     /// Takes a task in: one that is new here, or that left and comes back.
     ///
     /// A late record of an earlier stay finds a higher number, and one of an
-    /// earlier job under the same key finds a task that is not away.
+    /// earlier job under the same key finds a task that is not away. Moves with
+    /// an even number return home, where a job that is unknown was forgotten.
     fn receive(&mut self, offset: Offset, spec: JobSpec, task_move: TaskMove) -> TaskEffect {
-        if task_move.to != self.shard || task_move.number == 0 {
+        let returns = task_move.number.is_multiple_of(2);
+        let unknown = !self.jobs.contains_key(&spec.id);
+        if task_move.to != self.shard || (returns && unknown) {
             return TaskEffect::StalePremise;
         }
         let job = self
             .jobs
             .entry(spec.id.clone())
-            .or_insert_with(|| JobEntry::new(spec, offset, false, IndexMap::new()));
+            .or_insert_with(|| JobEntry::new(spec, offset, Some(task_move.from), IndexMap::new()));
+        if job.home != returns {
+            return TaskEffect::StalePremise;
+        }
         let state = match task_move.ended {
             Some(outcome) => TaskState::Ended(outcome),
             None if job.cancelled => TaskState::Ended(TaskOutcome::Cancelled),
             None => TaskState::Pending { checkpoint: task_move.checkpoint },
         };
         match job.tasks.entry(task_move.task.index) {
+            Entry::Vacant(_) if job.home => TaskEffect::StalePremise,
             Entry::Vacant(vacant) => {
                 vacant.insert(TaskEntry { state, ..TaskEntry::pending(None, task_move.number) });
                 TaskEffect::Applied
@@ -390,8 +399,12 @@
     }
 
     fn hand_over(&mut self, task_move: TaskMove) -> Option<()> {
-        let from_here = task_move.from == self.shard && task_move.to != self.shard;
-        let home = self.jobs.get(&task_move.task.job)?.home;
+        let job = self.jobs.get(&task_move.task.job)?;
+        let home = job.home;
+        // From elsewhere a task only returns home.
+        let from_here = task_move.from == self.shard
+            && task_move.to != self.shard
+            && job.origin.as_ref().is_none_or(|origin| *origin == task_move.to);
         let (entry, _, _) = self.entry_mut(&task_move.task)?;
         if !from_here || task_move.number != entry.moves + 1 {
             return None;
@@ -442,8 +455,14 @@
 }
 
 impl JobEntry {
-    fn new(spec: JobSpec, since: Offset, home: bool, tasks: IndexMap<u32, TaskEntry>) -> Self {
-        Self { spec: Arc::new(spec), since, home, cancelled: false, parked: None, tasks }
+    fn new(
+        spec: JobSpec,
+        since: Offset,
+        origin: Option<ShardName>,
+        tasks: IndexMap<u32, TaskEntry>,
+    ) -> Self {
+        let home = origin.is_none();
+        Self { spec: Arc::new(spec), since, home, origin, cancelled: false, parked: None, tasks }
     }
 }
 
--- a/crates/core/tests/support/log.rs
+++ b/crates/core/tests/support/log.rs
@@ -78,6 +78,11 @@
         self.stored.push(text);
     }
 
+    /// Stores all records that were on their way.
+    pub fn deliver_all(&mut self) {
+        self.stored.append(&mut self.transit);
+    }
+
     /// Stores a copy of a record that is stored already.
     pub fn repeat(&mut self, number: usize) {
         if let Some(text) = super::pick(&self.stored, number).cloned() {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod log;
 pub mod names;
+pub mod owner;
 
 use std::collections::hash_map::RandomState;
 use std::fmt::Debug;
--- a/crates/core/tests/task_cycle.rs
+++ b/crates/core/tests/task_cycle.rs
@@ -144,7 +144,8 @@
             (Situation::Over(outcome), Some(moved)) => !home && outcome == moved,
             _ => false,
         };
-        let elsewhere = task_move.from == names::shard(0) && task_move.to != names::shard(0);
+        let target = if home { [1, 2].map(names::shard).to_vec() } else { vec![names::shard(1)] };
+        let elsewhere = task_move.from == names::shard(0) && target.contains(&task_move.to);
         if !fits || !elsewhere || task_move.number != self.moves + 1 {
             return false;
         }
@@ -318,7 +319,9 @@
     }
 
     fn receive(&mut self, step: &Step, task_move: &TaskMove) -> bool {
-        if task_move.to != names::shard(0) || task_move.number == 0 {
+        // A task leaves home with odd numbers and returns with even ones.
+        let home = self.jobs.get(&step.job).is_some_and(|job| job.home);
+        if task_move.to != names::shard(0) || home != task_move.number.is_multiple_of(2) {
             return false;
         }
         let job = self.jobs.entry(step.job).or_insert_with(|| OracleJob {
@@ -327,6 +330,9 @@
             parked: false,
             tasks: BTreeMap::new(),
         });
+        if job.home && !job.tasks.contains_key(&step.index) {
+            return false;
+        }
         let cancelled = job.cancelled;
         let unknown = OracleTask {
             situation: Situation::Gone { number: 0, confirmed: true },
