--- /dev/null
+++ b/crates/core/tests/claims.rs
@@ -0,0 +1,290 @@
+//! Claims and outcomes of binding requests against a list of what counted.
+//!
+//! Guards against a non-idempotent request that runs twice, and an outcome that
+//! changes after a caller was told of it.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use cactusdoor_core::claim::{
+    ClaimEffect, ClaimFold, ClaimOutcome, ClaimRecord, ClaimSpec, KeptAnswer, RequestKey,
+};
+use cactusdoor_core::constants::KEY_LIFETIME;
+use cactusdoor_core::unit::{Millis, Offset, Sequence};
+use proptest::prelude::*;
+use support::log::{AppendFate, LogWriter, SimulatedLog, fates};
+use support::{World, fuzz, names, pick_recent};
+
+const ENTRIES: usize = 3;
+const KEYS: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Read {
+        entry: usize,
+        count: usize,
+    },
+    /// A caller's request reaches an entry, perhaps with another content.
+    Claim {
+        entry: usize,
+        key: usize,
+        digest: u64,
+        fate: AppendFate,
+    },
+    /// An entry settles the claim that it knows, its own or another's.
+    Settle {
+        entry: usize,
+        key: usize,
+        outcome: u64,
+        fate: AppendFate,
+    },
+    /// The same for any claim there ever was.
+    SettleOld {
+        entry: usize,
+        number: usize,
+        outcome: u64,
+    },
+    Forget {
+        entry: usize,
+        fate: AppendFate,
+    },
+    Pass {
+        millis: Millis,
+    },
+    Restart {
+        entry: usize,
+    },
+    Deliver {
+        number: usize,
+        keep: bool,
+    },
+    Repeat {
+        number: usize,
+    },
+}
+
+/// The oracle's view of one key.
+#[derive(Clone, Debug, PartialEq)]
+struct Holder {
+    claim: Offset,
+    spec: ClaimSpec,
+    outcome: Option<ClaimOutcome>,
+}
+
+struct Entry {
+    writer: LogWriter,
+    fold: ClaimFold,
+}
+
+struct ClaimWorld {
+    log: SimulatedLog,
+    entries: Vec<Entry>,
+    truth: ClaimFold,
+    unix_ms: Millis,
+    highest: BTreeMap<(String, u64), Sequence>,
+    holders: BTreeMap<usize, Holder>,
+    claims: Vec<(usize, Offset)>,
+    /// Everything that anyone was ever told: claim and its final outcome.
+    told: BTreeMap<Offset, ClaimOutcome>,
+}
+
+fn request_key(number: usize) -> RequestKey {
+    RequestKey { plan: names::plan(0), key: names::key(number) }
+}
+
+fn key_number(key: &RequestKey) -> usize {
+    (0..KEYS).find(|number| request_key(*number) == *key).unwrap()
+}
+
+fn outcome(number: u64) -> ClaimOutcome {
+    match number % 4 {
+        0 => ClaimOutcome::NotRun,
+        1 => ClaimOutcome::Unknown,
+        _ => {
+            let body = (number % 4 == 2).then(|| number.to_le_bytes().to_vec());
+            ClaimOutcome::Done(KeptAnswer { status: 200, length: 8, digest: number, body })
+        }
+    }
+}
+
+impl ClaimWorld {
+    fn follow(&mut self) {
+        while self.truth.next() < self.log.next() {
+            let offset = self.truth.next();
+            let record = self.log.decode::<ClaimRecord>(offset).unwrap();
+            let read = self.log.read(&mut self.truth, 1).pop().unwrap();
+            let writer = (record.writer.process.to_string(), record.writer.incarnation);
+            let highest = self.highest.entry(writer).or_default();
+            let repeated = record.sequence <= *highest;
+            *highest = record.sequence.max(*highest);
+            let expected = match record.body {
+                _ if repeated => ClaimEffect::Ignored,
+                ClaimRecord::Noop => ClaimEffect::Ignored,
+                ClaimRecord::Claimed(spec) => self.claimed(offset, spec),
+                ClaimRecord::Settled { key, claim, outcome } => {
+                    self.settled(key_number(&key), claim, outcome)
+                }
+                ClaimRecord::Forgotten { before_unix_ms } => {
+                    self.holders.retain(|_, held| held.spec.claimed_unix_ms >= before_unix_ms);
+                    ClaimEffect::Ignored
+                }
+            };
+            assert_eq!(read.effect, expected, "at {offset}");
+        }
+    }
+
+    fn claimed(&mut self, offset: Offset, spec: ClaimSpec) -> ClaimEffect {
+        let key = key_number(&spec.key);
+        if let Some(holder) = self.holders.get(&key) {
+            return ClaimEffect::Lost { holder: holder.claim };
+        }
+        self.claims.push((key, offset));
+        self.holders.insert(key, Holder { claim: offset, spec, outcome: None });
+        ClaimEffect::Won
+    }
+
+    fn settled(&mut self, key: usize, claim: Offset, outcome: ClaimOutcome) -> ClaimEffect {
+        match self.holders.get_mut(&key) {
+            Some(holder) if holder.claim == claim && holder.outcome.is_none() => {
+                holder.outcome = Some(outcome.clone());
+                let earlier = self.told.insert(claim, outcome);
+                assert_eq!(earlier, None, "the claim at {claim} has two final outcomes");
+                ClaimEffect::Settled
+            }
+            _ => ClaimEffect::SettledBefore,
+        }
+    }
+}
+
+impl World for ClaimWorld {
+    type Step = Step;
+
+    fn steps() -> BoxedStrategy<Step> {
+        let (entry, key) = (0..ENTRIES, 0..KEYS);
+        prop_oneof![
+            5 => (entry.clone(), 0..12_usize)
+                .prop_map(|(entry, count)| Step::Read { entry, count }),
+            6 => (entry.clone(), key.clone(), 0..2_u64, fates())
+                .prop_map(|(entry, key, digest, fate)| Step::Claim { entry, key, digest, fate }),
+            6 => (entry.clone(), key, 0..12_u64, fates()).prop_map(
+                |(entry, key, outcome, fate)| Step::Settle { entry, key, outcome, fate }
+            ),
+            2 => (entry.clone(), any::<usize>(), 0..12_u64).prop_map(
+                |(entry, number, outcome)| Step::SettleOld { entry, number, outcome }
+            ),
+            1 => (entry.clone(), fates())
+                .prop_map(|(entry, fate)| Step::Forget { entry, fate }),
+            2 => prop_oneof![0..60_000_u64, 0..2 * KEY_LIFETIME, Just(KEY_LIFETIME)]
+                .prop_map(|millis| Step::Pass { millis }),
+            1 => entry.prop_map(|entry| Step::Restart { entry }),
+            3 => (any::<usize>(), any::<bool>())
+                .prop_map(|(number, keep)| Step::Deliver { number, keep }),
+            1 => any::<usize>().prop_map(|number| Step::Repeat { number }),
+        ]
+        .boxed()
+    }
+
+    fn new() -> Self {
+        let entry = |number| Entry { writer: LogWriter::new(number), fold: ClaimFold::default() };
+        Self {
+            log: SimulatedLog::default(),
+            entries: (0..ENTRIES).map(entry).collect(),
+            truth: ClaimFold::default(),
+            unix_ms: 1_700_000_000_000,
+            highest: BTreeMap::new(),
+            holders: BTreeMap::new(),
+            claims: Vec::new(),
+            told: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Read { entry, count } => {
+                self.log.read(&mut self.entries[entry].fold, count);
+            }
+            Step::Claim { entry, key, digest, fate } => {
+                let spec = ClaimSpec {
+                    key: request_key(key),
+                    request_digest: digest,
+                    agent: names::vm(entry),
+                    agent_incarnation: 1,
+                    claimed_unix_ms: self.unix_ms,
+                };
+                let record = self.entries[entry].writer.record(ClaimRecord::Claimed(spec));
+                self.log.append(&record, fate);
+            }
+            Step::Settle { entry, key, outcome: number, fate } => {
+                let Entry { writer, fold } = &mut self.entries[entry];
+                if let Some(held) = fold.claim(&request_key(key)) {
+                    let record = ClaimRecord::Settled {
+                        key: request_key(key),
+                        claim: held.offset,
+                        outcome: outcome(number),
+                    };
+                    self.log.append(&writer.record(record), fate);
+                }
+            }
+            Step::SettleOld { entry, number, outcome: content } => {
+                if let Some((key, claim)) = pick_recent(&self.claims, number).copied() {
+                    let record = ClaimRecord::Settled {
+                        key: request_key(key),
+                        claim,
+                        outcome: outcome(content),
+                    };
+                    let record = self.entries[entry].writer.record(record);
+                    self.log.append(&record, AppendFate::Stored);
+                }
+            }
+            Step::Forget { entry, fate } => {
+                let before_unix_ms = self.unix_ms - KEY_LIFETIME;
+                let record = ClaimRecord::Forgotten { before_unix_ms };
+                self.log.append(&self.entries[entry].writer.record(record), fate);
+            }
+            Step::Pass { millis } => self.unix_ms += millis,
+            Step::Restart { entry } => {
+                let Entry { writer, fold } = &mut self.entries[entry];
+                writer.restart();
+                *fold = serde_json::from_str(&serde_json::to_string(fold).unwrap()).unwrap();
+            }
+            Step::Deliver { number, keep } => self.log.deliver(number, keep),
+            Step::Repeat { number } => self.log.repeat(number),
+        }
+        self.follow();
+    }
+
+    fn check(&self) {
+        assert_eq!(self.truth.len(), self.holders.len());
+        assert_eq!(self.truth.is_empty(), self.holders.is_empty());
+        for (key, holder) in &self.holders {
+            let found = self.truth.claim(&request_key(*key)).expect("key is missing");
+            let found = Holder {
+                claim: found.offset,
+                spec: found.spec.clone(),
+                outcome: found.outcome.clone(),
+            };
+            assert_eq!(found, *holder);
+        }
+        // A reader that lags never shows an outcome that differs from the final one.
+        for entry in &self.entries {
+            for key in 0..KEYS {
+                let Some(seen) = entry.fold.claim(&request_key(key)) else { continue };
+                assert!(self.claims.contains(&(key, seen.offset)));
+                if let Some(outcome) = &seen.outcome {
+                    assert_eq!(self.told.get(&seen.offset), Some(outcome));
+                }
+            }
+        }
+        // A key is remembered for its lifetime, so no second claim wins in it.
+        for (key, holder) in &self.holders {
+            let others = self.claims.iter().filter(|(other, _)| other == key);
+            assert_eq!(others.map(|(_, claim)| *claim).max(), Some(holder.claim));
+        }
+    }
+}
+
+#[test]
+fn first_claim_and_first_outcome_are_final() {
+    fuzz::<ClaimWorld>("claims", 512, 1..100);
+}
