--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/links.rs
@@ -71,8 +71,9 @@
         let live = link.connect(deadline).await?;
         let mut context = tarpc::context::current();
         context.deadline = deadline;
+        let pending = PendingCall { link: &link, live: &live, deadline, answered: false };
         let answer = call(live.client.clone(), context).await;
-        link.judge(&live, answer)
+        pending.judge(answer)
     }
 
     /// Closes the connection to an agent that is gone.
@@ -117,24 +118,43 @@
         self.silent_calls.set(0);
         Ok(live)
     }
+}
+
+/// A call that may be dropped before its answer.
+struct PendingCall<'a> {
+    link: &'a AgentLink,
+    live: &'a LiveClient,
+    deadline: Instant,
+    answered: bool,
+}
 
-    fn judge<T>(&self, live: &LiveClient, answer: Result<T, RpcError>) -> Result<T, LinkFailure> {
+impl PendingCall<'_> {
+    fn judge<T>(mut self, answer: Result<T, RpcError>) -> Result<T, LinkFailure> {
         match answer {
             Ok(answer) => {
-                self.silent_calls.set(0);
+                self.answered = true;
+                self.link.silent_calls.set(0);
                 Ok(answer)
             }
-            Err(RpcError::DeadlineExceeded) => {
-                self.silent_calls.set(self.silent_calls.get() + 1);
-                if self.silent_calls.get() >= MAX_SILENT_CALLS {
-                    live.alive.set(false);
-                }
-                Err(LinkFailure::TimedOut)
-            }
+            Err(RpcError::DeadlineExceeded) => Err(LinkFailure::TimedOut),
             Err(error) => {
-                live.alive.set(false);
+                self.live.alive.set(false);
                 Err(LinkFailure::Broken(error.to_string()))
             }
         }
     }
 }
+
+impl Drop for PendingCall<'_> {
+    /// Counts calls that had no answer by their deadline.
+    fn drop(&mut self) {
+        if self.answered || Instant::now() < self.deadline {
+            return;
+        }
+        let silent = self.link.silent_calls.get() + 1;
+        self.link.silent_calls.set(silent);
+        if silent >= MAX_SILENT_CALLS {
+            self.live.alive.set(false);
+        }
+    }
+}
--- a/crates/entry/src/request/core.rs
+++ b/crates/entry/src/request/core.rs
@@ -61,6 +61,7 @@
     core: Rc<RequestCore>,
     service: ServiceName,
     pub agent: AgentIdentity,
+    deadline: Moment,
     result: Option<AttemptResult>,
 }
 
@@ -131,6 +132,7 @@
         self: &Rc<Self>,
         service: &ServiceName,
         config: &ConfigState,
+        deadline: Moment,
         tried: &[VmName],
     ) -> Acquired {
         let mut services = self.services.borrow_mut();
@@ -145,7 +147,7 @@
                 };
                 state.pool.sent(&vm);
                 let (core, service) = (Rc::clone(self), service.clone());
-                Acquired::Slot(SlotGuard { core, service, agent, result: None })
+                Acquired::Slot(SlotGuard { core, service, agent, deadline, result: None })
             }
             PoolChoice::Full => Acquired::Full,
             PoolChoice::None => Acquired::NoUpstream,
@@ -163,7 +165,7 @@
         let mut first = !self.has_waiting(service);
         loop {
             if first {
-                match self.try_acquire(service, config, tried) {
+                match self.try_acquire(service, config, deadline, tried) {
                     Acquired::Slot(slot) => {
                         self.wake(service);
                         return Ok(slot);
@@ -326,8 +328,11 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        let result = self.result.unwrap_or(AttemptResult::Abandoned);
         let now = self.core.now();
+        // An attempt that was dropped at its deadline had no answer in time.
+        let late = now >= self.deadline;
+        let dropped = if late { AttemptResult::Failed } else { AttemptResult::Abandoned };
+        let result = self.result.unwrap_or(dropped);
         if let Some(state) = self.core.services.borrow_mut().get_mut(&self.service)
             && state.pool.ended(&self.agent.vm, now, result)
         {
--- a/crates/entry/src/request/interactive.rs
+++ b/crates/entry/src/request/interactive.rs
@@ -184,9 +184,8 @@
             return;
         }
         let service = &self.request.service;
-        let Acquired::Slot(slot) = self.core.try_acquire(service, &self.config, &self.tried) else {
-            return;
-        };
+        let acquired = self.core.try_acquire(service, &self.config, self.deadline, &self.tried);
+        let Acquired::Slot(slot) = acquired else { return };
         if budgeted && !self.core.spend(service) {
             return;
         }
--- a/crates/entry/src/stream/actor.rs
+++ b/crates/entry/src/stream/actor.rs
@@ -115,11 +115,11 @@
     /// Effects of own records, by offset.
     effects: IndexMap<Offset, F::Effect>,
     waiters: HashMap<Offset, EffectSender<F>>,
-    progress: watch::Sender<Offset>,
+    progress: watch::Sender<Option<Offset>>,
 }
 
 impl<F: EntryFold> StreamActor<F> {
-    pub(super) fn new(parts: StreamParts<F>, progress: watch::Sender<Offset>) -> Self {
+    pub(super) fn new(parts: StreamParts<F>, progress: watch::Sender<Option<Offset>>) -> Self {
         let appender = GroupAppender::spawn(
             parts.client.clone(),
             parts.stream.clone(),
@@ -155,7 +155,7 @@
         // Own records below the loaded state have effects that nobody saw.
         self.waiters.retain(|offset, _| *offset >= from);
         self.fold = Some(fold);
-        self.progress.send_replace(from);
+        self.progress.send_replace(Some(from));
         let (client, stream) = (self.parts.client.clone(), self.parts.stream.clone());
         let (follower, mut events) = StreamFollower::spawn(client, stream, from, self.parts.clock);
         self.follower = Some(follower);
@@ -183,7 +183,7 @@
         let next = fold.next();
         self.waiters.retain(|offset, sender| *offset >= next && !sender.is_closed());
         if !records.is_empty() {
-            self.progress.send_replace(next);
+            self.progress.send_replace(Some(next));
         }
     }
 
--- a/crates/entry/src/stream/handle.rs
+++ b/crates/entry/src/stream/handle.rs
@@ -16,7 +16,7 @@
     address: Addr<StreamActor<F>>,
     client: LogClient,
     stream: cactusdoor_core::name::StreamName,
-    progress: watch::Receiver<Offset>,
+    progress: watch::Receiver<Option<Offset>>,
 }
 
 impl<F: EntryFold> Clone for StreamHandle<F> {
@@ -34,7 +34,7 @@
     /// Starts the actor on the current thread.
     #[must_use]
     pub fn spawn(parts: StreamParts<F>) -> Self {
-        let (sender, progress) = watch::channel(0);
+        let (sender, progress) = watch::channel(None);
         let (client, stream) = (parts.client.clone(), parts.stream.clone());
         let address = StreamActor::new(parts, sender).start();
         Self { address, client, stream, progress }
@@ -53,9 +53,9 @@
         self.address.send(Inspect { call: Box::new(call) }).await.ok().flatten()
     }
 
-    /// Follows how far the fold has read.
+    /// Follows how far the fold has read; `None` before it is loaded.
     #[must_use]
-    pub fn progress(&self) -> watch::Receiver<Offset> {
+    pub fn progress(&self) -> watch::Receiver<Option<Offset>> {
         self.progress.clone()
     }
 
@@ -63,7 +63,8 @@
     pub async fn catch_up(&self) -> Result<(), ReadError> {
         let bounds = self.client.bounds(&self.stream).await?;
         let mut progress = self.progress.clone();
-        let caught_up = progress.wait_for(|next| *next >= bounds.next).await;
+        let caught_up =
+            progress.wait_for(|next| next.is_some_and(|next| next >= bounds.next)).await;
         caught_up.map(drop).map_err(|_| ReadError::Unavailable)
     }
 }
--- /dev/null
+++ b/crates/entry/tests/binding.rs
@@ -0,0 +1,265 @@
+//! Binding requests run at most once and keep their outcome.
+
+mod support;
+
+use cactusdoor_core::claim::{ClaimRecord, ClaimSpec, RequestKey};
+use cactusdoor_core::envelope::{LogEnvelope, WriterId};
+use cactusdoor_core::name::{IdempotencyKey, PlanName, ProcessName};
+use cactusdoor_core::rendezvous::claim_stream;
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_peer::answer::CallRefusal;
+use support::agent::{Behaviour, FakeAgent};
+use support::entry::TestEntry;
+use support::eventually;
+use support::log::FakeLog;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Long enough that only an event ends the wait.
+const LONG: u64 = 30_000;
+
+async fn start() -> (FakeLog, FakeAgent, TestEntry) {
+    let log = FakeLog::open();
+    let agent = FakeAgent::open("vm1").await;
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    entry.publish_plan().await;
+    entry.list(1, vec![agent.member("dc1")]).await;
+    (log, agent, entry)
+}
+
+fn stream(key: &str) -> String {
+    format!("claims-{}", claim_stream("koperasi", key))
+}
+
+/// Stores the claim of an entry that does nothing afterwards.
+fn abandon_claim(log: &FakeLog, key: &str, body: &[u8], incarnation: u64, claimed_unix_ms: u64) {
+    let key_name = RequestKey {
+        plan: PlanName::new("koperasi").unwrap(),
+        key: IdempotencyKey::new(key).unwrap(),
+    };
+    let spec = ClaimSpec {
+        key: key_name,
+        request_digest: xxh3_64_with_seed(body, xxh3_64(b"minutes")),
+        agent: cactusdoor_core::name::VmName::new("vm1").unwrap(),
+        agent_incarnation: incarnation,
+        claimed_unix_ms,
+    };
+    let writer = WriterId { process: ProcessName::new("entry9").unwrap(), incarnation: 9 };
+    let record = LogEnvelope { writer, sequence: 1, body: ClaimRecord::Claimed(spec) };
+    log.state().push(&stream(key), record.encode().unwrap());
+}
+
+/// Waits until the entry has folded the claim: a later record of the same
+/// stream was read back.
+async fn seen(entry: &TestEntry, key: &str) {
+    let probes = (0..).map(|number| format!("probe-{number}"));
+    let probe = probes.into_iter().find(|probe| stream(probe) == stream(key)).unwrap();
+    assert_eq!(entry.binding(&probe, b"record", LONG).await.status, 200);
+}
+
+/// Guards against a repeated claim or delivery after the answer to the append
+/// was lost although the record was stored.
+#[actix::test]
+async fn lost_answer_to_a_stored_claim() {
+    let (log, agent, entry) = start().await;
+    log.state().lose_answers.insert(stream("k1"), 1);
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against a promise about a claim that never reached the log; the same
+/// key can be sent again.
+#[actix::test]
+async fn claim_that_was_lost_on_its_way() {
+    let (log, agent, entry) = start().await;
+    log.state().lose_appends.insert(stream("k1"), 1);
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.status, 503);
+    assert_eq!((&*reply.error("outcome"), &*reply.error("retry")), ("unknown", "same_key"));
+    assert!(agent.runs().is_empty());
+    assert_eq!(entry.binding("k1", b"record", LONG).await.status, 200);
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against "not run" and against deliveries while the log is down.
+#[actix::test]
+async fn log_outage_before_the_claim() {
+    let (log, agent, entry) = start().await;
+    log.state().down = true;
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.status, 503);
+    assert_eq!((&*reply.error("outcome"), &*reply.error("retry")), ("unknown", "same_key"));
+    assert!(agent.runs().is_empty());
+    log.state().down = false;
+    assert_eq!(entry.binding("k1", b"record", LONG).await.status, 200);
+}
+
+/// Guards against a delivery after the caller was told "unknown".
+#[actix::test]
+async fn claim_that_is_stored_after_the_deadline() {
+    let (log, agent, entry) = start().await;
+    log.state().stall = Some(stream("k1"));
+    let reply = entry.binding("k1", b"record", 50).await;
+    assert_eq!(reply.status, 504);
+    assert_eq!((&*reply.error("outcome"), &*reply.error("retry")), ("unknown", "same_key"));
+    log.state().stall = None;
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.error("outcome"), "not_run", "{}", String::from_utf8_lossy(&reply.body));
+    assert!(agent.runs().is_empty());
+}
+
+/// Guards against two entries that both run the same key.
+#[actix::test]
+async fn two_entries_with_one_key() {
+    let (log, agent, first) = start().await;
+    let second = TestEntry::open("entry2", &log, &[]).await;
+    second.list(1, vec![agent.member("dc1")]).await;
+    for round in 0..10 {
+        let key = format!("k{round}");
+        let (one, other) = futures::join!(
+            first.binding(&key, b"record", LONG),
+            second.binding(&key, b"record", LONG)
+        );
+        assert_eq!((one.status, other.status), (200, 200), "{key}");
+        assert_eq!(one.body, other.body);
+    }
+    assert_eq!(agent.runs().len(), 10);
+}
+
+/// Guards against one entry that runs the same key twice for two callers.
+#[actix::test]
+async fn one_entry_with_concurrent_repeats() {
+    let (_log, agent, entry) = start().await;
+    let repeats = (0..8).map(|_| entry.binding("k1", b"record", LONG));
+    let replies = futures::future::join_all(repeats).await;
+    assert!(replies.iter().all(|reply| reply.status == 200));
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against a key that runs a second, different request.
+#[actix::test]
+async fn key_of_another_request_is_a_conflict() {
+    let (_log, agent, entry) = start().await;
+    assert_eq!(entry.binding("k1", b"record", LONG).await.status, 200);
+    let reply = entry.binding("k1", b"other", LONG).await;
+    assert_eq!((reply.status, &*reply.error("code")), (409, "key_conflict"));
+    assert_eq!(reply.error("outcome"), "unknown");
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against a key that runs after its caller was told "not run".
+#[actix::test]
+async fn not_run_is_final() {
+    let (_log, agent, entry) = start().await;
+    agent.behave(Behaviour::Refuse(CallRefusal::ConnectionRefused));
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!((reply.status, &*reply.error("outcome")), (503, "not_run"));
+    agent.behave(Behaviour::Echo);
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!((reply.status, &*reply.error("outcome")), (503, "not_run"));
+    assert!(agent.runs().is_empty());
+}
+
+/// Guards against answers of other requests, and partial or damaged ones: the
+/// agent is asked for the outcome instead, and the request is not sent again.
+#[actix::test]
+async fn spoilt_answers_are_dropped() {
+    let (_log, agent, entry) = start().await;
+    let spoilt = [Behaviour::Foreign, Behaviour::Partial, Behaviour::Damaged];
+    for (round, behaviour) in spoilt.into_iter().enumerate() {
+        agent.behave(behaviour);
+        let reply = entry.binding(&format!("k{round}"), b"record", LONG).await;
+        assert_eq!(reply.status, 200, "{behaviour:?}");
+        assert_eq!(agent.runs().len(), round + 1);
+        assert_eq!(agent.fences() as usize, round + 1);
+    }
+}
+
+/// Guards against a key that stays undecided after the entry that claimed it
+/// died before the delivery.
+#[actix::test]
+async fn abandoned_claim_is_fenced_and_settled() {
+    let (log, agent, entry) = start().await;
+    abandon_claim(&log, "k1", b"record", 77, unix_ms() - LONG);
+    seen(&entry, "k1").await;
+    let runs = agent.runs().len();
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.error("outcome"), "not_run");
+    assert_eq!((agent.fences(), agent.runs().len()), (1, runs));
+}
+
+/// Guards against an entry that fences a claim while its holder may still be
+/// about to deliver it.
+#[actix::test]
+async fn recent_claim_of_another_entry_is_waited_for() {
+    let (log, agent, entry) = start().await;
+    // The holder's clock runs ahead, so the time of the claim never passes.
+    abandon_claim(&log, "k1", b"record", 77, unix_ms() + 3_600_000);
+    seen(&entry, "k1").await;
+    let reply = entry.binding("k1", b"record", 60).await;
+    assert_eq!((reply.status, &*reply.error("retry")), (504, "same_key"));
+    // What remains is settled in the background.
+    let settled = async || {
+        let reply = entry.binding("k1", b"record", 1_000).await;
+        (reply.error("outcome") == "not_run").then_some(())
+    };
+    eventually("settled key", settled).await;
+    assert!(!agent.runs().contains(&"koperasi/k1".to_owned()));
+}
+
+/// Guards against "not run" for a claim whose agent was restarted: the earlier
+/// incarnation may have delivered it.
+#[actix::test]
+async fn claim_for_an_earlier_incarnation_is_unknown() {
+    let (log, agent, entry) = start().await;
+    abandon_claim(&log, "k1", b"record", 76, unix_ms() - LONG);
+    seen(&entry, "k1").await;
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!((&*reply.error("outcome"), &*reply.error("retry")), ("unknown", "never"));
+    assert!(!agent.runs().contains(&"koperasi/k1".to_owned()));
+}
+
+/// Guards against a second run when the upstream ran the request and the
+/// connection was lost before the answer.
+#[actix::test]
+async fn lost_answer_of_the_agent() {
+    let (_log, agent, entry) = start().await;
+    agent.behave(Behaviour::RunAndHang);
+    let reply = entry.binding("k1", b"record", 50).await;
+    assert_eq!((reply.status, &*reply.error("retry")), (504, "same_key"));
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!((reply.status, &*reply.body), (200, &b"echo:record"[..]));
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against an outcome that is told before the log holds it: without
+/// the log the outcome stays undecided for the caller, and is settled later.
+#[actix::test]
+async fn log_outage_between_delivery_and_settlement() {
+    let (log, agent, entry) = start().await;
+    agent.behave(Behaviour::Slow(300));
+    let outage = async {
+        eventually("delivery", async || (agent.deliveries() > 0).then_some(())).await;
+        log.state().down = true;
+    };
+    let (reply, ()) = futures::join!(entry.binding("k1", b"record", 1_000), outage);
+    assert_eq!((reply.status, &*reply.error("retry")), (504, "same_key"));
+    log.state().down = false;
+    agent.behave(Behaviour::Echo);
+    let reply = entry.binding("k1", b"record", LONG).await;
+    assert_eq!(reply.status, 200, "{}", String::from_utf8_lossy(&reply.body));
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
+/// Guards against a lost body: answers beyond the kept size are still whole for
+/// the caller that waited, and later ones get length and digest.
+#[actix::test]
+async fn large_answers_are_kept_by_digest() {
+    let (_log, _agent, entry) = start().await;
+    let body = vec![7; 100_000];
+    let reply = entry.binding("k1", &body, LONG).await;
+    assert_eq!((reply.status, reply.body.len()), (200, 100_005));
+    let again = entry.binding("k1", &body, LONG).await;
+    assert_eq!((again.status, again.body.len()), (200, 0));
+    assert_eq!((again.length, again.digest), (reply.length, reply.digest));
+}
--- /dev/null
+++ b/crates/entry/tests/claim_machine.rs
@@ -0,0 +1,153 @@
+//! The course of a binding request, explored without I/O.
+
+use assert_matches::assert_matches;
+use cactusdoor_core::claim::{ClaimOutcome, KeptAnswer};
+use cactusdoor_core::name::VmName;
+use cactusdoor_entry::binding::{
+    ClaimAction, ClaimAnswer, ClaimInput, ClaimMachine, ClaimSight, DeliveryEnd,
+};
+use cactusdoor_peer::answer::FenceReply;
+
+const DIGEST: u64 = 5;
+
+fn done() -> ClaimOutcome {
+    ClaimOutcome::Done(KeptAnswer { status: 200, length: 0, digest: 0, body: None })
+}
+
+fn sight(claim: u64, digest: u64, outcome: Option<ClaimOutcome>) -> ClaimSight {
+    ClaimSight {
+        claim,
+        request_digest: digest,
+        agent: VmName::new("vm1").unwrap(),
+        agent_incarnation: 1,
+        claimed_unix_ms: 0,
+        outcome,
+    }
+}
+
+/// Every result that `action` can have.
+fn results(action: &ClaimAction) -> Vec<ClaimInput> {
+    let open = || ClaimInput::Viewed(Some(sight(1, DIGEST, None)));
+    let settled = |outcome| ClaimInput::Viewed(Some(sight(1, DIGEST, Some(outcome))));
+    match action {
+        ClaimAction::View => vec![
+            ClaimInput::Viewed(None),
+            ClaimInput::NotLoaded,
+            open(),
+            settled(done()),
+            settled(ClaimOutcome::NotRun),
+            settled(ClaimOutcome::Unknown),
+            ClaimInput::Viewed(Some(sight(1, DIGEST + 1, None))),
+        ],
+        ClaimAction::Claim => vec![
+            ClaimInput::Won { claim: 1, late: false },
+            ClaimInput::Won { claim: 1, late: true },
+            ClaimInput::Lost,
+            ClaimInput::NotClaimed,
+        ],
+        ClaimAction::Deliver { .. } => [
+            DeliveryEnd::Answered(done()),
+            DeliveryEnd::NotDelivered,
+            DeliveryEnd::Unknown,
+            DeliveryEnd::Unclear,
+        ]
+        .map(ClaimInput::Delivered)
+        .to_vec(),
+        ClaimAction::Await { sight } => {
+            vec![settled(done()), ClaimInput::Silent(sight.clone()), ClaimInput::NotLoaded]
+        }
+        ClaimAction::Fence { .. } => vec![
+            ClaimInput::FenceAnswered(FenceReply::Fenced),
+            ClaimInput::FenceAnswered(FenceReply::InProgress),
+            ClaimInput::FenceAnswered(FenceReply::Ended(done())),
+            ClaimInput::FenceAnswered(FenceReply::OtherIncarnation),
+            ClaimInput::FenceFailed { given_up: false },
+            ClaimInput::FenceFailed { given_up: true },
+        ],
+        ClaimAction::Pause | ClaimAction::PauseSettle { .. } => vec![ClaimInput::Resumed],
+        ClaimAction::Settle { .. } => vec![
+            ClaimInput::Settled,
+            ClaimInput::NotSettled { given_up: false },
+            ClaimInput::NotSettled { given_up: true },
+        ],
+        ClaimAction::Answer(_) => Vec::new(),
+    }
+}
+
+type Step = (ClaimAction, ClaimInput);
+
+fn explore(machine: ClaimMachine, action: ClaimAction, path: &mut Vec<Step>, depth: u32) -> u64 {
+    check(&action, path);
+    if depth == 0 {
+        return 1;
+    }
+    let mut courses = 0;
+    for input in results(&action) {
+        let mut machine = machine.clone();
+        path.push((action.clone(), input.clone()));
+        let next = machine.step(input);
+        courses += explore(machine, next, path, depth - 1);
+        path.pop();
+    }
+    courses.max(1)
+}
+
+fn check(action: &ClaimAction, path: &[Step]) {
+    let earlier = |wanted: fn(&ClaimAction) -> bool| path.iter().any(|(done, _)| wanted(done));
+    match action {
+        ClaimAction::Deliver { .. } => {
+            assert!(!earlier(|a| matches!(a, ClaimAction::Deliver { .. })), "{path:?}");
+            let last = &path.last().unwrap().1;
+            assert_eq!(*last, ClaimInput::Won { claim: 1, late: false }, "{path:?}");
+        }
+        ClaimAction::Claim => {
+            assert!(!earlier(|a| matches!(a, ClaimAction::Claim)), "{path:?}");
+        }
+        ClaimAction::Settle { outcome: ClaimOutcome::NotRun, .. } => {
+            let reasons = [
+                ClaimInput::Won { claim: 1, late: true },
+                ClaimInput::Delivered(DeliveryEnd::NotDelivered),
+                ClaimInput::FenceAnswered(FenceReply::Fenced),
+            ];
+            assert!(path.iter().any(|(_, input)| reasons.contains(input)), "{path:?}");
+        }
+        ClaimAction::Answer(ClaimAnswer::Outcome(outcome)) => {
+            // Only what stands in the fold is final.
+            assert_matches!(&path.last().unwrap().1, ClaimInput::Viewed(Some(sight)) => {
+                assert_eq!(sight.outcome.as_ref(), Some(outcome), "{path:?}");
+            });
+        }
+        _ => {}
+    }
+}
+
+/// Guards against a second delivery, a delivery without a claim in the fold,
+/// "not run" without a fence, and an outcome that the log does not hold.
+#[test]
+fn no_course_delivers_twice_or_invents_an_outcome() {
+    let machine = ClaimMachine::new(DIGEST);
+    let start = machine.start();
+    let courses = explore(machine, start, &mut Vec::new(), 20);
+    assert!(courses > 10_000, "{courses}");
+}
+
+/// Guards against sending a request whose caller was already told "unknown".
+#[test]
+fn late_claim_is_settled_without_delivery() {
+    let mut machine = ClaimMachine::new(DIGEST);
+    assert_eq!(machine.step(ClaimInput::Viewed(None)), ClaimAction::Claim);
+    let action = machine.step(ClaimInput::Won { claim: 4, late: true });
+    assert_eq!(action, ClaimAction::Settle { claim: 4, outcome: ClaimOutcome::NotRun });
+}
+
+/// Guards against a holder that waits for itself after its connection broke.
+#[test]
+fn holder_asks_the_agent_at_once_after_an_unclear_delivery() {
+    let mut machine = ClaimMachine::new(DIGEST);
+    machine.step(ClaimInput::Viewed(None));
+    machine.step(ClaimInput::Won { claim: 4, late: false });
+    assert_eq!(machine.step(ClaimInput::Delivered(DeliveryEnd::Unclear)), ClaimAction::View);
+    let open = sight(4, DIGEST, None);
+    let action = machine.step(ClaimInput::Viewed(Some(open.clone())));
+    assert_eq!(action, ClaimAction::Fence { sight: open });
+}
--- /dev/null
+++ b/crates/entry/tests/membership.rs
@@ -0,0 +1,127 @@
+//! The membership table and the directory of entries.
+
+mod support;
+
+use cactusdoor_core::constants::ROSTER_LIFETIME;
+use cactusdoor_core::name::{DataCentre, RackName, ShardName, VmName};
+use cactusdoor_core::unit::Moment;
+use cactusdoor_entry::membership::{EntryDirectory, MembershipTable, RosterVerdict};
+use cactusdoor_peer::heartbeat::AgentIdentity;
+use cactusdoor_peer::roster::RosterMember;
+use support::entry::update;
+
+const NOW: Moment = Moment(1_000_000);
+
+fn member(vm: &str) -> RosterMember {
+    RosterMember {
+        agent: AgentIdentity {
+            vm: VmName::new(vm).unwrap(),
+            incarnation: 1,
+            address: "127.0.0.1:1".parse().unwrap(),
+            data_centre: DataCentre::new("dc1").unwrap(),
+            rack: RackName::new("r1").unwrap(),
+        },
+        draining: false,
+        upstreams: Vec::new(),
+    }
+}
+
+fn members(table: &MembershipTable) -> Vec<String> {
+    let views = table.view(NOW);
+    views.iter().flat_map(|shard| &shard.agents).map(|agent| agent.vm.to_string()).collect()
+}
+
+fn shard() -> ShardName {
+    ShardName::new("dc1-0").unwrap()
+}
+
+/// Guards against a replaced owner whose late updates overwrite the new list.
+#[test]
+fn older_epoch_changes_nothing() {
+    let mut table = MembershipTable::default();
+    table.apply(update(5, 1, true, vec![member("vm1")]), NOW);
+    let (verdict, change) = table.apply(update(4, 9, true, vec![member("vm2")]), NOW);
+    assert_eq!(verdict, RosterVerdict::Stale { newer: 5 });
+    assert!(change.is_empty());
+    assert_eq!(members(&table), ["vm1"]);
+}
+
+/// Guards against changes that are applied to a list that lacks earlier ones.
+#[test]
+fn gap_asks_for_the_full_list() {
+    let mut table = MembershipTable::default();
+    assert_eq!(table.apply(update(1, 7, false, vec![member("vm1")]), NOW).0, RosterVerdict::Gap);
+    assert!(members(&table).is_empty());
+    table.apply(update(1, 8, true, vec![member("vm1")]), NOW);
+    let (verdict, _) = table.apply(update(1, 10, false, vec![member("vm2")]), NOW);
+    assert_eq!(verdict, RosterVerdict::Gap);
+    assert_eq!(members(&table), ["vm1"]);
+    let (verdict, _) = table.apply(update(1, 9, false, vec![member("vm2")]), NOW);
+    assert_eq!(verdict, RosterVerdict::Applied);
+    assert_eq!(members(&table), ["vm1", "vm2"]);
+}
+
+/// Guards against a delayed update that takes the list back.
+#[test]
+fn repeated_number_changes_nothing() {
+    let mut table = MembershipTable::default();
+    table.apply(update(1, 1, true, vec![member("vm1")]), NOW);
+    let mut leave = update(1, 2, false, Vec::new());
+    leave.gone = vec![VmName::new("vm1").unwrap()];
+    table.apply(leave, NOW);
+    let (verdict, _) = table.apply(update(1, 1, true, vec![member("vm1")]), NOW);
+    assert_eq!(verdict, RosterVerdict::Repeated);
+    assert!(members(&table).is_empty());
+}
+
+/// Guards against a new owner that cannot reach agents it has not heard from:
+/// the entry keeps and names them until they are listed or too old.
+#[test]
+fn members_of_an_earlier_epoch_stay_for_a_time() {
+    let mut table = MembershipTable::default();
+    table.apply(update(1, 1, true, vec![member("vm1"), member("vm2")]), NOW);
+    let (_, change) = table.apply(update(2, 1, true, vec![member("vm1")]), NOW);
+    assert!(change.gone.is_empty());
+    let earlier = table.earlier_members(&shard());
+    assert_eq!(earlier.len(), 1);
+    assert_eq!(earlier[0].vm.as_str(), "vm2");
+    let later = NOW.after(ROSTER_LIFETIME + 1);
+    table.apply(update(2, 2, false, Vec::new()), later);
+    let change = table.age(later);
+    assert_eq!(change.gone, [VmName::new("vm2").unwrap()]);
+    assert_eq!(members(&table), ["vm1"]);
+}
+
+/// Guards against routing to a region that has been out of contact, and
+/// against believing its former owner after that.
+#[test]
+fn silent_shard_is_forgotten_but_its_epoch_stays() {
+    let mut table = MembershipTable::default();
+    table.apply(update(3, 1, true, vec![member("vm1")]), NOW);
+    assert!(table.age(NOW.after(ROSTER_LIFETIME)).is_empty());
+    let late = NOW.after(ROSTER_LIFETIME + 1);
+    assert_eq!(table.age(late).gone.len(), 1);
+    assert!(members(&table).is_empty());
+    assert!(table.summaries(&ShardName::new("dc2-0").unwrap(), late).is_empty());
+    let (verdict, _) = table.apply(update(2, 5, true, vec![member("vm1")]), late);
+    assert_eq!(verdict, RosterVerdict::Stale { newer: 3 });
+    let (verdict, _) = table.apply(update(3, 2, false, vec![member("vm1")]), late);
+    assert_eq!(verdict, RosterVerdict::Gap);
+    let (verdict, _) = table.apply(update(3, 3, true, vec![member("vm1")]), late);
+    assert_eq!(verdict, RosterVerdict::Applied);
+}
+
+/// Guards against entries that keep naming an entry that is gone.
+#[test]
+fn silent_entries_are_forgotten_and_seeds_are_tried_again() {
+    let (own, seed) = ("127.0.0.1:1".parse().unwrap(), "127.0.0.1:2".parse().unwrap());
+    let mut directory = EntryDirectory::new(own, vec![own, seed]);
+    assert_eq!(directory.live(), [own]);
+    assert_eq!(directory.contacts(), [seed]);
+    directory.heard(seed, NOW);
+    directory.heard(own, NOW);
+    assert_eq!(directory.live(), [own, seed]);
+    directory.age(NOW.after(ROSTER_LIFETIME + 1));
+    assert_eq!(directory.live(), [own]);
+    assert_eq!(directory.contacts(), [seed]);
+}
--- /dev/null
+++ b/crates/entry/tests/operators.rs
@@ -0,0 +1,165 @@
+//! Operators' changes: accepted once, typed conflicts, honest outcomes.
+
+mod support;
+
+use assert_matches::assert_matches;
+use cactusdoor_core::config::{ConfigConflict, DataCentreState, ItemChange, ItemValue, PlanSpec};
+use cactusdoor_core::name::{DataCentre, PlanName, TeamName};
+use cactusdoor_operator::OperatorError;
+use cactusdoor_operator::client::OperatorClientError;
+use support::entry::{TestEntry, plan_items};
+use support::log::FakeLog;
+
+fn weigh(plan: &str, premise: u64, weight: u32) -> Vec<ItemChange> {
+    let spec = PlanSpec { team: TeamName::new("team").unwrap(), weight };
+    let value = ItemValue::Plan(PlanName::new(plan).unwrap(), Some(spec));
+    vec![ItemChange { premise, value }]
+}
+
+/// Guards against two operators who both believe that their change holds.
+#[actix::test]
+async fn racing_operators() {
+    let log = FakeLog::open();
+    let first = TestEntry::open("entry1", &log, &[]).await;
+    let second = TestEntry::open("entry2", &log, &[]).await;
+    for round in 0..10 {
+        let plan = format!("plan{round}");
+        let (one, other) = futures::join!(
+            first.operators.change(weigh(&plan, 0, 1)),
+            second.operators.change(weigh(&plan, 0, 2))
+        );
+        let (winner, weight, loser) = match (one, other) {
+            (Ok(winner), Err(loser)) => (winner, 1, loser),
+            (Err(loser), Ok(winner)) => (winner, 2, loser),
+            both => panic!("{both:?}"),
+        };
+        assert_matches!(loser, OperatorClientError::Refused(OperatorError::Conflict {
+            conflict: ConfigConflict::StalePremise { premise: 0, current, .. }
+        }) if current == winner.revision);
+        for entry in [&first, &second] {
+            entry.knows(winner.revision).await;
+            let view = entry.operators.config().await.unwrap();
+            let last = view.items.iter().find(|item| item.revision == winner.revision).unwrap();
+            assert_matches!(&last.value, ItemValue::Plan(_, Some(spec)) => {
+                assert_eq!(spec.weight, weight);
+            });
+        }
+    }
+}
+
+/// Guards against a change that is applied twice, or reported as lost, when
+/// only the answer of the log was lost.
+#[actix::test]
+async fn lost_answer_to_a_change() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    log.state().lose_answers.insert("config".to_owned(), 1);
+    let accepted = entry.operators.change(weigh("p", 0, 1)).await.unwrap();
+    assert_eq!(accepted.revision, 1);
+    let accepted = entry.operators.change(weigh("p", 1, 2)).await.unwrap();
+    assert_eq!(accepted.revision, 2);
+}
+
+/// Guards against "unknown" for a change that surely was not stored.
+#[actix::test]
+async fn log_outage_before_a_change() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    log.state().down = true;
+    let refused = entry.operators.change(weigh("p", 0, 1)).await;
+    assert_matches!(refused, Err(OperatorClientError::Refused(OperatorError::NotChanged { .. })));
+    log.state().down = false;
+    assert_eq!(entry.operators.change(weigh("p", 0, 1)).await.unwrap().revision, 1);
+}
+
+/// Guards against a definite answer while the log holds the outcome back.
+#[actix::test]
+async fn outcome_that_the_log_holds_back() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    log.state().stall = Some("config".to_owned());
+    let refused = entry.operators.change(weigh("p", 0, 1)).await;
+    assert_matches!(refused, Err(OperatorClientError::Refused(OperatorError::Unknown { .. })));
+    log.state().stall = None;
+    // The held-back append comes too late, or it is the first change.
+    let accepted = entry.operators.change(weigh("q", 0, 1)).await.unwrap();
+    let view = entry.operators.config().await.unwrap();
+    assert_eq!(view.items.len() as u64, accepted.revision);
+}
+
+/// Guards against a change of many items that is accepted in part.
+#[actix::test]
+async fn change_is_accepted_whole_or_not_at_all() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    entry.operators.change(weigh("a", 0, 1)).await.unwrap();
+    let mut items = weigh("b", 0, 1);
+    items.extend(weigh("a", 0, 9));
+    let refused = entry.operators.change(items).await;
+    assert_matches!(refused, Err(OperatorClientError::Refused(OperatorError::Conflict { .. })));
+    assert_eq!(entry.operators.config().await.unwrap().items.len(), 1);
+}
+
+/// Guards against changes of things that do not exist or are out of range.
+#[actix::test]
+async fn faulty_changes_are_refused() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    let refused = entry.operators.change(weigh("a", 0, 0)).await;
+    assert_matches!(refused, Err(OperatorClientError::Refused(OperatorError::Malformed { .. })));
+    let nowhere = DataCentre::new("dc7").unwrap();
+    let refused = entry.operators.set_data_centre(&nowhere, DataCentreState::Out).await;
+    assert_matches!(refused, Err(OperatorClientError::Refused(OperatorError::NotFound { .. })));
+    let refused = entry.operators.change(Vec::new()).await;
+    assert_matches!(
+        refused,
+        Err(OperatorClientError::Refused(OperatorError::Conflict {
+            conflict: ConfigConflict::Empty
+        }))
+    );
+    assert!(entry.operators.config().await.unwrap().items.is_empty());
+}
+
+/// Guards against a data centre that cannot be brought back after it was taken
+/// out, through whichever entry.
+#[actix::test]
+async fn data_centres_go_out_and_come_back() {
+    let log = FakeLog::open();
+    let first = TestEntry::open("entry1", &log, &[]).await;
+    let second = TestEntry::open("entry2", &log, &[]).await;
+    let name = DataCentre::new("dc2").unwrap();
+    let out = first.operators.set_data_centre(&name, DataCentreState::Out).await.unwrap();
+    second.knows(out.revision).await;
+    let back = second.operators.set_data_centre(&name, DataCentreState::In).await.unwrap();
+    assert!(back.revision > out.revision);
+}
+
+/// Guards against entries that never hear of one another.
+#[actix::test]
+async fn entries_learn_of_one_another() {
+    let log = FakeLog::open();
+    let first = TestEntry::open("entry1", &log, &[]).await;
+    let seeds = [first.daemon.peer_address];
+    let second = TestEntry::open("entry2", &log, &seeds).await;
+    let third = TestEntry::open("entry3", &log, &seeds).await;
+    let entries = [&first, &second, &third];
+    for entry in entries {
+        support::eventually("entries", async || {
+            let known = entry.operators.roster().await.ok()?.entries;
+            let all = entries.iter().all(|other| known.contains(&other.daemon.peer_address));
+            all.then_some(())
+        })
+        .await;
+    }
+}
+
+/// Guards against a revision that goes back when an entry starts anew.
+#[actix::test]
+async fn plans_survive_a_restart() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    let accepted = entry.operators.change(plan_items("p", 5)).await.unwrap();
+    entry.daemon.stop().await;
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    assert_eq!(entry.operators.config().await.unwrap().revision, accepted.revision);
+}
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -110,6 +110,11 @@
         self.state.fences.get()
     }
 
+    /// Deliveries that the upstream has begun or ended.
+    pub fn deliveries(&self) -> usize {
+        self.state.claims.borrow().len()
+    }
+
     pub fn runs(&self) -> Vec<String> {
         self.state.runs.borrow().clone()
     }
--- a/crates/entry/tests/support/log.rs
+++ b/crates/entry/tests/support/log.rs
@@ -105,6 +105,12 @@
 type Shared = Data<Arc<Mutex<LogState>>>;
 
 async fn append(state: Shared, stream: Path<String>, body: Json<AppendBody>) -> HttpResponse {
+    // A client that gives up does not take its append back.
+    let storing = actix_rt::spawn(store(state, stream, body));
+    storing.await.unwrap()
+}
+
+async fn store(state: Shared, stream: Path<String>, body: Json<AppendBody>) -> HttpResponse {
     while state.lock().unwrap().stall.as_deref() == Some(stream.as_str()) {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
--- a/crates/policy/src/routing/pool.rs
+++ b/crates/policy/src/routing/pool.rs
@@ -123,7 +123,7 @@
         record.in_flight = in_flight.saturating_sub(1);
         match result {
             AttemptResult::Answered(latency) => {
-                record.measure(latency);
+                record.measure(latency, now);
                 record.limit.answered(latency, in_flight);
                 record.guard.succeeded(now);
                 let slow = median.is_some_and(|median| {
--- a/crates/policy/src/routing/upstream.rs
+++ b/crates/policy/src/routing/upstream.rs
@@ -27,6 +27,7 @@
     pub in_flight: u32,
     /// Smoothed latency and its smoothed deviation.
     latency: Option<(Micros, Micros)>,
+    measured: Moment,
     pub limit: ConcurrencyLimit,
     pub guard: OutlierGuard,
     /// Refused as leaving; it gets nothing before this moment.
@@ -35,6 +36,9 @@
 
 /// Time after a refusal within which a roster must have told the reason.
 const CLOSED_TIME: Millis = 3_000;
+/// Time without an answer after which a latency counts half.
+const LATENCY_HALF_LIFE: Millis = 1_000;
+const MAX_HALVINGS: u64 = 10;
 /// Latency assumed before the first measurement.
 const UNKNOWN_LATENCY: Micros = 5_000;
 
@@ -43,7 +47,15 @@
     pub fn new(listing: UpstreamListing) -> Self {
         let limit = ConcurrencyLimit::new(listing.slots, listing.connections);
         let guard = OutlierGuard::default();
-        Self { listing, in_flight: 0, latency: None, limit, guard, closed_until: Moment::default() }
+        Self {
+            listing,
+            in_flight: 0,
+            latency: None,
+            measured: Moment::default(),
+            limit,
+            guard,
+            closed_until: Moment::default(),
+        }
     }
 
     /// Takes over a newer listing; a new incarnation starts without history.
@@ -96,14 +108,20 @@
     }
 
     /// In-flight requests times latency, higher while the upstream returns from an ejection.
+    ///
+    /// A latency counts for less the older it is. Otherwise an upstream that
+    /// was slow once would get no request that could show that it is fast again.
     #[must_use]
     pub fn cost(&self, now: Moment) -> u64 {
         let share = self.guard.share_percent(now).max(1);
-        u64::from(self.in_flight + 1) * self.latency() * 100 / share
+        let halvings = now.since(self.measured) / LATENCY_HALF_LIFE;
+        let latency = self.latency() >> halvings.min(MAX_HALVINGS);
+        u64::from(self.in_flight + 1) * latency.max(1) * 100 / share
     }
 
     /// Smooths as TCP does for its retransmission timer.
-    pub fn measure(&mut self, latency: Micros) {
+    pub fn measure(&mut self, latency: Micros, now: Moment) {
+        self.measured = now;
         self.latency = Some(match self.latency {
             None => (latency, latency / 2),
             Some((mean, deviation)) => {
--- /dev/null
+++ b/crates/policy/tests/routing.rs
@@ -0,0 +1,285 @@
+//! Routing decisions with given moments and random numbers.
+
+use cactusdoor_core::name::{DataCentre, PlanName, VmName};
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_policy::routing::allowance::PlanRates;
+use cactusdoor_policy::routing::budget::{MAX_SAVED, RetryBudget};
+use cactusdoor_policy::routing::concurrency::ConcurrencyLimit;
+use cactusdoor_policy::routing::ejection::{
+    FAILURES_TO_EJECT, FIRST_EJECTION, OutlierGuard, RETURN_TIME,
+};
+use cactusdoor_policy::routing::ledger::{AttemptEnd, AttemptLedger, LedgerOutcome};
+use cactusdoor_policy::routing::pool::{AttemptResult, PoolChoice, ServicePool};
+use cactusdoor_policy::routing::queue::{QueueRefusal, WaitQueue};
+use cactusdoor_policy::routing::upstream::UpstreamListing;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const NOW: Moment = Moment(1_000_000);
+
+fn vm(name: &str) -> VmName {
+    VmName::new(name).unwrap()
+}
+
+fn data_centre(name: &str) -> DataCentre {
+    DataCentre::new(name).unwrap()
+}
+
+fn listing(place: &str, slots: u32) -> UpstreamListing {
+    UpstreamListing {
+        data_centre: data_centre(place),
+        incarnation: 1,
+        leaving: false,
+        slots,
+        connections: 64,
+        latency: 1_000,
+    }
+}
+
+fn pool(upstreams: &[(&str, &str)]) -> ServicePool {
+    let mut pool = ServicePool::default();
+    for (name, place) in upstreams {
+        pool.list(&vm(name), listing(place, 2));
+    }
+    pool
+}
+
+fn choose(pool: &ServicePool, now: Moment, tried: &[VmName], random: [u64; 2]) -> PoolChoice {
+    pool.choose(now, &data_centre("dc1"), |_| true, tried, random)
+}
+
+/// Guards against remote calls while the local data centre has room, and
+/// against refusals while another data centre has room.
+#[test]
+fn local_first_and_spill_under_pressure() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc2")]);
+    for _ in 0..2 {
+        assert_eq!(choose(&pool, NOW, &[], [1, 1]), PoolChoice::Send(vm("vm1")));
+        pool.sent(&vm("vm1"));
+    }
+    for _ in 0..2 {
+        assert_eq!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Send(vm("vm2")));
+        pool.sent(&vm("vm2"));
+    }
+    assert_eq!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Full);
+    pool.ended(&vm("vm2"), NOW, AttemptResult::Answered(1_000));
+    assert_eq!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Send(vm("vm2")));
+}
+
+/// Guards against sending to the busier or slower of two candidates.
+#[test]
+fn lower_product_of_load_and_latency_wins() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1")]);
+    for (name, latency) in [("vm1", 1_000), ("vm2", 9_000)] {
+        pool.sent(&vm(name));
+        pool.ended(&vm(name), NOW, AttemptResult::Answered(latency));
+    }
+    for random in [[0, 0], [1, 0]] {
+        assert_eq!(choose(&pool, NOW, &[], random), PoolChoice::Send(vm("vm1")));
+    }
+    pool.sent(&vm("vm2"));
+    pool.ended(&vm("vm2"), NOW, AttemptResult::Answered(1_000));
+    for _ in 0..60 {
+        pool.sent(&vm("vm2"));
+        pool.ended(&vm("vm2"), NOW, AttemptResult::Answered(1_000));
+    }
+    pool.sent(&vm("vm1"));
+    for random in [[0, 0], [1, 0]] {
+        assert_eq!(choose(&pool, NOW, &[], random), PoolChoice::Send(vm("vm2")));
+    }
+}
+
+/// Guards against an upstream that was slow once and is never tried again.
+#[test]
+fn old_latency_loses_weight() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1")]);
+    for (name, latency) in [("vm1", 1_000), ("vm2", 9_000)] {
+        pool.sent(&vm(name));
+        pool.ended(&vm(name), NOW, AttemptResult::Answered(latency));
+    }
+    let later = NOW.after(10_000);
+    pool.sent(&vm("vm1"));
+    pool.ended(&vm("vm1"), later, AttemptResult::Answered(1_000));
+    assert_eq!(choose(&pool, later, &[], [0, 0]), PoolChoice::Send(vm("vm2")));
+}
+
+/// Guards against attempts at upstreams that were tried, are leaving, refused
+/// as leaving, or stand in a data centre out of service.
+#[test]
+fn closed_upstreams_are_passed_over() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1"), ("vm3", "dc2")]);
+    assert_eq!(choose(&pool, NOW, &[vm("vm1")], [0, 0]), PoolChoice::Send(vm("vm2")));
+    pool.list(&vm("vm1"), UpstreamListing { leaving: true, ..listing("dc1", 2) });
+    pool.sent(&vm("vm2"));
+    pool.ended(&vm("vm2"), NOW, AttemptResult::Closed);
+    assert_eq!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Send(vm("vm3")));
+    let only_first = |place: &DataCentre| place.as_str() == "dc1";
+    let choice = pool.choose(NOW, &data_centre("dc1"), only_first, &[], [0, 0]);
+    assert_eq!(choice, PoolChoice::None);
+    // A roster that lists it again does not reopen it at once.
+    pool.list(&vm("vm2"), listing("dc1", 2));
+    let choice = pool.choose(NOW, &data_centre("dc1"), only_first, &[], [0, 0]);
+    assert_eq!(choice, PoolChoice::None);
+    let later = NOW.after(3_000);
+    let choice = pool.choose(later, &data_centre("dc1"), only_first, &[], [0, 0]);
+    assert_eq!(choice, PoolChoice::Send(vm("vm2")));
+}
+
+/// Guards against an upstream that fails everything and keeps its share, and
+/// against one that never gets it back.
+#[test]
+fn failing_upstream_is_ejected_and_returns_slowly() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1"), ("vm3", "dc1")]);
+    for failure in 1..=FAILURES_TO_EJECT {
+        pool.sent(&vm("vm1"));
+        let ejected = pool.ended(&vm("vm1"), NOW, AttemptResult::Failed);
+        assert_eq!(ejected, failure == FAILURES_TO_EJECT);
+    }
+    let share = |now: Moment| {
+        let mut random = StdRng::seed_from_u64(7);
+        let mut chosen = 0;
+        for _ in 0..3_000 {
+            let choice = choose(&pool, now, &[], [random.random(), random.random()]);
+            chosen += u32::from(choice == PoolChoice::Send(vm("vm1")));
+        }
+        chosen
+    };
+    assert_eq!(share(NOW.after(FIRST_EJECTION - 1)), 0);
+    assert_eq!(share(NOW.after(FIRST_EJECTION)), 0, "the others are idle and cost a tenth");
+    // Two of three pairs contain it, and equal costs go to the first of a pair.
+    let returned = share(NOW.after(FIRST_EJECTION + RETURN_TIME));
+    assert!((900..=1_100).contains(&returned), "{returned}");
+}
+
+/// Guards against a failure of the network that ejects all upstreams.
+#[test]
+fn ejections_of_more_than_half_are_ignored() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1"), ("vm3", "dc1")]);
+    for name in ["vm1", "vm2"] {
+        for _ in 0..FAILURES_TO_EJECT {
+            pool.sent(&vm(name));
+            pool.ended(&vm(name), NOW, AttemptResult::Failed);
+        }
+    }
+    assert!(matches!(choose(&pool, NOW, &[vm("vm3")], [0, 0]), PoolChoice::Send(_)));
+}
+
+/// Guards against an upstream that is many times slower than its peers.
+#[test]
+fn slow_upstream_is_ejected() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1"), ("vm3", "dc1"), ("vm4", "dc1")]);
+    pool.sent(&vm("vm1"));
+    assert!(pool.ended(&vm("vm1"), NOW, AttemptResult::Answered(400_000)));
+    let chosen = choose(&pool, NOW, &[], [0, 0]);
+    assert!(matches!(chosen, PoolChoice::Send(name) if name != vm("vm1")));
+}
+
+/// Guards against ejections that do not become longer, and a guard that never
+/// forgets.
+#[test]
+fn repeated_ejections_double() {
+    let mut guard = OutlierGuard::default();
+    guard.eject(NOW);
+    let returned = NOW.after(FIRST_EJECTION);
+    assert!(!guard.is_ejected(returned));
+    // While it returns, one failure is enough.
+    assert!(guard.failed(returned));
+    assert!(guard.is_ejected(returned.after(2 * FIRST_EJECTION - 1)));
+    assert!(!guard.is_ejected(returned.after(2 * FIRST_EJECTION)));
+    let healthy = returned.after(2 * FIRST_EJECTION + RETURN_TIME);
+    guard.succeeded(healthy);
+    assert_eq!(guard.share_percent(healthy), 100);
+    assert!(!guard.failed(healthy));
+}
+
+/// Guards against retries beyond a tenth of the requests.
+#[test]
+fn budget_is_a_tenth_and_bounded() {
+    let mut budget = RetryBudget::default();
+    assert!(!budget.spend());
+    let spent = (0..1_000).filter(|_| {
+        budget.earn();
+        budget.spend()
+    });
+    assert_eq!(spent.count(), 100);
+    (0..1_000_000).for_each(|_| budget.earn());
+    let burst = (0..1_000_000).filter(|_| budget.spend()).count();
+    assert_eq!(burst as u64, MAX_SAVED);
+}
+
+/// Guards against a limit that does not follow latency, leaves its bounds, or
+/// grows without use.
+#[test]
+fn concurrency_follows_latency() {
+    let mut limit = ConcurrencyLimit::new(8, 16);
+    assert_eq!(limit.current(), 8);
+    for _ in 0..1_000 {
+        limit.answered(10_000, 1);
+    }
+    assert_eq!(limit.current(), 8, "unused room is not widened");
+    for _ in 0..1_000 {
+        limit.answered(10_000, limit.current());
+    }
+    assert_eq!(limit.current(), 16, "the connections bound it");
+    for _ in 0..400 {
+        limit.answered(100_000, limit.current());
+    }
+    assert!(limit.current() < 4, "{}", limit.current());
+    for _ in 0..10_000 {
+        limit.refused();
+    }
+    assert_eq!(limit.current(), 1);
+    limit.set_ceiling(0);
+    assert_eq!(limit.current(), 1);
+}
+
+/// Guards against requests that wait for a turn that comes too late, and a
+/// queue that grows without bound.
+#[test]
+fn queue_refuses_early() {
+    let mut queue = WaitQueue::new(3);
+    let deadline = NOW.after(100);
+    let check = |queue: &WaitQueue<u32>, deadline| queue.check(NOW, deadline, 40_000, 1);
+    assert_eq!(check(&queue, NOW.after(59)), Err(QueueRefusal::DeadlineTooShort));
+    assert_eq!(check(&queue, deadline), Ok(()));
+    queue.push(deadline, 1);
+    assert_eq!(check(&queue, deadline), Ok(()));
+    queue.push(NOW.after(10), 2);
+    assert_eq!(check(&queue, deadline), Err(QueueRefusal::DeadlineTooShort));
+    queue.push(NOW.after(200), 3);
+    assert_eq!(check(&queue, NOW.after(10_000)), Err(QueueRefusal::Full));
+    assert_eq!(queue.pop(NOW.after(50)), Some(1));
+    assert_eq!(queue.pop(NOW.after(50)), Some(3), "2 is past its deadline");
+    assert_eq!(queue.pop(NOW), None);
+}
+
+/// Guards against plans that send more than their share of the allowance.
+#[test]
+fn rates_are_shared_between_entries() {
+    let plan = PlanName::new("p").unwrap();
+    let admitted = |rate: u32, entries: usize, time: Millis| {
+        let mut rates = PlanRates::default();
+        (0..=time).filter(|at| rates.admit(&plan, rate, entries, NOW.after(*at))).count()
+    };
+    // One second's worth at the start, and what ten seconds add.
+    assert_eq!(admitted(100, 1, 10_000), 1_100);
+    assert_eq!(admitted(100, 4, 10_000), 275);
+    assert_eq!(admitted(1, 4, 10_000), 11);
+    assert_eq!(admitted(0, 1, 10_000), 0);
+}
+
+/// Guards against "not run" while one attempt may have run.
+#[test]
+fn ledger_promises_only_what_it_knows() {
+    let mut ledger = AttemptLedger::default();
+    assert_eq!(ledger.outcome(), LedgerOutcome::NotRun, "nothing was sent");
+    ledger.send();
+    assert_eq!(ledger.outcome(), LedgerOutcome::Unknown, "the attempt has no end yet");
+    ledger.end(AttemptEnd::Refused);
+    assert_eq!(ledger.outcome(), LedgerOutcome::NotRun);
+    ledger.send();
+    ledger.end(AttemptEnd::Uncertain);
+    ledger.send();
+    ledger.end(AttemptEnd::Refused);
+    assert_eq!(ledger.outcome(), LedgerOutcome::Unknown);
+}
