--- a/crates/entry/tests/interactive.rs
+++ b/crates/entry/tests/interactive.rs
@@ -12,6 +12,9 @@
 use support::eventually;
 use support::log::FakeLog;
 
+/// Path, headers and expected status.
+type Case<'a> = (&'a str, &'a [(&'a str, &'a str)], u16);
+
 /// Long enough that only an event ends the wait.
 const LONG: u64 = 30_000;
 
@@ -232,7 +235,7 @@
     let (_log, agents, entry) = start(&["vm1"]).await;
     let path = "/v1/services/minutes/requests";
     let plan = ("X-Plan", "koperasi");
-    let cases: &[(&str, &[(&str, &str)], u16)] = &[
+    let cases: &[Case<'_>] = &[
         (path, &[], 400),
         (path, &[("X-Plan", "a b")], 400),
         (path, &[("X-Plan", "")], 400),
