Add the command line and the merge of timelines

The command publishes and shows the two lists, takes data centres out and brings them back, submits, shows and cancels jobs, shows rosters, merges timelines and checks settings files. Exit codes tell a conflict, an unknown outcome and an unreachable process apart.

The reader of an entry's settings moves to the node package, so that `check` does not depend on the daemon.

--- /dev/null
+++ b/crates/cli/src/error.rs
@@ -0,0 +1,92 @@
+//! Errors of commands and the exit codes that they lead to.
+
+use std::error::Error as _;
+use std::io;
+use std::path::PathBuf;
+
+use cactusdoor_caller::client::CallerClientError;
+use cactusdoor_caller::{ErrorCode, OutcomeWord};
+use cactusdoor_node::settings::SettingsError;
+use cactusdoor_operator::OperatorError;
+use cactusdoor_operator::client::OperatorClientError;
+use thiserror::Error;
+
+/// Exit codes; 1 is also what the argument parser uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitStatus {
+    /// Wrong arguments or a faulty file; nothing was sent.
+    Usage = 1,
+    /// Refused; nothing was changed.
+    Refused = 2,
+    /// Another operator's change came first; nothing was changed.
+    Conflict = 3,
+    /// The outcome is unknown; the change may take effect.
+    Unknown = 4,
+    /// No process could be reached, or not all that were asked.
+    Unreachable = 5,
+}
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+pub enum CommandError {
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error("could not read {path}")]
+    Unreadable { path: PathBuf, source: io::Error },
+    #[error("{path}: {reason}")]
+    Faulty { path: PathBuf, reason: String },
+    #[error(transparent)]
+    Operator(#[from] OperatorClientError),
+    #[error(transparent)]
+    Caller(#[from] CallerClientError),
+    #[error("{missing} of {asked} processes could not be reached; the timeline is incomplete")]
+    Incomplete { missing: usize, asked: usize },
+    #[error("could not write the result")]
+    Output(#[from] io::Error),
+    #[error("could not encode the result")]
+    Encoding(#[from] serde_json::Error),
+}
+
+impl CommandError {
+    /// The error with its causes.
+    #[must_use]
+    pub fn chain(&self) -> String {
+        let causes = std::iter::successors(self.source(), |&error| error.source());
+        causes.fold(self.to_string(), |text, cause| format!("{text}: {cause}"))
+    }
+
+    #[must_use]
+    pub fn status(&self) -> ExitStatus {
+        match self {
+            Self::Settings(_) | Self::Unreadable { .. } | Self::Faulty { .. } => ExitStatus::Usage,
+            Self::Operator(error) => operator_status(error),
+            Self::Caller(error) => caller_status(error),
+            Self::Incomplete { .. } => ExitStatus::Unreachable,
+            Self::Output(_) | Self::Encoding(_) => ExitStatus::Usage,
+        }
+    }
+}
+
+fn operator_status(error: &OperatorClientError) -> ExitStatus {
+    match error {
+        OperatorClientError::Unreachable { .. } => ExitStatus::Unreachable,
+        OperatorClientError::NoAnswer { .. } => ExitStatus::Unknown,
+        OperatorClientError::Refused(OperatorError::Conflict { .. }) => ExitStatus::Conflict,
+        OperatorClientError::Refused(OperatorError::Unknown { .. }) => ExitStatus::Unknown,
+        OperatorClientError::Refused(_) => ExitStatus::Refused,
+    }
+}
+
+fn caller_status(error: &CallerClientError) -> ExitStatus {
+    match error {
+        CallerClientError::Unreachable { .. } => ExitStatus::Unreachable,
+        CallerClientError::Malformed(_) => ExitStatus::Unknown,
+        CallerClientError::Refused(error) if error.code == ErrorCode::NotFound => {
+            ExitStatus::Refused
+        }
+        CallerClientError::Refused(error) => match error.outcome {
+            OutcomeWord::NotRun => ExitStatus::Refused,
+            OutcomeWord::Unknown => ExitStatus::Unknown,
+        },
+    }
+}
--- /dev/null
+++ b/crates/cli/src/plans.rs
@@ -0,0 +1,52 @@
+//! `cactusdoor plans`: shows and publishes a list. Allowances work the same way.
+
+use std::io::Write;
+
+use cactusdoor_operator::OperatorClient;
+
+use crate::args::{ListCommand, ListVerb, Plans};
+use crate::list::{self, PublishedList};
+use crate::{CommandError, Run};
+
+/// Age of the entry's view above which an operator should know of it.
+const OLD_VIEW_MS: u64 = 3_000;
+
+impl Run for ListCommand<Plans> {
+    async fn run(self, out: &mut dyn Write) -> Result<(), CommandError> {
+        run_list::<Plans>(self.verb, out).await
+    }
+}
+
+/// Shows or publishes one of the lists.
+pub async fn run_list<L: PublishedList>(
+    verb: ListVerb,
+    out: &mut dyn Write,
+) -> Result<(), CommandError> {
+    match verb {
+        ListVerb::Show { entry } => {
+            let view = OperatorClient::open(entry).config().await?;
+            write!(out, "{}", list::write::<L>(&view))?;
+        }
+        ListVerb::Publish { entry, dry_run, file } => {
+            let wanted = list::open::<L>(&file)?;
+            let client = OperatorClient::open(entry);
+            let view = client.config().await?;
+            if view.confirmed_age_ms.is_none_or(|age| age > OLD_VIEW_MS) {
+                eprintln!("cactusdoor: the entry has not read the log lately, its list may be old");
+            }
+            let changes = list::difference::<L>(&view, wanted);
+            for change in &changes {
+                writeln!(out, "{}", list::describe(change))?;
+            }
+            if changes.is_empty() {
+                writeln!(out, "nothing to change at revision {}", view.revision)?;
+            } else if dry_run {
+                writeln!(out, "{} change(s) not published", changes.len())?;
+            } else {
+                let accepted = client.change(changes).await?;
+                writeln!(out, "accepted as revision {}", accepted.revision)?;
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/timeline.rs
@@ -0,0 +1,116 @@
+//! `cactusdoor timeline`: merges the events of several processes.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_operator::OperatorClient;
+use cactusdoor_timeline::{EventFilter, EventSubject, TimelineEvent, TimelineMerge};
+use futures::future::join_all;
+use serde_json::Value;
+
+use crate::args::Timeline;
+use crate::{CommandError, Run};
+
+const POLL: Duration = Duration::from_millis(300);
+/// Time for which followed events are held back, so that those of a process
+/// that is read later still come in order.
+const HOLD_BACK_MS: u64 = 1_000;
+
+/// A process and the next event to be fetched from it.
+struct EventSource {
+    address: SocketAddr,
+    client: OperatorClient,
+    next: u64,
+    reachable: bool,
+}
+
+impl EventSource {
+    fn open(address: SocketAddr) -> Self {
+        let client = OperatorClient::open(address);
+        Self { address, client, next: 1, reachable: true }
+    }
+
+    /// Fetches all events that are new.
+    async fn fetch(&mut self) -> Vec<TimelineEvent> {
+        let mut events = Vec::new();
+        loop {
+            match self.client.events(self.next).await {
+                // The process was restarted and numbers its events anew.
+                Ok(page) if page.next < self.next => self.next = page.first,
+                Ok(page) => {
+                    self.reachable = true;
+                    let Some(last) = page.events.last() else { return events };
+                    self.next = last.number + 1;
+                    events.extend(page.events);
+                }
+                Err(error) => {
+                    if self.reachable {
+                        eprintln!("cactusdoor: no events from {}: {error}", self.address);
+                    }
+                    self.reachable = false;
+                    return events;
+                }
+            }
+        }
+    }
+}
+
+impl Run for Timeline {
+    async fn run(self, out: &mut dyn Write) -> Result<(), CommandError> {
+        let filter = self.filter();
+        let mut sources: Vec<_> = self.from.iter().copied().map(EventSource::open).collect();
+        let mut merge = TimelineMerge::default();
+        loop {
+            let fetched = join_all(sources.iter_mut().map(EventSource::fetch)).await;
+            merge.push(fetched.into_iter().flatten());
+            let ready = if self.follow {
+                merge.take_until(unix_ms().saturating_sub(HOLD_BACK_MS))
+            } else {
+                merge.take_all()
+            };
+            for event in ready.iter().filter(|event| filter.passes(event)) {
+                writeln!(out, "{}", line(event, self.json)?)?;
+            }
+            if !self.follow {
+                break;
+            }
+            out.flush()?;
+            tokio::time::sleep(POLL).await;
+        }
+        let asked = sources.len();
+        match sources.iter().filter(|source| !source.reachable).count() {
+            0 => Ok(()),
+            missing => Err(CommandError::Incomplete { missing, asked }),
+        }
+    }
+}
+
+impl Timeline {
+    fn filter(&self) -> EventFilter {
+        let jobs = self.job.iter().cloned().map(EventSubject::Job);
+        let requests = self.request.iter().cloned().map(EventSubject::Request);
+        let vms = self.vm.iter().cloned().map(EventSubject::Vm);
+        let data_centres = self.data_centre.iter().cloned().map(EventSubject::DataCentre);
+        EventFilter { subjects: jobs.chain(requests).chain(vms).chain(data_centres).collect() }
+    }
+}
+
+/// An event as one line: time, process, event, and its fields.
+fn line(event: &TimelineEvent, json: bool) -> Result<String, CommandError> {
+    if json {
+        return Ok(serde_json::to_string(event)?);
+    }
+    let (seconds, millis) = (event.at.wall_ms / 1_000, event.at.wall_ms % 1_000);
+    let mut line = format!("{seconds}.{millis:03}+{} {}", event.at.counter, event.process);
+    if let Value::Object(fields) = serde_json::to_value(&event.kind)? {
+        let name = fields.get("event").and_then(Value::as_str).unwrap_or_default();
+        line.push_str(&format!(" {name}"));
+        for (key, value) in fields.iter().filter(|(key, _)| *key != "event") {
+            let value = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+            line.push_str(&format!(" {key}={value}"));
+        }
+    }
+    Ok(line)
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -30,8 +30,8 @@
 use crate::peer::PeerListener;
 use crate::readiness::ReadinessBoard;
 use crate::request::{RequestActor, RequestCore, RequestParts};
-use crate::settings::EntrySettings;
 use crate::stream::{EntryFold, FoldHook, StreamHandle, StreamParts};
+use cactusdoor_node::entry::EntrySettings;
 
 /// Time that settlements in the background get at a stop.
 const SETTLE_PATIENCE: Duration = Duration::from_secs(5);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,7 +16,6 @@
 mod peer;
 mod readiness;
 pub mod request;
-pub mod settings;
 mod stream;
 
 pub use daemon::{EntryDaemon, run};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::{OptionParser, Parser, long};
-use cactusdoor_entry::settings::EntrySettings;
+use cactusdoor_node::entry::EntrySettings;
 
 fn arguments() -> OptionParser<PathBuf> {
     let help = "Settings file of this process (INI)";
--- a/crates/entry/tests/support/entry.rs
+++ b/crates/entry/tests/support/entry.rs
@@ -8,7 +8,7 @@
 use cactusdoor_core::name::{DataCentre, PlanName, ShardName, TeamName, VmName};
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_entry::EntryDaemon;
-use cactusdoor_entry::settings::EntrySettings;
+use cactusdoor_node::entry::EntrySettings;
 use cactusdoor_node::settings::SettingsFile;
 use cactusdoor_operator::OperatorClient;
 use cactusdoor_peer::roster::{RosterMember, RosterReply, RosterUpdate, ShardRoom};
--- a/crates/entry/src/settings.rs
+++ b/crates/node/src/entry.rs
@@ -1,4 +1,5 @@
-//! Settings of an entry.
+//! Settings of an entry. They are read here so that the command line can check
+//! a file without the daemon.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -6,8 +7,9 @@
 
 use cactusdoor_core::name::{DataCentre, ShardName};
 use cactusdoor_core::unit::Millis;
-use cactusdoor_node::process::{ProcessSettings, read_process};
-use cactusdoor_node::settings::{SettingsError, SettingsFile};
+
+use crate::process::{ProcessSettings, read_process};
+use crate::settings::{SettingsError, SettingsFile};
 
 const ADDRESSES: &str = "an IP address and port, such as 127.0.0.1:7000";
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,6 +1,7 @@
 //! Settings, logging and metrics that every daemon shares.
 
 pub mod clock;
+pub mod entry;
 pub mod logging;
 pub mod monitor;
 pub mod process;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -94,6 +94,19 @@
         self.ini.get_from(Some(section), key).map(str::to_owned)
     }
 
+    /// Names of the sections, in the order of the file.
+    #[must_use]
+    pub fn sections(&self) -> Vec<String> {
+        self.ini.sections().flatten().map(str::to_owned).collect()
+    }
+
+    /// Names of the keys of a section.
+    #[must_use]
+    pub fn keys(&self, section: &str) -> Vec<String> {
+        let properties = self.ini.section(Some(section)).into_iter();
+        properties.flat_map(|properties| properties.iter()).map(|(key, _)| key.to_owned()).collect()
+    }
+
     /// A value that must be there; `accepted` describes the range.
     pub fn required<T: FromStr>(&mut self, section: &str, key: &str, accepted: &str) -> Option<T> {
         let Some(value) = self.take(section, key) else {
--- a/crates/timeline/src/lib.rs
+++ b/crates/timeline/src/lib.rs
@@ -6,9 +6,13 @@
 //! command line fetches them from all processes and merges them.
 
 pub mod event;
+pub mod filter;
 pub mod hybrid;
 pub mod log;
+pub mod merge;
 
 pub use event::{EventKind, TimelineEvent};
+pub use filter::{EventFilter, EventSubject};
 pub use hybrid::{HybridClock, HybridTime};
 pub use log::{EventLog, EventPage};
+pub use merge::TimelineMerge;
--- /dev/null
+++ b/crates/timeline/tests/merge.rs
@@ -0,0 +1,72 @@
+//! Merge and filter of events.
+
+use cactusdoor_core::job::JobId;
+use cactusdoor_core::name::{DataCentre, ProcessName, ShardName, VmName};
+use cactusdoor_timeline::{
+    EventFilter, EventKind, EventLog, EventSubject, HybridTime, TimelineEvent, TimelineMerge,
+};
+
+fn event(process: &str, number: u64, wall_ms: u64, counter: u32) -> TimelineEvent {
+    let at = HybridTime { wall_ms, counter };
+    let process = ProcessName::new(process).unwrap();
+    TimelineEvent { at, process, number, kind: EventKind::ProcessStopping }
+}
+
+fn order(events: &[TimelineEvent]) -> Vec<(String, u64)> {
+    events.iter().map(|event| (event.process.to_string(), event.number)).collect()
+}
+
+/// Guards against an effect that is shown before its cause, and against events
+/// that are shown twice or lost after a restart of their process.
+#[test]
+fn events_are_merged_once_in_hybrid_order() {
+    let mut merge = TimelineMerge::default();
+    merge.push([event("b", 1, 10, 1), event("b", 2, 30, 0)]);
+    merge.push([event("a", 1, 10, 0), event("a", 2, 10, 2)]);
+    merge.push([event("a", 1, 10, 0)]);
+    let first = merge.take_until(20);
+    assert_eq!(order(&first), [("a".into(), 1), ("b".into(), 1), ("a".into(), 2)]);
+    merge.push([event("a", 1, 10, 0), event("a", 1, 40, 0)]);
+    assert_eq!(order(&merge.take_all()), [("b".into(), 2), ("a".into(), 1)]);
+    assert!(merge.take_all().is_empty());
+}
+
+/// Guards against an order that follows wrong wall clocks: a message carries
+/// the time of its sender.
+#[test]
+fn received_messages_sort_after_their_sending() {
+    let (one, other) = ("one", "other").into();
+    let [sender, receiver]: [EventLog; 2] =
+        [one, other].map(|name: &str| EventLog::open(ProcessName::new(name).unwrap()));
+    sender.observe(HybridTime { wall_ms: u64::MAX / 2, counter: 0 });
+    sender.record(EventKind::ProcessStopping);
+    receiver.observe(sender.stamp());
+    receiver.record(EventKind::ProcessStopping);
+    let mut merge = TimelineMerge::default();
+    merge.push(receiver.page(0, 10).events);
+    merge.push(sender.page(0, 10).events);
+    assert_eq!(order(&merge.take_all()), [("one".into(), 1), ("other".into(), 1)]);
+}
+
+/// Guards against filters that hide what was asked for or show other subjects.
+#[test]
+fn filters_pass_events_about_any_subject() {
+    let job = JobId { plan: "p".parse().unwrap(), key: "k".parse().unwrap() };
+    let shard = ShardName::new("dc-1-0").unwrap();
+    let vm = VmName::new("vm1").unwrap();
+    let submitted = EventKind::JobSubmitted { job: job.clone(), shard: shard.clone() };
+    let silent = EventKind::AgentSilent { vm: vm.clone(), shard };
+    let sent = EventKind::RequestSent { request: "r".into(), vm: vm.clone(), attempt: 1 };
+    let all = [submitted, silent, sent].map(|kind| TimelineEvent { kind, ..event("a", 1, 1, 0) });
+    let shown = |subjects: &[EventSubject]| {
+        let filter = EventFilter { subjects: subjects.to_vec() };
+        all.iter().map(|event| filter.passes(event)).collect::<Vec<_>>()
+    };
+    let data_centre = EventSubject::DataCentre(DataCentre::new("dc-1").unwrap());
+    assert_eq!(shown(&[]), [true, true, true]);
+    assert_eq!(shown(&[EventSubject::Job(job.clone())]), [true, false, false]);
+    assert_eq!(shown(&[EventSubject::Vm(vm)]), [false, true, true]);
+    assert_eq!(shown(&[data_centre]), [true, true, false]);
+    let both = [EventSubject::Job(job), EventSubject::Request("r".into())];
+    assert_eq!(shown(&both), [true, false, true]);
+}
