--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod clock;
+pub mod entry;
 pub mod logging;
 pub mod monitor;
 pub mod process;
