--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod model;
 pub mod preset;
 pub mod report;
+pub mod routing;
