--- a/crates/policy/src/routing/pool.rs
+++ b/crates/policy/src/routing/pool.rs
@@ -14,6 +14,10 @@
 /// Differences below this are not worth an ejection.
 const MIN_SLOW: Micros = 50_000;
 
+/// A local upstream whose expected time is more than this multiple of a remote one's
+/// loses the request; traffic between data centres costs more than local traffic.
+const SPILL_FACTOR: u64 = 2;
+
 /// Two random numbers for one choice.
 pub type RandomPair = [u64; 2];
 
@@ -104,8 +108,17 @@
         let is_local = |record: &UpstreamRecord| record.listing.data_centre == *local;
         let (near, far): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|(_, record)| is_local(record));
-        let chosen = better_of_two(&near, now, random).or_else(|| better_of_two(&far, now, random));
-        chosen.map_or(PoolChoice::Full, PoolChoice::Send)
+        let near = better_of_two(&near, now, random);
+        let far = better_of_two(&far, now, random);
+        match (near, far) {
+            (Some((_, near)), Some((vm, far)))
+                if near.expected_time() > SPILL_FACTOR * far.expected_time() =>
+            {
+                PoolChoice::Send(vm.clone())
+            }
+            (Some((vm, _)), _) | (None, Some((vm, _))) => PoolChoice::Send(vm.clone()),
+            (None, None) => PoolChoice::Full,
+        }
     }
 
     /// Counts a request that is about to be sent.
@@ -180,11 +193,11 @@
 }
 
 /// Of two random candidates the one with the lower cost.
-fn better_of_two(
-    candidates: &[(&VmName, &UpstreamRecord)],
+fn better_of_two<'a>(
+    candidates: &[(&'a VmName, &'a UpstreamRecord)],
     now: Moment,
     [first, second]: RandomPair,
-) -> Option<VmName> {
+) -> Option<(&'a VmName, &'a UpstreamRecord)> {
     let count = candidates.len() as u64;
     if count == 0 {
         return None;
@@ -193,6 +206,5 @@
     let other = if count == 1 { one } else { (one + 1 + second % (count - 1)) % count };
     let pick = |index: u64| usize::try_from(index).ok().and_then(|index| candidates.get(index));
     let (one, other) = (pick(one)?, pick(other)?);
-    let best = if other.1.cost(now) < one.1.cost(now) { other } else { one };
-    Some(best.0.clone())
+    Some(if other.1.cost(now) < one.1.cost(now) { *other } else { *one })
 }
--- a/crates/policy/src/routing/upstream.rs
+++ b/crates/policy/src/routing/upstream.rs
@@ -107,6 +107,13 @@
         self.in_flight < self.limit.current()
     }
 
+    /// Time until an answer: the latency, longer once requests exceed the slots.
+    #[must_use]
+    pub fn expected_time(&self) -> Micros {
+        let slots = u64::from(self.listing.slots.max(1));
+        self.latency() * slots.max(u64::from(self.in_flight + 1)) / slots
+    }
+
     /// In-flight requests times latency, higher while the upstream returns from an ejection.
     ///
     /// A latency counts for less the older it is. Otherwise an upstream that
