Test two agents against a scheduler that moves tasks, and fix two races

Faults: - Seed 1: the worker answered a stop with unknown token, then took the late start of that token; the inventory showed the task before the answer arrived, and the answer ended a running task. It counts now only if the stop was sent after the task was known to run. - Found by reading after that: an inventory from before an end, received after it, made the ended task live again until the next stop. Such an inventory no longer adds tasks.

--- a/crates/agent/src/board.rs
+++ b/crates/agent/src/board.rs
@@ -307,7 +307,7 @@
             (Ok(()), _) => StartRefusal::NotReady,
             (Err(refusal), _) => refusal,
         };
-        table.refuse(token, refusal);
+        table.refuse(now, token, refusal);
         Err(refusal)
     }
 
@@ -347,10 +347,10 @@
         StopStep::Stop
     }
 
-    /// Takes note of the worker's answer to a stop.
-    pub fn stopped(&mut self, token: Token, answer: StopAnswer) {
+    /// Takes note of the worker's answer to a stop that was sent at `sent`.
+    pub fn stopped(&mut self, now: Moment, sent: Moment, token: Token, answer: StopAnswer) {
         if let Some(table) = &mut self.table {
-            table.stopped(token, answer);
+            table.stopped(now, sent, token, answer);
         }
     }
 
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -367,6 +367,7 @@
 
     async fn send_stop(&self, token: Token, cancel: bool) {
         let order = StopOrder { checkpoint: !cancel };
+        let sent = self.now();
         let answer = match self.settings.worker.stop(token, order).await {
             Ok(end) => StopAnswer::Ended(end),
             Err(TokenError::UnknownToken) => StopAnswer::UnknownToken,
@@ -375,7 +376,7 @@
                 StopAnswer::Uncertain
             }
         };
-        self.board.borrow_mut().stopped(token, answer);
+        self.board.borrow_mut().stopped(self.now(), sent, token, answer);
         self.stops_sent.borrow_mut().remove(&token);
         self.after_change();
     }
--- a/crates/agent/src/table.rs
+++ b/crates/agent/src/table.rs
@@ -71,6 +71,8 @@
     live: IndexMap<Token, LiveTask>,
     ended: IndexMap<Token, FinalTask>,
     spent: SpentTokens,
+    /// When a task last ended here.
+    last_end: Moment,
 }
 
 impl TaskTable {
@@ -81,6 +83,7 @@
             live: IndexMap::new(),
             ended: IndexMap::new(),
             spent: SpentTokens::default(),
+            last_end: Moment::default(),
         }
     }
 
@@ -132,15 +135,15 @@
     }
 
     /// Ends a reservation whose start was not sent.
-    pub fn refuse(&mut self, token: Token, refusal: StartRefusal) {
-        self.finish(token, PlacementEnd::Refused(refusal));
+    pub fn refuse(&mut self, now: Moment, token: Token, refusal: StartRefusal) {
+        self.finish(now, token, PlacementEnd::Refused(refusal));
     }
 
     /// Takes note of the worker's answer to a start.
     pub fn launched(&mut self, now: Moment, token: Token, answer: LaunchAnswer) {
         match answer {
             LaunchAnswer::Runs => self.confirm(now, token),
-            LaunchAnswer::NotStarted => self.refuse(token, StartRefusal::WorkerFailed),
+            LaunchAnswer::NotStarted => self.refuse(now, token, StartRefusal::WorkerFailed),
             LaunchAnswer::Uncertain => self.set_doubt(token, StartDoubt::Unanswered),
         }
     }
@@ -158,18 +161,23 @@
         true
     }
 
-    /// Takes note of the worker's answer to a stop.
-    pub fn stopped(&mut self, token: Token, answer: StopAnswer) {
+    /// Takes note of the worker's answer to a stop that was sent at `sent`.
+    ///
+    /// The worker can take a late start between a stop and its answer, so "unknown"
+    /// counts only if the task was known to run before the stop was sent.
+    pub fn stopped(&mut self, now: Moment, sent: Moment, token: Token, answer: StopAnswer) {
         match (answer, self.live.get(&token)) {
             (StopAnswer::Ended(end), Some(live)) => {
                 let cancelled = matches!(live, LiveTask::Stopping(task) if task.cancel);
-                self.finish(token, placement_end(end, cancelled));
+                self.finish(now, token, placement_end(end, cancelled));
             }
-            (StopAnswer::UnknownToken, Some(LiveTask::Stopping(task))) if task.doubt.is_none() => {
+            (StopAnswer::UnknownToken, Some(LiveTask::Stopping(task)))
+                if task.doubt.is_none() && task.since < sent =>
+            {
                 let end = vanished(task.cancel);
-                self.finish(token, end);
+                self.finish(now, token, end);
             }
-            // A start may still be on its way; the inventory decides.
+            // The inventory decides.
             _ => {}
         }
     }
@@ -189,17 +197,19 @@
             let running = RunningTask { placed, since: now, throttle: task.throttle_percent };
             self.live.insert(task.token, LiveTask::Running(running));
         }
-        self.take_ends(inventory);
+        self.take_ends(now, inventory);
     }
 
     /// Compares the table with an inventory that was asked for at `sent`.
     pub fn reconcile(&mut self, now: Moment, sent: Moment, inventory: &TaskInventory) {
-        self.take_ends(inventory);
+        self.take_ends(now, inventory);
         for task in &inventory.running {
             match self.live.get(&task.token) {
                 Some(LiveTask::Running(_)) => self.throttled(task.token, task.throttle_percent),
                 Some(_) => self.confirm_doubtful(now, task.token),
-                None => self.adopt_orphan(now, task),
+                // An inventory from before the latest end may still list the ended task.
+                None if self.last_end < sent => self.adopt_orphan(now, task),
+                None => {}
             }
         }
         let listed: BTreeSet<Token> = inventory.running.iter().map(|task| task.token).collect();
@@ -223,12 +233,12 @@
         tokens.filter(|t| self.is_spent(*t) && !self.ended.contains_key(t)).collect()
     }
 
-    fn take_ends(&mut self, inventory: &TaskInventory) {
+    fn take_ends(&mut self, now: Moment, inventory: &TaskInventory) {
         for task in &inventory.ended {
             match self.live.get(&task.token) {
                 Some(live) => {
                     let cancelled = matches!(live, LiveTask::Stopping(task) if task.cancel);
-                    self.finish(task.token, placement_end(task.end.clone(), cancelled));
+                    self.finish(now, task.token, placement_end(task.end.clone(), cancelled));
                 }
                 None if !self.is_spent(task.token) => self.adopt_end(task),
                 None => {}
@@ -259,12 +269,12 @@
             None => return,
         };
         match doubt {
-            None if since < sent => self.finish(token, vanished(cancel)),
+            None if since < sent => self.finish(now, token, vanished(cancel)),
             Some(StartDoubt::Unanswered) => self.set_doubt(token, StartDoubt::Absent(now)),
             // A start that lay in a paused worker's socket is read soon after the worker
             // resumes, so one absence right after the resumption proves nothing.
             Some(StartDoubt::Absent(first)) if first.after(PAUSE_MARGIN) <= sent => {
-                self.refuse(token, StartRefusal::WorkerFailed);
+                self.refuse(now, token, StartRefusal::WorkerFailed);
             }
             _ => {}
         }
@@ -305,8 +315,9 @@
         }
     }
 
-    fn finish(&mut self, token: Token, end: PlacementEnd) {
+    fn finish(&mut self, now: Moment, token: Token, end: PlacementEnd) {
         if let Some(live) = self.live.swap_remove(&token) {
+            self.last_end = self.last_end.max(now);
             self.book.release(token);
             self.spent.insert(token);
             self.ended.insert(token, live.end(end));
--- a/crates/agent/tests/board.rs
+++ b/crates/agent/tests/board.rs
@@ -280,7 +280,7 @@
     assert_eq!(board.stopping(), []);
     board.launched(T0, 10, LaunchAnswer::Runs);
     assert_eq!(board.stopping(), [(10, true)]);
-    board.stopped(10, StopAnswer::Ended(TaskEnd::Stopped { checkpoint: None }));
+    board.stopped(T0, T0, 10, StopAnswer::Ended(TaskEnd::Stopped { checkpoint: None }));
     assert_eq!(board.ended()[0].end, PlacementEnd::Cancelled);
 }
 
--- /dev/null
+++ b/crates/agent/tests/rival_agents.rs
@@ -0,0 +1,447 @@
+//! Two agents and a scheduler that moves tasks between them, under lost, late and
+//! reordered messages and pauses. Virtual time, fixed seeds.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cactusdoor_agent::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
+use cactusdoor_agent::table::{LaunchAnswer, StopAnswer};
+use cactusdoor_core::constants::{PAUSE_MARGIN, TASK_LEASE};
+use cactusdoor_core::job::{PlacementEnd, StartRefusal};
+use cactusdoor_core::lease::{GrantedLease, LeaseRequest};
+use cactusdoor_core::unit::{Millis, Moment, Token};
+use cactusdoor_peer::heartbeat::HeartbeatReply;
+use cactusdoor_peer::task::{StopMode, TaskStart, TaskStop};
+use cactusdoor_worker::{EndedTask, RunningTask, TaskEnd, TaskInventory};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{INCARNATION, T0, capacity, listed, reply, small, stop};
+
+const VMS: usize = 2;
+const TASKS: u32 = 4;
+const SEEDS: u64 = 300;
+const STEPS: usize = 1_500;
+/// Time after which an agent gives up a call to its worker.
+const CALL_TIMEOUT: Millis = 1_000;
+
+/// A worker that enforces leases and token order, as its protocol says.
+#[derive(Default)]
+struct SimulatedWorker {
+    running: BTreeMap<Token, (RunningTask, Moment)>,
+    ended: BTreeMap<Token, EndedTask>,
+    used: BTreeMap<u32, Token>,
+}
+
+impl SimulatedWorker {
+    fn lapse(&mut self, now: Moment) {
+        let over: Vec<Token> = self
+            .running
+            .iter()
+            .filter(|(_, (_, deadline))| now >= *deadline)
+            .map(|(token, _)| *token)
+            .collect();
+        for token in over {
+            self.end(token, TaskEnd::Lapsed);
+        }
+    }
+
+    fn end(&mut self, token: Token, end: TaskEnd) {
+        if let Some((task, _)) = self.running.remove(&token) {
+            self.ended.insert(token, EndedTask { token, task: task.task, end });
+        }
+    }
+
+    fn start(&mut self, now: Moment, start: &TaskStart, lease: Millis) -> LaunchAnswer {
+        if self.running.contains_key(&start.token) {
+            return LaunchAnswer::Runs;
+        }
+        let used = self.used.entry(start.task.index).or_default();
+        if *used >= start.token {
+            return LaunchAnswer::NotStarted;
+        }
+        *used = start.token;
+        let mut task = listed(start.token, 0);
+        task.task = start.task.clone();
+        self.running.insert(start.token, (task, now.after(lease)));
+        LaunchAnswer::Runs
+    }
+
+    fn inventory(&self, now: Moment) -> TaskInventory {
+        let running = self.running.values().map(|(task, deadline)| RunningTask {
+            lease_left_ms: deadline.since(now),
+            ..task.clone()
+        });
+        TaskInventory { running: running.collect(), ended: self.ended.values().cloned().collect() }
+    }
+}
+
+/// A message or an answer that arrives at some time.
+#[derive(Clone)]
+enum Event {
+    // At the scheduler.
+    Beat { vm: usize, sent: Moment, lease: LeaseRequest, ended: Vec<(Token, PlacementEnd)> },
+    StartAnswer { token: Token, result: Result<(), StartRefusal> },
+    StopAnswer { vm: usize, token: Token },
+    // At an agent.
+    Reply { vm: usize, sent: Moment, number: u64, reply: HeartbeatReply },
+    Start { vm: usize, start: TaskStart },
+    Stop { vm: usize, stop: TaskStop },
+    Launched { vm: usize, token: Token, answer: LaunchAnswer },
+    Stopped { vm: usize, token: Token, sent: Moment, answer: StopAnswer },
+    Inventory { vm: usize, sent: Moment, inventory: TaskInventory },
+    // At a worker.
+    Launch { vm: usize, start: TaskStart, lease: Millis, sent: Moment },
+    Renew { vm: usize, tokens: Vec<Token>, lease: Millis },
+    End { vm: usize, token: Token, sent: Moment },
+    Look { vm: usize, sent: Moment },
+}
+
+impl Event {
+    /// The agent that has to be awake to receive it.
+    fn agent(&self) -> Option<usize> {
+        match self {
+            Self::Reply { vm, .. }
+            | Self::Start { vm, .. }
+            | Self::Stop { vm, .. }
+            | Self::Launched { vm, .. }
+            | Self::Stopped { vm, .. }
+            | Self::Inventory { vm, .. } => Some(*vm),
+            _ => None,
+        }
+    }
+}
+
+/// Places each task on one VM at a time, as the rules of leases allow.
+struct Scheduler {
+    leases: Vec<GrantedLease>,
+    placed: BTreeMap<u32, (usize, Token)>,
+    /// Lapsed tokens that an agent must renounce before it gets a lease again.
+    fences: Vec<BTreeSet<Token>>,
+    next_token: Token,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: Moment,
+    boards: Vec<TaskBoard>,
+    workers: Vec<SimulatedWorker>,
+    awake: Vec<Moment>,
+    /// Until when messages from and to a VM are lost.
+    cut: Vec<Moment>,
+    scheduler: Scheduler,
+    events: Vec<(Moment, Event)>,
+    starts: usize,
+    moves: usize,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let board = || {
+            let identity = BoardIdentity { incarnation: INCARNATION, ..support::identity() };
+            let mut board = TaskBoard::new(identity);
+            board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
+            board
+        };
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: T0,
+            boards: (0..VMS).map(|_| board()).collect(),
+            workers: (0..VMS).map(|_| SimulatedWorker::default()).collect(),
+            awake: vec![T0; VMS],
+            cut: vec![T0; VMS],
+            scheduler: Scheduler {
+                leases: vec![GrantedLease::unknown(1, T0, 0); VMS],
+                placed: BTreeMap::new(),
+                fences: vec![BTreeSet::new(); VMS],
+                next_token: 1,
+            },
+            events: Vec::new(),
+            starts: 0,
+            moves: 0,
+        }
+    }
+
+    fn send(&mut self, longest: Millis, event: Event) {
+        let delay = if self.rng.random_bool(0.7) {
+            self.rng.random_range(0..=longest.min(20))
+        } else {
+            self.rng.random_range(0..=longest)
+        };
+        self.events.push((self.now.after(delay), event));
+    }
+
+    /// A message between VMs: it may be lost or late.
+    fn post(&mut self, vm: usize, event: Event) {
+        if self.cut[vm] <= self.now && !self.rng.random_bool(0.1) {
+            self.send(6_000, event);
+        }
+    }
+
+    /// A call of an agent to its worker takes effect within the margin for pauses.
+    fn call(&mut self, event: Event) {
+        self.send(PAUSE_MARGIN, event);
+    }
+
+    fn step(&mut self) {
+        let time = self.rng.random_range(0..120);
+        let until = self.now.after(time);
+        self.run_until(until);
+        let vm = self.rng.random_range(0..VMS);
+        let awake = self.awake[vm] <= self.now;
+        match self.rng.random_range(0..1_000) {
+            0..4 if awake => {
+                let pause = self.rng.random_range(500..15_000);
+                self.awake[vm] = self.now.after(pause);
+            }
+            4..8 => {
+                let outage = self.rng.random_range(500..12_000);
+                self.cut[vm] = self.now.after(outage);
+            }
+            8..250 if awake => self.beat(vm),
+            250..350 if awake => self.tick(vm),
+            350..500 if awake => {
+                if let Some((tokens, lease)) = self.boards[vm].renewal(self.now) {
+                    self.call(Event::Renew { vm, tokens, lease });
+                }
+            }
+            500..650 if awake => {
+                let sent = self.now;
+                self.send(CALL_TIMEOUT / 2, Event::Look { vm, sent });
+            }
+            650..850 => self.schedule(),
+            850..870 => {
+                let token = self.workers[vm].running.keys().next().copied();
+                if let Some(token) = token {
+                    self.workers[vm].end(token, TaskEnd::Failed);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn run_until(&mut self, until: Moment) {
+        loop {
+            let awake = &self.awake;
+            let due = |at: &Moment, event: &Event| {
+                let ready = event.agent().map_or(*at, |vm| (*at).max(awake[vm]));
+                (ready <= until).then_some(ready)
+            };
+            let ready = self.events.iter().enumerate().filter_map(|(position, (at, event))| {
+                due(at, event).map(|ready| (ready, position))
+            });
+            // Of the messages that wait for a paused agent any may be first.
+            let Some(earliest) = ready.clone().map(|(ready, _)| ready).min() else { break };
+            let first: Vec<usize> =
+                ready.filter(|(at, _)| *at == earliest).map(|(_, position)| position).collect();
+            let chosen = first[self.rng.random_range(0..first.len())];
+            let (_, event) = self.events.swap_remove(chosen);
+            self.advance(earliest.max(self.now));
+            self.handle(event);
+            self.check();
+        }
+        self.advance(until);
+    }
+
+    fn advance(&mut self, now: Moment) {
+        self.now = now;
+        for worker in &mut self.workers {
+            worker.lapse(now);
+        }
+    }
+
+    fn beat(&mut self, vm: usize) {
+        self.tick(vm);
+        let lease = self.boards[vm].ask_lease(self.now);
+        let ended = self.boards[vm].ended();
+        let ended = ended.into_iter().map(|task| (task.token, task.end)).collect();
+        let sent = self.now;
+        self.post(vm, Event::Beat { vm, sent, lease, ended });
+    }
+
+    fn tick(&mut self, vm: usize) {
+        self.boards[vm].stop_unentitled(self.now);
+        for (token, _) in self.boards[vm].stopping() {
+            self.call(Event::End { vm, token, sent: self.now });
+        }
+    }
+
+    fn schedule(&mut self) {
+        let index = self.rng.random_range(0..TASKS);
+        let vm = self.rng.random_range(0..VMS);
+        match self.scheduler.placed.get(&index).copied() {
+            None => {
+                let token = self.scheduler.next_token;
+                self.scheduler.next_token += 1;
+                self.scheduler.placed.insert(index, (vm, token));
+                self.moves += 1;
+                self.send_start(vm, index, token);
+            }
+            Some((vm, token)) if self.rng.random_bool(0.5) => self.send_start(vm, index, token),
+            Some((vm, token)) => {
+                let stop = stop(token, 1, StopMode::CheckpointAndStop);
+                self.post(vm, Event::Stop { vm, stop });
+            }
+        }
+        for vm in 0..VMS {
+            let token = self.scheduler.fences[vm].first().copied();
+            if let Some(token) = token {
+                let stop = stop(token, 1, StopMode::CheckpointAndStop);
+                self.post(vm, Event::Stop { vm, stop });
+            }
+            if self.scheduler.leases[vm].is_surely_over(self.now) {
+                self.lapse(vm);
+            }
+        }
+    }
+
+    fn send_start(&mut self, vm: usize, index: u32, token: Token) {
+        let mut start = small(token, 1);
+        start.task = support::task(index);
+        self.post(vm, Event::Start { vm, start });
+    }
+
+    fn lapse(&mut self, vm: usize) {
+        let fences = &mut self.scheduler.fences[vm];
+        self.scheduler.placed.retain(|_, (place, token)| {
+            let lapsed = *place == vm;
+            if lapsed {
+                fences.insert(*token);
+            }
+            !lapsed
+        });
+    }
+
+    fn record_end(&mut self, token: Token) {
+        self.scheduler.placed.retain(|_, (_, placed)| *placed != token);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Beat { vm, sent, lease, ended } => {
+                if self.scheduler.leases[vm].is_surely_over(now) {
+                    self.lapse(vm);
+                }
+                let term = if self.scheduler.fences[vm].is_empty() { TASK_LEASE } else { 0 };
+                self.scheduler.leases[vm].renew(now, lease, term);
+                let recorded = ended.iter().map(|(token, _)| *token).collect();
+                for (token, _) in ended {
+                    self.record_end(token);
+                }
+                let reply = HeartbeatReply { recorded, ..reply(1, term, Some(0)) };
+                self.post(vm, Event::Reply { vm, sent, number: lease.number, reply });
+            }
+            Event::StartAnswer { token, result } => {
+                if result.is_err() {
+                    self.record_end(token);
+                }
+            }
+            Event::StopAnswer { vm, token } => {
+                self.record_end(token);
+                self.scheduler.fences[vm].remove(&token);
+            }
+            Event::Reply { vm, sent, number, reply } => {
+                drop(self.boards[vm].receive(now, sent, number, &reply));
+            }
+            Event::Start { vm, start } => self.receive_start(vm, start),
+            Event::Stop { vm, stop } => match self.boards[vm].begin_stop(&stop) {
+                Ok(StopStep::Stop) => self.tick(vm),
+                Ok(StopStep::NotRunning | StopStep::Ended(_)) => {
+                    self.post(vm, Event::StopAnswer { vm, token: stop.token });
+                }
+                _ => {}
+            },
+            Event::Launched { vm, token, answer } => {
+                self.boards[vm].launched(now, token, answer);
+                self.tick(vm);
+            }
+            Event::Stopped { vm, token, sent, answer } => {
+                self.boards[vm].stopped(now, sent, token, answer);
+            }
+            Event::Inventory { vm, sent, inventory } => {
+                self.boards[vm].reconcile(now, sent, &inventory);
+            }
+            Event::Launch { vm, start, lease, sent } => {
+                let answer = self.workers[vm].start(now, &start, lease);
+                self.starts += 1;
+                if now.since(sent) < CALL_TIMEOUT && !self.rng.random_bool(0.1) {
+                    self.send(0, Event::Launched { vm, token: start.token, answer });
+                }
+            }
+            Event::Renew { vm, tokens, lease } => {
+                for token in tokens {
+                    if let Some((_, deadline)) = self.workers[vm].running.get_mut(&token) {
+                        *deadline = now.after(lease);
+                    }
+                }
+            }
+            Event::End { vm, token, sent } => {
+                self.workers[vm].end(token, TaskEnd::Stopped { checkpoint: None });
+                let answer = match self.workers[vm].ended.get(&token) {
+                    Some(task) => StopAnswer::Ended(task.end.clone()),
+                    None => StopAnswer::UnknownToken,
+                };
+                self.send(CALL_TIMEOUT, Event::Stopped { vm, token, sent, answer });
+            }
+            Event::Look { vm, sent } => {
+                let inventory = self.workers[vm].inventory(now);
+                self.send(CALL_TIMEOUT / 2, Event::Inventory { vm, sent, inventory });
+            }
+        }
+    }
+
+    fn receive_start(&mut self, vm: usize, start: TaskStart) {
+        let now = self.now;
+        let token = start.token;
+        let result = match self.boards[vm].begin_start(now, &start) {
+            Ok(StartStep::Repeated) => Ok(()),
+            Ok(StartStep::Launch) => match self.boards[vm].launch_lease(now, token, 1) {
+                Ok(lease) => {
+                    self.call(Event::Launch { vm, start, lease, sent: now });
+                    // Without an answer by then, the start counts as uncertain.
+                    let answer = LaunchAnswer::Uncertain;
+                    let at = now.after(CALL_TIMEOUT);
+                    self.events.push((at, Event::Launched { vm, token, answer }));
+                    Ok(())
+                }
+                Err(refusal) => Err(refusal),
+            },
+            Err(refusal) => Err(refusal),
+        };
+        self.post(vm, Event::StartAnswer { token, result });
+    }
+
+    /// No task runs in two places, and no VM runs more than it has.
+    fn check(&self) {
+        let mut places = BTreeMap::new();
+        for (vm, worker) in self.workers.iter().enumerate() {
+            for (token, (task, _)) in &worker.running {
+                let other = places.insert(task.task.index, (vm, *token));
+                assert_eq!(other, None, "task {} also runs at {vm} as {token}", task.task.index);
+            }
+        }
+    }
+}
+
+/// Guards against a task that runs in two places at once, whatever order messages,
+/// pauses, lapses and late effects come in.
+#[test]
+fn task_never_runs_on_two_vms() {
+    let (mut starts, mut moves) = (0, 0);
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        let run = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            for _ in 0..STEPS {
+                world.step();
+                world.check();
+            }
+        }));
+        assert!(run.is_ok(), "seed {seed} at {:?}", world.now);
+        starts += world.starts;
+        moves += world.moves;
+    }
+    // A run without starts or moves would show nothing.
+    assert!(starts > 10 * SEEDS as usize, "only {starts} starts");
+    assert!(moves > 20 * SEEDS as usize, "only {moves} placements");
+}
--- a/crates/agent/tests/table.rs
+++ b/crates/agent/tests/table.rs
@@ -66,6 +66,20 @@
     assert!(board.table().unwrap().book().holds(10));
 }
 
+/// Guards against an inventory from before an end that makes the ended task live again.
+#[test]
+fn late_inventory_does_not_revive_an_ended_task() {
+    let mut board = board();
+    run(&mut board, T0, 10, 1);
+    board.begin_stop(&stop(10, 1, StopMode::CheckpointAndStop)).unwrap();
+    let asked = T0.after(100);
+    let ended = T0.after(110);
+    board.stopped(ended, asked, 10, StopAnswer::Ended(TaskEnd::Stopped { checkpoint: None }));
+    board.reconcile(T0.after(120), asked, &inventory(&[10], &[]));
+    assert_eq!(board.held(), []);
+    assert_eq!(board.table().unwrap().book().committed(), ResourceVector::ZERO);
+}
+
 /// Guards against an end that is lost because the start was never answered.
 #[test]
 fn end_of_an_unanswered_start_is_reported() {
@@ -82,10 +96,24 @@
     launch_uncertain(&mut board, 10);
     board.begin_stop(&stop(10, 1, StopMode::Cancel)).unwrap();
     assert_eq!(board.stopping(), [(10, true)]);
-    board.stopped(10, StopAnswer::UnknownToken);
+    board.stopped(T0, T0, 10, StopAnswer::UnknownToken);
     assert_eq!(board.held().len(), 1);
     look(&mut board, T0.after(100), &inventory(&[10], &[]));
-    board.stopped(10, StopAnswer::Ended(TaskEnd::Stopped { checkpoint: None }));
+    board.stopped(T0, T0, 10, StopAnswer::Ended(TaskEnd::Stopped { checkpoint: None }));
+    assert_eq!(board.ended()[0].end, PlacementEnd::Cancelled);
+}
+
+/// Guards against a late "unknown": the worker answered the stop before it took the
+/// start, and the inventory showed the task before the answer arrived.
+#[test]
+fn answer_to_a_stop_that_overtook_the_start_ends_nothing() {
+    let mut board = board();
+    launch_uncertain(&mut board, 10);
+    board.begin_stop(&stop(10, 1, StopMode::Cancel)).unwrap();
+    look(&mut board, T0.after(100), &inventory(&[10], &[]));
+    board.stopped(T0.after(50), T0.after(50), 10, StopAnswer::UnknownToken);
+    assert_eq!(board.stopping(), [(10, true)]);
+    board.stopped(T0.after(101), T0.after(101), 10, StopAnswer::UnknownToken);
     assert_eq!(board.ended()[0].end, PlacementEnd::Cancelled);
 }
 
@@ -95,7 +123,7 @@
     let mut board = board();
     run(&mut board, T0, 10, 1);
     board.begin_stop(&stop(10, 1, StopMode::CheckpointAndStop)).unwrap();
-    board.stopped(10, StopAnswer::Uncertain);
+    board.stopped(T0, T0, 10, StopAnswer::Uncertain);
     assert_eq!(board.stopping(), [(10, false)]);
 }
 
@@ -105,7 +133,7 @@
     let mut board = board();
     run(&mut board, T0, 10, 1);
     board.begin_stop(&stop(10, 1, StopMode::Cancel)).unwrap();
-    board.stopped(10, StopAnswer::Ended(TaskEnd::Finished { digest: 9 }));
+    board.stopped(T0, T0, 10, StopAnswer::Ended(TaskEnd::Finished { digest: 9 }));
     assert_eq!(board.ended()[0].end, PlacementEnd::Finished { digest: 9 });
 }
 
@@ -220,7 +248,7 @@
                     let end = TaskEnd::Stopped { checkpoint: None };
                     let answer =
                         if known { StopAnswer::Ended(end) } else { StopAnswer::UnknownToken };
-                    board.stopped(token, answer);
+                    board.stopped(now, now, token, answer);
                 }
                 Step::Inventory { running, ended } => {
                     // A worker runs only what was launched and does not list it as ended too.
