Simulate owners, agents and a log with faults

Seeded runs in simulated time check that no task runs in two places, that no plan exceeds its allowance and that all work ends after the faults.

--- /dev/null
+++ b/crates/owner/tests/world/owners.rs
@@ -0,0 +1,198 @@
+//! Owners in the simulation: claims, reads, actions and appends.
+
+use std::sync::Arc;
+
+use cactusdoor_core::config::DataCentreState;
+use cactusdoor_core::envelope::{LogEnvelope, WriterId};
+use cactusdoor_core::name::VmName;
+use cactusdoor_core::shard::{ShardFold, TaskRecord};
+use cactusdoor_log::appender::{NotStored, StoredRecord};
+use cactusdoor_owner::book::{BookAction, BookSettings, ShardBook};
+use rand::Rng;
+
+use super::{Message, OWNER_SILENCE, PLAN, World, allowance};
+use crate::support::{SHARD, config, shard};
+
+impl World {
+    /// The shard's newest owner, if it answers, or a claim.
+    pub(super) fn look_for_owner(&mut self, index: usize) {
+        let now = self.now;
+        let silent = now.since(self.processes[index].agent.heard) >= OWNER_SILENCE;
+        if !silent || self.processes[index].book.is_some() || !self.log_reachable(index) {
+            self.processes[index].claim_at = None;
+            return;
+        }
+        let newest = self.truth.ownership().map(|ownership| ownership.owner.clone());
+        let owner =
+            self.processes.iter().position(|p| Some(&p.agent.identity.vm) == newest.as_ref());
+        if let Some(owner) = owner.filter(|owner| *owner != index)
+            && self.processes[owner].side == self.processes[index].side
+            && now >= self.processes[owner].paused_until
+            && self.processes[owner].book.as_ref().is_some_and(|b| b.owned_epoch().is_some())
+        {
+            self.processes[index].agent.owner = Some(owner);
+            return;
+        }
+        let jitter = self.rng.random_range(0..1_000);
+        let claim_at = *self.processes[index].claim_at.get_or_insert(now.after(jitter));
+        if now < claim_at {
+            return;
+        }
+        let settings = BookSettings {
+            shard: shard(SHARD),
+            identity: self.processes[index].agent.identity.clone(),
+            writer: self.writer(index),
+            shards: vec![shard(SHARD)],
+        };
+        // What was read a moment ago; the claim may be late.
+        let behind = self.rng.random_range(0..2).min(self.stream.len());
+        let mut fold = ShardFold::new(shard(SHARD));
+        for (offset, record) in (0..).zip(&self.stream[..self.stream.len() - behind]) {
+            fold.apply(offset, record.clone());
+        }
+        let mut book = ShardBook::new(settings, fold);
+        let state = config(&[(PLAN, allowance())], DataCentreState::In);
+        book.configured(now, Arc::new(state));
+        book.claim();
+        let process = &mut self.processes[index];
+        process.tenure += 1;
+        process.claim_at = None;
+        process.book = Some(book);
+        process.outbox.clear();
+        self.carry_out(index);
+    }
+
+    pub(super) fn writer(&self, index: usize) -> WriterId {
+        let identity = &self.processes[index].agent.identity;
+        WriterId {
+            process: identity.vm.as_str().parse().unwrap(),
+            incarnation: identity.incarnation,
+        }
+    }
+
+    /// Reads, appends and ticks of a process that has a book.
+    pub(super) fn keep(&mut self, index: usize) {
+        if self.processes[index].book.is_none() {
+            return;
+        }
+        let now = self.now;
+        if self.log_reachable(index) && self.rng.random_bool(0.8) {
+            let (stream, process) = (&self.stream, &mut self.processes[index]);
+            let Some(book) = &mut process.book else { return };
+            let from = book.fold().next();
+            for (offset, record) in (0..).zip(stream).skip(usize::try_from(from).unwrap()) {
+                book.folded(now, offset, record.clone());
+            }
+            book.confirmed(now);
+            book.config_confirmed(now);
+            if book.owned_epoch().is_some() {
+                process.agent.owner = Some(index);
+            }
+            if book.is_replaced() {
+                process.book = None;
+                process.tenure += 1;
+                process.outbox.clear();
+                return;
+            }
+        }
+        if let Some(book) = &mut self.processes[index].book {
+            book.tick(now, 1_700_000_000_000);
+        }
+        self.carry_out(index);
+        self.append(index);
+    }
+
+    pub(super) fn carry_out(&mut self, index: usize) {
+        let tenure = self.processes[index].tenure;
+        let Some(book) = &mut self.processes[index].book else { return };
+        let actions = book.take_actions();
+        let mut lost = false;
+        for action in actions {
+            match action {
+                BookAction::Append { ticket, record, .. } => {
+                    self.processes[index].outbox.push_back((ticket, record));
+                }
+                BookAction::Start { vm, start, .. } => {
+                    let to = self.index_of(&vm);
+                    let token = start.token;
+                    self.send(3_000..3_001, tenure, Message::StartLost { to: index, token });
+                    if self.passes(index, to) {
+                        let delay = self.delay();
+                        let start = Box::new(start);
+                        self.send(delay, tenure, Message::Start { to, from: index, start });
+                    }
+                }
+                BookAction::Stop { vm, stop, .. } => {
+                    let to = self.index_of(&vm);
+                    let stop = Box::new(stop);
+                    let given_up = Message::StopLost { to: index, vm, stop: stop.clone() };
+                    self.send(3_000..3_001, tenure, given_up);
+                    if self.passes(index, to) {
+                        let delay = self.delay();
+                        self.send(delay, tenure, Message::Stop { to, from: index, stop });
+                    }
+                }
+                BookAction::Lost { .. } => lost = true,
+                _ => {}
+            }
+        }
+        if lost {
+            let process = &mut self.processes[index];
+            process.book = None;
+            process.tenure += 1;
+            process.outbox.clear();
+        }
+    }
+
+    pub(super) fn index_of(&self, name: &VmName) -> usize {
+        self.processes.iter().position(|p| p.agent.identity.vm == *name).unwrap()
+    }
+
+    /// One group in flight per process, with what the appender makes of faults.
+    pub(super) fn append(&mut self, index: usize) {
+        let now = self.now;
+        let tenure = self.processes[index].tenure;
+        if now < self.processes[index].append_until || self.processes[index].outbox.is_empty() {
+            return;
+        }
+        let group: Vec<_> = self.processes[index].outbox.drain(..).collect();
+        let writer = self.writer(index);
+        if !self.log_reachable(index) {
+            for (ticket, _) in group {
+                let result = Err(NotStored::Unavailable);
+                let message = Message::Appended { to: index, ticket, result };
+                self.send(100..2_000, tenure, message);
+            }
+            self.processes[index].append_until = now.after(2_000);
+            return;
+        }
+        let lost = self.chance(self.faults.append_loss);
+        let stored = !lost || self.rng.random_bool(0.5);
+        let wait = if lost { 3_000 } else { 100 };
+        let delay = || if lost { 500..3_000 } else { 1..100 };
+        self.processes[index].append_until = now.after(wait);
+        let mut frozen = Vec::new();
+        for (ticket, body) in group {
+            self.processes[index].sequence += 1;
+            let sequence = self.processes[index].sequence;
+            let envelope = LogEnvelope { writer: writer.clone(), sequence, body };
+            let result = if stored {
+                let offset = self.store_envelope(envelope);
+                Ok(StoredRecord { offset, sequence })
+            } else {
+                frozen.push(envelope);
+                Err(NotStored::Lost)
+            };
+            self.send(delay(), tenure, Message::Appended { to: index, ticket, result });
+        }
+        if lost {
+            self.processes[index].sequence += 1;
+            let sequence = self.processes[index].sequence;
+            let noop = LogEnvelope { writer, sequence, body: TaskRecord::Noop };
+            self.store_envelope(noop);
+        }
+        for envelope in frozen {
+            self.send(100..20_000, tenure, Message::Frozen(envelope));
+        }
+    }
+}
