--- /dev/null
+++ b/crates/owner/tests/two_shards.rs
@@ -0,0 +1,311 @@
+//! Two shards that exchange tasks while data centres leave and return, owners
+//! are replaced and appends to the other shard get lost or come twice.
+
+mod support;
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use cactusdoor_core::config::{
+    AllowanceSpec, ConfigFold, ConfigRecord, ConfigState, DataCentreState, ItemChange, ItemValue,
+};
+use cactusdoor_core::envelope::LogEnvelope;
+use cactusdoor_core::job::{JobSpec, PlacementEnd, TaskId, TaskOutcome};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::shard::{TaskRecord, TaskState};
+use cactusdoor_core::unit::Token;
+use cactusdoor_log::appender::{NotStored, StoredRecord};
+use cactusdoor_owner::book::{BookSettings, CallOutcome};
+use cactusdoor_peer::heartbeat::{HeldTask, RunState};
+use cactusdoor_peer::roster::{RosterReply, ShardRoom, ShardSummary};
+use cactusdoor_peer::task::StopReply;
+use cactusdoor_timeline::HybridTime;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{Bench, FakeAgent, amount, identity, job, shard, writer};
+
+const SHARDS: [&str; 2] = ["north-0", "south-0"];
+const CENTRES: [&str; 2] = ["north", "south"];
+const PLAN: &str = "gold";
+
+fn allowance() -> ResourceVector {
+    amount(5_000, 64 * 1_024)
+}
+
+fn configuration(out: [bool; 2]) -> ConfigState {
+    let spec = AllowanceSpec { batch: allowance(), requests_per_second: 1 };
+    let mut items = vec![ItemValue::Allowance(PLAN.parse().unwrap(), Some(spec))];
+    for (name, out) in CENTRES.iter().zip(out) {
+        let state = if out { DataCentreState::Out } else { DataCentreState::In };
+        items.push(ItemValue::DataCentre(name.parse().unwrap(), state));
+    }
+    let items = items.into_iter().map(|value| ItemChange { premise: 0, value }).collect();
+    let mut fold = ConfigFold::default();
+    let body = ConfigRecord::Changed { items };
+    fold.apply(0, LogEnvelope { writer: writer("entry"), sequence: 1, body });
+    fold.state().clone()
+}
+
+struct Pair {
+    rng: ChaCha8Rng,
+    seed: u64,
+    benches: Vec<Bench>,
+    agents: Vec<FakeAgent>,
+    out: [bool; 2],
+    owners: u64,
+    faulty: bool,
+    foreign: u64,
+    finished: HashMap<TaskId, u32>,
+    cancelled: HashSet<TaskId>,
+    jobs: Vec<JobSpec>,
+}
+
+impl Pair {
+    fn new(seed: u64) -> Self {
+        let mut pair = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            seed,
+            benches: Vec::new(),
+            agents: Vec::new(),
+            out: [false; 2],
+            owners: 0,
+            faulty: true,
+            foreign: 0,
+            finished: HashMap::new(),
+            cancelled: HashSet::new(),
+            jobs: Vec::new(),
+        };
+        for side in 0..2 {
+            let bench = pair.owner(side, Vec::new(), 1_000_000);
+            pair.benches.push(bench);
+            let mut agent = FakeAgent::new(&format!("vm-{side}"));
+            agent.identity.data_centre = CENTRES[side].parse().unwrap();
+            agent.capacity = amount(3_000, 8_192);
+            pair.agents.push(agent);
+        }
+        for key in 0..8 {
+            let spec = job(PLAN, &format!("k{key}"), 3);
+            pair.benches[0].submit(&spec);
+            pair.jobs.push(spec);
+        }
+        pair
+    }
+
+    fn owner(&mut self, side: usize, stream: Vec<LogEnvelope<TaskRecord>>, now: u64) -> Bench {
+        self.owners += 1;
+        let name = format!("owner-{}", self.owners);
+        let settings = BookSettings {
+            shard: shard(SHARDS[side]),
+            identity: identity(&name, 5),
+            writer: writer(&name),
+            shards: SHARDS.map(shard).to_vec(),
+        };
+        let mut bench = Bench::with_settings(settings, stream);
+        bench.now = cactusdoor_core::unit::Moment(now);
+        bench.book.configured(bench.now, Arc::new(configuration(self.out)));
+        bench.claim();
+        bench
+    }
+
+    fn step(&mut self) {
+        if self.faulty {
+            self.inject();
+        }
+        for side in 0..2 {
+            self.serve(side);
+            self.pass_on(side);
+        }
+        for side in 0..2 {
+            self.inform(side);
+        }
+        self.check();
+    }
+
+    fn inject(&mut self) {
+        if self.rng.random_bool(0.01) {
+            let side = self.rng.random_range(0..2);
+            self.out[side] = !self.out[side];
+            self.configure();
+        }
+        if self.rng.random_bool(0.01) {
+            let side = self.rng.random_range(0..2);
+            let (stream, now) = (self.benches[side].stream.clone(), self.benches[side].now.0);
+            self.benches[side] = self.owner(side, stream, now);
+        }
+        if self.rng.random_bool(0.003) {
+            let chosen = self.rng.random_range(0..self.jobs.len());
+            let spec = self.jobs[chosen].clone();
+            self.benches[0].cancel(&spec);
+            let tasks = (0..spec.tasks).map(|index| TaskId { job: spec.id.clone(), index });
+            self.cancelled.extend(tasks);
+        }
+    }
+
+    fn configure(&mut self) {
+        for bench in &mut self.benches {
+            bench.book.configured(bench.now, Arc::new(configuration(self.out)));
+        }
+    }
+
+    /// Half a second of one shard with its agent.
+    fn serve(&mut self, side: usize) {
+        let (bench, agent) = (&mut self.benches[side], &mut self.agents[side]);
+        bench.now = bench.now.after(500);
+        let tokens: Vec<Token> = agent.held.iter().map(|held| held.token).collect();
+        for token in tokens {
+            if self.rng.random_bool(0.05) {
+                let held = agent.held.iter().find(|held| held.token == token).unwrap();
+                *self.finished.entry(held.task.clone()).or_default() += 1;
+                agent.end(token, PlacementEnd::Finished { digest: token });
+            }
+        }
+        bench.beat(agent).unwrap();
+        bench.tick();
+        for start in bench.take_starts() {
+            if self.faulty && self.rng.random_bool(0.1) {
+                bench.book.start_answered(bench.now, start.token, CallOutcome::Lost);
+                continue;
+            }
+            assert!(
+                !self.out[side],
+                "seed {}: {} starts in a data centre that is out",
+                self.seed, start.task
+            );
+            if agent.held.iter().all(|held| held.token != start.token) {
+                agent.hold(&start);
+            }
+            bench.book.start_answered(bench.now, start.token, CallOutcome::Answered(Ok(())));
+        }
+        for (vm, stop) in bench.take_stops() {
+            let position = agent.held.iter().position(|held| held.token == stop.token);
+            let ended = agent.ended.iter().find(|ended| ended.token == stop.token);
+            let reply = match (position, ended) {
+                (Some(position), _) => {
+                    let HeldTask { token, task, state, .. } = agent.held[position].clone();
+                    assert_eq!(state, RunState::Running);
+                    let name = format!("{}-{token}-{}", task.index, SHARDS[side]);
+                    let end = PlacementEnd::Evicted { checkpoint: Some(name.parse().unwrap()) };
+                    agent.end(token, end.clone());
+                    StopReply::Ended(end)
+                }
+                (None, Some(ended)) => StopReply::Ended(ended.end.clone()),
+                (None, None) => StopReply::NotRunning,
+            };
+            let answer = CallOutcome::Answered(Ok(reply));
+            bench.book.stop_answered(bench.now, &vm, &stop, answer);
+        }
+        bench.settle();
+    }
+
+    /// Appends of one owner to the other shard's stream.
+    fn pass_on(&mut self, side: usize) {
+        for (ticket, target, record) in std::mem::take(&mut self.benches[side].elsewhere) {
+            let other = SHARDS.iter().position(|name| shard(name) == target).unwrap();
+            assert_ne!(other, side);
+            let copies =
+                if !self.faulty { 1 } else { [0, 1, 1, 1, 2][self.rng.random_range(0..5)] };
+            for _ in 0..copies {
+                self.foreign += 1;
+                let sequence = self.foreign;
+                self.benches[other].foreign("elsewhere", sequence, record.clone());
+                self.benches[other].settle();
+            }
+            // The answer may be lost although the record is stored.
+            let known = copies > 0 && !(self.faulty && self.rng.random_bool(0.2));
+            let stored = StoredRecord { offset: 0, sequence: 0 };
+            let result = if known { Ok(stored) } else { Err(NotStored::Unknown) };
+            let bench = &mut self.benches[side];
+            bench.book.appended(bench.now, ticket, result);
+            bench.settle();
+        }
+    }
+
+    /// What entries tell the owner about the other shard.
+    fn inform(&mut self, side: usize) {
+        let other = 1 - side;
+        let committed = self.benches[other]
+            .book
+            .index()
+            .vm(&self.agents[other].identity.vm)
+            .map_or(ResourceVector::ZERO, |load| load.committed);
+        let free = self.agents[other].capacity.saturating_sub(committed);
+        let room = ShardRoom { free, largest: free, pending_tasks: 0 };
+        let summary = ShardSummary {
+            shard: shard(SHARDS[other]),
+            data_centre: CENTRES[other].parse().unwrap(),
+            epoch: self.benches[other].book.fold().epoch(),
+            room,
+        };
+        let reply = RosterReply {
+            at: HybridTime::default(),
+            needs_full: false,
+            newer_epoch: None,
+            entries: Vec::new(),
+            shards: vec![summary],
+            earlier_members: Vec::new(),
+            config_revision: 0,
+        };
+        let bench = &mut self.benches[side];
+        bench.book.roster_answered(bench.now, &reply);
+    }
+
+    fn check(&self) {
+        let mut running: HashSet<&TaskId> = HashSet::new();
+        let mut used = ResourceVector::ZERO;
+        for agent in &self.agents {
+            let mut here = ResourceVector::ZERO;
+            for held in &agent.held {
+                let first = running.insert(&held.task);
+                assert!(first, "seed {}: {} runs twice", self.seed, held.task);
+                here = here.checked_add(held.need).unwrap();
+            }
+            assert!(agent.capacity.holds(here), "seed {}: {here:?} on one VM", self.seed);
+            used = used.checked_add(here).unwrap();
+        }
+        assert!(allowance().holds(used), "seed {}: the plan runs {used:?}", self.seed);
+        for (task, times) in &self.finished {
+            assert_eq!(*times, 1, "seed {}: {task} finished again", self.seed);
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.benches[0].book.fold().jobs().all(|job| job.is_ended())
+    }
+}
+
+/// Guards against tasks that run twice, get lost or exceed the allowance when
+/// they move, and against finished work that is recorded as anything else.
+#[test]
+fn moved_work_runs_once_and_comes_home() {
+    for seed in 0..40 {
+        let mut pair = Pair::new(seed);
+        for _ in 0..400 {
+            pair.step();
+        }
+        pair.faulty = false;
+        pair.out = [false; 2];
+        pair.configure();
+        for _ in 0..2_000 {
+            pair.step();
+            if pair.is_done() {
+                break;
+            }
+        }
+        let home = pair.benches[0].book.fold();
+        for spec in &pair.jobs {
+            let entry = home.job(&spec.id).unwrap();
+            for (index, task) in &entry.tasks {
+                let id = TaskId { job: spec.id.clone(), index: *index };
+                let finished = pair.finished.contains_key(&id);
+                let cancelled = pair.cancelled.contains(&id);
+                match &task.state {
+                    TaskState::Ended(TaskOutcome::Finished { .. }) => assert!(finished),
+                    TaskState::Ended(TaskOutcome::Cancelled) => {
+                        assert!(cancelled, "seed {seed}: {id} was not cancelled");
+                    }
+                    state => panic!("seed {seed}: {id} is left as {state:?}"),
+                }
+            }
+        }
+    }
+}
