--- a/crates/standin/src/bin/standin.rs
+++ b/crates/standin/src/bin/standin.rs
@@ -156,7 +156,7 @@
 async fn leave(upstream: &UpstreamStandin) -> Result<()> {
     upstream.leave();
     let left = async {
-        while !upstream.status().withdrawn || upstream.status().in_progress > 0 {
+        while upstream.status().withdrawn_unix_us.is_none() || upstream.status().in_progress > 0 {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -117,8 +117,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamStatus {
     pub leaving: bool,
-    /// The agent has acknowledged that the upstream leaves.
-    pub withdrawn: bool,
+    /// When the agent acknowledged that the upstream leaves.
+    pub withdrawn_unix_us: Option<UnixMicros>,
     /// Requests received and not yet completed.
     pub in_progress: usize,
     pub executions: u64,
--- a/crates/standin/src/upstream_state.rs
+++ b/crates/standin/src/upstream_state.rs
@@ -28,7 +28,7 @@
     slots: Semaphore,
     connections: Arc<Semaphore>,
     leaving: Mutex<Option<UnixMicros>>,
-    withdrawn: AtomicBool,
+    withdrawn: Mutex<Option<UnixMicros>>,
     closed: AtomicBool,
     in_progress: AtomicUsize,
     executions: AtomicU64,
@@ -118,7 +118,7 @@
             slots: Semaphore::new(options.slots as usize),
             connections: Arc::new(Semaphore::new(options.connections as usize)),
             leaving: Mutex::default(),
-            withdrawn: AtomicBool::new(false),
+            withdrawn: Mutex::default(),
             closed: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             executions: AtomicU64::new(0),
@@ -146,13 +146,13 @@
 
     /// The agent has acknowledged the withdrawal.
     pub fn set_withdrawn(&self) {
-        self.withdrawn.store(true, Ordering::SeqCst);
+        lock(&self.withdrawn).get_or_insert_with(unix_us);
     }
 
     pub fn status(&self) -> UpstreamStatus {
         UpstreamStatus {
             leaving: self.is_leaving(),
-            withdrawn: self.withdrawn.load(Ordering::SeqCst),
+            withdrawn_unix_us: *lock(&self.withdrawn),
             in_progress: self.in_progress.load(Ordering::SeqCst),
             executions: self.executions.load(Ordering::SeqCst),
             over_limit: self.over_limit.load(Ordering::SeqCst),
--- a/crates/standin/tests/cluster/main.rs
+++ b/crates/standin/tests/cluster/main.rs
@@ -22,8 +22,11 @@
 const PAUSE: Duration = Duration::from_secs(13);
 /// Longest graceful stop of a daemon in these tests.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
-/// Within which an upstream that leaves gets no new work: two rosters and a heartbeat.
+/// Within which an upstream that leaves gets no new work, "a few seconds".
 const LEAVE_GRACE_US: u64 = 3_000_000;
+/// Within which requests that the agent had forwarded before it took the
+/// withdrawal have begun; afterwards it refuses them at once.
+const WITHDRAWAL_GRACE_US: u64 = 1_000_000;
 
 /// Kills the agent of a busy VM, which either owns a shard or does not.
 async fn killed_agent(owner: bool) {
@@ -211,7 +214,16 @@
     let (failures, count) = load.finish().await;
     assert_eq!(failures, Vec::<String>::new());
     assert!(count > 100, "only {count} requests");
-    assert_eq!(check::late_starts(&site.executions(), LEAVE_GRACE_US), []);
+    let executions = site.executions();
+    assert_eq!(check::late_starts(&executions, LEAVE_GRACE_US), []);
+    let left = &site.cluster.vms[0];
+    let status = left.upstream.as_ref().unwrap().status();
+    let last = status.withdrawn_unix_us.unwrap() + WITHDRAWAL_GRACE_US;
+    let mut started = executions
+        .iter()
+        .filter(|execution| matches!(execution.change, ExecutionChange::Started { .. }));
+    let late = started.find(|start| start.upstream == left.vm && start.time_unix_us > last);
+    assert_eq!(late, None);
 }
 
 /// Guards against requests that are interrupted or refused when an agent stops,
