--- a/crates/core/tests/hand_over.rs
+++ b/crates/core/tests/hand_over.rs
@@ -23,8 +23,9 @@
 
 /// Processes per shard that may own it.
 const RIVALS: usize = 2;
-const JOBS: usize = 2;
-const TASKS: u32 = 2;
+/// Number of tasks of each job: one batch task, and a watch with two.
+const TASKS: [u32; 2] = [1, 2];
+const JOBS: usize = TASKS.len();
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -102,7 +103,7 @@
 }
 
 fn tasks() -> Vec<TaskId> {
-    (0..JOBS).flat_map(|job| (0..TASKS).map(move |index| names::task(job, index))).collect()
+    (0..JOBS).flat_map(|job| (0..TASKS[job]).map(move |index| names::task(job, index))).collect()
 }
 
 fn number_of(id: &JobId) -> usize {
@@ -110,7 +111,7 @@
 }
 
 fn spec(job: usize) -> JobSpec {
-    names::spec(job, if job == 0 { JobClass::Batch } else { JobClass::Watch }, TASKS)
+    names::spec(job, if job == 0 { JobClass::Batch } else { JobClass::Watch }, TASKS[job])
 }
 
 impl HandOverWorld {
@@ -230,31 +231,40 @@
     fn advance(&mut self, number: usize, choice: usize, fate: AppendFate) {
         let task = &tasks()[number % tasks().len()];
         let known = (0..SHARDS).filter_map(|shard| Some((shard, self.truth[shard].task(task)?)));
+        let (place, choice, content) = (choice % 16, choice / 16 % 16, choice / 256);
         let rank = |(_, entry): &(usize, &TaskEntry)| {
             let unconfirmed = matches!(entry.state, TaskState::Away { confirmed: false, .. });
             let here = !matches!(entry.state, TaskState::Away { .. });
             // A stay elsewhere is confirmed and forgotten only now and then.
-            (here && choice % 8 > 1, unconfirmed && !choice.is_multiple_of(8), entry.moves)
+            (here && place > 2, unconfirmed && place > 0, entry.moves)
         };
         let Some((shard, entry)) = known.max_by_key(rank) else { return };
-        let checkpoint = (choice % 5 < 3).then(|| names::checkpoint(choice % 7));
-        let act = match &entry.state {
-            TaskState::Pending { .. } if choice.is_multiple_of(2) => OwnerAct::HandOver(choice / 2),
-            TaskState::Pending { .. } => OwnerAct::Place,
-            TaskState::Placed { .. } if choice.is_multiple_of(16) => {
-                OwnerAct::End(PlacementEnd::Finished { digest: 1 })
-            }
-            TaskState::Placed { .. } => OwnerAct::End(PlacementEnd::Evicted { checkpoint }),
-            TaskState::Ended(_) | TaskState::Away { .. } if choice % 16 > 12 => OwnerAct::Forget,
-            TaskState::Ended(_) if shard != 0 => OwnerAct::HandOver(0),
-            TaskState::Ended(_) => OwnerAct::Forget,
-            TaskState::Away { confirmed: true, .. } => OwnerAct::Forget,
-            TaskState::Away { .. } if choice.is_multiple_of(3) => OwnerAct::Confirm,
-            TaskState::Away { .. } => OwnerAct::Send,
+        let checkpoint = (content % 5 < 3).then(|| names::checkpoint(content % 7));
+        let act = match (&entry.state, choice) {
+            (TaskState::Pending { .. }, 0..8) => OwnerAct::HandOver(content),
+            (TaskState::Pending { .. }, _) => OwnerAct::Place,
+            (TaskState::Placed { .. }, 0..2) => OwnerAct::End(PlacementEnd::Finished { digest: 1 }),
+            (TaskState::Placed { .. }, 2..4) => OwnerAct::EndLate(content),
+            (TaskState::Placed { .. }, _) => OwnerAct::End(PlacementEnd::Evicted { checkpoint }),
+            (TaskState::Ended(_), 0..10) if shard != 0 => OwnerAct::HandOver(0),
+            (TaskState::Away { .. }, 0..6) => OwnerAct::Send,
+            (TaskState::Away { .. }, 6..10) => OwnerAct::Confirm,
+            _ => OwnerAct::Forget,
         };
+        if matches!(act, OwnerAct::Forget) && content.is_multiple_of(2) {
+            self.settle();
+        }
         self.act_as_owner(shard, number, &act, fate);
     }
 
+    fn settle(&mut self) {
+        for (log, rivals) in self.logs.iter_mut().zip(&mut self.rivals) {
+            log.deliver_all();
+            rivals.iter_mut().for_each(|rival| rival.read(log, usize::MAX));
+        }
+        self.follow();
+    }
+
     fn claim(&mut self, shard: usize, rival: usize, fate: AppendFate) {
         let claimant = &mut self.rivals[shard][rival];
         let record = TaskRecord::OwnerClaimed {
@@ -271,7 +281,7 @@
 
     fn steps() -> BoxedStrategy<Step> {
         let (shard, rival) = (0..SHARDS, 0..RIVALS);
-        let task = 0..JOBS * TASKS as usize;
+        let task = prop_oneof![3 => Just(0_usize), 2 => Just(1), 1 => Just(2)];
         prop_oneof![
             4 => (shard.clone(), rival.clone(), 0..12_usize)
                 .prop_map(|(shard, rival, count)| Step::Read { shard, rival, count }),
@@ -346,12 +356,7 @@
                 let record = self.entry.record(TaskRecord::JobCancelled(names::job(job)));
                 self.logs[0].append(&record, fate);
             }
-            Step::Settle => {
-                for (log, rivals) in self.logs.iter_mut().zip(&mut self.rivals) {
-                    log.deliver_all();
-                    rivals.iter_mut().for_each(|rival| rival.read(log, usize::MAX));
-                }
-            }
+            Step::Settle => self.settle(),
             Step::Deliver { shard, number, keep } => self.logs[shard].deliver(number, keep),
             Step::Repeat { shard, number } => self.logs[shard].repeat(number),
         }
@@ -373,7 +378,7 @@
 
     fn finish(mut self) {
         // Once all appends arrive and owners carry on, every task comes to its end.
-        for round in 0..40 {
+        for round in 0..30 {
             for shard in 0..SHARDS {
                 self.logs[shard].deliver_all();
                 for (task, id) in tasks().iter().enumerate() {
@@ -425,5 +430,50 @@
 
 #[test]
 fn task_has_one_placement_in_all_shards() {
-    fuzz::<HandOverWorld>("hand-over", 384, 1..160);
+    fuzz::<HandOverWorld>("hand-over", 768, 1..160);
+}
+
+/// Guards against an ended task that runs again: the shard it came from was cut off
+/// and repeats the hand-over when the home shard has forgotten the job.
+#[test]
+fn repeated_return_does_not_revive_a_forgotten_job() {
+    let mut log = SimulatedLog::default();
+    let (mut owner, mut guest) = (LogWriter::new(0), LogWriter::new(1));
+    let task = names::task(0, 0);
+    let moved = |number, from, to| TaskMove {
+        task: task.clone(),
+        number,
+        from: names::shard(from),
+        to: names::shard(to),
+        checkpoint: None,
+        ended: None,
+    };
+    let returned = TaskRecord::TaskReceived { spec: spec(0), task_move: moved(2, 1, 0) };
+    let (owner_vm, address) = (names::vm(0), names::address(0));
+    let placed = TaskRecord::TaskPlaced {
+        epoch: 1,
+        task: task.clone(),
+        vm: names::vm(0),
+        need: names::need(),
+    };
+    let end = PlacementEnd::Finished { digest: 1 };
+    let records = [
+        owner.record(TaskRecord::OwnerClaimed { epoch: 1, owner: owner_vm, address }),
+        owner.record(TaskRecord::JobSubmitted(spec(0))),
+        owner.record(TaskRecord::TaskHandedOver { epoch: 1, task_move: moved(1, 0, 1) }),
+        guest.record(returned.clone()),
+        owner.record(placed),
+        owner.record(TaskRecord::TaskEnded { epoch: 1, task: task.clone(), token: 4, end }),
+        owner.record(TaskRecord::JobForgotten { epoch: 1, job: names::job(0) }),
+    ];
+    for record in &records {
+        log.append(record, AppendFate::Stored);
+    }
+    let mut fold = ShardFold::new(names::shard(0));
+    for read in log.read(&mut fold, usize::MAX) {
+        assert!(matches!(read.effect, TaskEffect::Applied | TaskEffect::Owned(1)), "{read:?}");
+    }
+    log.append(&guest.record(returned), AppendFate::Stored);
+    let effect = log.read(&mut fold, 1).pop().unwrap().effect;
+    assert_eq!((effect, fold.job(&names::job(0))), (TaskEffect::StalePremise, None));
 }
