--- a/crates/core/tests/task_cycle.rs
+++ b/crates/core/tests/task_cycle.rs
@@ -44,7 +44,9 @@
         ended: Option<TaskOutcome>,
     },
     /// A hand-over that fits what the task is.
-    Leave,
+    Leave {
+        to: usize,
+    },
     Receive {
         number: u32,
         to: usize,
@@ -190,7 +192,7 @@
                 checkpoint: checkpoint.map(names::checkpoint),
                 ended: ended.clone(),
             }),
-            Act::Leave => {
+            Act::Leave { to } => {
                 let found = self.jobs.get(&step.job)?.tasks.get(&step.index)?;
                 let (checkpoint, ended) = match &found.situation {
                     Situation::Waiting(checkpoint) => (checkpoint.clone(), None),
@@ -198,7 +200,7 @@
                     _ => return None,
                 };
                 let number = found.moves + 1;
-                Some(TaskMove { task, number, from: shard(0), to: shard(1), checkpoint, ended })
+                Some(TaskMove { task, number, from: shard(0), to: shard(*to), checkpoint, ended })
             }
             _ => None,
         }
@@ -235,7 +237,7 @@
                 TaskRecord::JobParked { epoch, job, reason }
             }
             Act::Release => TaskRecord::JobReleased { epoch, job },
-            Act::HandOver { .. } | Act::Leave => {
+            Act::HandOver { .. } | Act::Leave { .. } => {
                 TaskRecord::TaskHandedOver { epoch, task_move: self.task_move(step)? }
             }
             Act::Receive { .. } => TaskRecord::TaskReceived {
@@ -401,7 +403,7 @@
         1 => moved.clone().prop_map(|(number, to, checkpoint, ended)| Act::HandOver {
             number, to, checkpoint, ended
         }),
-        3 => Just(Act::Leave),
+        3 => prop_oneof![4 => Just(1), 1 => Just(2)].prop_map(|to| Act::Leave { to }),
         3 => moved.prop_map(|(number, to, checkpoint, ended)| Act::Receive {
             number, to, checkpoint, ended
         }),
