Drop queued records that are no longer worth storing

During an outage of the log, claims waited in the appender and were stored afterwards, when their callers had long been told "unknown". They were then settled as not run, so every key used during the outage was lost. A record may now name a moment after which it is not stored if it is still queued; the appender answers such a record as unavailable, which is a definite answer. Changes of operators and submissions of jobs use the same bound.

The entry also records outages of the log in the timeline, and the fold that answers job queries no longer has an appender of its own with the same writer.

--- a/crates/entry/src/binding/runner.rs
+++ b/crates/entry/src/binding/runner.rs
@@ -25,7 +25,7 @@
 use super::machine::{ClaimAction, ClaimAnswer, ClaimInput, ClaimMachine, ClaimSight, DeliveryEnd};
 use super::serve::{BindingCore, RunResult, request_digest};
 use crate::links::LinkFailure;
-use crate::request::{SlotGuard, check_answer, request_name};
+use crate::request::{SlotGuard, check_answer, judge_refusal, request_name};
 use crate::stream::StreamHandle;
 
 /// Time past the deadline for which an answer of the agent is still awaited,
@@ -118,7 +118,9 @@
         };
         let vm = slot.agent.vm.clone();
         self.slot = Some(slot);
-        let committed = stream.commit(ClaimRecord::Claimed(spec), FlushMode::Grouped).await;
+        let expires = Some(requests.instant(self.deadline).into());
+        let record = ClaimRecord::Claimed(spec);
+        let committed = stream.commit(record, FlushMode::Grouped, expires).await;
         let (result, input) = match committed {
             Ok(committed) if committed.effect == Some(ClaimEffect::Won) => {
                 let late = self.now() >= self.deadline;
@@ -188,9 +190,10 @@
             Ok(Err(failure)) => match failure {
                 // This process sends a claim only once, so a claim that was
                 // refused here was not delivered and never will be.
-                DeliveryFailure::NotRun(_) | DeliveryFailure::Fenced => {
-                    (AttemptResult::Busy, DeliveryEnd::NotDelivered)
+                DeliveryFailure::NotRun(refusal) => {
+                    (judge_refusal(refusal).0, DeliveryEnd::NotDelivered)
                 }
+                DeliveryFailure::Fenced => (AttemptResult::Abandoned, DeliveryEnd::NotDelivered),
                 DeliveryFailure::OtherIncarnation => {
                     (AttemptResult::Closed, DeliveryEnd::NotDelivered)
                 }
@@ -266,7 +269,7 @@
         };
         let key = self.request.key.clone();
         let record = ClaimRecord::Settled { key, claim, outcome };
-        match stream.commit(record, FlushMode::Grouped).await {
+        match stream.commit(record, FlushMode::Grouped, None).await {
             Ok(committed) => {
                 if committed.effect == Some(ClaimEffect::Settled) {
                     parts.metrics.settlements.with_label_values(&[word]).inc();
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -63,6 +63,7 @@
         flush_ms: u64,
         empty: F,
         hook: Option<FoldHook<F>>,
+        events: Option<EventLog>,
     ) -> StreamHandle<F> {
         self.board.lack(stream.as_str(), "not loaded");
         StreamHandle::spawn(StreamParts {
@@ -70,9 +71,10 @@
             clock: self.clock,
             stream,
             writer: self.writer.clone(),
-            flush_ms,
+            flush_ms: Some(flush_ms),
             empty,
             publishes: true,
+            events,
             board: Some(self.board.clone()),
             hook,
         })
@@ -107,11 +109,17 @@
             board: board.clone(),
         };
         let (config, hook) = ConfigSlot::open(events.clone(), metrics.clone());
-        let config_stream = base.spawn(stream::config()?, 0, ConfigFold::default(), Some(hook));
+        let config_stream = base.spawn(
+            stream::config()?,
+            0,
+            ConfigFold::default(),
+            Some(hook),
+            Some(events.clone()),
+        );
         let claims: Vec<_> = (0..CLAIM_STREAMS)
             .map(|number| {
                 let flush = settings.limits.claim_flush_ms;
-                Ok(base.spawn(stream::claims(number)?, flush, ClaimFold::default(), None))
+                Ok(base.spawn(stream::claims(number)?, flush, ClaimFold::default(), None, None))
             })
             .collect::<anyhow::Result<_>>()?;
         for stream in &claims {
--- a/crates/entry/src/forget.rs
+++ b/crates/entry/src/forget.rs
@@ -40,7 +40,7 @@
             });
             let Some(before_unix_ms) = before.await.flatten() else { continue };
             let record = ClaimRecord::Forgotten { before_unix_ms };
-            if let Err(error) = stream.commit(record, FlushMode::Grouped).await {
+            if let Err(error) = stream.commit(record, FlushMode::Grouped, None).await {
                 log::info!("could not forget old keys: {error}");
             }
         }
--- a/crates/entry/src/job/actor.rs
+++ b/crates/entry/src/job/actor.rs
@@ -22,6 +22,7 @@
 use cactusdoor_peer::roster::ShardRoom;
 use cactusdoor_timeline::{EventKind, EventLog};
 use indexmap::IndexMap;
+use tokio::time::Instant;
 
 use super::status::{StatusSource, data_centre_of, describe};
 use crate::config::ConfigSlot;
@@ -129,7 +130,8 @@
         let (events, metrics) = (self.parts.events.clone(), self.parts.metrics.clone());
         Box::pin(async move {
             let (_work, appender, shard) = prepared?;
-            let storing = appender.append(record, FlushMode::Grouped);
+            let expires = Some(Instant::now() + LOG_PATIENCE);
+            let storing = appender.append_before(record, FlushMode::Grouped, expires);
             let stored = tokio::time::timeout(LOG_PATIENCE, storing).await;
             let result = if matches!(stored, Ok(Ok(_))) { "stored" } else { "not_stored" };
             metrics.jobs.with_label_values(&[kind, result]).inc();
@@ -161,9 +163,10 @@
             clock: self.parts.clock,
             stream: stream::tasks(shard).map_err(|error| bad_name(shard, &error))?,
             writer: self.parts.writer.clone(),
-            flush_ms: self.parts.flush_ms,
+            flush_ms: None,
             empty: ShardFold::new(shard.clone()),
             publishes: false,
+            events: None,
             board: None,
             hook: None,
         });
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -15,6 +15,7 @@
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_operator::types::{ChangeAccepted, ConfigView, RosterView};
 use cactusdoor_operator::{OperatorError, OperatorHandler};
+use tokio::time::Instant;
 
 use crate::job::{JobActor, ShowShard};
 use crate::membership::{MembershipActor, ShowRoster};
@@ -86,7 +87,9 @@
     items: Vec<ItemChange>,
     metrics: EntryMetrics,
 ) -> Reply<ChangeAccepted> {
-    let committing = config.commit(ConfigRecord::Changed { items }, FlushMode::Immediate);
+    let expires = Some(Instant::now() + LOG_PATIENCE);
+    let record = ConfigRecord::Changed { items };
+    let committing = config.commit(record, FlushMode::Immediate, expires);
     let result = match tokio::time::timeout(LOG_PATIENCE, committing).await {
         Ok(Ok(committed)) => match committed.effect {
             Some(ConfigEffect::Accepted(revision)) => Ok(ChangeAccepted { revision }),
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -8,4 +8,5 @@
 pub use self::actor::{RequestActor, ServeBinding, ServeInteractive};
 pub use self::check::{AnswerFault, check_answer};
 pub use self::core::{Acquired, RequestCore, RequestParts, SlotGuard};
+pub(crate) use self::interactive::judge_refusal;
 pub use self::interactive::request_name;
--- a/crates/entry/src/request/interactive.rs
+++ b/crates/entry/src/request/interactive.rs
@@ -29,7 +29,7 @@
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(5);
 
 /// How one attempt ended.
-enum AttemptOutcome {
+pub enum AttemptOutcome {
     Answered(UpstreamAnswer),
     /// Refused because the agent or upstream takes no work.
     Closed,
@@ -261,7 +261,8 @@
     outcome
 }
 
-fn judge_refusal(refusal: CallRefusal) -> (AttemptResult, AttemptOutcome) {
+/// What a refusal says of the upstream and of the request.
+pub fn judge_refusal(refusal: CallRefusal) -> (AttemptResult, AttemptOutcome) {
     match refusal {
         CallRefusal::NoUpstream | CallRefusal::Leaving | CallRefusal::Draining => {
             (AttemptResult::Closed, AttemptOutcome::Closed)
--- a/crates/entry/src/stream/actor.rs
+++ b/crates/entry/src/stream/actor.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use actix::prelude::*;
+use cactusdoor_core::constants::LOG_SILENCE;
 use cactusdoor_core::envelope::WriterId;
 use cactusdoor_core::fold::{FoldedRecord, StreamFold, fold_text};
 use cactusdoor_core::freshness::ConfirmedView;
@@ -12,9 +13,11 @@
 use cactusdoor_log::client::{LogClient, LogRecord, StreamBounds};
 use cactusdoor_log::follower::{FollowEvent, StreamFollower};
 use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_timeline::{EventKind, EventLog};
 use indexmap::IndexMap;
 use thiserror::Error;
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 use super::{EntryFold, FoldHook};
 use crate::readiness::ReadinessBoard;
@@ -29,11 +32,15 @@
     pub clock: MonotonicClock,
     pub stream: StreamName,
     pub writer: WriterId,
-    /// Least time between two grouped appends.
-    pub flush_ms: Millis,
+    /// Least time between two grouped appends; `None` if this handle only reads.
+    ///
+    /// A process numbers its records of a stream, so one handle of it appends.
+    pub flush_ms: Option<Millis>,
     pub empty: F,
     /// Whether this process publishes snapshots of the stream.
     pub publishes: bool,
+    /// Set if outages of the log are to be recorded.
+    pub events: Option<EventLog>,
     /// Set if the process is not ready without this stream.
     pub board: Option<ReadinessBoard>,
     pub hook: Option<FoldHook<F>>,
@@ -85,6 +92,8 @@
 pub(super) struct Commit<F: EntryFold> {
     pub body: F::Record,
     pub flush: FlushMode,
+    /// When the record is no longer worth storing.
+    pub expires: Option<Instant>,
 }
 
 /// The fold and how recent it is.
@@ -110,7 +119,9 @@
     pub(super) bounds: StreamBounds,
     pub(super) newest_covers: Offset,
     pub(super) publishing: bool,
-    appender: GroupAppender<F::Record>,
+    /// Whether an outage of the log was recorded.
+    unreachable: bool,
+    appender: Option<GroupAppender<F::Record>>,
     follower: Option<StreamFollower>,
     /// Effects of own records, by offset.
     effects: IndexMap<Offset, F::Effect>,
@@ -120,12 +131,10 @@
 
 impl<F: EntryFold> StreamActor<F> {
     pub(super) fn new(parts: StreamParts<F>, progress: watch::Sender<Option<Offset>>) -> Self {
-        let appender = GroupAppender::spawn(
-            parts.client.clone(),
-            parts.stream.clone(),
-            parts.writer.clone(),
-            parts.flush_ms,
-        );
+        let appender = parts.flush_ms.map(|flush_ms| {
+            let (client, stream) = (parts.client.clone(), parts.stream.clone());
+            GroupAppender::spawn(client, stream, parts.writer.clone(), flush_ms)
+        });
         Self {
             parts,
             fold: None,
@@ -133,6 +142,7 @@
             bounds: StreamBounds { start: 0, next: 0 },
             newest_covers: 0,
             publishing: false,
+            unreachable: false,
             appender,
             follower: None,
             effects: IndexMap::new(),
@@ -187,6 +197,19 @@
         }
     }
 
+    /// Records when the log goes out of reach for long, and when it is back.
+    fn record_reach(&mut self, read: bool) {
+        let Some(events) = &self.parts.events else { return };
+        let age = self.confirmed.age(self.parts.clock.now());
+        if !read && !self.unreachable && age.is_none_or(|age| age > LOG_SILENCE) {
+            self.unreachable = true;
+            events.record(EventKind::LogUnreachable);
+        } else if read && self.unreachable {
+            self.unreachable = false;
+            events.record(EventKind::LogReachable);
+        }
+    }
+
     /// Tells the effect of an own record once it is folded.
     fn effect(&mut self, offset: Offset) -> oneshot::Receiver<Option<F::Effect>> {
         let (sender, receiver) = oneshot::channel();
@@ -235,6 +258,7 @@
                 self.bounds = bounds;
                 if at_end {
                     self.confirmed.confirm(sent);
+                    self.record_reach(true);
                     if let Some(board) = &self.parts.board {
                         board.have(self.parts.stream.as_str());
                     }
@@ -251,6 +275,7 @@
             }
             FollowEvent::Failed(error) => {
                 log::debug!("could not read stream {}: {error}", self.parts.stream);
+                self.record_reach(false);
             }
         }
     }
@@ -264,7 +289,10 @@
 
     fn handle(&mut self, message: Commit<F>, _: &mut Self::Context) -> Self::Result {
         let appender = self.appender.clone();
-        let stored = async move { appender.append(message.body, message.flush).await };
+        let stored = async move {
+            let appender = appender.ok_or(NotStored::Stopped)?;
+            appender.append_before(message.body, message.flush, message.expires).await
+        };
         let read = stored.into_actor(self).then(|stored, actor, _| {
             let effect = stored.map(|stored| (stored.offset, actor.effect(stored.offset)));
             async move {
--- a/crates/entry/src/stream/handle.rs
+++ b/crates/entry/src/stream/handle.rs
@@ -5,6 +5,7 @@
 use cactusdoor_log::appender::FlushMode;
 use cactusdoor_log::client::{LogClient, ReadError};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::EntryFold;
 use super::actor::{
@@ -41,8 +42,16 @@
     }
 
     /// Appends `body` and tells what the fold made of it.
-    pub async fn commit(&self, body: F::Record, flush: FlushMode) -> CommitResult<F::Effect> {
-        self.address.send(Commit { body, flush }).await.unwrap_or(Err(CommitError::Stopping))
+    ///
+    /// A record that is still queued at `expires` is not stored.
+    pub async fn commit(
+        &self,
+        body: F::Record,
+        flush: FlushMode,
+        expires: Option<Instant>,
+    ) -> CommitResult<F::Effect> {
+        let commit = Commit { body, flush, expires };
+        self.address.send(commit).await.unwrap_or(Err(CommitError::Stopping))
     }
 
     /// Looks at the fold; `None` if it is not loaded.
--- a/crates/entry/tests/binding.rs
+++ b/crates/entry/tests/binding.rs
@@ -108,6 +108,27 @@
     assert!(agent.runs().is_empty());
 }
 
+/// Guards against claims that wait for the log beyond their deadline and then
+/// use up the key: a record that is still queued is not stored.
+#[actix::test]
+async fn claim_that_is_queued_past_the_deadline() {
+    let (log, agent, entry) = start().await;
+    let keys = (0..).map(|number| format!("other-{number}"));
+    let other = keys.into_iter().find(|key| stream(key) == stream("k1")).unwrap();
+    log.state().stall = Some(stream("k1"));
+    let stalled = entry.binding(&other, b"record", LONG);
+    let queued = async {
+        eventually("append under way", async || (log.state().stalled > 0).then_some(())).await;
+        let reply = entry.binding("k1", b"record", 50).await;
+        assert_eq!((reply.status, &*reply.error("retry")), (504, "same_key"));
+        log.state().stall = None;
+    };
+    let (reply, ()) = futures::join!(stalled, queued);
+    assert_eq!(reply.status, 200);
+    assert_eq!(entry.binding("k1", b"record", LONG).await.status, 200);
+    assert_eq!(agent.runs().len(), 2);
+}
+
 /// Guards against two entries that both run the same key.
 #[actix::test]
 async fn two_entries_with_one_key() {
--- a/crates/entry/tests/support/log.rs
+++ b/crates/entry/tests/support/log.rs
@@ -26,6 +26,8 @@
     pub lose_appends: HashMap<String, u32>,
     /// Streams that do not answer appends until this is lifted.
     pub stall: Option<String>,
+    /// Appends that were held up by `stall`.
+    pub stalled: u32,
     pub appends: u32,
 }
 
@@ -111,7 +113,11 @@
 }
 
 async fn store(state: Shared, stream: Path<String>, body: Json<AppendBody>) -> HttpResponse {
-    while state.lock().unwrap().stall.as_deref() == Some(stream.as_str()) {
+    let stalls = || state.lock().unwrap().stall.as_deref() == Some(stream.as_str());
+    if stalls() {
+        state.lock().unwrap().stalled += 1;
+    }
+    while stalls() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let mut state = state.lock().unwrap();
--- a/crates/log/src/appender.rs
+++ b/crates/log/src/appender.rs
@@ -65,6 +65,8 @@
 struct QueuedRecord<B> {
     body: B,
     flush: FlushMode,
+    /// When the record is no longer worth storing.
+    expires: Option<Instant>,
     reply: oneshot::Sender<Result<StoredRecord, NotStored>>,
 }
 
@@ -110,8 +112,19 @@
     /// After an uncertain append this waits until the log answers again, so
     /// callers that cannot wait must treat their own timeout as uncertain.
     pub async fn append(&self, body: B, flush: FlushMode) -> Result<StoredRecord, NotStored> {
+        self.append_before(body, flush, None).await
+    }
+
+    /// Like [`append`](Self::append), but a record that is still queued at
+    /// `expires` is not stored: the log is [`Unavailable`](NotStored::Unavailable).
+    pub async fn append_before(
+        &self,
+        body: B,
+        flush: FlushMode,
+        expires: Option<Instant>,
+    ) -> Result<StoredRecord, NotStored> {
         let (reply, result) = oneshot::channel();
-        let record = QueuedRecord { body, flush, reply };
+        let record = QueuedRecord { body, flush, expires, reply };
         self.queue.send(record).map_err(|_| NotStored::Stopped)?;
         result.await.unwrap_or(Err(NotStored::Stopped))
     }
@@ -197,7 +210,12 @@
 
     fn number(&mut self, group: Vec<QueuedRecord<B>>) -> Vec<NumberedRecord> {
         let mut numbered = Vec::with_capacity(group.len());
-        for QueuedRecord { body, reply, .. } in group {
+        let now = Instant::now();
+        for QueuedRecord { body, reply, expires, .. } in group {
+            if expires.is_some_and(|expires| now >= expires) {
+                let _ = reply.send(Err(NotStored::Unavailable));
+                continue;
+            }
             let sequence = self.next_sequence();
             match self.encode(sequence, body) {
                 Ok(text) => numbered.push(NumberedRecord { sequence, text, reply }),
