Bound an entry's queue to two rounds at the upstreams

Cause: the queue took every request whose deadline of 2 s it could meet, so in an overload all answers came late without one answer more.

--- a/crates/policy/src/routing/concurrency.rs
+++ b/crates/policy/src/routing/concurrency.rs
@@ -14,7 +14,7 @@
 const AVERAGED_ANSWERS: u32 = 16;
 /// Windows after which the floor rises by an eighth, so that it follows a
 /// service that has become slower for good.
-const FLOOR_WINDOWS: u32 = 32;
+const FLOOR_WINDOWS: u32 = 512;
 /// Latencies below this are not compared: timer noise doubles them easily.
 const NOISE_FLOOR: Micros = 2_000;
 
--- a/crates/policy/src/routing/queue.rs
+++ b/crates/policy/src/routing/queue.rs
@@ -6,6 +6,10 @@
 
 use super::Micros;
 
+/// Rounds of requests at the upstreams, its own included, that a request may
+/// wait for. A longer queue serves no more requests, it only makes them late.
+const MAX_ROUNDS: u64 = 2;
+
 /// Why a request may not wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueueRefusal {
@@ -60,6 +64,9 @@
         if now.after(expected) > deadline {
             return Err(QueueRefusal::DeadlineTooShort);
         }
+        if expected > (MAX_ROUNDS * latency + latency / 2) / 1_000 {
+            return Err(QueueRefusal::Full);
+        }
         Ok(())
     }
 
