--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -35,7 +35,7 @@
 /// the time of its sender.
 #[test]
 fn received_messages_sort_after_their_sending() {
-    let (one, other) = ("one", "other").into();
+    let (one, other) = ("one", "other");
     let [sender, receiver]: [EventLog; 2] =
         [one, other].map(|name: &str| EventLog::open(ProcessName::new(name).unwrap()));
     sender.observe(HybridTime { wall_ms: u64::MAX / 2, counter: 0 });
