--- a/crates/owner/src/book/index.rs
+++ b/crates/owner/src/book/index.rs
@@ -57,6 +57,8 @@
     tasks: HashMap<TaskId, IndexedTask>,
     pending: IndexMap<JobId, BTreeSet<u32>>,
     vms: IndexMap<VmName, VmLoad>,
+    /// Placements per job and VM.
+    spread: HashMap<JobId, IndexMap<VmName, u32>>,
     allowances: AllowanceBook,
     /// Use in this shard by plan, whichever shard is the home.
     local: AllowanceBook,
@@ -101,6 +103,12 @@
         self.vms.get(vm)
     }
 
+    /// VMs that run tasks of the job, with the number of tasks.
+    pub fn spread(&self, job: &JobId) -> impl Iterator<Item = (&VmName, u32)> {
+        let vms = self.spread.get(job).into_iter().flatten();
+        vms.map(|(vm, count)| (vm, *count))
+    }
+
     #[must_use]
     pub fn placement(&self, task: &TaskId) -> Option<&Placement> {
         match &self.tasks.get(task)?.share {
@@ -188,6 +196,8 @@
                 let load = self.vms.entry(placement.vm.clone()).or_default();
                 load.tasks.insert(placement.token, task.clone());
                 load.committed = sum(load.committed, placement.need);
+                let spread = self.spread.entry(task.job.clone()).or_default();
+                *spread.entry(placement.vm.clone()).or_default() += 1;
             }
             TaskShare::Away { unconfirmed, .. } => {
                 if let Some(task_move) = unconfirmed {
@@ -200,6 +210,19 @@
         }
     }
 
+    fn thin_out(&mut self, job: &JobId, vm: &VmName) {
+        let Some(spread) = self.spread.get_mut(job) else { return };
+        if let Some(count) = spread.get_mut(vm) {
+            *count -= 1;
+            if *count == 0 {
+                spread.swap_remove(vm);
+            }
+        }
+        if spread.is_empty() {
+            self.spread.remove(job);
+        }
+    }
+
     fn subtract(&mut self, task: &TaskId, entry: &IndexedTask) {
         if let Some(open) = self.open.get_mut(&task.job) {
             *open -= 1;
@@ -216,6 +239,7 @@
                     load.tasks.swap_remove(&placement.token);
                     load.committed = load.committed.saturating_sub(placement.need);
                 }
+                self.thin_out(&task.job, &placement.vm);
             }
             TaskShare::Away { .. } => {
                 self.unconfirmed.swap_remove(task);
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -24,10 +24,16 @@
 const ROUND_PLACEMENTS: usize = 512;
 /// Most appends under way; beyond it the log is the bottleneck.
 const MAX_OPEN_APPENDS: usize = 2_048;
+/// Least time between rounds. Rounds cost the same however little has changed;
+/// urgent work still starts well within a second.
+const ROUND_PAUSE: Millis = 100;
 /// Time after which a round is repeated although nothing changed: backoffs end
 /// and deadlines come closer.
 const ROUND_INTERVAL: Millis = 500;
 
+/// What the expected need and run time of a job depend on.
+type ExpectedKey = (TaskKind, ResourceVector, Millis, bool, usize);
+
 /// A VM that takes tasks in this round.
 struct OpenVm {
     vm: VmName,
@@ -45,16 +51,31 @@
 struct OpenJob {
     id: JobId,
     need: ResourceVector,
-    tasks: Vec<u32>,
-    /// Placements that the plan's allowance still covers are checked one by one.
+    /// Lowest index that was not looked at in this round.
+    next: u32,
     home: bool,
 }
 
+/// What a round remembers between its placements.
+#[derive(Default)]
+struct RoundMemory {
+    /// Running tasks per job and rack.
+    racks: HashMap<JobId, HashMap<RackName, u32>>,
+    /// Needs for which there was no room, by whether they were protected.
+    too_large: Vec<(bool, ResourceVector)>,
+}
+
+impl RoundMemory {
+    fn has_no_room(&self, critical: bool, need: ResourceVector) -> bool {
+        self.too_large.iter().any(|(other, failed)| *other == critical && need.holds(*failed))
+    }
+}
+
 impl ShardBook {
     /// Runs a placement round if one is due.
     pub(super) fn place(&mut self, now: Moment, unix_ms: Millis) {
-        let due = self.placing_due || now.since(self.last_round) >= ROUND_INTERVAL;
-        if !due || self.tenure().is_none() || self.handing_back {
+        let pause = if self.placing_due { ROUND_PAUSE } else { ROUND_INTERVAL };
+        if now.since(self.last_round) < pause || self.tenure().is_none() || self.handing_back {
             return;
         }
         self.placing_due = false;
@@ -161,28 +182,24 @@
     ) -> (Vec<OpenJob>, FairQueue) {
         let mut plans: IndexMap<PlanName, PlanShare> = IndexMap::new();
         let mut jobs = Vec::new();
+        let mut expected: HashMap<ExpectedKey, (ResourceVector, Millis)> = HashMap::new();
         let mut demands = Vec::new();
         let pending: Vec<JobId> = self.index.pending().keys().cloned().collect();
         for job in pending {
             let Some((spec, home, since)) = self.placeable(now, &job) else { continue };
-            let open = self.index.pending().get(&job).into_iter().flatten();
-            // Popped from the end, so the lowest index goes first.
-            let mut tasks: Vec<u32> = open
-                .filter(|index| !self.is_task_busy(&TaskId { job: job.clone(), index: **index }))
-                .take(ROUND_PLACEMENTS)
-                .copied()
-                .collect();
-            tasks.reverse();
-            if tasks.is_empty() {
-                continue;
-            }
+            let Some(next) = self.next_task(&job, 0) else { continue };
             let weight = self.config.plan(&job.plan).map_or(1, |plan| plan.weight);
             let used = self.index.local_use(&job.plan);
             let entry = plans.entry(job.plan.clone());
             let plan = entry.index();
             entry.or_insert(PlanShare { weight, used });
-            let run_time = self.learner.run_time(&spec.kind, spec.run_time_ms);
-            let need = self.need(&spec, home);
+            // Jobs of one kind mostly declare the same, and learned figures are
+            // quantiles that are not computed for free.
+            let key = (spec.kind.clone(), spec.need, spec.run_time_ms, home, plan);
+            let (need, run_time) = *expected.entry(key).or_insert_with(|| {
+                let run_time = self.learner.run_time(&spec.kind, spec.run_time_ms);
+                (self.need(&spec, home), run_time)
+            });
             demands.push(JobDemand {
                 plan,
                 urgent: spec.urgent,
@@ -191,12 +208,18 @@
                 since,
                 need,
             });
-            jobs.push(OpenJob { id: job, need, tasks, home });
+            jobs.push(OpenJob { id: job, need, next, home });
         }
         let total = vms.iter().fold(ResourceVector::ZERO, |total, vm| sum(total, vm.capacity));
         (jobs, FairQueue::new(total, plans.into_values().collect(), demands))
     }
 
+    /// The lowest pending task of the job from `from` on that is not being decided.
+    fn next_task(&self, job: &JobId, from: u32) -> Option<u32> {
+        let mut pending = self.index.pending().get(job)?.range(from..).copied();
+        pending.find(|index| !self.is_task_busy(&TaskId { job: job.clone(), index: *index }))
+    }
+
     /// The job's specification if its tasks may be placed now.
     fn placeable(
         &mut self,
@@ -252,7 +275,7 @@
         mut jobs: Vec<OpenJob>,
         mut queue: FairQueue,
     ) {
-        let mut racks = self.rack_counts(&jobs);
+        let mut memory = RoundMemory::default();
         let mut placed = 0;
         while let Some(position) = queue.peek() {
             if placed >= ROUND_PLACEMENTS || self.appends.len() >= MAX_OPEN_APPENDS {
@@ -260,13 +283,14 @@
                 break;
             }
             let job = &mut jobs[position];
-            let Some(index) = job.tasks.pop() else {
+            let Some(index) = self.next_task(&job.id, job.next) else {
                 queue.finish(position);
                 continue;
             };
+            job.next = index + 1;
             let task = TaskId { job: job.id.clone(), index };
             let (need, home) = (job.need, job.home);
-            match self.place_task(&task, need, home, &mut vms, &mut racks) {
+            match self.place_task(&task, need, home, &mut vms, &mut memory) {
                 Ok(()) => {
                     placed += 1;
                     queue.placed(position);
@@ -286,7 +310,7 @@
         need: ResourceVector,
         home: bool,
         vms: &mut [OpenVm],
-        racks: &mut HashMap<JobId, HashMap<RackName, u32>>,
+        memory: &mut RoundMemory,
     ) -> Result<(), WaitReason> {
         let Some(epoch) = self.owned_epoch() else { return Err(WaitReason::LogUnreachable) };
         let Some(spec) = self.spec(&task.job).cloned() else { return Err(WaitReason::NoRoom) };
@@ -294,10 +318,16 @@
         if home && !self.allowance_covers(&task.job.plan, charged) {
             return Err(WaitReason::AllowanceUsed);
         }
-        let in_racks = racks.entry(task.job.clone()).or_default();
+        let critical = spec.class == JobClass::LatencyCritical;
+        if memory.has_no_room(critical, need) {
+            return Err(WaitReason::NoRoom);
+        }
+        if !memory.racks.contains_key(&task.job) {
+            memory.racks.insert(task.job.clone(), self.racks_of(&task.job));
+        }
+        let in_racks = memory.racks.entry(task.job.clone()).or_default();
         let job_running: u32 = in_racks.values().sum();
         let offers = vms.iter().enumerate().filter_map(|(position, open)| {
-            let critical = spec.class == JobClass::LatencyCritical;
             if (open.protected && !critical) || !open.free.holds(need) {
                 return None;
             }
@@ -312,7 +342,10 @@
             };
             Some((position, offer))
         });
-        let Some(position) = choose(offers, need) else { return Err(WaitReason::NoRoom) };
+        let Some(position) = choose(offers, need) else {
+            memory.too_large.push((critical, need));
+            return Err(WaitReason::NoRoom);
+        };
         let open = &mut vms[position];
         open.free =
             if open.probing { ResourceVector::ZERO } else { open.free.saturating_sub(need) };
@@ -335,18 +368,15 @@
         self.index.allowances().shortage(plan, allowance.batch, more).is_none()
     }
 
-    fn rack_counts(&self, jobs: &[OpenJob]) -> HashMap<JobId, HashMap<RackName, u32>> {
-        let mut counts: HashMap<JobId, HashMap<RackName, u32>> =
-            jobs.iter().map(|job| (job.id.clone(), HashMap::new())).collect();
-        for (vm, load) in self.index.vms() {
-            let Some(agent) = self.agents.get(vm) else { continue };
-            for task in load.tasks.values() {
-                if let Some(racks) = counts.get_mut(&task.job) {
-                    *racks.entry(agent.identity.rack.clone()).or_default() += 1;
-                }
+    /// Running tasks of the job by rack.
+    fn racks_of(&self, job: &JobId) -> HashMap<RackName, u32> {
+        let mut racks = HashMap::new();
+        for (vm, count) in self.index.spread(job) {
+            if let Some(agent) = self.agents.get(vm) {
+                *racks.entry(agent.identity.rack.clone()).or_default() += count;
             }
         }
-        counts
+        racks
     }
 
     /// Notes why a job's next task is not placed.
