--- a/crates/owner/src/host.rs
+++ b/crates/owner/src/host.rs
@@ -158,8 +158,10 @@
         }
         let lock = self.finding.borrow_mut().entry(ask.shard.clone()).or_default().clone();
         let _guard = lock.lock().await;
-        if let Some(settled) = self.settle_claim(&ask.shard).await {
-            return settled;
+        match self.settle_claim(&ask.shard).await {
+            Some(KeeperState::Owned(ownership)) => return Ok(ownership),
+            Some(KeeperState::Claiming) => return Err(FindError::ClaimNotStored(ask.shard)),
+            Some(KeeperState::Lost(_)) | None => {}
         }
         let mut read = self.read(&ask.shard).await?;
         if let Some(found) = self.judge(&ask, &read).await? {
@@ -224,6 +226,7 @@
         shard: &ShardName,
         read: ReadShard,
     ) -> Result<ShardOwnership, FindError> {
+        let epoch = read.fold.epoch();
         let stream = stream::config().map_err(|_| FindError::LogUnavailable)?;
         let config = load(&self.settings.log, &stream, ConfigFold::default()).await;
         let config = config.map_err(|_| FindError::LogUnavailable)?;
@@ -238,30 +241,30 @@
         let core = Rc::clone(self);
         let keeper = ShardKeeper::new(core, book, &read, config.fold, stream, sender).start();
         self.kept.borrow_mut().insert(shard.clone(), KeptShard { keeper, state });
-        let settled = self.settle_claim(shard).await;
-        settled.unwrap_or_else(|| Err(FindError::ClaimNotStored(shard.clone())))
+        match self.settle_claim(shard).await {
+            Some(KeeperState::Owned(ownership) | KeeperState::Lost(Some(ownership)))
+                if ownership.epoch > epoch =>
+            {
+                self.known.borrow_mut().insert(shard.clone(), ownership.clone());
+                Ok(ownership)
+            }
+            _ => Err(FindError::ClaimNotStored(shard.clone())),
+        }
     }
 
-    /// What came of a claim made here; `None` if there is none.
-    async fn settle_claim(&self, shard: &ShardName) -> Option<Result<ShardOwnership, FindError>> {
+    /// How far a claim made here has come, after a wait; `None` if there is none.
+    async fn settle_claim(&self, shard: &ShardName) -> Option<KeeperState> {
         let mut state = self.kept.borrow().get(shard)?.state.clone();
         let settled = state.wait_for(|state| *state != KeeperState::Claiming);
-        let settled =
-            timeout(CLAIM_TIME, settled).await.ok().map(|state| state.ok().map(|s| s.clone()));
-        match settled {
-            Some(Some(KeeperState::Owned(ownership))) => Some(Ok(ownership)),
-            Some(Some(KeeperState::Lost(newest))) => {
-                self.kept.borrow_mut().remove(shard);
-                let newest = newest.filter(|newest| newest.owner != self.settings.identity.vm)?;
-                self.known.borrow_mut().insert(shard.clone(), newest.clone());
-                Some(Ok(newest))
-            }
-            Some(_) => {
-                self.kept.borrow_mut().remove(shard);
-                None
-            }
-            None => Some(Err(FindError::ClaimNotStored(shard.clone()))),
+        let settled = match timeout(CLAIM_TIME, settled).await {
+            Ok(Ok(state)) => state.clone(),
+            Ok(Err(_)) => KeeperState::Lost(None),
+            Err(_) => KeeperState::Claiming,
+        };
+        if matches!(settled, KeeperState::Lost(_)) {
+            self.kept.borrow_mut().remove(shard);
         }
+        Some(settled)
     }
 
     fn not_owner(&self, shard: ShardName) -> HeartbeatRefusal {
--- a/crates/owner/tests/two_shards.rs
+++ b/crates/owner/tests/two_shards.rs
@@ -75,11 +75,11 @@
             cancelled: HashSet::new(),
             jobs: Vec::new(),
         };
-        for side in 0..2 {
+        for (side, centre) in CENTRES.into_iter().enumerate() {
             let bench = pair.owner(side, Vec::new(), 1_000_000);
             pair.benches.push(bench);
             let mut agent = FakeAgent::new(&format!("vm-{side}"));
-            agent.identity.data_centre = CENTRES[side].parse().unwrap();
+            agent.identity.data_centre = centre.parse().unwrap();
             agent.capacity = amount(3_000, 8_192);
             pair.agents.push(agent);
         }
