--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 
+use cactusdoor_core::name::DataCentre;
 use cactusdoor_node::entry::EntrySettings;
 use cactusdoor_node::process::{ProcessSettings, read_process};
 use cactusdoor_node::settings::{SettingsError, SettingsFile};
@@ -31,21 +32,17 @@
 /// here each must be an integer.
 fn check_agent(mut file: SettingsFile) -> Result<ProcessSettings, SettingsError> {
     let process = read_process(&mut file);
-    let log: Option<SocketAddr> = file.required("log", "address", ADDRESSES);
-    let worker: Option<SocketAddr> = file.required("worker", "address", ADDRESSES);
-    let upstream: Option<SocketAddr> = file.required("upstream", "address", ADDRESSES);
-    let entries: Option<Vec<SocketAddr>> = file.list("entries", "peers", ADDRESSES);
-    let data_centres: Option<Vec<cactusdoor_core::name::DataCentre>> =
-        file.list("shards", "data_centres", "names of data centres, separated by commas");
-    let count = file.integer("shards", "per_data_centre", (1, 64), Some(1));
-    let level = file.or_default("logging", "level", "a log level", "info".to_owned());
-    let mut limits = Some(());
+    for section in ["log", "worker", "upstream"] {
+        file.required::<SocketAddr>(section, "address", ADDRESSES);
+    }
+    file.list::<SocketAddr>("entries", "peers", ADDRESSES);
+    let data_centres = "names of data centres, separated by commas";
+    file.list::<DataCentre>("shards", "data_centres", data_centres);
+    file.integer("shards", "per_data_centre", (1, 64), Some(1));
+    file.or_default("logging", "level", "a log level", "info".to_owned());
     for key in file.keys("limits") {
-        limits = file.integer("limits", &key, (0, u64::MAX), None).and(limits);
+        file.integer("limits", &key, (0, u64::MAX), None);
     }
-    let complete = (|| {
-        (log?, worker?, upstream?, entries?, data_centres?, count?, level?, limits?);
-        process
-    })();
-    file.finish(complete)
+    // A fault of any section makes the result an error.
+    file.finish(process)
 }
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -145,6 +145,12 @@
         chosen
     };
     assert_eq!(share(NOW.after(FIRST_EJECTION - 1)), 0);
+    let mut busy = pool.clone();
+    for name in ["vm2", "vm2", "vm3", "vm3"] {
+        busy.sent(&vm(name));
+    }
+    let choice = choose(&busy, NOW.after(FIRST_EJECTION - 1), &[], [0, 0]);
+    assert_eq!(choice, PoolChoice::Full, "an ejected upstream is no way out");
     assert_eq!(share(NOW.after(FIRST_EJECTION)), 0, "the others are idle and cost a tenth");
     // Two of three pairs contain it, and equal costs go to the first of a pair.
     let returned = share(NOW.after(FIRST_EJECTION + RETURN_TIME));
--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -35,9 +35,8 @@
 /// the time of its sender.
 #[test]
 fn received_messages_sort_after_their_sending() {
-    let (one, other) = ("one", "other").into();
-    let [sender, receiver]: [EventLog; 2] =
-        [one, other].map(|name: &str| EventLog::open(ProcessName::new(name).unwrap()));
+    let [sender, receiver] =
+        ["one", "other"].map(|name| EventLog::open(ProcessName::new(name).unwrap()));
     sender.observe(HybridTime { wall_ms: u64::MAX / 2, counter: 0 });
     sender.record(EventKind::ProcessStopping);
     receiver.observe(sender.stamp());
