--- a/crates/owner/tests/world/agent.rs
+++ b/crates/owner/tests/world/agent.rs
@@ -77,6 +77,8 @@
     number: u64,
     clock: u64,
     outstanding: Option<(u64, Moment)>,
+    /// Number of the newest lease request.
+    asked: u64,
     next_beat: Moment,
 }
 
@@ -92,6 +94,7 @@
             number: 0,
             clock: 0,
             outstanding: None,
+            asked: 0,
             next_beat: now,
         }
     }
@@ -130,6 +133,8 @@
         self.clock += 1;
         self.next_beat = now.after(BEAT_INTERVAL);
         self.outstanding = Some((self.number, now));
+        let request = self.lease.ask(now, self.epoch);
+        self.asked = request.number;
         let held = worker.running(now).map(|run| HeldTask {
             token: run.token,
             task: run.task.clone(),
@@ -141,9 +146,10 @@
             at: HybridTime { wall_ms: self.clock, counter: 0 },
             agent: self.identity.clone(),
             shard: shard(SHARD),
-            epoch: self.epoch,
+            epoch: request.epoch,
+            number: request.number,
             config_revision: 0,
-            lease_left_ms: self.lease.left(now),
+            lease_left_ms: request.left,
             capacity: capacity(),
             committed: ResourceVector::ZERO,
             draining: false,
@@ -162,9 +168,9 @@
         reply: Result<HeartbeatReply, HeartbeatRefusal>,
         worker: &mut WorkerModel,
     ) {
-        let Some((_, sent)) = self.outstanding.take_if(|(expected, _)| *expected == number) else {
+        if self.outstanding.take_if(|(expected, _)| *expected == number).is_none() {
             return;
-        };
+        }
         let Ok(reply) = reply else { return };
         if reply.epoch < self.epoch {
             return;
@@ -172,7 +178,7 @@
         worker.lapse(now);
         self.heard = now;
         self.epoch = reply.epoch;
-        self.lease.renew(sent, reply.lease_ms);
+        self.lease.renew(self.asked, reply.lease_ms);
         for run in &mut worker.runs {
             run.deadline = self.lease.deadline();
         }
