Back off single tasks, and hold back a worker that fails one job's tasks

A failed task delayed its whole job, so a large job with a few failures waited up to a minute. An endless task that ends at once is delayed as well. A VM is also held back after five failures in a row of a job that succeeds elsewhere: with one job only, the count of jobs never got there.

No start is sent, or repeated, while the data centre is out; the agent refuses it anyway.

--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -76,9 +76,9 @@
     Replaced,
 }
 
-/// Delay of a job after an end that was not its own doing or a failure.
+/// Delay of a task after a failure, or after it came back from another shard.
 #[derive(Clone, Copy, Debug, Default)]
-struct JobBackoff {
+struct TaskBackoff {
     until: Moment,
     step: u32,
 }
@@ -102,7 +102,7 @@
     learner: UsageLearner,
     pairs: PairTable,
     ramp: ReturnRamp,
-    backoffs: IndexMap<JobId, JobBackoff>,
+    backoffs: IndexMap<TaskId, TaskBackoff>,
     waits: HashMap<JobId, (WaitReason, Moment)>,
     ended_since: IndexMap<JobId, Moment>,
     moves: MoveBook,
--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -12,9 +12,10 @@
 use super::action::{BookAction, Ticket};
 use super::append::AppendKey;
 use super::index::Placement;
+use super::tasks::StartFlight;
 use super::{OwnerRole, OwnerTenure, ShardBook, data_centre_of};
 
-/// First delay of a job after a failure or refusal; doubled each time.
+/// First delay of a task after a failure; doubled each time.
 const FIRST_BACKOFF: Millis = 500;
 const LONGEST_BACKOFF: Millis = 60_000;
 
@@ -117,6 +118,7 @@
             }
             TaskRecord::JobReleased { job, .. } => self.ledger.released(&job),
             TaskRecord::TaskHandedOver { task_move, .. } => {
+                self.backoffs.swap_remove(&task_move.task);
                 let (from, to) = (task_move.from.clone(), task_move.to.clone());
                 let (task, number) = (task_move.task.clone(), task_move.number);
                 self.event(EventKind::TaskHandedOver { task, from, to, number });
@@ -125,7 +127,7 @@
             TaskRecord::HandOverConfirmed { task, .. } => self.moves.confirmed(&task),
             TaskRecord::JobForgotten { job, .. } => {
                 self.ledger.forget_job(&job);
-                self.backoffs.swap_remove(&job);
+                self.backoffs.retain(|task, _| task.job != job);
                 self.waits.remove(&job);
                 self.ended_since.swap_remove(&job);
             }
@@ -148,16 +150,17 @@
         }
         match &end {
             PlacementEnd::Finished { .. } => {
-                self.backoffs.swap_remove(&task.job);
+                self.settle_backoff(now, task, &flight);
+                // A service that ends at once must not be started in a tight loop.
+                if spec.as_ref().is_some_and(|spec| spec.class.is_endless()) {
+                    self.back_off(now, task);
+                }
                 if self.ledger.succeeded(&vm, &task.job) {
                     self.event(EventKind::VmReadmitted { vm: vm.clone() });
                 }
             }
             PlacementEnd::Failed => {
-                let started = flight.as_ref().and_then(|flight| flight.started);
-                if started.is_some_and(|started| now.since(started) >= LONGEST_BACKOFF) {
-                    self.backoffs.swap_remove(&task.job);
-                }
+                self.settle_backoff(now, task, &flight);
                 self.failed(now, task, placement);
             }
             PlacementEnd::Refused(refusal) => self.refused(now, task, placement, *refusal),
@@ -185,22 +188,20 @@
     /// that a job which fits or works nowhere does not circle between shards.
     fn returned(&mut self, now: Moment, task_move: &TaskMove) {
         let home = self.fold.job(&task_move.task.job).is_some_and(|entry| entry.home);
-        let waiting =
-            self.backoffs.get(&task_move.task.job).is_some_and(|backoff| now < backoff.until);
         let forced = data_centre_of(&task_move.from)
             .is_some_and(|name| self.config.data_centre(&name) == DataCentreState::Out);
-        if home && task_move.ended.is_none() && !waiting && !forced {
-            self.back_off(now, &task_move.task.job);
+        if home && task_move.ended.is_none() && !forced {
+            self.back_off(now, &task_move.task);
         }
     }
 
     fn failed(&mut self, now: Moment, task: &TaskId, placement: &Placement) {
-        self.back_off(now, &task.job);
+        self.back_off(now, task);
         match self.ledger.failed(&placement.vm, &task.job, now) {
             FailureVerdict::Undecided => {}
             FailureVerdict::VmHeldBack { failures } => {
                 let vm = placement.vm.clone();
-                self.backoffs.swap_remove(&task.job);
+                self.backoffs.swap_remove(task);
                 self.event(EventKind::VmHeldBack { vm, failures });
             }
             FailureVerdict::JobFailsEverywhere { vms } => {
@@ -225,8 +226,18 @@
         self.event(EventKind::StartRefused { task, token, vm, reason: refusal });
     }
 
-    pub(super) fn back_off(&mut self, now: Moment, job: &JobId) {
-        let backoff = self.backoffs.entry(job.clone()).or_default();
+    /// A task that has ended for good, or ran for long, starts over.
+    fn settle_backoff(&mut self, now: Moment, task: &TaskId, flight: &Option<StartFlight>) {
+        let pending = self.index.pending().get(&task.job);
+        let over = !pending.is_some_and(|tasks| tasks.contains(&task.index));
+        let started = flight.as_ref().and_then(|flight| flight.started);
+        if over || started.is_some_and(|started| now.since(started) >= LONGEST_BACKOFF) {
+            self.backoffs.swap_remove(task);
+        }
+    }
+
+    fn back_off(&mut self, now: Moment, task: &TaskId) {
+        let backoff = self.backoffs.entry(task.clone()).or_default();
         let delay = FIRST_BACKOFF.saturating_mul(1 << backoff.step.min(10)).min(LONGEST_BACKOFF);
         backoff.step += 1;
         backoff.until = now.after(delay);
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -187,7 +187,12 @@
         let pending: Vec<JobId> = self.index.pending().keys().cloned().collect();
         for job in pending {
             let Some((spec, home, since)) = self.placeable(now, &job) else { continue };
-            let Some(next) = self.next_task(&job, 0) else { continue };
+            let Some(next) = self.next_task(now, &job, 0) else {
+                if self.is_backing_off(now, &job) {
+                    self.wait(now, &job, WaitReason::Backoff);
+                }
+                continue;
+            };
             let weight = self.config.plan(&job.plan).map_or(1, |plan| plan.weight);
             let used = self.index.local_use(&job.plan);
             let entry = plans.entry(job.plan.clone());
@@ -214,10 +219,21 @@
         (jobs, FairQueue::new(total, plans.into_values().collect(), demands))
     }
 
-    /// The lowest pending task of the job from `from` on that is not being decided.
-    fn next_task(&self, job: &JobId, from: u32) -> Option<u32> {
+    /// The lowest pending task of the job from `from` on that may be placed now.
+    fn next_task(&self, now: Moment, job: &JobId, from: u32) -> Option<u32> {
         let mut pending = self.index.pending().get(job)?.range(from..).copied();
-        pending.find(|index| !self.is_task_busy(&TaskId { job: job.clone(), index: *index }))
+        pending.find(|index| {
+            let task = TaskId { job: job.clone(), index: *index };
+            let waits = self.backoffs.get(&task).is_some_and(|backoff| now < backoff.until);
+            !waits && !self.is_task_busy(&task)
+        })
+    }
+
+    fn is_backing_off(&self, now: Moment, job: &JobId) -> bool {
+        let first = self.index.pending().get(job).and_then(|tasks| tasks.first());
+        let task = first.map(|index| TaskId { job: job.clone(), index: *index });
+        let backoff = task.and_then(|task| self.backoffs.get(&task));
+        backoff.is_some_and(|backoff| now < backoff.until)
     }
 
     /// The job's specification if its tasks may be placed now.
@@ -235,10 +251,6 @@
             self.wait(now, job, WaitReason::Parked(reason));
             return None;
         }
-        if self.backoffs.get(job).is_some_and(|backoff| now < backoff.until) {
-            self.wait(now, job, WaitReason::Backoff);
-            return None;
-        }
         if let Some(reason) = self.never(now, &found.0, found.1) {
             self.park(job, reason);
             return None;
@@ -283,7 +295,7 @@
                 break;
             }
             let job = &mut jobs[position];
-            let Some(index) = self.next_task(&job.id, job.next) else {
+            let Some(index) = self.next_task(now, &job.id, job.next) else {
                 queue.finish(position);
                 continue;
             };
--- a/crates/owner/src/book/tasks.rs
+++ b/crates/owner/src/book/tasks.rs
@@ -1,5 +1,6 @@
 //! Starts and stops on agents, until they are acknowledged.
 
+use cactusdoor_core::config::DataCentreState;
 use cactusdoor_core::job::{JobId, PlacementEnd, StartRefusal, TaskId};
 use cactusdoor_core::name::VmName;
 use cactusdoor_core::shard::TaskState;
@@ -60,6 +61,10 @@
 
     fn send_start(&mut self, now: Moment, token: Token) {
         let Some(epoch) = self.owned_epoch() else { return };
+        // The agent would refuse; the stop that follows takes the placement back.
+        if self.config.data_centre(&self.data_centre) == DataCentreState::Out {
+            return;
+        }
         let Some(flight) = self.flights.get(&token) else { return };
         let Some(agent) = self.agents.get(&flight.vm) else { return };
         if agent.identity.incarnation != flight.incarnation {
--- a/crates/owner/tests/host.rs
+++ b/crates/owner/tests/host.rs
@@ -242,6 +242,13 @@
     })
     .await
     .unwrap();
+    timeout(PATIENCE, async {
+        while service.records("tasks-north-0.snapshot").is_empty() {
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    })
+    .await
+    .expect("a snapshot is published");
     let ends = service.records("tasks-north-0");
     assert_eq!(ends.iter().filter(|record| record.contains("task_ended")).count(), 1);
 }
--- a/crates/owner/tests/two_shards.rs
+++ b/crates/owner/tests/two_shards.rs
@@ -277,7 +277,8 @@
 /// they move, and against finished work that is recorded as anything else.
 #[test]
 fn moved_work_runs_once_and_comes_home() {
-    for seed in 0..40 {
+    // 511: a start was repeated in a data centre that was out.
+    for seed in (0..60).chain([511]) {
         let mut pair = Pair::new(seed);
         for _ in 0..400 {
             pair.step();
--- a/crates/policy/src/placement/attribution.rs
+++ b/crates/policy/src/placement/attribution.rs
@@ -1,7 +1,7 @@
 //! Tells a worker that fails everything from a job that fails everywhere.
 //!
 //! Failures of several jobs on one VM, without a success in between, hold the VM
-//! back. Failures of one job on several VMs park the job. A failure on a VM that
+//! back, and so does a row of failures of a job that succeeds elsewhere. Failures of one job on several VMs park the job. A failure on a VM that
 //! is held back says nothing about the job, so it is taken off the job's count.
 
 use cactusdoor_core::job::JobId;
@@ -11,6 +11,8 @@
 
 /// Jobs that must fail on a VM before it is held back.
 pub const JOBS_PER_BAD_VM: usize = 3;
+/// Failures in a row that hold a VM back if the job succeeds elsewhere.
+pub const FAILURES_PER_BAD_VM: u32 = 5;
 /// VMs on which a job must fail before it is parked.
 pub const VMS_PER_BAD_JOB: usize = 3;
 /// First time for which a VM is held back or a job stays parked.
@@ -48,6 +50,8 @@
 struct VmRecord {
     failed: IndexMap<JobId, Moment>,
     failures: u32,
+    /// Failures since the last success.
+    streak: u32,
     held_until: Option<Moment>,
     backoff: Millis,
 }
@@ -55,6 +59,8 @@
 #[derive(Clone, Debug, Default)]
 struct JobRecord {
     failed_on: IndexMap<VmName, Moment>,
+    /// Whether a task of the job ran to its end.
+    works: bool,
     parked_until: Option<Moment>,
     backoff: Millis,
 }
@@ -80,6 +86,7 @@
     pub fn failed(&mut self, vm: &VmName, job: &JobId, now: Moment) -> FailureVerdict {
         let record = self.vms.entry(vm.clone()).or_default();
         record.failures += 1;
+        record.streak += 1;
         if record.held_until.is_some() {
             // A probe failed, or a task placed before the VM was held back.
             if record.held_until.is_some_and(|until| now >= until) {
@@ -89,7 +96,9 @@
         }
         record.failed.retain(|_, at| now.since(*at) <= FAILURE_LIFETIME);
         record.failed.insert(job.clone(), now);
-        if record.failed.len() >= JOBS_PER_BAD_VM {
+        let works = self.jobs.get(job).is_some_and(|record| record.works);
+        if record.failed.len() >= JOBS_PER_BAD_VM || (works && record.streak >= FAILURES_PER_BAD_VM)
+        {
             record.hold(now);
             let failures = record.failures;
             let blamed: IndexSet<JobId> = record.failed.keys().cloned().collect();
@@ -125,7 +134,8 @@
 
     /// A task ran to its end on `vm`; `true` if that ends a probe.
     pub fn succeeded(&mut self, vm: &VmName, job: &JobId) -> bool {
-        self.jobs.swap_remove(job);
+        let record = JobRecord { works: true, ..JobRecord::default() };
+        self.jobs.insert(job.clone(), record);
         self.vms.swap_remove(vm).is_some_and(|record| record.held_until.is_some())
     }
 
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::Moment;
 use cactusdoor_policy::placement::attribution::{
-    FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF, VmStanding,
+    FAILURES_PER_BAD_VM, FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF, VmStanding,
 };
 use cactusdoor_policy::placement::eviction::{PressureLadder, PressureStep, RELAX_PAUSE};
 use cactusdoor_policy::placement::interference::PairTable;
@@ -109,6 +109,20 @@
     assert!(!ledger.has_failed_on(&job(1), &vm(1)));
 }
 
+/// Guards against a bad worker that is not recognised while only one job runs.
+#[test]
+fn a_row_of_failures_of_a_job_that_works_elsewhere_holds_the_vm_back() {
+    let mut ledger = FailureLedger::default();
+    let now = Moment(1_000);
+    ledger.succeeded(&vm(2), &job(1));
+    for _ in 1..FAILURES_PER_BAD_VM {
+        assert_eq!(ledger.failed(&vm(1), &job(1), now), FailureVerdict::Undecided);
+        ledger.succeeded(&vm(2), &job(1));
+    }
+    let verdict = ledger.failed(&vm(1), &job(1), now);
+    assert_eq!(verdict, FailureVerdict::VmHeldBack { failures: FAILURES_PER_BAD_VM });
+}
+
 /// Guards against a VM that never comes back, and against one that comes back
 /// without having worked.
 #[test]
