Normalise the correction of interference weights

With many neighbours of one kind each observation corrected a multiple of the error, and the weights swung between their limits. The new test fails on the old correction.

--- a/crates/policy/src/placement/interference.rs
+++ b/crates/policy/src/placement/interference.rs
@@ -2,7 +2,7 @@
 //!
 //! The slowdown of a task is modelled as the sum of one weight per neighbour,
 //! by the pair of kinds. Each observation moves the weights of the neighbours
-//! that were present by an equal part of the error, so a kind that is there when
+//! that were present by their part of the error, so a kind that is there when
 //! nothing is slow loses the blame that it shared with others.
 
 use cactusdoor_core::name::TaskKind;
@@ -24,26 +24,27 @@
             return;
         }
         let slowdown = 100.0 - f64::from(speed_percent.min(100));
-        let error = slowdown - self.suffered(victim, neighbours);
-        let step = LEARNING_RATE * error / neighbours.len() as f64;
-        for neighbour in neighbours {
-            let pair = (victim.clone(), (*neighbour).clone());
+        let counts = count(neighbours);
+        let expected: f64 =
+            counts.iter().map(|(kind, count)| count * self.weight(victim, kind)).sum();
+        let squares: f64 = counts.iter().map(|(_, count)| count * count).sum();
+        // Divided by the squares, the correction of the sum is the learning
+        // rate's part of the error, however many neighbours share a weight.
+        let step = LEARNING_RATE * (slowdown - expected) / squares;
+        for (neighbour, count) in counts {
+            let pair = (victim.clone(), neighbour.clone());
             let weight = self.weights.entry(pair).or_default();
-            *weight = (*weight + step).clamp(0.0, 100.0);
+            *weight = (*weight + step * count).clamp(0.0, 100.0);
         }
     }
 
-    /// Slowdown that a task of kind `victim` is expected to suffer, in percent.
-    #[must_use]
-    pub fn suffered(&self, victim: &TaskKind, neighbours: &[&TaskKind]) -> f64 {
-        neighbours.iter().map(|neighbour| self.weight(victim, neighbour)).sum()
-    }
-
     /// Slowdown that a newcomer is expected to suffer and cause, in percent.
     #[must_use]
     pub fn added(&self, newcomer: &TaskKind, residents: &[&TaskKind]) -> f64 {
-        let caused: f64 = residents.iter().map(|resident| self.weight(resident, newcomer)).sum();
-        caused + self.suffered(newcomer, residents)
+        let pairs = count(residents).into_iter().map(|(resident, count)| {
+            count * (self.weight(resident, newcomer) + self.weight(newcomer, resident))
+        });
+        pairs.sum()
     }
 
     /// Whether any pair was observed.
@@ -62,3 +63,15 @@
         self.weights.get(&pair).copied().unwrap_or(0.0)
     }
 }
+
+/// Distinct kinds with their numbers.
+fn count<'a>(kinds: &[&'a TaskKind]) -> Vec<(&'a TaskKind, f64)> {
+    let mut counts: Vec<(&TaskKind, f64)> = Vec::new();
+    for kind in kinds {
+        match counts.iter_mut().find(|(known, _)| known == kind) {
+            Some((_, count)) => *count += 1.0,
+            None => counts.push((kind, 1.0)),
+        }
+    }
+    counts
+}
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -97,6 +97,19 @@
     assert!((pairs.added(&noisy, &[&victim]) - blamed).abs() < f64::EPSILON);
 }
 
+/// Guards against weights that overshoot when many neighbours are of one kind.
+#[test]
+fn many_neighbours_of_one_kind_share_the_slowdown() {
+    let mut pairs = PairTable::default();
+    let (victim, noisy) = (kind("victim"), kind("noisy"));
+    let crowd = vec![&noisy; 12];
+    for _ in 0..200 {
+        pairs.observe(&victim, &crowd, 40);
+    }
+    let weight = pairs.weight(&victim, &noisy);
+    assert!((weight - 5.0).abs() < 0.5, "{weight}");
+}
+
 /// Guards against jobs that are blamed for a worker that fails everything.
 #[test]
 fn failures_of_several_jobs_hold_the_vm_back() {
