--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -109,6 +109,8 @@
     roster: RosterBook,
     /// Something changed that may let a pending task be placed.
     placing_due: bool,
+    /// Urgent work has arrived since the last round.
+    urgent_due: bool,
     last_round: Moment,
     actions: Vec<BookAction>,
 }
@@ -148,6 +150,7 @@
             moves: MoveBook::default(),
             roster: RosterBook::default(),
             placing_due: false,
+            urgent_due: false,
             last_round: Moment::default(),
             actions: Vec::new(),
             settings,
--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -106,6 +106,7 @@
                 }
             }
             TaskRecord::JobSubmitted(spec) => {
+                self.urgent_due |= spec.urgent;
                 let shard = self.settings.shard.clone();
                 self.event(EventKind::JobSubmitted { job: spec.id, shard });
             }
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -24,15 +24,15 @@
 const ROUND_PLACEMENTS: usize = 512;
 /// Most appends under way; beyond it the log is the bottleneck.
 const MAX_OPEN_APPENDS: usize = 2_048;
-/// Least time between rounds. Rounds cost the same however little has changed;
-/// urgent work still starts well within a second.
-const ROUND_PAUSE: Millis = 100;
+/// Least time between rounds, unless urgent work arrives: a round costs the same
+/// however little has changed.
+const ROUND_PAUSE: Millis = 200;
 /// Time after which a round is repeated although nothing changed: backoffs end
 /// and deadlines come closer.
 const ROUND_INTERVAL: Millis = 500;
 
 /// What the expected need and run time of a job depend on.
-type ExpectedKey = (TaskKind, ResourceVector, Millis, bool, usize);
+type ExpectedKey = (TaskKind, ResourceVector, Millis);
 
 /// A VM that takes tasks in this round.
 struct OpenVm {
@@ -40,7 +40,8 @@
     rack: RackName,
     capacity: ResourceVector,
     free: ResourceVector,
-    kinds: Vec<TaskKind>,
+    /// Kinds of the tasks there, with their numbers.
+    kinds: IndexMap<TaskKind, u32>,
     /// Takes no more than one task, as a probe.
     probing: bool,
     /// Takes no tasks that may be held back, to protect latency-critical ones.
@@ -74,11 +75,16 @@
 impl ShardBook {
     /// Runs a placement round if one is due.
     pub(super) fn place(&mut self, now: Moment, unix_ms: Millis) {
-        let pause = if self.placing_due { ROUND_PAUSE } else { ROUND_INTERVAL };
+        let pause = match (self.urgent_due, self.placing_due) {
+            (true, _) => 0,
+            (false, true) => ROUND_PAUSE,
+            (false, false) => ROUND_INTERVAL,
+        };
         if now.since(self.last_round) < pause || self.tenure().is_none() || self.handing_back {
             return;
         }
         self.placing_due = false;
+        self.urgent_due = false;
         self.last_round = now;
         if self.index.pending().is_empty() {
             return;
@@ -124,7 +130,7 @@
             }
             let committed = load.map_or(ResourceVector::ZERO, |load| load.committed);
             let taken = sum(sum(committed, self.appends.held(vm)), agent.stray);
-            let kinds = if self.pairs.is_empty() { Vec::new() } else { self.kinds_on(vm) };
+            let kinds = if self.pairs.is_empty() { IndexMap::new() } else { self.kinds_on(vm) };
             open.push(OpenVm {
                 vm: vm.clone(),
                 rack: agent.identity.rack.clone(),
@@ -140,9 +146,18 @@
         open
     }
 
-    fn kinds_on(&self, vm: &VmName) -> Vec<TaskKind> {
-        let tasks = self.index.vm(vm).into_iter().flat_map(|load| load.tasks.values());
-        tasks.filter_map(|task| self.spec(&task.job)).map(|spec| spec.kind.clone()).collect()
+    fn kinds_on(&self, vm: &VmName) -> IndexMap<TaskKind, u32> {
+        let mut kinds: IndexMap<TaskKind, u32> = IndexMap::new();
+        for task in self.index.vm(vm).into_iter().flat_map(|load| load.tasks.values()) {
+            let Some(spec) = self.spec(&task.job) else { continue };
+            match kinds.get_mut(&spec.kind) {
+                Some(count) => *count += 1,
+                None => {
+                    kinds.insert(spec.kind.clone(), 1);
+                }
+            }
+        }
+        kinds
     }
 
     /// Largest capacity of a known VM.
@@ -157,13 +172,12 @@
         self.agents.values().any(|agent| agent.capacity.holds(need))
     }
 
-    /// The amount to commit for a task of the job.
+    /// The amount to commit for a task of the job, from the `learned` one.
     ///
     /// Away from home it stays within the declared need, which is what the home
     /// shard reserves in the plan's allowance. It also stays within what the
     /// plan and some VM can hold at all, as far as the declared need does.
-    fn need(&self, spec: &JobSpec, home: bool) -> ResourceVector {
-        let learned = self.learner.need(&spec.kind, spec.need);
+    fn need(&self, spec: &JobSpec, home: bool, learned: ResourceVector) -> ResourceVector {
         if !home {
             return min(learned, spec.need);
         }
@@ -200,11 +214,12 @@
             entry.or_insert(PlanShare { weight, used });
             // Jobs of one kind mostly declare the same, and learned figures are
             // quantiles that are not computed for free.
-            let key = (spec.kind.clone(), spec.need, spec.run_time_ms, home, plan);
-            let (need, run_time) = *expected.entry(key).or_insert_with(|| {
+            let key = (spec.kind.clone(), spec.need, spec.run_time_ms);
+            let (learned, run_time) = *expected.entry(key).or_insert_with(|| {
                 let run_time = self.learner.run_time(&spec.kind, spec.run_time_ms);
-                (self.need(&spec, home), run_time)
+                (self.learner.need(&spec.kind, spec.need), run_time)
             });
+            let need = self.need(&spec, home, learned);
             demands.push(JobDemand {
                 plan,
                 urgent: spec.urgent,
@@ -343,11 +358,11 @@
             if (open.protected && !critical) || !open.free.holds(need) {
                 return None;
             }
-            let residents: Vec<&TaskKind> = open.kinds.iter().collect();
+            let residents = open.kinds.iter().map(|(kind, count)| (kind, *count));
             let offer = VmOffer {
                 capacity: open.capacity,
                 free: open.free,
-                slowdown_percent: self.pairs.added(&spec.kind, &residents),
+                slowdown_percent: self.pairs.added(&spec.kind, residents),
                 job_in_rack: in_racks.get(&open.rack).copied().unwrap_or(0),
                 job_running,
                 failed_here: self.ledger.has_failed_on(&task.job, &open.vm),
@@ -362,7 +377,7 @@
         open.free =
             if open.probing { ResourceVector::ZERO } else { open.free.saturating_sub(need) };
         if !self.pairs.is_empty() {
-            open.kinds.push(spec.kind.clone());
+            *open.kinds.entry(spec.kind.clone()).or_default() += 1;
         }
         *in_racks.entry(open.rack.clone()).or_default() += 1;
         let vm = open.vm.clone();
--- a/crates/owner/src/keeper.rs
+++ b/crates/owner/src/keeper.rs
@@ -183,10 +183,13 @@
             ctx.notify(Appended(ticket, Err(NotStored::Stopped)));
             return;
         };
-        let stored = async move { appender.append(record, flush).await };
-        ctx.spawn(stored.into_actor(self).map(move |result, _, ctx| {
-            ctx.notify(Appended(ticket, result));
-        }));
+        // Not a future of the context, which polls all of its futures at each
+        // event: hundreds of appends may be under way.
+        let keeper = ctx.address();
+        actix_rt::spawn(async move {
+            let result = appender.append(record, flush).await;
+            keeper.do_send(Appended(ticket, result));
+        });
     }
 
     fn take_tasks(&mut self, records: &[LogRecord]) {
--- a/crates/policy/src/placement/interference.rs
+++ b/crates/policy/src/placement/interference.rs
@@ -14,7 +14,8 @@
 /// Learned weights, in percent of speed lost per neighbour.
 #[derive(Clone, Debug, Default)]
 pub struct PairTable {
-    weights: IndexMap<(TaskKind, TaskKind), f64>,
+    /// By victim and neighbour.
+    weights: IndexMap<TaskKind, IndexMap<TaskKind, f64>>,
 }
 
 impl PairTable {
@@ -32,17 +33,23 @@
         // rate's part of the error, however many neighbours share a weight.
         let step = LEARNING_RATE * (slowdown - expected) / squares;
         for (neighbour, count) in counts {
-            let pair = (victim.clone(), neighbour.clone());
-            let weight = self.weights.entry(pair).or_default();
+            let weights = self.weights.entry(victim.clone()).or_default();
+            let weight = weights.entry(neighbour.clone()).or_default();
             *weight = (*weight + step * count).clamp(0.0, 100.0);
         }
     }
 
-    /// Slowdown that a newcomer is expected to suffer and cause, in percent.
+    /// Slowdown that a newcomer is expected to suffer and cause among residents,
+    /// which are given as kinds with their numbers, in percent.
     #[must_use]
-    pub fn added(&self, newcomer: &TaskKind, residents: &[&TaskKind]) -> f64 {
-        let pairs = count(residents).into_iter().map(|(resident, count)| {
-            count * (self.weight(resident, newcomer) + self.weight(newcomer, resident))
+    pub fn added<'a>(
+        &self,
+        newcomer: &TaskKind,
+        residents: impl IntoIterator<Item = (&'a TaskKind, u32)>,
+    ) -> f64 {
+        let pairs = residents.into_iter().map(|(resident, count)| {
+            let both = self.weight(resident, newcomer) + self.weight(newcomer, resident);
+            f64::from(count) * both
         });
         pairs.sum()
     }
@@ -56,11 +63,8 @@
     /// Slowdown that one `neighbour` causes in `victim`, in percent.
     #[must_use]
     pub fn weight(&self, victim: &TaskKind, neighbour: &TaskKind) -> f64 {
-        if self.weights.is_empty() {
-            return 0.0;
-        }
-        let pair = (victim.clone(), neighbour.clone());
-        self.weights.get(&pair).copied().unwrap_or(0.0)
+        let weights = self.weights.get(victim);
+        weights.and_then(|weights| weights.get(neighbour)).copied().unwrap_or(0.0)
     }
 }
 
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -94,7 +94,7 @@
     let (blamed, innocent) = (pairs.weight(&victim, &noisy), pairs.weight(&victim, &quiet));
     assert!((blamed - 40.0).abs() < 5.0, "{blamed}");
     assert!(innocent < 5.0, "{innocent}");
-    assert!((pairs.added(&noisy, &[&victim]) - blamed).abs() < f64::EPSILON);
+    assert!((pairs.added(&noisy, [(&victim, 1)]) - blamed).abs() < f64::EPSILON);
 }
 
 /// Guards against weights that overshoot when many neighbours are of one kind.
