--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -76,9 +76,9 @@
     Replaced,
 }
 
-/// Delay of a job after an end that was not its own doing or a failure.
+/// Delay of a task after a failure, or after it came back from another shard.
 #[derive(Clone, Copy, Debug, Default)]
-struct JobBackoff {
+struct TaskBackoff {
     until: Moment,
     step: u32,
 }
@@ -102,7 +102,7 @@
     learner: UsageLearner,
     pairs: PairTable,
     ramp: ReturnRamp,
-    backoffs: IndexMap<JobId, JobBackoff>,
+    backoffs: IndexMap<TaskId, TaskBackoff>,
     waits: HashMap<JobId, (WaitReason, Moment)>,
     ended_since: IndexMap<JobId, Moment>,
     moves: MoveBook,
@@ -110,6 +110,8 @@
     witness: WitnessState,
     /// Something changed that may let a pending task be placed.
     placing_due: bool,
+    /// Urgent work has arrived since the last round.
+    urgent_due: bool,
     last_round: Moment,
     actions: Vec<BookAction>,
 }
@@ -150,6 +152,7 @@
             roster: RosterBook::default(),
             witness: WitnessState::default(),
             placing_due: false,
+            urgent_due: false,
             last_round: Moment::default(),
             actions: Vec::new(),
             settings,
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::Moment;
 use cactusdoor_policy::placement::attribution::{
-    FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF, VmStanding,
+    FAILURES_PER_BAD_VM, FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF, VmStanding,
 };
 use cactusdoor_policy::placement::eviction::{PressureLadder, PressureStep, RELAX_PAUSE};
 use cactusdoor_policy::placement::interference::PairTable;
@@ -94,7 +94,20 @@
     let (blamed, innocent) = (pairs.weight(&victim, &noisy), pairs.weight(&victim, &quiet));
     assert!((blamed - 40.0).abs() < 5.0, "{blamed}");
     assert!(innocent < 5.0, "{innocent}");
-    assert!((pairs.added(&noisy, &[&victim]) - blamed).abs() < f64::EPSILON);
+    assert!((pairs.added(&noisy, [(&victim, 1)]) - blamed).abs() < f64::EPSILON);
+}
+
+/// Guards against weights that overshoot when many neighbours are of one kind.
+#[test]
+fn many_neighbours_of_one_kind_share_the_slowdown() {
+    let mut pairs = PairTable::default();
+    let (victim, noisy) = (kind("victim"), kind("noisy"));
+    let crowd = vec![&noisy; 12];
+    for _ in 0..200 {
+        pairs.observe(&victim, &crowd, 40);
+    }
+    let weight = pairs.weight(&victim, &noisy);
+    assert!((weight - 5.0).abs() < 0.5, "{weight}");
 }
 
 /// Guards against jobs that are blamed for a worker that fails everything.
@@ -109,6 +122,20 @@
     assert!(!ledger.has_failed_on(&job(1), &vm(1)));
 }
 
+/// Guards against a bad worker that is not recognised while only one job runs.
+#[test]
+fn a_row_of_failures_of_a_job_that_works_elsewhere_holds_the_vm_back() {
+    let mut ledger = FailureLedger::default();
+    let now = Moment(1_000);
+    ledger.succeeded(&vm(2), &job(1));
+    for _ in 1..FAILURES_PER_BAD_VM {
+        assert_eq!(ledger.failed(&vm(1), &job(1), now), FailureVerdict::Undecided);
+        ledger.succeeded(&vm(2), &job(1));
+    }
+    let verdict = ledger.failed(&vm(1), &job(1), now);
+    assert_eq!(verdict, FailureVerdict::VmHeldBack { failures: FAILURES_PER_BAD_VM });
+}
+
 /// Guards against a VM that never comes back, and against one that comes back
 /// without having worked.
 #[test]
