Connect the agent through the shared transport, without Nagle's algorithm

Cause: requests of one entry share a connection, and a small one would wait for the acknowledgement of the one before, which takes a round trip between data centres. The shared connect functions now set TCP_NODELAY as the agent's server does.

--- a/crates/agent/src/link.rs
+++ b/crates/agent/src/link.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusdoor_peer::AgentServiceClient;
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply};
+use cactusdoor_peer::{AgentServiceClient, wire};
 use tarpc::context::Context;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
 use thiserror::Error;
 
 /// Longest wait for the answer to a heartbeat: the time until the next one.
@@ -55,11 +53,9 @@
         {
             return Ok(client.clone());
         }
-        let transport = tcp::connect(address, Bincode::default);
-        let transport = transport.await.map_err(|_| LinkError::NotConnected)?;
-        // A heartbeat is one small message; waiting for more data only delays it.
-        transport.get_ref().set_nodelay(true).map_err(|_| LinkError::NotConnected)?;
-        let client = AgentServiceClient::new(tarpc::client::Config::default(), transport).spawn();
+        let connected = wire::connect_agent(address).await;
+        let (client, dispatch) = connected.map_err(|_| LinkError::NotConnected)?;
+        actix_rt::spawn(dispatch);
         *self.client.borrow_mut() = Some((address, client.clone()));
         Ok(client)
     }
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -13,6 +13,7 @@
 };
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply, OwnerNotice};
 use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_peer::wire::MAX_FRAME_BYTES;
 use cactusdoor_timeline::EventLog;
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -23,9 +24,6 @@
 use crate::keeper::{NoteOwner, StartTasks, StopTasks, TaskKeeper};
 use crate::relay::{DeliverClaim, FenceClaim, ForwardCall, RequestRelay};
 
-/// Largest frame: a request body of 8 MiB with its envelope.
-const MAX_FRAME_BYTES: usize = 9 * 1024 * 1024;
-
 /// Passes calls on to the actors; one clone per request.
 #[derive(Clone)]
 pub struct AgentServer {
--- a/crates/agent/tests/daemon.rs
+++ b/crates/agent/tests/daemon.rs
@@ -8,14 +8,12 @@
 use bytes::Bytes;
 use cactusdoor_agent::daemon::AgentDaemon;
 use cactusdoor_node::agent::AgentSettings;
-use cactusdoor_peer::AgentServiceClient;
 use cactusdoor_peer::answer::{
     CallFailure, CallRefusal, ClaimDelivery, DeliveryFailure, RequestId, UpstreamCall,
 };
+use cactusdoor_peer::{AgentServiceClient, wire};
 use support::fake_worker::FakeWorker;
 use tarpc::context::Context;
-use tarpc::serde_transport::tcp;
-use tarpc::tokio_serde::formats::Bincode;
 
 fn settings(worker: &FakeWorker) -> AgentSettings {
     let text = format!(
@@ -30,9 +28,9 @@
 }
 
 async fn connect(daemon: &AgentDaemon) -> AgentServiceClient {
-    let mut connect = tcp::connect(daemon.identity.address, Bincode::default);
-    connect.config_mut().max_frame_length(9 * 1024 * 1024);
-    AgentServiceClient::new(tarpc::client::Config::default(), connect.await.unwrap()).spawn()
+    let (client, dispatch) = wire::connect_agent(daemon.identity.address).await.unwrap();
+    actix_rt::spawn(dispatch);
+    client
 }
 
 fn call(body: Bytes) -> UpstreamCall {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -19,7 +19,10 @@
 ) -> io::Result<(AgentServiceClient, impl Future<Output = ()>)> {
     let mut connect = tcp::connect(address, Bincode::default);
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let new = AgentServiceClient::new(Config::default(), connect.await?);
+    let transport = connect.await?;
+    // Small requests must not wait until the answers to earlier ones arrive.
+    transport.get_ref().set_nodelay(true)?;
+    let new = AgentServiceClient::new(Config::default(), transport);
     let dispatch = async move {
         if let Err(error) = new.dispatch.await {
             log::debug!("connection to agent {address} broke: {error}");
@@ -34,7 +37,10 @@
 ) -> io::Result<(EntryServiceClient, impl Future<Output = ()>)> {
     let mut connect = tcp::connect(address, Bincode::default);
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let new = EntryServiceClient::new(Config::default(), connect.await?);
+    let transport = connect.await?;
+    // Small requests must not wait until the answers to earlier ones arrive.
+    transport.get_ref().set_nodelay(true)?;
+    let new = EntryServiceClient::new(Config::default(), transport);
     let dispatch = async move {
         if let Err(error) = new.dispatch.await {
             log::debug!("connection to entry {address} broke: {error}");
