Search for the owner beside the heartbeats

Cause: the heartbeat loop waited for the search, which can take long in a log outage, so an owner that fell silent for a moment and answered again was not heard and the lease could pass. The search runs as a task of its own now; the test holds it open and fails without the change (the second heartbeat is not sent).

--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/keeper.rs
@@ -97,6 +97,8 @@
     pub(crate) owner: Cell<Option<KnownOwner>>,
     /// Last heartbeat answer, or the start of the process.
     pub(crate) answered: Cell<Moment>,
+    /// Whether a search for the owner is under way.
+    pub(crate) searching: Cell<bool>,
     pub(crate) link: OwnerLink,
     pub(crate) usage: RefCell<(Moment, Vec<UsageSample>)>,
     /// A heartbeat is due at once.
@@ -132,6 +134,7 @@
             board: RefCell::new(board),
             owner: Cell::new(None),
             answered: Cell::new(now),
+            searching: Cell::new(false),
             link: OwnerLink::default(),
             usage: RefCell::new((now, Vec::new())),
             beat_wanted: Notify::new(),
--- a/crates/agent/src/pulse.rs
+++ b/crates/agent/src/pulse.rs
@@ -53,8 +53,8 @@
             match outcome {
                 BeatOutcome::Answered | BeatOutcome::NotReady => {}
                 BeatOutcome::Redirected => self.beat_wanted.notify_one(),
-                BeatOutcome::OwnerUnknown => self.find_owner().await,
-                BeatOutcome::NoAnswer if self.silence() >= OWNER_SILENCE => self.find_owner().await,
+                BeatOutcome::OwnerUnknown => self.search_owner(),
+                BeatOutcome::NoAnswer if self.silence() >= OWNER_SILENCE => self.search_owner(),
                 BeatOutcome::NoAnswer => {}
             }
             tokio::time::sleep(BEAT_SPACING).await;
@@ -195,12 +195,27 @@
         }
     }
 
+    /// Searches for the newest owner beside the heartbeats: the search can take long
+    /// in a log outage, and the silent owner may answer again meanwhile.
+    fn search_owner(self: &Rc<Self>) {
+        if !self.searching.replace(true) {
+            let state = Rc::clone(self);
+            actix_rt::spawn(async move {
+                state.find_owner().await;
+                state.searching.set(false);
+            });
+        }
+    }
+
     /// Asks for the newest owner; this process may become it.
     async fn find_owner(&self) {
         if self.silence() >= OWNER_SILENCE {
             // All agents of the shard notice the silence at about the same time.
             let jitter = rand::random_range(0..=CLAIM_JITTER);
             tokio::time::sleep(Duration::from_millis(jitter)).await;
+            if self.owner.get().is_some() && self.silence() < OWNER_SILENCE {
+                return;
+            }
         }
         let ask = FindOwner { shard: self.settings.shard.clone(), silent_for: self.silence() };
         match self.settings.ownership.find.send(ask).await {
--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/keeper.rs
@@ -243,6 +243,23 @@
     assert_eq!(bench.start(small(10, 1)).await, Err(StartRefusal::EpochStale));
 }
 
+/// Guards against an agent that sends no heartbeats while a search for the owner
+/// hangs in a log outage, although the owner answers again.
+#[actix_rt::test]
+async fn owner_that_returns_during_a_search_is_heard() {
+    let worker = FakeWorker::spawn();
+    let bench = bench(worker.address);
+    bench.ready().await;
+    bench.owner.borrow_mut().search_hangs = true;
+    bench.owner.borrow_mut().silent = true;
+    let found = bench.owner.borrow().finds.len();
+    until(|| bench.owner.borrow().finds.len() > found).await;
+    bench.owner.borrow_mut().silent = false;
+    let beats = bench.owner.borrow().beats.len();
+    until(|| bench.owner.borrow().beats.len() >= beats + 2).await;
+    assert_eq!(bench.start(small(10, 1)).await, Ok(()));
+}
+
 /// Guards against a placement of the replaced owner after its successor announced
 /// itself, before the first heartbeat to the successor.
 #[actix_rt::test]
--- a/crates/agent/tests/support/fake_owner.rs
+++ b/crates/agent/tests/support/fake_owner.rs
@@ -19,6 +19,8 @@
     pub epoch: Epoch,
     pub lease: Millis,
     pub silent: bool,
+    /// Whether searches are never answered.
+    pub search_hangs: bool,
     /// Whether it records the ends that it hears of.
     pub records: bool,
     pub beats: Vec<AgentHeartbeat>,
@@ -36,6 +38,7 @@
             epoch: 1,
             lease: TASK_LEASE,
             silent: false,
+            search_hangs: false,
             records: true,
             beats: Vec::new(),
             ends: Vec::new(),
@@ -73,13 +76,21 @@
 }
 
 impl Handler<FindOwner> for FakeOwner {
-    type Result = Result<ShardOwnership, FindError>;
+    type Result = actix::ResponseFuture<Result<ShardOwnership, FindError>>;
 
     fn handle(&mut self, ask: FindOwner, _: &mut Context<Self>) -> Self::Result {
         let mut state = self.0.borrow_mut();
         state.finds.push(ask.silent_for);
-        let address = state.address.ok_or(FindError::NoOwner(ask.shard))?;
-        Ok(ShardOwnership { epoch: state.epoch, owner: "vm".parse().unwrap(), address })
+        if state.search_hangs {
+            return Box::pin(std::future::pending());
+        }
+        let epoch = state.epoch;
+        let found = state.address.map(|address| ShardOwnership {
+            epoch,
+            owner: "vm".parse().unwrap(),
+            address,
+        });
+        Box::pin(async move { found.ok_or(FindError::NoOwner(ask.shard)) })
     }
 }
 
