Test lost VMs, failing workers and jobs, and watches in whole installations

Four of the five new tests pass: tasks of a VM that is lost and returns, a worker that fails everything, a job that fails on four VMs, and a watch that is restarted and cancelled. A job that fails on both VMs of a shard is never parked, since three VMs are needed; this is recorded as known red. The directories now have a prefix of their own, so that they are not cleared with others by a pattern.

Every subcommand of cactusdoor-standin is started once by a test.

--- a/crates/standin/src/harness/cluster.rs
+++ b/crates/standin/src/harness/cluster.rs
@@ -127,7 +127,8 @@
 impl Cluster {
     /// Starts everything, without waiting for readiness.
     pub fn spawn(plan: &ClusterPlan) -> Result<Self, HarnessError> {
-        let directory = tempfile::tempdir().map_err(failed("create a temporary directory"))?;
+        let directory = tempfile::Builder::new().prefix("cactusdoor-").tempdir();
+        let directory = directory.map_err(failed("create a temporary directory"))?;
         let mut log_options = plan.log.clone();
         log_options.history = history_file(plan, "log");
         let log = LogStandin::spawn((loopback_ip(), 0).into(), log_options);
--- a/crates/standin/tests/cluster/main.rs
+++ b/crates/standin/tests/cluster/main.rs
@@ -3,6 +3,7 @@
 //! The daemons are child processes and have to be built before:
 //! `cargo build --workspace --bins`.
 
+mod jobs;
 mod site;
 
 use std::time::Duration;
--- a/crates/standin/tests/cluster/site.rs
+++ b/crates/standin/tests/cluster/site.rs
@@ -30,8 +30,13 @@
 impl Site {
     /// Two data centres with an entry and two agents each, ready for work.
     pub async fn open() -> Self {
+        Self::with_agents(2).await
+    }
+
+    /// Two data centres with an entry and this many agents each, ready for work.
+    pub async fn with_agents(agents: usize) -> Self {
         let service = ServiceName::new("counter").unwrap();
-        let mut plan = ClusterPlan::uniform(2, 1, 2);
+        let mut plan = ClusterPlan::uniform(2, 1, agents);
         plan.upstream = Some(UpstreamOptions {
             name: String::new(),
             service: service.clone(),
@@ -105,10 +110,21 @@
     }
 
     pub async fn submit(&self, key: &str, tasks: u32, run_time_ms: u64) {
+        self.submit_kind("transcription", key, "batch", tasks, run_time_ms).await;
+    }
+
+    pub async fn submit_kind(
+        &self,
+        kind: &str,
+        key: &str,
+        class: &str,
+        tasks: u32,
+        run_time_ms: u64,
+    ) {
         let job = json!({
             "plan": self.plan,
-            "kind": "transcription",
-            "class": "batch",
+            "kind": kind,
+            "class": class,
             "tasks": tasks,
             "need": ResourceVector::new(1_000, 1_000, 0),
             "run_time_ms": run_time_ms,
--- a/crates/standin/tests/harness.rs
+++ b/crates/standin/tests/harness.rs
@@ -36,6 +36,35 @@
     (children, operator)
 }
 
+/// Guards against a stand-in that does not start with the documented arguments.
+#[actix_rt::test]
+async fn every_stand_in_starts() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut children = ChildSet::default();
+    let free = || free_address().unwrap().to_string();
+    let commands = [
+        vec!["log".to_owned(), "--retention-ms=60000".into(), "--appends-per-second=500".into()],
+        vec!["worker".into(), "--processors=8000".into()],
+        vec!["upstream".into(), "--service=counter".into(), "--slots=4".into()],
+        vec!["relay".into(), format!("--listen={}", free()), format!("--target={}", free())],
+    ];
+    for mut arguments in commands {
+        let name = arguments[0].clone();
+        let operator = free_address().unwrap();
+        arguments.push(operator.to_string());
+        let spec = ChildSpec {
+            program: env!("CARGO_BIN_EXE_cactusdoor-standin").into(),
+            arguments: arguments.into_iter().map(Into::into).collect(),
+            log: directory.path().join(format!("{name}.log")),
+            operator,
+        };
+        children.spawn(&name, spec).unwrap();
+        children.wait_ready(&name, PATIENCE).await.unwrap();
+        children.terminate(&name).unwrap();
+        assert!(children.wait_exit(&name, PATIENCE).await.unwrap().success());
+    }
+}
+
 /// Guards against a child that is reported ready before it answers, and against
 /// one that cannot be restarted at its address after a crash.
 #[actix_rt::test]
