Eject unreachable upstreams at once and name requests in errors

When a data centre is lost, each of its upstreams took five failed connects before it was ejected, and with more than half ejected all ejections were ignored. A failed connect now ejects at once, and ejected upstreams are used only as a last resort, when those that work have no room.

Error answers to requests carry X-Request-Id, so that an operator can look the request up in the timeline.

--- a/crates/caller/src/error.rs
+++ b/crates/caller/src/error.rs
@@ -6,6 +6,8 @@
 use actix_web::{HttpResponse, ResponseError};
 use serde::{Deserialize, Serialize};
 
+use crate::answer::REQUEST_ID;
+
 /// What went wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +83,9 @@
     pub message: String,
     pub outcome: OutcomeWord,
     pub retry: RetryAdvice,
+    /// The request, for the header of the answer.
+    #[serde(skip)]
+    pub request: Option<String>,
 }
 
 /// Body of an error answer.
@@ -92,12 +97,18 @@
 impl CallerError {
     /// An error after which the work has not run.
     pub fn not_run(code: ErrorCode, retry: RetryAdvice, message: impl Into<String>) -> Self {
-        Self { code, message: message.into(), outcome: OutcomeWord::NotRun, retry }
+        Self { code, message: message.into(), outcome: OutcomeWord::NotRun, retry, request: None }
     }
 
     /// An error after which the work may have run.
     pub fn unknown(code: ErrorCode, retry: RetryAdvice, message: impl Into<String>) -> Self {
-        Self { code, message: message.into(), outcome: OutcomeWord::Unknown, retry }
+        Self { code, message: message.into(), outcome: OutcomeWord::Unknown, retry, request: None }
+    }
+
+    /// The same error as the answer to `request`.
+    #[must_use]
+    pub fn of(self, request: String) -> Self {
+        Self { request: Some(request), ..self }
     }
 
     /// A faulty request.
@@ -120,6 +131,10 @@
     }
 
     fn error_response(&self) -> HttpResponse {
-        HttpResponse::build(self.status_code()).json(ErrorBody { error: self.clone() })
+        let mut response = HttpResponse::build(self.status_code());
+        if let Some(request) = &self.request {
+            response.insert_header((REQUEST_ID, request.as_str()));
+        }
+        response.json(ErrorBody { error: self.clone() })
     }
 }
--- a/crates/entry/src/binding/runner.rs
+++ b/crates/entry/src/binding/runner.rs
@@ -200,7 +200,7 @@
                 DeliveryFailure::DeliveredBefore => (AttemptResult::Failed, DeliveryEnd::Unclear),
                 DeliveryFailure::Unknown => (AttemptResult::Failed, DeliveryEnd::Unknown),
             },
-            Err(LinkFailure::NotSent(_)) => (AttemptResult::Failed, DeliveryEnd::NotDelivered),
+            Err(LinkFailure::NotSent(_)) => (AttemptResult::Unreachable, DeliveryEnd::NotDelivered),
             Err(failure) => {
                 log::info!("delivery of {} is unclear: {failure}", self.request.key);
                 (AttemptResult::Failed, DeliveryEnd::Unclear)
--- a/crates/entry/src/binding/serve.rs
+++ b/crates/entry/src/binding/serve.rs
@@ -64,10 +64,10 @@
     let elapsed_ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
     let (request, outcome) = (name.clone(), outcome.to_owned());
     events.record(EventKind::RequestEnded { request, outcome, elapsed_ms });
-    result.map(|mut answer| {
-        answer.request = name;
-        answer
-    })
+    match result {
+        Ok(answer) => Ok(ServiceAnswer { request: name, ..answer }),
+        Err(error) => Err(error.of(name)),
+    }
 }
 
 async fn run(
--- a/crates/entry/src/request/core.rs
+++ b/crates/entry/src/request/core.rs
@@ -265,7 +265,10 @@
         }
         for member in &change.listed {
             let agent = &member.agent;
-            self.agents.borrow_mut().insert(agent.vm.clone(), agent.clone());
+            let earlier = self.agents.borrow_mut().insert(agent.vm.clone(), agent.clone());
+            if let Some(earlier) = earlier.filter(|earlier| earlier.address != agent.address) {
+                self.links.forget(earlier.address);
+            }
             let offers = |name: &ServiceName| member.upstreams.iter().any(|up| up.service == *name);
             for (name, state) in services.iter_mut() {
                 state.pool.retain(|vm| *vm != agent.vm || offers(name));
--- a/crates/entry/src/request/interactive.rs
+++ b/crates/entry/src/request/interactive.rs
@@ -83,7 +83,7 @@
         let (request, outcome) = (request_name(id), outcome.to_owned());
         events.record(EventKind::RequestEnded { request, outcome, elapsed_ms });
     }
-    result
+    result.map_err(|error| error.of(request_name(id)))
 }
 
 async fn admitted(
@@ -251,7 +251,7 @@
         Ok(Err(CallFailure::Broken | CallFailure::TimedOut)) => {
             (AttemptResult::Failed, AttemptOutcome::Uncertain)
         }
-        Err(LinkFailure::NotSent(_)) => (AttemptResult::Failed, AttemptOutcome::Closed),
+        Err(LinkFailure::NotSent(_)) => (AttemptResult::Unreachable, AttemptOutcome::Closed),
         Err(failure) => {
             log::debug!("attempt on {}: {failure}", slot.agent.vm);
             (AttemptResult::Failed, AttemptOutcome::Uncertain)
--- a/crates/entry/tests/daemon.rs
+++ b/crates/entry/tests/daemon.rs
@@ -35,6 +35,12 @@
     let shard = reply.json()["shard"].as_str().unwrap().to_owned();
     assert_eq!(log.state().records(&format!("tasks-{shard}")).len(), 1);
 
+    let url = format!("http://{}/metrics", entry.daemon.operator_address);
+    let metrics = entry.http.get(url).send().await.unwrap().body().await.unwrap();
+    let metrics = String::from_utf8_lossy(&metrics);
+    assert!(metrics.contains("cactusdoor_entry_claims_total{result=\"won\"} 1"), "{metrics}");
+    assert!(metrics.lines().all(|line| line.contains("cactusdoor_entry_")), "{metrics}");
+
     let url = format!("http://{}/v1/jobs/koperasi/evening", entry.daemon.caller_address);
     let mut shown = entry.http.get(url).send().await.unwrap();
     let shown: serde_json::Value = shown.json().await.unwrap();
--- a/crates/entry/tests/interactive.rs
+++ b/crates/entry/tests/interactive.rs
@@ -46,6 +46,7 @@
         agents[0].behave(behaviour);
         let reply = entry.interactive(b"x", LONG).await;
         assert_eq!((reply.status, &*reply.error("outcome")), (502, "unknown"), "{behaviour:?}");
+        assert!(reply.request.is_some(), "operators find the request by its id");
     }
 }
 
--- a/crates/policy/src/routing/pool.rs
+++ b/crates/policy/src/routing/pool.rs
@@ -33,6 +33,8 @@
     Answered(Micros),
     /// No answer, or one that was not whole.
     Failed,
+    /// The agent beside it could not be reached, so nothing was sent.
+    Unreachable,
     /// No room at the upstream.
     Busy,
     /// It takes no work any more.
@@ -91,20 +93,20 @@
         };
         let mut candidates: Vec<(&VmName, &UpstreamRecord)> =
             self.upstreams.iter().filter(|(vm, record)| usable(vm, record)).collect();
-        // Ejections of more than half point at the network or the load rather
-        // than at single upstreams, so they are ignored then.
-        let ejected = candidates.iter().filter(|(_, record)| !record.takes_work(now)).count();
-        if ejected * 2 <= candidates.len() {
-            candidates.retain(|(_, record)| record.takes_work(now));
-        }
         if candidates.is_empty() {
             return PoolChoice::None;
         }
+        // Ejections of more than half point at the network or the load rather
+        // than at single upstreams, so ejected ones are used as a last resort.
+        let ejected = candidates.iter().filter(|(_, record)| !record.takes_work(now)).count();
+        let last_resort = ejected * 2 > candidates.len();
         candidates.retain(|(_, record)| record.has_room());
-        let is_local = |record: &UpstreamRecord| record.listing.data_centre == *local;
-        let (near, far): (Vec<_>, Vec<_>) =
-            candidates.into_iter().partition(|(_, record)| is_local(record));
-        let chosen = better_of_two(&near, now, random).or_else(|| better_of_two(&far, now, random));
+        let (working, ejected): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|(_, record)| record.takes_work(now));
+        let mut chosen = nearer(&working, now, local, random);
+        if chosen.is_none() && last_resort {
+            chosen = nearer(&ejected, now, local, random);
+        }
         chosen.map_or(PoolChoice::Full, PoolChoice::Send)
     }
 
@@ -136,6 +138,11 @@
                 false
             }
             AttemptResult::Failed => record.guard.failed(now),
+            AttemptResult::Unreachable if record.guard.is_ejected(now) => false,
+            AttemptResult::Unreachable => {
+                record.guard.eject(now);
+                true
+            }
             AttemptResult::Busy => {
                 record.limit.refused();
                 false
@@ -162,10 +169,10 @@
         working.map(|record| record.limit.current()).sum()
     }
 
-    /// Whether some upstream that takes work has room for one more request.
+    /// Whether some open upstream has room for one more request.
     #[must_use]
     pub fn has_room(&self, now: Moment) -> bool {
-        self.upstreams.values().any(|record| record.takes_work(now) && record.has_room())
+        self.upstreams.values().any(|record| record.is_open(now) && record.has_room())
     }
 
     fn median_latency(&self) -> Option<Micros> {
@@ -179,6 +186,19 @@
     }
 }
 
+/// A local candidate if there is one, otherwise another.
+fn nearer(
+    candidates: &[(&VmName, &UpstreamRecord)],
+    now: Moment,
+    local: &DataCentre,
+    random: RandomPair,
+) -> Option<VmName> {
+    let is_local = |record: &UpstreamRecord| record.listing.data_centre == *local;
+    let (near, far): (Vec<_>, Vec<_>) =
+        candidates.iter().copied().partition(|(_, record)| is_local(record));
+    better_of_two(&near, now, random).or_else(|| better_of_two(&far, now, random))
+}
+
 /// Of two random candidates the one with the lower cost.
 fn better_of_two(
     candidates: &[(&VmName, &UpstreamRecord)],
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -170,6 +170,22 @@
     assert!(matches!(choose(&pool, NOW, &[vm("vm3")], [0, 0]), PoolChoice::Send(_)));
 }
 
+/// Guards against a lost data centre that takes several failures from each of
+/// its upstreams, and against using lost upstreams while others have room.
+#[test]
+fn unreachable_upstreams_are_ejected_at_once() {
+    let mut pool = pool(&[("vm1", "dc1"), ("vm2", "dc1"), ("vm3", "dc2")]);
+    for name in ["vm1", "vm2"] {
+        pool.sent(&vm(name));
+        assert!(pool.ended(&vm(name), NOW, AttemptResult::Unreachable));
+    }
+    for _ in 0..2 {
+        assert_eq!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Send(vm("vm3")));
+        pool.sent(&vm("vm3"));
+    }
+    assert!(matches!(choose(&pool, NOW, &[], [0, 0]), PoolChoice::Send(_)), "last resort");
+}
+
 /// Guards against an upstream that is many times slower than its peers.
 #[test]
 fn slow_upstream_is_ejected() {
