--- a/crates/entry/src/binding/runner.rs
+++ b/crates/entry/src/binding/runner.rs
@@ -16,7 +16,7 @@
 use cactusdoor_log::appender::FlushMode;
 use cactusdoor_node::clock::unix_ms;
 use cactusdoor_peer::answer::{
-    ClaimDelivery, ClaimFence, DeliveryFailure, RequestId, UpstreamAnswer, UpstreamCall,
+    ClaimDelivery, ClaimFence, DeliveryFailure, FenceReply, RequestId, UpstreamAnswer, UpstreamCall,
 };
 use cactusdoor_policy::routing::pool::AttemptResult;
 use cactusdoor_timeline::EventKind;
@@ -25,7 +25,7 @@
 use super::machine::{ClaimAction, ClaimAnswer, ClaimInput, ClaimMachine, ClaimSight, DeliveryEnd};
 use super::serve::{BindingCore, RunResult, request_digest};
 use crate::links::LinkFailure;
-use crate::request::{SlotGuard, check_answer, judge_refusal, request_name};
+use crate::request::{SlotGuard, check_answer, check_kept, judge_refusal, request_name};
 use crate::stream::StreamHandle;
 
 /// Time past the deadline for which an answer of the agent is still awaited,
@@ -247,6 +247,11 @@
             client.fence(context, fence).await
         });
         match reply.await {
+            Ok(FenceReply::Ended(ClaimOutcome::Done(kept))) if check_kept(&kept).is_err() => {
+                log::warn!("dropped outcome of {} from {}", self.request.key, agent.vm);
+                requests.parts.metrics.dropped_answers.inc();
+                ClaimInput::FenceFailed { given_up }
+            }
             Ok(reply) => ClaimInput::FenceAnswered(reply),
             Err(failure) => {
                 log::info!("could not fence claim of {}: {failure}", self.request.key);
--- a/crates/entry/src/request/check.rs
+++ b/crates/entry/src/request/check.rs
@@ -1,6 +1,7 @@
 //! Check of answers before they are passed on.
 
-use cactusdoor_peer::answer::{RequestId, UpstreamAnswer};
+use cactusdoor_core::claim::KeptAnswer;
+use cactusdoor_peer::answer::{AnswerDigest, RequestId, UpstreamAnswer};
 use cactusdoor_peer::digest;
 use thiserror::Error;
 
@@ -15,16 +16,25 @@
     Damaged,
 }
 
+/// Whether the body of an answer that was kept with an outcome is whole.
+pub fn check_kept(answer: &KeptAnswer) -> Result<(), AnswerFault> {
+    answer.body.as_deref().map_or(Ok(()), |body| check_body(body, answer.length, answer.digest))
+}
+
 /// Whether `answer` is the whole answer to `id`.
 pub fn check_answer(id: RequestId, answer: &UpstreamAnswer) -> Result<(), AnswerFault> {
     if answer.id != id {
         return Err(AnswerFault::Foreign);
     }
-    let found = answer.body.len() as u64;
-    if found != answer.length {
-        return Err(AnswerFault::Partial { announced: answer.length, found });
+    check_body(&answer.body, answer.length, answer.digest)
+}
+
+fn check_body(body: &[u8], length: u64, expected: AnswerDigest) -> Result<(), AnswerFault> {
+    let found = body.len() as u64;
+    if found != length {
+        return Err(AnswerFault::Partial { announced: length, found });
     }
-    if digest(&answer.body) != answer.digest {
+    if digest(body) != expected {
         return Err(AnswerFault::Damaged);
     }
     Ok(())
--- a/crates/entry/tests/binding.rs
+++ b/crates/entry/tests/binding.rs
@@ -190,12 +190,24 @@
     for (round, behaviour) in spoilt.into_iter().enumerate() {
         agent.behave(behaviour);
         let reply = entry.binding(&format!("k{round}"), b"record", LONG).await;
-        assert_eq!(reply.status, 200, "{behaviour:?}");
+        assert_eq!((reply.status, &*reply.body), (200, &b"echo:record"[..]), "{behaviour:?}");
         assert_eq!(agent.runs().len(), round + 1);
         assert_eq!(agent.fences() as usize, round + 1);
     }
 }
 
+/// Guards against a partial answer that arrives as the outcome of the claim
+/// instead of as the answer to the delivery.
+#[actix::test]
+async fn partial_outcome_is_not_settled() {
+    let (_log, agent, entry) = start().await;
+    agent.behave(Behaviour::PartialOutcome);
+    let reply = entry.binding("k1", b"record", 300).await;
+    assert_eq!((reply.status, &*reply.error("retry")), (504, "same_key"));
+    assert!(agent.fences() > 0);
+    assert_eq!(agent.runs(), ["koperasi/k1"]);
+}
+
 /// Guards against a key that stays undecided after the entry that claimed it
 /// died before the delivery.
 #[actix::test]
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -38,6 +38,8 @@
     Foreign,
     /// Leaves out the last byte of the body.
     Partial,
+    /// As `Partial`, also in the outcome that is told later.
+    PartialOutcome,
     /// Changes a byte of the body.
     Damaged,
     Refuse(CallRefusal),
@@ -140,19 +142,25 @@
         }
     }
 
+    /// The answer that the upstream gave.
     fn answer(&self, call: &UpstreamCall) -> UpstreamAnswer {
-        let mut body = b"echo:".to_vec();
-        body.extend_from_slice(&call.body);
+        let body = [b"echo:", &call.body[..]].concat();
         let (length, digest) = (body.len() as u64, digest(&body));
-        let mut id = call.id;
+        let (load, body) = (UpstreamLoad::default(), Bytes::from(body));
+        UpstreamAnswer { id: call.id, status: 200, length, digest, body, load }
+    }
+
+    /// The answer as it is sent.
+    fn spoil(&self, mut answer: UpstreamAnswer) -> UpstreamAnswer {
+        let mut body = answer.body.to_vec();
         match self.state.behaviour.get() {
-            Behaviour::Foreign => id.number += 1,
-            Behaviour::Partial => drop(body.pop()),
+            Behaviour::Foreign => answer.id.number += 1,
+            Behaviour::Partial | Behaviour::PartialOutcome => drop(body.pop()),
             Behaviour::Damaged => body[0] ^= 1,
             _ => {}
         }
-        let load = UpstreamLoad::default();
-        UpstreamAnswer { id, status: 200, length, digest, body: Bytes::from(body), load }
+        answer.body = Bytes::from(body);
+        answer
     }
 }
 
@@ -184,7 +192,7 @@
             Behaviour::Slow(millis) => tokio::time::sleep(Duration::from_millis(millis)).await,
             _ => {}
         }
-        Ok(self.answer(&call))
+        Ok(self.spoil(self.answer(&call)))
     }
 
     async fn deliver(
@@ -217,13 +225,16 @@
             status: answer.status,
             length: answer.length,
             digest: answer.digest,
-            body: Some(answer.body.to_vec()),
+            body: Some(match self.state.behaviour.get() {
+                Behaviour::PartialOutcome => self.spoil(answer.clone()).body.to_vec(),
+                _ => answer.body.to_vec(),
+            }),
         };
         self.state.claims.borrow_mut().insert(claim, Some(ClaimOutcome::Done(kept)));
         if self.state.behaviour.get() == Behaviour::RunAndHang {
             std::future::pending().await
         }
-        Ok(answer)
+        Ok(self.spoil(answer))
     }
 
     async fn fence(self, _: Context, fence: ClaimFence) -> FenceReply {
