--- a/crates/core/tests/snapshot.rs
+++ b/crates/core/tests/snapshot.rs
@@ -11,7 +11,8 @@
 use cactusdoor_core::fold::{StreamFold, fold_text};
 use cactusdoor_core::job::{JobClass, PlacementEnd, TaskMove};
 use cactusdoor_core::shard::{ShardFold, TaskRecord};
-use cactusdoor_core::snapshot::{FoldSnapshot, is_due};
+use cactusdoor_core::snapshot::{FoldSnapshot, SNAPSHOT_LIFETIME, SnapshotWatch, is_due};
+use cactusdoor_core::unit::Moment;
 use cactusdoor_core::unit::Offset;
 use proptest::prelude::*;
 use support::log::{LogWriter, SimulatedLog, fates};
@@ -308,3 +309,18 @@
         Ok(())
     });
 }
+
+/// Guards against a quiet stream whose only snapshot is dropped by retention: a
+/// process that starts later would find neither records nor a snapshot.
+#[test]
+fn quiet_stream_gets_a_new_snapshot_before_the_old_one_is_dropped() {
+    let start = Moment(10 * SNAPSHOT_LIFETIME);
+    let mut watch = SnapshotWatch::default();
+    watch.published(7, start);
+    assert!(!watch.is_due(7, 7, start.after(SNAPSHOT_LIFETIME - 1)));
+    assert!(watch.is_due(7, 7, start.after(SNAPSHOT_LIFETIME)));
+    assert!(!watch.is_due(0, 0, start.after(SNAPSHOT_LIFETIME)), "an unused stream needs none");
+    // One that was loaded may be old already.
+    let watch = SnapshotWatch::loaded(7, start);
+    assert!(watch.is_due(7, 7, start.after(SNAPSHOT_LIFETIME / 2)));
+}
--- a/crates/entry/src/stream/actor.rs
+++ b/crates/entry/src/stream/actor.rs
@@ -8,6 +8,7 @@
 use cactusdoor_core::fold::{FoldedRecord, StreamFold, fold_text};
 use cactusdoor_core::freshness::ConfirmedView;
 use cactusdoor_core::name::StreamName;
+use cactusdoor_core::snapshot::SnapshotWatch;
 use cactusdoor_core::unit::{Millis, Offset};
 use cactusdoor_log::appender::{FlushMode, GroupAppender, NotStored};
 use cactusdoor_log::client::{LogClient, LogRecord, StreamBounds};
@@ -117,7 +118,7 @@
     pub(super) fold: Option<F>,
     pub(super) confirmed: ConfirmedView,
     pub(super) bounds: StreamBounds,
-    pub(super) newest_covers: Offset,
+    pub(super) newest: SnapshotWatch,
     pub(super) publishing: bool,
     /// Whether an outage of the log was recorded.
     unreachable: bool,
@@ -140,7 +141,7 @@
             fold: None,
             confirmed: ConfirmedView::default(),
             bounds: StreamBounds { start: 0, next: 0 },
-            newest_covers: 0,
+            newest: SnapshotWatch::default(),
             publishing: false,
             unreachable: false,
             appender,
--- a/crates/entry/src/stream/upkeep.rs
+++ b/crates/entry/src/stream/upkeep.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix::prelude::*;
-use cactusdoor_core::snapshot::is_due;
+use cactusdoor_core::snapshot::SnapshotWatch;
 use cactusdoor_log::snapshot;
 
 use super::EntryFold;
@@ -25,7 +25,8 @@
         let loading = async move { snapshot::load(&client, &stream, empty).await };
         ctx.spawn(loading.into_actor(self).map(|loaded, actor, ctx| match loaded {
             Ok(loaded) => {
-                actor.newest_covers = loaded.covers;
+                let now = actor.parts.clock.now();
+                actor.newest = SnapshotWatch::loaded(loaded.covers, now);
                 actor.install(loaded.fold, ctx);
             }
             Err(error) => {
@@ -40,7 +41,7 @@
 
     fn snapshot_due(&self) -> bool {
         let Some(fold) = &self.fold else { return false };
-        is_due(self.newest_covers, self.bounds.start, fold.next())
+        self.newest.is_due(self.bounds.start, fold.next(), self.parts.clock.now())
     }
 
     /// Publishes a snapshot after a random delay if none is recent enough.
@@ -56,7 +57,7 @@
             ctx.spawn(newest.into_actor(actor).map(|newest, actor, ctx| match newest {
                 Ok(newest) => {
                     let covers = newest.map_or(0, |snapshot| snapshot.covers);
-                    actor.newest_covers = actor.newest_covers.max(covers);
+                    actor.newest.found(covers);
                     actor.publish(ctx);
                 }
                 Err(error) => {
@@ -81,7 +82,7 @@
         ctx.spawn(publishing.into_actor(self).map(|published, actor, _| {
             actor.publishing = false;
             match published {
-                Ok(covers) => actor.newest_covers = actor.newest_covers.max(covers),
+                Ok(covers) => actor.newest.published(covers, actor.parts.clock.now()),
                 // A lost answer costs at most one snapshot too many.
                 Err(error) => {
                     log::warn!("could not publish snapshot of {}: {error}", actor.parts.stream);
--- a/crates/owner/src/keeper.rs
+++ b/crates/owner/src/keeper.rs
@@ -13,7 +13,7 @@
 use cactusdoor_core::fold::fold_text;
 use cactusdoor_core::name::StreamName;
 use cactusdoor_core::shard::{ShardFold, ShardOwnership, TaskRecord};
-use cactusdoor_core::snapshot::is_due;
+use cactusdoor_core::snapshot::SnapshotWatch;
 use cactusdoor_core::unit::{Millis, Offset};
 use cactusdoor_log::appender::{FlushMode, NotStored, StoredRecord};
 use cactusdoor_log::client::{LogRecord, StreamBounds};
@@ -57,8 +57,8 @@
     stream: StreamName,
     config: Option<(ConfigFold, StreamName)>,
     state: watch::Sender<KeeperState>,
-    /// Offset that the newest known snapshot covers.
-    covers: Offset,
+    /// The newest known snapshot.
+    newest: SnapshotWatch,
     publishing: bool,
     log_reachable: bool,
     followers: Vec<StreamFollower>,
@@ -97,7 +97,7 @@
             calls: CallDispatch::default(),
             entries,
             stream: read.stream.clone(),
-            covers: read.covers,
+            newest: SnapshotWatch::loaded(read.covers, core.settings.clock.now()),
             config: Some((config, config_stream)),
             core,
             book,
@@ -234,7 +234,8 @@
     /// Publishes a snapshot if one is due and nobody else does.
     fn snapshot(&mut self, ctx: &mut Context<Self>, bounds: StreamBounds) {
         let owned = self.book.owned_epoch().is_some();
-        if self.publishing || !owned || !is_due(self.covers, bounds.start, bounds.next) {
+        let now = self.core.settings.clock.now();
+        if self.publishing || !owned || !self.newest.is_due(bounds.start, bounds.next, now) {
             return;
         }
         self.publishing = true;
@@ -246,8 +247,8 @@
         };
         ctx.spawn(newest.into_actor(self).then(move |newest, keeper, _| {
             let covers = newest.map_or(0, |snapshot| snapshot.covers);
-            keeper.covers = keeper.covers.max(covers);
-            let due = is_due(keeper.covers, bounds.start, bounds.next);
+            keeper.newest.found(covers);
+            let due = keeper.newest.is_due(bounds.start, bounds.next, now);
             let fold = due.then(|| keeper.book.fold().clone());
             let (log, stream) = (keeper.core.settings.log.clone(), keeper.stream.clone());
             async move {
@@ -262,7 +263,9 @@
             }
             .into_actor(keeper)
             .map(|covers, keeper, _| {
-                keeper.covers = keeper.covers.max(covers.unwrap_or(0));
+                if let Some(covers) = covers {
+                    keeper.newest.published(covers, keeper.core.settings.clock.now());
+                }
                 keeper.publishing = false;
             })
         }));
