Carry out the witness calls in the simulation

The model's agents now keep a WitnessBook of their incarnation, and the calls are lost, late or cut like all others. A new fault cuts the log from one side for 20 to 60 s; the test of it requires that long leases were granted and that namings were closed without a vouch. The time without faults includes the wait for long leases. Sums over the stream are checked when the stream has grown, since they depend on nothing else.

--- a/crates/owner/tests/simulation.rs
+++ b/crates/owner/tests/simulation.rs
@@ -7,18 +7,22 @@
 mod support;
 mod world;
 
+use cactusdoor_core::constants::{OUTAGE_LEASE, with_lease_margins};
+use cactusdoor_core::unit::Millis;
 use world::{Faults, World};
 
-/// Time with faults, and then without: the longest wait of an owner and the time
-/// to run what is left.
-const FAULTY_MS: u64 = 120_000;
-const CALM_MS: u64 = 900_000;
+/// Time with faults.
+const FAULTY_MS: Millis = 120_000;
+/// Time without faults in which what is left must run.
+const CALM_MS: Millis = 900_000;
 
-fn run(seed: u64, faults: Faults) {
+fn run(seed: u64, faults: Faults) -> World {
     let mut world = World::new(seed, faults);
     world.run(FAULTY_MS);
     world.heal();
-    world.run_until_done(CALM_MS);
+    // The last owner may first wait for the long leases of an earlier one.
+    world.run_until_done(CALM_MS + with_lease_margins(OUTAGE_LEASE));
+    world
 }
 
 /// Guards against a second copy of a task after lost messages.
@@ -53,6 +57,22 @@
     }
 }
 
+/// Guards against a second copy of a task whose holder has a long lease from an
+/// owner that was replaced while it was cut off from the log.
+#[test]
+fn long_cuts_from_the_log() {
+    let (mut long_grants, mut closings) = (0, 0);
+    for seed in 200..224 {
+        let faults =
+            Faults { cut: 0.004, loss: 0.1, restart: 0.0005, pause: 0.0005, ..Faults::default() };
+        let world = run(seed, faults);
+        long_grants += world.long_grants;
+        closings += world.closings;
+    }
+    assert!(long_grants > 0, "no owner granted a long lease");
+    assert!(closings > 0, "no naming was closed without a vouch");
+}
+
 /// All faults together.
 #[test]
 fn everything_at_once() {
@@ -64,6 +84,7 @@
             append_loss: 0.1,
             outage: 0.001,
             partition: 0.002,
+            cut: 0.001,
             cancel: 0.002,
         };
         run(seed, faults);
--- a/crates/owner/tests/world/agent.rs
+++ b/crates/owner/tests/world/agent.rs
@@ -7,6 +7,7 @@
 use cactusdoor_core::name::TaskKind;
 use cactusdoor_core::resource::{ResourceKind, ResourceVector};
 use cactusdoor_core::unit::{Epoch, Millis, Moment, Token};
+use cactusdoor_owner::witness::WitnessBook;
 use cactusdoor_peer::heartbeat::{
     AgentHeartbeat, AgentIdentity, EndedTask, HeartbeatRefusal, HeartbeatReply, HeldTask, RunState,
 };
@@ -68,6 +69,8 @@
 
 pub struct AgentModel {
     pub identity: AgentIdentity,
+    /// Lost with the incarnation.
+    pub testimony: WitnessBook,
     pub owner: Option<usize>,
     /// When an owner last answered.
     pub heard: Moment,
@@ -85,6 +88,7 @@
 impl AgentModel {
     pub fn new(identity: AgentIdentity, now: Moment) -> Self {
         Self {
+            testimony: WitnessBook::new(identity.incarnation),
             identity,
             owner: None,
             heard: now.before(5_000),
--- a/crates/owner/tests/world/mod.rs
+++ b/crates/owner/tests/world/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use agent::{AgentModel, WorkerModel};
+use cactusdoor_core::constants::LOG_SILENCE;
 use cactusdoor_core::envelope::{LogEnvelope, WriterId};
 use cactusdoor_core::job::{JobSpec, StartRefusal, TaskId};
 use cactusdoor_core::name::VmName;
@@ -14,9 +15,10 @@
 use cactusdoor_core::shard::{ShardFold, TaskRecord};
 use cactusdoor_core::unit::{Incarnation, Millis, Moment, Offset};
 use cactusdoor_log::appender::{NotStored, StoredRecord};
-use cactusdoor_owner::book::{ShardBook, TaskIndex, Ticket};
+use cactusdoor_owner::book::{CallOutcome, ShardBook, TaskIndex, Ticket};
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply};
 use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_peer::witness::{ClosingReply, VouchReply, WitnessRequest};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -45,6 +47,9 @@
     pub append_loss: f64,
     pub outage: f64,
     pub partition: f64,
+    /// A partition that lasts longer than `LOG_SILENCE`, after which long leases
+    /// are granted.
+    pub cut: f64,
     pub cancel: f64,
 }
 
@@ -81,6 +86,26 @@
         stop: Box<TaskStop>,
         answer: Result<StopReply, TaskRefusal>,
     },
+    Vouch {
+        to: usize,
+        from: usize,
+        request: WitnessRequest,
+    },
+    VouchAnswered {
+        to: usize,
+        request: WitnessRequest,
+        answer: CallOutcome<VouchReply>,
+    },
+    CloseNaming {
+        to: usize,
+        from: usize,
+        request: WitnessRequest,
+    },
+    NamingClosed {
+        to: usize,
+        request: WitnessRequest,
+        answer: CallOutcome<ClosingReply>,
+    },
     Appended {
         to: usize,
         ticket: Ticket,
@@ -128,6 +153,12 @@
     log_side: Option<u8>,
     partition_until: Moment,
     jobs: Vec<JobSpec>,
+    /// Leases longer than `TASK_LEASE` that were granted.
+    pub long_grants: usize,
+    /// Length of the stream at the last check of its sums.
+    checked: usize,
+    /// Namings of a witness that were closed without a vouch.
+    pub closings: usize,
     seed: u64,
 }
 
@@ -146,6 +177,9 @@
             log_side: None,
             partition_until: Moment::default(),
             jobs: Vec::new(),
+            long_grants: 0,
+            checked: 0,
+            closings: 0,
             seed,
         };
         for number in 0..PROCESSES {
@@ -234,8 +268,15 @@
             let length = self.rng.random_range(1_000..30_000);
             self.log_down_until = self.now.after(length);
         }
-        if self.chance(self.faults.partition) {
-            self.partition_until = self.now.after(self.rng.random_range(2_000..60_000));
+        let length = if self.chance(self.faults.partition) {
+            Some(self.rng.random_range(2_000..60_000))
+        } else if self.chance(self.faults.cut) {
+            Some(self.rng.random_range(2 * LOG_SILENCE..6 * LOG_SILENCE))
+        } else {
+            None
+        };
+        if let Some(length) = length {
+            self.partition_until = self.now.after(length);
             self.log_side = Some(self.rng.random_range(0..2));
             for index in 0..self.processes.len() {
                 self.processes[index].side = self.rng.random_range(0..2);
@@ -319,7 +360,7 @@
         self.keep(index);
     }
 
-    fn check(&self) {
+    fn check(&mut self) {
         let mut places: HashMap<&TaskId, &VmName> = HashMap::new();
         for process in &self.processes {
             let vm = &process.agent.identity.vm;
@@ -332,6 +373,10 @@
             }
             assert!(capacity().holds(used), "seed {}: {vm} uses {used:?}", self.seed);
         }
+        // What follows depends on the stream alone.
+        if std::mem::replace(&mut self.checked, self.stream.len()) == self.stream.len() {
+            return;
+        }
         let index = TaskIndex::of(&self.truth);
         let used = index.allowances().used(&PLAN.parse().unwrap());
         assert!(allowance().holds(used), "seed {}: the plan uses {used:?}", self.seed);
--- a/crates/owner/tests/world/owners.rs
+++ b/crates/owner/tests/world/owners.rs
@@ -1,5 +1,6 @@
 //! Owners in the simulation: claims, reads, actions and appends.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cactusdoor_core::config::DataCentreState;
@@ -7,7 +8,7 @@
 use cactusdoor_core::name::VmName;
 use cactusdoor_core::shard::{ShardFold, TaskRecord};
 use cactusdoor_log::appender::{NotStored, StoredRecord};
-use cactusdoor_owner::book::{BookAction, BookSettings, ShardBook};
+use cactusdoor_owner::book::{BookAction, BookSettings, CallOutcome, ShardBook};
 use rand::Rng;
 
 use super::{Message, OWNER_SILENCE, PLAN, World, allowance};
@@ -132,6 +133,27 @@
                         self.send(delay, tenure, Message::Stop { to, from: index, stop });
                     }
                 }
+                BookAction::Vouch { address, request } => {
+                    let to = self.index_at(address);
+                    let (call, answer) = (request.clone(), CallOutcome::Lost);
+                    let given_up = Message::VouchAnswered { to: index, request: call, answer };
+                    self.send(1_000..1_001, tenure, given_up);
+                    if self.passes(index, to) {
+                        let delay = self.delay();
+                        self.send(delay, tenure, Message::Vouch { to, from: index, request });
+                    }
+                }
+                BookAction::CloseNaming { address, request } => {
+                    let to = self.index_at(address);
+                    let (call, answer) = (request.clone(), CallOutcome::Lost);
+                    let given_up = Message::NamingClosed { to: index, request: call, answer };
+                    self.send(1_000..1_001, tenure, given_up);
+                    if self.passes(index, to) {
+                        let delay = self.delay();
+                        let message = Message::CloseNaming { to, from: index, request };
+                        self.send(delay, tenure, message);
+                    }
+                }
                 BookAction::Lost { .. } => lost = true,
                 _ => {}
             }
@@ -148,6 +170,10 @@
         self.processes.iter().position(|p| p.agent.identity.vm == *name).unwrap()
     }
 
+    fn index_at(&self, address: SocketAddr) -> usize {
+        self.processes.iter().position(|p| p.agent.identity.address == address).unwrap()
+    }
+
     /// One group in flight per process, with what the appender makes of faults.
     pub(super) fn append(&mut self, index: usize) {
         let now = self.now;
--- a/crates/owner/tests/world/wire.rs
+++ b/crates/owner/tests/world/wire.rs
@@ -1,6 +1,8 @@
 //! Messages of the simulation, delivered when they are due.
 
+use cactusdoor_core::constants::TASK_LEASE;
 use cactusdoor_owner::book::{CallOutcome, PROBE_INCARNATION, ShardBook};
+use cactusdoor_peer::witness::ClosingReply;
 use cactusdoor_timeline::HybridTime;
 
 use super::{Message, World};
@@ -19,6 +21,10 @@
                 | Message::Started { to, .. }
                 | Message::Stop { to, .. }
                 | Message::Stopped { to, .. }
+                | Message::Vouch { to, .. }
+                | Message::VouchAnswered { to, .. }
+                | Message::CloseNaming { to, .. }
+                | Message::NamingClosed { to, .. }
                 | Message::Appended { to, .. }
                 | Message::StartLost { to, .. }
                 | Message::StopLost { to, .. } => Some(*to),
@@ -47,6 +53,8 @@
                 assert_ne!(beat.agent.incarnation, PROBE_INCARNATION);
                 let Some(book) = &mut self.processes[to].book else { return };
                 let reply = book.beat(now, HybridTime::default(), &beat);
+                let long = reply.as_ref().is_ok_and(|reply| reply.lease_ms > TASK_LEASE);
+                self.long_grants += usize::from(long);
                 self.carry_out(to);
                 if self.passes(to, from) {
                     let delay = self.delay();
@@ -95,6 +103,29 @@
                     book.stop_answered(now, &vm, &stop, CallOutcome::Lost);
                 });
             }
+            Message::Vouch { to, from, request } => {
+                let answer = self.processes[to].agent.testimony.vouch(&request);
+                if self.passes(to, from) {
+                    let (delay, answer) = (self.delay(), CallOutcome::Answered(answer));
+                    let message = Message::VouchAnswered { to: from, request, answer };
+                    self.send(delay, tenure, message);
+                }
+            }
+            Message::CloseNaming { to, from, request } => {
+                let answer = self.processes[to].agent.testimony.close(&request);
+                self.closings += usize::from(answer == ClosingReply::NotVouched);
+                if self.passes(to, from) {
+                    let (delay, answer) = (self.delay(), CallOutcome::Answered(answer));
+                    let message = Message::NamingClosed { to: from, request, answer };
+                    self.send(delay, tenure, message);
+                }
+            }
+            Message::VouchAnswered { to, request, answer } => {
+                self.with_book(to, tenure, |book| book.vouch_answered(&request, answer));
+            }
+            Message::NamingClosed { to, request, answer } => {
+                self.with_book(to, tenure, |book| book.naming_closed(&request, answer));
+            }
             Message::Appended { to, ticket, result } => {
                 self.with_book(to, tenure, |book| book.appended(now, ticket, result));
                 let process = &mut self.processes[to];
