--- a/crates/entry/tests/membership.rs
+++ b/crates/entry/tests/membership.rs
@@ -8,7 +8,8 @@
 use cactusdoor_entry::membership::{EntryDirectory, MembershipTable, RosterVerdict};
 use cactusdoor_peer::heartbeat::AgentIdentity;
 use cactusdoor_peer::roster::RosterMember;
-use support::entry::update;
+use support::entry::{TestEntry, update};
+use support::log::FakeLog;
 
 const NOW: Moment = Moment(1_000_000);
 
@@ -125,3 +126,29 @@
     assert_eq!(directory.live(), [own]);
     assert_eq!(directory.contacts(), [seed]);
 }
+
+/// Guards against owners that are not told of their successor, of a gap, or of
+/// the shards that could take their tasks.
+#[actix::test]
+async fn owners_learn_from_the_reply() {
+    let log = FakeLog::open();
+    let entry = TestEntry::open("entry1", &log, &[]).await;
+    entry.publish_plan().await;
+    entry.roster(update(2, 1, true, vec![member("vm1"), member("vm2")])).await;
+    let mut other = update(7, 1, true, vec![member("vm9")]);
+    other.shard = ShardName::new("dc2-0").unwrap();
+    other.data_centre = DataCentre::new("dc2").unwrap();
+    let reply = entry.roster(other).await;
+    assert_eq!(reply.entries, [entry.daemon.peer_address]);
+    assert_eq!(reply.config_revision, 1);
+    let shards: Vec<_> = reply.shards.iter().map(|shard| (&shard.shard, shard.epoch)).collect();
+    assert_eq!(shards, [(&shard(), 2)]);
+
+    let reply = entry.roster(update(3, 1, true, vec![member("vm1")])).await;
+    let earlier: Vec<_> = reply.earlier_members.iter().map(|agent| agent.vm.as_str()).collect();
+    assert_eq!((earlier, reply.needs_full, reply.newer_epoch), (vec!["vm2"], false, None));
+    let reply = entry.roster(update(3, 3, false, Vec::new())).await;
+    assert!(reply.needs_full);
+    let reply = entry.roster(update(2, 9, true, Vec::new())).await;
+    assert_eq!(reply.newer_epoch, Some(3));
+}
