Refuse to publish an empty list by accident

Four concurrent runs of the command tests shared their files, and a run that read a file while another one wrote it published an empty list, which removed all plans. An empty list is now refused unless `--allow-empty` is given. The tests name their files by process, so that runs do not disturb one another.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -73,6 +73,8 @@
         entry: SocketAddr,
         /// Print what would change and change nothing
         dry_run: bool,
+        /// Accept a file without sections, which removes every entry
+        allow_empty: bool,
         /// List to be published
         #[bpaf(positional("FILE"))]
         file: PathBuf,
--- a/crates/cli/src/plans.rs
+++ b/crates/cli/src/plans.rs
@@ -27,8 +27,12 @@
             let view = OperatorClient::open(entry).config().await?;
             write!(out, "{}", list::write::<L>(&view))?;
         }
-        ListVerb::Publish { entry, dry_run, file } => {
+        ListVerb::Publish { entry, dry_run, allow_empty, file } => {
             let wanted = list::open::<L>(&file)?;
+            if wanted.is_empty() && !allow_empty {
+                let reason = "the list is empty; --allow-empty removes every entry".to_owned();
+                return Err(CommandError::Faulty { path: file, reason });
+            }
             let client = OperatorClient::open(entry);
             let view = client.config().await?;
             if view.confirmed_age_ms.is_none_or(|age| age > OLD_VIEW_MS) {
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -107,6 +107,8 @@
 
 impl TestFile {
     fn write(name: &str, text: &str) -> Self {
+        // Several runs of the tests may share the directory.
+        let name = format!("{}-{name}", std::process::id());
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::write(&path, text).unwrap();
         Self(path)
@@ -158,6 +160,22 @@
     assert_eq!(out, PLANS);
 }
 
+/// Guards against an empty file, such as one that is still being written, that
+/// removes all plans.
+#[actix::test]
+async fn empty_list_is_refused() {
+    let address = serve(FakeOperator::default(), events("e")).to_string();
+    let file = TestFile::write("empty-before.ini", PLANS);
+    let (out, _) = run(&["plans", "publish", "--entry", &address, file.path()]).await;
+    assert!(out.contains("accepted as revision 1"), "{out}");
+    let empty = TestFile::write("empty.ini", "");
+    let (_, result) = run(&["plans", "publish", "--entry", &address, empty.path()]).await;
+    assert_eq!(result.unwrap_err().status(), ExitStatus::Usage);
+    let line = ["plans", "publish", "--allow-empty", "--entry", &address, empty.path()];
+    let (out, _) = run(&line).await;
+    assert_eq!(out, "- plan koperasi\naccepted as revision 2\n");
+}
+
 /// Guards against operators who cannot tell a conflict, an unknown outcome and
 /// an unreachable entry apart.
 #[actix::test]
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -29,6 +29,8 @@
 
 impl TestProcess {
     fn start(settings: &str, name: &str) -> Self {
+        // Several runs of the tests may share the directory.
+        let name = format!("{}-{name}", std::process::id());
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::write(&path, settings).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_cactusdoor-entry"));
