--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -14,7 +14,7 @@
 };
 use cactusdoor_peer::heartbeat::{AgentHeartbeat, HeartbeatRefusal, HeartbeatReply, OwnerNotice};
 use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
-use cactusdoor_peer::wire::MAX_FRAME_BYTES;
+use cactusdoor_peer::wire::{MAX_FRAME_BYTES, send_at_once};
 use cactusdoor_peer::witness::{ClosingReply, VouchReply, WitnessRequest};
 use cactusdoor_timeline::EventLog;
 use futures::StreamExt;
@@ -48,7 +48,7 @@
                 while let Some(accepted) = incoming.next().await {
                     match accepted {
                         Ok(transport) => {
-                            if let Err(error) = transport.get_ref().set_nodelay(true) {
+                            if let Err(error) = send_at_once(transport.get_ref()) {
                                 log::debug!("could not set TCP_NODELAY: {error}");
                             }
                             let requests = BaseChannel::with_defaults(transport);
