--- /dev/null
+++ b/crates/agent/tests/vm_world/mod.rs
@@ -0,0 +1,266 @@
+//! VMs with the decisions of agent and owner, and a worker that is true.
+
+pub mod pair;
+pub mod worker;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use cactusdoor_agent::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
+use cactusdoor_core::config::{
+    AllowanceSpec, ConfigFold, ConfigRecord, ConfigState, ItemChange, ItemValue, PlanSpec,
+};
+use cactusdoor_core::envelope::LogEnvelope;
+use cactusdoor_core::job::StartRefusal;
+use cactusdoor_core::name::VmName;
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_core::shard::{ShardFold, TaskRecord};
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_owner::book::{BookAction, BookSettings, ShardBook, Ticket};
+use cactusdoor_peer::heartbeat::{AgentHeartbeat, AgentIdentity, HeartbeatReply};
+use cactusdoor_peer::task::{StopReply, TaskRefusal, TaskStart, TaskStop};
+use cactusdoor_timeline::HybridTime;
+
+use crate::support::clock::SimulatedClock;
+use crate::support::log::LogWriter;
+use crate::support::names;
+use worker::TrueWorker;
+
+pub const CAPACITY: ResourceVector =
+    ResourceVector { processors: 2_000, memory: 4_096, accelerators: 0 };
+
+/// Calls with the VM they go to.
+pub type CallsTo<T> = Vec<(usize, T)>;
+
+pub fn config() -> ConfigState {
+    let (team, plan) = (names::team(0), names::plan(0));
+    let batch = ResourceVector::new(1 << 20, 1 << 20, 0);
+    let allowance = AllowanceSpec { batch, requests_per_second: 1 };
+    let items = [
+        ItemValue::Plan(plan.clone(), Some(PlanSpec { team, weight: 1 })),
+        ItemValue::Allowance(plan, Some(allowance)),
+    ];
+    let items = items.map(|value| ItemChange { premise: 0, value }).to_vec();
+    let mut fold = ConfigFold::default();
+    fold.apply(0, LogWriter::new(99).record(ConfigRecord::Changed { items }));
+    fold.state().clone()
+}
+
+/// A VM with its agent, which may own the shard.
+pub struct SimulatedVm {
+    pub number: usize,
+    pub clock: SimulatedClock,
+    pub worker: TrueWorker,
+    pub board: TaskBoard,
+    pub book: ShardBook,
+    pub writer: LogWriter,
+    /// Counts the books of this VM: answers to an earlier one are dropped.
+    pub life: u64,
+    pub appends: VecDeque<(Ticket, TaskRecord)>,
+    /// The VM whose agent is taken for the owner.
+    pub owner: usize,
+    beats: u64,
+}
+
+fn identity(number: usize, incarnation: u64) -> AgentIdentity {
+    AgentIdentity {
+        vm: names::vm(number),
+        incarnation,
+        address: names::address(number),
+        data_centre: names::centre(0),
+        rack: format!("rack{number}").parse().unwrap(),
+    }
+}
+
+fn new_book(number: usize, writer: &LogWriter, fold: ShardFold, now: Moment) -> ShardBook {
+    let settings = BookSettings {
+        shard: names::shard(0),
+        identity: identity(number, writer.id.incarnation),
+        writer: writer.id.clone(),
+        shards: vec![names::shard(0)],
+    };
+    let mut book = ShardBook::new(settings, fold);
+    book.configured(now, Arc::new(config()));
+    book
+}
+
+fn vm_number(name: &VmName) -> usize {
+    (0..).find(|number| names::vm(*number) == *name).unwrap()
+}
+
+fn new_board(incarnation: u64) -> TaskBoard {
+    TaskBoard::new(BoardIdentity {
+        incarnation,
+        shard: names::shard(0),
+        data_centre: names::centre(0),
+    })
+}
+
+impl SimulatedVm {
+    pub fn new(number: usize) -> Self {
+        let clock = SimulatedClock::new(5_000_000_000 + 77_777_777 * number as u64);
+        let writer = LogWriter::new(number);
+        let mut vm = Self {
+            number,
+            board: new_board(1),
+            book: new_book(number, &writer, ShardFold::new(names::shard(0)), clock.now()),
+            worker: TrueWorker::default(),
+            writer,
+            clock,
+            life: 0,
+            appends: VecDeque::new(),
+            owner: 0,
+            beats: 0,
+        };
+        vm.take_inventory();
+        vm
+    }
+
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.writer.id.incarnation
+    }
+
+    fn take_inventory(&mut self) {
+        let (now, inventory) = (self.now(), self.worker.inventory(self.clock.nanos()));
+        self.board.take_inventory(now, now, CAPACITY, &inventory);
+    }
+
+    /// The process ends and starts again without memory.
+    pub fn restart(&mut self) {
+        self.writer.restart();
+        self.board = new_board(self.incarnation());
+        self.new_book(ShardFold::new(names::shard(0)));
+        self.take_inventory();
+    }
+
+    /// A replaced owner begins anew with what it has folded.
+    pub fn renew_book(&mut self) {
+        if self.book.is_replaced() {
+            self.new_book(self.book.fold().clone());
+        }
+    }
+
+    fn new_book(&mut self, fold: ShardFold) {
+        self.life += 1;
+        self.appends.clear();
+        self.book = new_book(self.number, &self.writer, fold, self.now());
+    }
+
+    pub fn pass(&mut self, micros: u64) {
+        self.clock.pass(micros);
+        self.worker.lapse(self.clock.nanos());
+    }
+
+    /// Stops what the lease no longer covers and what is to be stopped.
+    pub fn stop_due(&mut self) {
+        self.board.stop_unentitled(self.now());
+        for (token, cancel) in self.board.stopping() {
+            let (now, answer) = (self.now(), self.worker.stop(token, cancel));
+            self.board.stopped(now, now, token, answer);
+        }
+    }
+
+    /// The renewal that the lease allows now; it reaches the worker later.
+    pub fn renewal(&self) -> Option<(Vec<u64>, Millis)> {
+        self.board.renewal(self.now())
+    }
+
+    pub fn compare_inventory(&mut self) {
+        let (now, inventory) = (self.now(), self.worker.inventory(self.clock.nanos()));
+        self.board.reconcile(now, now, &inventory);
+        if let Some(table) = self.board.table() {
+            self.worker.acknowledge(&table.acknowledgeable(&inventory));
+        }
+    }
+
+    pub fn beat(&mut self) -> (Moment, AgentHeartbeat) {
+        self.stop_due();
+        let sent = self.now();
+        let lease = self.board.ask_lease(sent);
+        self.beats += 1;
+        let beat = AgentHeartbeat {
+            at: HybridTime { wall_ms: self.beats, counter: 0 },
+            agent: identity(self.number, self.incarnation()),
+            shard: names::shard(0),
+            epoch: lease.epoch,
+            number: lease.number,
+            config_revision: self.board.config().revision(),
+            lease_left_ms: lease.left,
+            capacity: CAPACITY,
+            committed: ResourceVector::ZERO,
+            draining: false,
+            held: self.board.held(),
+            ended: self.board.ended(),
+            usage: Vec::new(),
+            upstreams: Vec::new(),
+        };
+        (sent, beat)
+    }
+
+    pub fn receive(&mut self, sent: Moment, number: u64, reply: &HeartbeatReply) {
+        if let Ok(effect) = self.board.receive(self.now(), sent, number, reply) {
+            self.worker.acknowledge(&effect.recorded);
+        }
+    }
+
+    /// Accepts a start; `Ok` with a term if the worker is to be called with it.
+    pub fn begin_start(&mut self, start: &TaskStart) -> Result<Option<Millis>, StartRefusal> {
+        match self.board.begin_start(self.now(), start)? {
+            StartStep::Repeated => Ok(None),
+            StartStep::Launch => {
+                self.board.launch_lease(self.now(), start.token, start.epoch).map(Some)
+            }
+        }
+    }
+
+    pub fn launch(&mut self, start: &TaskStart, term: Millis) {
+        let answer = self.worker.start(self.clock.nanos(), start, term);
+        self.board.launched(self.now(), start.token, answer);
+        self.stop_due();
+    }
+
+    pub fn stop(&mut self, stop: &TaskStop) -> Result<StopReply, TaskRefusal> {
+        match self.board.begin_stop(stop)? {
+            StopStep::Ended(end) => Ok(StopReply::Ended(end)),
+            StopStep::NotRunning => Ok(StopReply::NotRunning),
+            StopStep::Throttle(_) => Err(TaskRefusal::WorkerFailed),
+            StopStep::Stop => {
+                self.stop_due();
+                let end = self.board.table().and_then(|table| table.end_of(stop.token));
+                end.cloned().map(StopReply::Ended).ok_or(TaskRefusal::WorkerFailed)
+            }
+        }
+    }
+
+    /// Takes the book's wishes in and returns the calls to other VMs.
+    pub fn collect(&mut self) -> (CallsTo<TaskStart>, CallsTo<TaskStop>) {
+        let (mut starts, mut stops) = (Vec::new(), Vec::new());
+        for action in self.book.take_actions() {
+            match action {
+                BookAction::Append { ticket, record, .. } => {
+                    self.appends.push_back((ticket, record));
+                }
+                BookAction::Start { vm, start, .. } => starts.push((vm_number(&vm), start)),
+                BookAction::Stop { vm, stop, .. } => stops.push((vm_number(&vm), stop)),
+                _ => {}
+            }
+        }
+        (starts, stops)
+    }
+
+    /// Folds up to `count` records; a read to the end confirms the view.
+    pub fn follow(&mut self, log: &[LogEnvelope<TaskRecord>], count: usize) {
+        let (now, from) = (self.now(), self.book.fold().next() as usize);
+        for (offset, record) in log.iter().enumerate().skip(from).take(count) {
+            self.book.folded(now, offset as u64, record.clone());
+        }
+        if self.book.fold().next() as usize == log.len() {
+            self.book.confirmed(now);
+            self.book.config_confirmed(now);
+        }
+    }
+}
