Replace an agent's incarnation only by a later heartbeat

Cause: a new owner that heard a delayed heartbeat of a dead incarnation after one of the live incarnation listed the live one as past and refused it for good. The fuzzing of agents and owners found it. Ruled out: comparing timestamps alone, as a restarted VM may have an earlier wall clock; 20 s of silence count as well. late_heartbeat_of_an_earlier_process_does_not_displace_the_live_one, red before, passes. previous_owner_may_hold_the_long_lease_of_an_earlier_one passes since the witness decides over the wait for every VM.

--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -25,6 +25,8 @@
 
 /// Age of the last heartbeat beyond which nothing is placed on a VM.
 const PLACING_SILENCE: Millis = 2 * HEARTBEAT_INTERVAL + HEARTBEAT_INTERVAL / 2;
+/// Time after which no heartbeat of an earlier incarnation is still on its way.
+const HEARTBEAT_LIFETIME: Millis = 20_000;
 /// Earlier incarnations that are remembered per VM.
 const PAST_INCARNATIONS: usize = 16;
 /// Pause of placements on a VM after it refused one.
@@ -180,6 +182,11 @@
             return false;
         }
         if agent.identity.incarnation != beat.agent.incarnation {
+            // A restarted VM may have an earlier wall clock, so silence counts too.
+            let silent = now.since(agent.last_beat) >= HEARTBEAT_LIFETIME;
+            if beat.at <= agent.at && !silent {
+                return false;
+            }
             agent.restart(beat.agent.clone());
         }
         let back = joined || std::mem::take(&mut agent.silent);
