Keep long leases out of the reach of a later naming

Cause, found by reading: a naming waited for the long leases of VMs with tasks only. An idle agent whose short answer was lost keeps its long lease, and a placement decided before the outage may be folded after the naming. A task started there would run under the long lease, while a later owner, whom the witness tells 'not vouched', waits 21 s. Tasks are now placed only on VMs whose agent surely holds no long lease, and a naming waits for placements under way. Ruled out: to let a naming wait for all known agents. Agents not yet known to the owner may report a long lease later, and a VM lost in an outage would hold the naming up for an hour.

--- a/crates/owner/src/book/append.rs
+++ b/crates/owner/src/book/append.rs
@@ -93,6 +93,11 @@
         self.held.get(vm).copied().unwrap_or_default()
     }
 
+    /// VMs of placements that are under way.
+    pub fn placing(&self) -> impl Iterator<Item = &VmName> {
+        self.open.values().filter_map(|entry| entry.hold.as_ref().map(|hold| &hold.vm))
+    }
+
     #[must_use]
     pub fn charged(&self, plan: &PlanName) -> ResourceVector {
         self.charged.used(plan)
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -119,7 +119,8 @@
         let mut open = Vec::new();
         for (vm, agent) in &self.agents {
             let standing = self.ledger.standing(vm, now);
-            if !agent.takes_tasks(now) || matches!(standing, VmStanding::HeldBack(_)) {
+            let held_back = matches!(standing, VmStanding::HeldBack(_));
+            if held_back || !agent.takes_tasks(now) || !self.grant_is_short(vm, now) {
                 continue;
             }
             let load = self.index.vm(vm);
--- a/crates/owner/src/book/witness.rs
+++ b/crates/owner/src/book/witness.rs
@@ -11,6 +11,7 @@
     HEARTBEAT_INTERVAL, LOG_SILENCE, OUTAGE_LEASE, OWNER_SILENCE, TASK_LEASE, with_lease_margins,
 };
 use cactusdoor_core::lease::{grant_term, short_term};
+use cactusdoor_core::name::VmName;
 use cactusdoor_core::shard::{ShardWitness, TaskRecord, WitnessId};
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_peer::witness::{ClosingReply, VouchReply, WitnessRequest};
@@ -158,9 +159,17 @@
 
     /// Whether every grant under which tasks may run is a short one by now.
     fn grants_are_short(&self, now: Moment) -> bool {
-        let bound = now.after(with_lease_margins(SHORT_GRANTS));
-        let mut loaded = self.index.vms().filter(|(_, load)| !load.tasks.is_empty());
-        loaded.all(|(vm, _)| self.surely_over(vm) <= bound)
+        let loaded = self.index.vms().filter(|(_, load)| !load.tasks.is_empty());
+        let mut used = loaded.map(|(vm, _)| vm).chain(self.appends.placing());
+        used.all(|vm| self.grant_is_short(vm, now))
+    }
+
+    /// Whether the VM's agent surely holds no long lease any more.
+    ///
+    /// Tasks are placed only on such VMs: a naming pays no regard to idle agents,
+    /// and a task started under a long lease would outlast the short wait.
+    pub(super) fn grant_is_short(&self, vm: &VmName, now: Moment) -> bool {
+        self.surely_over(vm) <= now.after(with_lease_margins(SHORT_GRANTS))
     }
 
     fn name_witness(&mut self, now: Moment) {
--- a/crates/owner/tests/leases.rs
+++ b/crates/owner/tests/leases.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use cactusdoor_core::constants::{LOG_SILENCE, OUTAGE_LEASE, TASK_LEASE, with_lease_margins};
-use cactusdoor_core::job::PlacementEnd;
+use cactusdoor_core::job::{JobSpec, PlacementEnd};
 use cactusdoor_core::shard::{TaskRecord, TaskState};
 use cactusdoor_core::unit::Millis;
 use cactusdoor_owner::book::CallOutcome;
@@ -13,7 +13,7 @@
 use cactusdoor_peer::task::{StopMode, StopReply, TaskStart};
 use cactusdoor_peer::witness::{ClosingReply, VouchReply};
 use cactusdoor_timeline::HybridTime;
-use support::{Bench, FakeAgent, address, job, task, vm};
+use support::{Bench, FakeAgent, address, amount, job, task, vm};
 
 /// An owner `vm-0` with a task that runs on `vm-1`.
 fn with_running_task() -> (Bench, FakeAgent, TaskStart) {
@@ -374,3 +374,60 @@
     next.pass(with_lease_margins(TASK_LEASE));
     assert!(!is_placed(&next));
 }
+
+/// An outage in which the idle `vm-2` got a long lease; the log is back, and the
+/// answers to `vm-2` are lost from here on.
+fn with_idle_long_lease(placing: bool) -> (Bench, FakeAgent, FakeAgent) {
+    let (mut bench, mut agent, mut other) = with_witness();
+    let named = bench.book.fold().witness().unwrap().clone();
+    let mut witness = WitnessBook::new(named.witness.incarnation);
+    if placing {
+        bench.prompt = false;
+        bench.submit(&JobSpec { need: amount(4_000, 1_024), ..job("gold", "large", 1) });
+        bench.pass_with(500, &mut [&mut agent, &mut other]);
+        assert_eq!(bench.open.len(), 1);
+    }
+    bench.log_reachable = false;
+    bench.pass_with(LOG_SILENCE, &mut [&mut agent, &mut other]);
+    assert_eq!(vouch(&mut bench, &mut witness), VouchReply::Vouched);
+    bench.pass_with(2_000, &mut [&mut agent, &mut other]);
+    assert!(other.lease_left_ms > TASK_LEASE);
+    bench.log_reachable = true;
+    for _ in 0..6 {
+        beat_deaf(&mut bench, &mut other);
+        bench.pass_with(500, &mut [&mut agent]);
+    }
+    (bench, agent, other)
+}
+
+/// A heartbeat that arrives, and whose answer does not.
+fn beat_deaf(bench: &mut Bench, agent: &mut FakeAgent) {
+    let beat = agent.beat();
+    bench.deliver(&mut agent.clone(), &beat).unwrap();
+}
+
+fn placed_on(bench: &Bench, name: &str) -> usize {
+    bench.book.index().vm(&vm(name)).map_or(0, |load| load.tasks.len())
+}
+
+/// Guards against a task that starts under a long lease after the next naming: a
+/// later owner would place it again after the short wait.
+#[test]
+fn an_idle_agent_with_a_long_lease_gets_no_task() {
+    let (mut bench, mut agent, mut other) = with_idle_long_lease(false);
+    bench.submit(&JobSpec { need: amount(4_000, 1_024), ..job("gold", "large", 1) });
+    beat_deaf(&mut bench, &mut other);
+    bench.pass_with(500, &mut [&mut agent]);
+    assert_eq!(placed_on(&bench, "vm-2"), 0);
+    bench.pass_with(2_000, &mut [&mut agent, &mut other]);
+    assert_eq!(placed_on(&bench, "vm-2"), 1);
+}
+
+/// Guards against a naming that overtakes a placement decided before the outage.
+#[test]
+fn a_naming_waits_for_placements_under_way() {
+    let (mut bench, mut agent, mut other) = with_idle_long_lease(true);
+    assert!(bench.namings.is_empty());
+    bench.pass_with(2_000, &mut [&mut agent, &mut other]);
+    assert!(!bench.namings.is_empty());
+}
