Park a job that fails on all VMs of a small shard

Cause: a job had to fail on VMS_PER_BAD_JOB = 3 VMs, which a shard of two never has, so its tasks were tried again and again. The threshold is now at most the number of VMs that the task could run on: agents that report, do not drain, are not held back and are large enough. The job must still fail three times in total. Without this a single failure in a shard of one VM would park a job. While agents may not have reported, the threshold stays at three. Existing calls in experience.rs pass the old threshold; no expectation changed.

--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -198,7 +198,8 @@
 
     fn failed(&mut self, now: Moment, task: &TaskId, placement: &Placement) {
         self.back_off(now, task);
-        match self.ledger.failed(&placement.vm, &task.job, now) {
+        let usable = self.usable_vms(now, placement.need);
+        match self.ledger.failed(&placement.vm, &task.job, usable, now) {
             FailureVerdict::Undecided => {}
             FailureVerdict::VmHeldBack { failures } => {
                 let vm = placement.vm.clone();
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -173,6 +173,19 @@
         self.agents.values().any(|agent| agent.capacity.holds(need))
     }
 
+    /// Number of VMs that could run a task of `need` if they were empty; unbounded
+    /// while agents may not have reported yet.
+    pub(super) fn usable_vms(&self, now: Moment, need: ResourceVector) -> usize {
+        if !self.knows_its_vms(now) {
+            return usize::MAX;
+        }
+        let usable = self.agents.iter().filter(|(vm, agent)| {
+            let good = self.ledger.standing(vm, now) == VmStanding::Good;
+            good && !agent.silent && !agent.draining && agent.capacity.holds(need)
+        });
+        usable.count()
+    }
+
     /// The amount to commit for a task of the job, from the `learned` one.
     ///
     /// Away from home it stays within the declared need, which is what the home
--- a/crates/policy/src/placement/attribution.rs
+++ b/crates/policy/src/placement/attribution.rs
@@ -1,8 +1,10 @@
 //! Tells a worker that fails everything from a job that fails everywhere.
 //!
 //! Failures of several jobs on one VM, without a success in between, hold the VM
-//! back, and so does a row of failures of a job that succeeds elsewhere. Failures of one job on several VMs park the job. A failure on a VM that
-//! is held back says nothing about the job, so it is taken off the job's count.
+//! back, and so does a row of failures of a job that succeeds elsewhere. Failures
+//! of one job on several VMs park the job. Where fewer VMs can run it, it must fail
+//! on all of them, and as often in total. A failure on a VM that is held back says
+//! nothing about the job, so it is taken off the job's count.
 
 use cactusdoor_core::job::JobId;
 use cactusdoor_core::name::VmName;
@@ -13,7 +15,7 @@
 pub const JOBS_PER_BAD_VM: usize = 3;
 /// Failures in a row that hold a VM back if the job succeeds elsewhere.
 pub const FAILURES_PER_BAD_VM: u32 = 5;
-/// VMs on which a job must fail before it is parked.
+/// Failures, and VMs on which a job must fail, before it is parked.
 pub const VMS_PER_BAD_JOB: usize = 3;
 /// First time for which a VM is held back or a job stays parked.
 pub const FIRST_BACKOFF: Millis = 30_000;
@@ -56,9 +58,16 @@
     backoff: Millis,
 }
 
+/// Failures of a job on one VM.
+#[derive(Clone, Copy, Debug, Default)]
+struct JobFailures {
+    last: Moment,
+    count: usize,
+}
+
 #[derive(Clone, Debug, Default)]
 struct JobRecord {
-    failed_on: IndexMap<VmName, Moment>,
+    failed_on: IndexMap<VmName, JobFailures>,
     /// Whether a task of the job ran to its end.
     works: bool,
     parked_until: Option<Moment>,
@@ -82,8 +91,14 @@
         }
     }
 
-    /// A task of `job` failed on `vm`.
-    pub fn failed(&mut self, vm: &VmName, job: &JobId, now: Moment) -> FailureVerdict {
+    /// A task of `job`, which `usable` VMs could run, failed on `vm`.
+    pub fn failed(
+        &mut self,
+        vm: &VmName,
+        job: &JobId,
+        usable: usize,
+        now: Moment,
+    ) -> FailureVerdict {
         let record = self.vms.entry(vm.clone()).or_default();
         record.failures += 1;
         record.streak += 1;
@@ -109,14 +124,23 @@
             }
             return FailureVerdict::VmHeldBack { failures };
         }
-        self.failed_job(vm, job, now)
+        self.failed_job(vm, job, usable, now)
     }
 
-    fn failed_job(&mut self, vm: &VmName, job: &JobId, now: Moment) -> FailureVerdict {
+    fn failed_job(
+        &mut self,
+        vm: &VmName,
+        job: &JobId,
+        usable: usize,
+        now: Moment,
+    ) -> FailureVerdict {
         let record = self.jobs.entry(job.clone()).or_default();
-        record.failed_on.retain(|_, at| now.since(*at) <= FAILURE_LIFETIME);
-        record.failed_on.insert(vm.clone(), now);
-        if record.failed_on.len() < VMS_PER_BAD_JOB {
+        record.failed_on.retain(|_, failures| now.since(failures.last) <= FAILURE_LIFETIME);
+        let here = record.failed_on.entry(vm.clone()).or_default();
+        *here = JobFailures { last: now, count: here.count + 1 };
+        let total: usize = record.failed_on.values().map(|failures| failures.count).sum();
+        let enough_vms = record.failed_on.len() >= VMS_PER_BAD_JOB.min(usable);
+        if !enough_vms || total < VMS_PER_BAD_JOB {
             return FailureVerdict::Undecided;
         }
         let vms = u32::try_from(record.failed_on.len()).unwrap_or(u32::MAX);
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -5,7 +5,8 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::Moment;
 use cactusdoor_policy::placement::attribution::{
-    FAILURES_PER_BAD_VM, FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF, VmStanding,
+    FAILURES_PER_BAD_VM, FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF,
+    VMS_PER_BAD_JOB, VmStanding,
 };
 use cactusdoor_policy::placement::eviction::{PressureLadder, PressureStep, RELAX_PAUSE};
 use cactusdoor_policy::placement::interference::PairTable;
@@ -115,9 +116,12 @@
 fn failures_of_several_jobs_hold_the_vm_back() {
     let mut ledger = FailureLedger::default();
     let now = Moment(1_000);
-    assert_eq!(ledger.failed(&vm(1), &job(1), now), FailureVerdict::Undecided);
-    assert_eq!(ledger.failed(&vm(1), &job(2), now), FailureVerdict::Undecided);
-    assert_eq!(ledger.failed(&vm(1), &job(3), now), FailureVerdict::VmHeldBack { failures: 3 });
+    assert_eq!(ledger.failed(&vm(1), &job(1), VMS_PER_BAD_JOB, now), FailureVerdict::Undecided);
+    assert_eq!(ledger.failed(&vm(1), &job(2), VMS_PER_BAD_JOB, now), FailureVerdict::Undecided);
+    assert_eq!(
+        ledger.failed(&vm(1), &job(3), VMS_PER_BAD_JOB, now),
+        FailureVerdict::VmHeldBack { failures: 3 }
+    );
     assert_eq!(ledger.standing(&vm(1), now), VmStanding::HeldBack(now.after(FIRST_BACKOFF)));
     assert!(!ledger.has_failed_on(&job(1), &vm(1)));
 }
@@ -129,10 +133,10 @@
     let now = Moment(1_000);
     ledger.succeeded(&vm(2), &job(1));
     for _ in 1..FAILURES_PER_BAD_VM {
-        assert_eq!(ledger.failed(&vm(1), &job(1), now), FailureVerdict::Undecided);
+        assert_eq!(ledger.failed(&vm(1), &job(1), VMS_PER_BAD_JOB, now), FailureVerdict::Undecided);
         ledger.succeeded(&vm(2), &job(1));
     }
-    let verdict = ledger.failed(&vm(1), &job(1), now);
+    let verdict = ledger.failed(&vm(1), &job(1), VMS_PER_BAD_JOB, now);
     assert_eq!(verdict, FailureVerdict::VmHeldBack { failures: FAILURES_PER_BAD_VM });
 }
 
@@ -143,13 +147,13 @@
     let mut ledger = FailureLedger::default();
     let mut now = Moment(1_000);
     for number in 1..=3 {
-        ledger.failed(&vm(1), &job(number), now);
+        ledger.failed(&vm(1), &job(number), VMS_PER_BAD_JOB, now);
     }
     let mut backoff = FIRST_BACKOFF;
     for _ in 0..10 {
         now = now.after(backoff);
         assert_eq!(ledger.standing(&vm(1), now), VmStanding::Probing);
-        ledger.failed(&vm(1), &job(4), now);
+        ledger.failed(&vm(1), &job(4), VMS_PER_BAD_JOB, now);
         backoff = (2 * backoff).min(LONGEST_BACKOFF);
         assert_eq!(ledger.standing(&vm(1), now), VmStanding::HeldBack(now.after(backoff)));
     }
@@ -163,20 +167,43 @@
 fn failures_of_one_job_on_several_vms_park_the_job() {
     let mut ledger = FailureLedger::default();
     let now = Moment(1_000);
-    ledger.failed(&vm(1), &job(1), now);
-    ledger.failed(&vm(2), &job(1), now);
+    ledger.failed(&vm(1), &job(1), VMS_PER_BAD_JOB, now);
+    ledger.failed(&vm(2), &job(1), VMS_PER_BAD_JOB, now);
     // Repeated failures on one VM say no more than one.
-    assert_eq!(ledger.failed(&vm(2), &job(1), now), FailureVerdict::Undecided);
-    let verdict = ledger.failed(&vm(3), &job(1), now);
+    assert_eq!(ledger.failed(&vm(2), &job(1), VMS_PER_BAD_JOB, now), FailureVerdict::Undecided);
+    let verdict = ledger.failed(&vm(3), &job(1), VMS_PER_BAD_JOB, now);
     assert_eq!(verdict, FailureVerdict::JobFailsEverywhere { vms: 3 });
     assert_eq!(ledger.parked_until(&job(1)), Some(now.after(FIRST_BACKOFF)));
     for number in 1..=3 {
         assert_eq!(ledger.standing(&vm(number), now), VmStanding::Good);
-        ledger.failed(&vm(number), &job(2), now);
+        ledger.failed(&vm(number), &job(2), VMS_PER_BAD_JOB, now);
     }
     assert_eq!(ledger.held_back(), 0);
 }
 
+/// Guards against a job that is tried for ever where fewer VMs than the threshold
+/// can run it, and against one that is parked after a single failure there.
+#[test]
+fn a_job_that_fails_on_all_vms_of_a_small_shard_is_parked() {
+    let now = Moment(1_000);
+    let parked = FailureVerdict::JobFailsEverywhere { vms: 2 };
+    let mut ledger = FailureLedger::default();
+    for _ in 0..4 {
+        assert_eq!(ledger.failed(&vm(1), &job(1), 2, now), FailureVerdict::Undecided);
+    }
+    assert_eq!(ledger.failed(&vm(2), &job(1), 2, now), parked);
+    let mut ledger = FailureLedger::default();
+    assert_eq!(ledger.failed(&vm(1), &job(1), 2, now), FailureVerdict::Undecided);
+    assert_eq!(ledger.failed(&vm(2), &job(1), 2, now), FailureVerdict::Undecided);
+    assert_eq!(ledger.failed(&vm(1), &job(1), 2, now), parked);
+    let mut ledger = FailureLedger::default();
+    for _ in 1..VMS_PER_BAD_JOB {
+        assert_eq!(ledger.failed(&vm(1), &job(1), 1, now), FailureVerdict::Undecided);
+    }
+    let alone = FailureVerdict::JobFailsEverywhere { vms: 1 };
+    assert_eq!(ledger.failed(&vm(1), &job(1), 1, now), alone);
+}
+
 /// Guards against a parked job that is tried at the same pace for ever.
 #[test]
 fn a_job_that_goes_on_failing_is_parked_longer() {
@@ -185,7 +212,7 @@
     let mut last = 0;
     for _ in 0..3 {
         for number in 1..=3 {
-            ledger.failed(&vm(number), &job(1), now);
+            ledger.failed(&vm(number), &job(1), VMS_PER_BAD_JOB, now);
         }
         let until = ledger.parked_until(&job(1)).unwrap();
         assert!(until.since(now) > last);
