Bind addresses only while no child is being started

Cause: between fork and exec a child holds copies of all sockets of the test process. free_address closes its probe, and a returning upstream closes its listener, but a child that another test thread starts at that moment keeps the address in use, so the next bind fails.

Ruled out: ports taken by outgoing connections; they come from another range and another address.

--- a/crates/standin/src/harness/address.rs
+++ b/crates/standin/src/harness/address.rs
@@ -1,9 +1,11 @@
 //! Free loopback addresses.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use crate::socket::is_free;
+
 /// Below the range from which systems choose ports of outgoing connections, so
 /// that none of them takes a port between its choice and its use.
 const FIRST_PORT: u16 = 10_000;
@@ -28,7 +30,7 @@
             return Err(io::Error::other("no free port is left"));
         }
         let address = SocketAddr::new(loopback_ip(), port);
-        if TcpListener::bind(address).is_ok() {
+        if is_free(address) {
             return Ok(address);
         }
     }
--- a/crates/standin/src/harness/child.rs
+++ b/crates/standin/src/harness/child.rs
@@ -12,6 +12,8 @@
 use rustix::process::{Pid, Signal, kill_process};
 use thiserror::Error;
 
+use crate::socket::spawn_child;
+
 /// Time between two looks at a child.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longest wait for one answer of a child.
@@ -104,7 +106,7 @@
         let errors = log.try_clone().map_err(failed(format!("open the log of {name}")))?;
         let mut command = Command::new(&spec.program);
         command.args(&spec.arguments).stdin(Stdio::null());
-        let process = command.stdout(log).stderr(errors).spawn();
+        let process = spawn_child(command.stdout(log).stderr(errors));
         child.process = Some(process.map_err(failed(format!("start {name}")))?);
         Ok(())
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod log_service;
 pub mod relay;
 pub mod server;
+pub mod socket;
 pub mod stream;
 pub mod task_clock;
 pub mod upstream;
--- a/crates/standin/src/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -21,6 +21,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::server::RunningServer;
+use crate::socket::bind_listener;
 
 const CHUNK_BYTES: usize = 64 * 1024;
 /// Chunks on their way in one direction of a connection.
@@ -69,7 +70,7 @@
 impl TcpRelay {
     /// Relays connections from `address` to `target`; port 0 selects a free one.
     pub fn spawn(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind(address)?;
+        let listener = bind_listener(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let order = Arc::new(watch::Sender::new(RelayOrder::default()));
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -15,6 +15,8 @@
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use tokio::sync::OwnedSemaphorePermit;
 
+use crate::socket::bind_listener;
+
 /// Largest body that a stand-in takes: an append of large records.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -31,7 +33,7 @@
     where
         F: Fn(&mut ServiceConfig) + Clone + Send + 'static,
     {
-        let listener = TcpListener::bind(address)?;
+        let listener = bind_listener(address)?;
         let address = listener.local_addr()?;
         let (started, server) = mpsc::channel();
         let thread = std::thread::spawn(move || {
