Check histories under faults, alone and in pairs

The stand-in for the log can answer appends with 429, and an upstream can be asked for an empty answer.

Ruled out as a broken rule: an answer names the attempt, so its request id is that of the caller with a suffix; a task may finish twice when the agent that would report its end is dead, paused past the lease or cut off.

--- a/crates/standin/src/check.rs
+++ b/crates/standin/src/check.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use cactusdoor_core::job::TaskId;
+use cactusdoor_core::name::CheckpointName;
 use cactusdoor_core::resource::{ResourceKind, ResourceVector};
 use cactusdoor_core::unit::Token;
 use thiserror::Error;
@@ -20,6 +21,10 @@
     Overcommitted { worker: String, resource: ResourceKind, time_unix_us: UnixMicros },
     #[error("key {plan}/{key} was executed {count} times")]
     ExecutedTwice { plan: String, key: String, count: usize },
+    #[error("task {task} was stopped on {first} and started on {second} without its checkpoint")]
+    CheckpointLost { task: TaskId, first: String, second: String },
+    #[error("task {task} finished {count} times")]
+    FinishedTwice { task: TaskId, count: usize },
     #[error("{upstream} started request {request_id} {leaving_us} us after it began to leave")]
     StartedWhileLeaving { upstream: String, request_id: String, leaving_us: UnixMicros },
 }
@@ -32,6 +37,8 @@
     pub token: Token,
     pub need: ResourceVector,
     pub started: UnixMicros,
+    /// What it resumed from.
+    pub checkpoint: Option<CheckpointName>,
     /// When and why it stopped; `None` if it still runs.
     pub stopped: Option<(UnixMicros, StopReason)>,
 }
@@ -48,12 +55,13 @@
     let mut runs: Vec<TaskRun> = Vec::new();
     for record in history {
         match &record.change {
-            TaskChange::Started { .. } => runs.push(TaskRun {
+            TaskChange::Started { checkpoint } => runs.push(TaskRun {
                 worker: record.worker.clone(),
                 task: record.task.clone(),
                 token: record.token,
                 need: record.need,
                 started: record.time_unix_us,
+                checkpoint: checkpoint.clone(),
                 stopped: None,
             }),
             TaskChange::Stopped(reason) => {
@@ -95,6 +103,40 @@
     violations
 }
 
+/// Runs that follow a stop with a checkpoint and do not resume from it.
+///
+/// An agent that dies between the stop and its report loses the checkpoint, so
+/// this holds only for histories in which none does.
+#[must_use]
+pub fn lost_checkpoints(runs: &[TaskRun]) -> Vec<Violation> {
+    let mut latest: BTreeMap<&TaskId, &TaskRun> = BTreeMap::new();
+    let mut violations = Vec::new();
+    for run in runs {
+        let Some(earlier) = latest.insert(&run.task, run) else { continue };
+        let Some((_, StopReason::Ordered { checkpoint: Some(kept) })) = &earlier.stopped else {
+            continue;
+        };
+        if run.checkpoint.as_ref() != Some(kept) {
+            let (first, second) = (earlier.worker.clone(), run.worker.clone());
+            violations.push(Violation::CheckpointLost { task: run.task.clone(), first, second });
+        }
+    }
+    violations
+}
+
+/// Tasks that finished more than `limit` times.
+#[must_use]
+pub fn repeated_finishes(runs: &[TaskRun], limit: usize) -> Vec<Violation> {
+    let mut counts: BTreeMap<&TaskId, usize> = BTreeMap::new();
+    for run in runs {
+        if matches!(run.stopped, Some((_, StopReason::Finished))) {
+            *counts.entry(&run.task).or_default() += 1;
+        }
+    }
+    let repeated = counts.into_iter().filter(|(_, count)| *count > limit);
+    repeated.map(|(task, count)| Violation::FinishedTwice { task: task.clone(), count }).collect()
+}
+
 /// Workers that ran more than their `capacity`.
 #[must_use]
 pub fn overcommitments(runs: &[TaskRun], capacity: ResourceVector) -> Vec<Violation> {
--- a/crates/standin/src/log_service.rs
+++ b/crates/standin/src/log_service.rs
@@ -46,6 +46,8 @@
     pub lose_answers: u32,
     /// Appends that are not answered and are stored later.
     pub hold_back: u32,
+    /// Appends that are answered with 429 and have no effect.
+    pub limit_appends: u32,
     /// When held appends are stored; only on `POST /release` if absent.
     pub hold_ms: Option<Millis>,
     /// Whether an unanswered connection stays open instead of being closed.
@@ -163,6 +165,13 @@
 
     /// Takes the right to one append.
     fn admit(&self) -> bool {
+        let mut fault = lock(&self.fault);
+        if fault.limit_appends > 0 {
+            fault.limit_appends -= 1;
+            lock(&self.counters).rate_limited += 1;
+            return false;
+        }
+        drop(fault);
         let Some(rate) = self.options.appends_per_second.map(f64::from) else { return true };
         let mut bucket = lock(&self.bucket);
         let now = Instant::now();
--- a/crates/standin/src/upstream_state.rs
+++ b/crates/standin/src/upstream_state.rs
@@ -241,6 +241,9 @@
     }
 
     fn answer(&self, record: &ExecutionHistory, bytes: usize) -> Bytes {
+        if bytes == 0 {
+            return Bytes::new();
+        }
         let mut answer = AnswerBody {
             upstream: self.options.name.clone(),
             execution: record.execution,
--- a/crates/standin/tests/check.rs
+++ b/crates/standin/tests/check.rs
@@ -2,9 +2,11 @@
 
 mod common;
 
+use cactusdoor_core::name::CheckpointName;
 use cactusdoor_core::resource::{ResourceKind, ResourceVector};
 use cactusdoor_standin::check::{
-    Violation, late_starts, overcommitments, overlaps, repeated_keys, runs,
+    Violation, late_starts, lost_checkpoints, overcommitments, overlaps, repeated_finishes,
+    repeated_keys, runs,
 };
 use cactusdoor_standin::upstream::{ExecutionChange, ExecutionHistory};
 use cactusdoor_standin::worker::{StopReason, TaskChange, TaskHistory};
@@ -100,3 +102,29 @@
     assert_eq!(late_starts(&[started(None), started(Some(100))], 100), []);
     assert_eq!(late_starts(&[started(Some(101))], 100).len(), 1);
 }
+
+/// Guards against a checker that misses a start without the checkpoint of the stop before.
+#[test]
+fn lost_checkpoint_is_found() {
+    let checkpoint = Some(CheckpointName::new("checkpoint-1").unwrap());
+    let stopped = StopReason::Ordered { checkpoint: checkpoint.clone() };
+    let first = [start("v", 1, 10), record("v", 1, 20, TaskChange::Stopped(stopped))];
+    let resumed = record("w", 2, 30, TaskChange::Started { checkpoint });
+    let good = [&first[..], &[resumed]].concat();
+    assert_eq!(lost_checkpoints(&runs(&good)), []);
+    let bad = [&first[..], &[start("w", 2, 30)]].concat();
+    let (first, second) = ("v".to_owned(), "w".to_owned());
+    let lost = Violation::CheckpointLost { task: task(0), first, second };
+    assert_eq!(lost_checkpoints(&runs(&bad)), [lost]);
+}
+
+/// Guards against a checker that misses a task that finished again.
+#[test]
+fn repeated_finish_is_found() {
+    let finish = |token, time| record("v", token, time, TaskChange::Stopped(StopReason::Finished));
+    let bad = [start("v", 1, 10), finish(1, 20), start("v", 2, 30), finish(2, 40)];
+    assert_eq!(repeated_finishes(&runs(&bad[..2]), 1), []);
+    assert_eq!(repeated_finishes(&runs(&bad), 2), []);
+    let twice = Violation::FinishedTwice { task: task(0), count: 2 };
+    assert_eq!(repeated_finishes(&runs(&bad), 1), [twice]);
+}
--- a/crates/standin/tests/cluster/main.rs
+++ b/crates/standin/tests/cluster/main.rs
@@ -3,6 +3,7 @@
 //! The daemons are child processes and have to be built before:
 //! `cargo build --workspace --bins`.
 
+mod chaos;
 mod jobs;
 mod site;
 
@@ -97,6 +98,8 @@
         run.worker.starts_with("a-") && run.started > out + CONFIG_FRESHNESS * 1_000
     };
     assert_eq!(site.runs().iter().find(is_late), None);
+    assert_eq!(check::lost_checkpoints(&site.runs()), []);
+    assert_eq!(check::repeated_finishes(&site.runs(), 1), []);
     site.check();
     put("in").await;
     let returned = unix_us();
--- a/crates/standin/tests/cluster/site.rs
+++ b/crates/standin/tests/cluster/site.rs
@@ -6,7 +6,7 @@
 
 use awc::http::Method;
 use bytes::Bytes;
-use cactusdoor_core::config::{AllowanceSpec, ItemChange, ItemValue, PlanSpec};
+use cactusdoor_core::config::{AllowanceSpec, ConfigItem, ItemChange, ItemValue, PlanSpec};
 use cactusdoor_core::name::{PlanName, ServiceName, TeamName};
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_standin::check::{self, TaskRun};
@@ -25,6 +25,8 @@
     pub plan: PlanName,
     pub service: ServiceName,
     capacity: ResourceVector,
+    /// Executions of upstreams that were replaced.
+    ended: Vec<ExecutionHistory>,
 }
 
 impl Site {
@@ -35,8 +37,16 @@
 
     /// Two data centres with an entry and this many agents each, ready for work.
     pub async fn with_agents(agents: usize) -> Self {
+        Self::with_plan(ClusterPlan::uniform(2, 1, agents)).await
+    }
+
+    /// As [`open`](Self::open), with a relay between each process and the log service.
+    pub async fn with_log_relays() -> Self {
+        Self::with_plan(ClusterPlan { log_relays: true, ..ClusterPlan::uniform(2, 1, 2) }).await
+    }
+
+    async fn with_plan(mut plan: ClusterPlan) -> Self {
         let service = ServiceName::new("counter").unwrap();
-        let mut plan = ClusterPlan::uniform(2, 1, agents);
         plan.upstream = Some(UpstreamOptions {
             name: String::new(),
             service: service.clone(),
@@ -55,7 +65,7 @@
         let mut cluster = Cluster::spawn(&plan).unwrap();
         cluster.wait_ready(PATIENCE).await.unwrap();
         let plan = PlanName::new("plan-1").unwrap();
-        let site = Self { cluster, plan, service, capacity };
+        let site = Self { cluster, plan, service, capacity, ended: Vec::new() };
         site.publish().await;
         site.warm_up().await;
         site
@@ -141,7 +151,8 @@
 
     pub fn executions(&self) -> Vec<ExecutionHistory> {
         let upstreams = self.cluster.vms.iter().filter_map(|vm| vm.upstream.as_ref());
-        upstreams.flat_map(|upstream| upstream.history()).collect()
+        let ended = self.ended.iter().cloned();
+        ended.chain(upstreams.flat_map(|upstream| upstream.history())).collect()
     }
 
     /// Tasks that have finished.
@@ -171,7 +182,8 @@
 
     /// Names of the VMs that own a shard.
     pub async fn owners(&self) -> Vec<String> {
-        let roster: Value = self.operator(0).get("/v1/roster").await.unwrap().json().unwrap();
+        // Histories kill entry 0.
+        let roster: Value = self.operator(1).get("/v1/roster").await.unwrap().json().unwrap();
         let shards = roster["shards"].as_array().unwrap();
         shards.iter().map(|shard| shard["owner"].as_str().unwrap().to_owned()).collect()
     }
@@ -186,6 +198,84 @@
     }
 }
 
+/// Steps of histories under faults, whose calls may fail.
+impl Site {
+    /// Whether the log holds the job.
+    pub async fn try_submit(&self, entry: usize, key: &str, tasks: u32, run_time_ms: u64) -> bool {
+        let job = json!({
+            "plan": self.plan,
+            "kind": "transcription",
+            "class": "batch",
+            "tasks": tasks,
+            "need": ResourceVector::new(1_000, 1_000, 0),
+            "run_time_ms": run_time_ms,
+            "checkpoints": true,
+        });
+        self.caller(entry).submit(key, &job).await.is_ok_and(|reply| reply.status == 202)
+    }
+
+    /// Whether the log holds the cancellation.
+    pub async fn cancel(&self, entry: usize, key: &str) -> bool {
+        let path = format!("/v1/jobs/{}/{key}", self.plan);
+        self.caller(entry).delete(&path).await.is_ok_and(|reply| reply.status == 202)
+    }
+
+    /// Whether the state of the data centre was changed.
+    pub async fn put_centre(&self, name: &str, state: &str) -> bool {
+        let path = format!("/v1/data-centres/{name}");
+        let body = json!({ "state": state });
+        let reply = self.operator(1).send_json(Method::PUT, &path, &[], &body).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    }
+
+    /// Starts a new upstream in place of one that left.
+    pub fn replace_upstream(&mut self, vm: usize) {
+        let vm = &mut self.cluster.vms[vm];
+        let left = vm.upstream.take();
+        self.ended.extend(left.into_iter().flat_map(|upstream| upstream.history()));
+        vm.start_upstream().unwrap();
+    }
+
+    /// Tasks of a job that have finished.
+    pub fn finished_of(&self, job: &str) -> usize {
+        let runs = self.runs().into_iter();
+        let finished = runs.filter(|run| {
+            run.task.job.key.as_str() == job
+                && matches!(run.stopped, Some((_, StopReason::Finished)))
+        });
+        finished.map(|run| run.task).collect::<std::collections::BTreeSet<_>>().len()
+    }
+
+    /// Revision of the configuration that an entry or, counted after them, an agent has.
+    pub async fn revision(&self, process: usize) -> Option<u64> {
+        let entries = self.cluster.entries.iter().map(|entry| entry.operator);
+        let agents = self.cluster.vms.iter().map(|vm| vm.operator);
+        let address = entries.chain(agents).nth(process)?;
+        let reply = ApiClient::open(address).get("/v1/config").await.ok()?;
+        reply.json::<Value>().ok()?["revision"].as_u64()
+    }
+
+    /// Revision at which the plan last changed, as entry 0 shows it.
+    pub async fn plan_revision(&self) -> u64 {
+        let view: Value = self.operator(0).get("/v1/config").await.unwrap().json().unwrap();
+        let items: Vec<ConfigItem> = serde_json::from_value(view["items"].clone()).unwrap();
+        let mut items = items.into_iter();
+        let plan = items
+            .find(|item| matches!(&item.value, ItemValue::Plan(name, _) if *name == self.plan));
+        plan.unwrap().revision
+    }
+
+    /// Changes the plan's weight; the new revision if the change is accepted.
+    pub async fn change_weight(&self, entry: usize, premise: u64, weight: u32) -> Option<u64> {
+        let plan = PlanSpec { team: TeamName::new("team-1").unwrap(), weight };
+        let value = ItemValue::Plan(self.plan.clone(), Some(plan));
+        let body = json!({ "items": [ItemChange { premise, value }] });
+        let operator = self.operator(entry);
+        let reply = operator.send_json(Method::POST, "/v1/config/changes", &[], &body).await;
+        reply.ok()?.success().ok()?.json::<Value>().ok()?["revision"].as_u64()
+    }
+}
+
 /// Waits until `condition` holds.
 pub async fn wait_for(what: &str, condition: impl AsyncFn() -> bool) {
     let started = Instant::now();
