Add a placement experiment that drives the owner's book

The routing experiment covers interactive requests only, so no figure showed what the placement policy gains or costs.

The latency-critical tasks and a service on every VM are measured separately, because a policy that packs the critical tasks leaves most VMs out of a figure that covers only their VMs.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod event;
 pub mod load;
 pub mod model;
+pub mod placement;
 pub mod preset;
 pub mod report;
 pub mod routing;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 use anyhow::Context;
 use bpaf::Bpaf;
 use cactusdoor_bench::event::SECOND;
+use cactusdoor_bench::placement::table;
 use cactusdoor_bench::preset::SitePreset;
 use cactusdoor_bench::report::{PlotCurve, ReportTable, SeedSpread, line_plot};
 use cactusdoor_bench::routing::policy::PolicyKind;
@@ -29,11 +30,27 @@
         #[bpaf(argument("FOLDER"), optional)]
         plots: Option<PathBuf>,
     },
+    /// Batch jobs beside latency-critical tasks: work, deadlines, slowdown
+    #[bpaf(command)]
+    Placement {
+        /// koperasi or termovizia
+        #[bpaf(argument("PRESET"))]
+        preset: SitePreset,
+        /// Number of seeds, from 1 on
+        #[bpaf(argument("N"), fallback(5))]
+        seeds: u64,
+        /// Folder for the plots
+        #[bpaf(argument("FOLDER"), optional)]
+        plots: Option<PathBuf>,
+    },
 }
 
 fn main() -> anyhow::Result<()> {
     match arguments().run() {
         Arguments::Routing { preset, seeds, plots } => routing(&preset, seeds, plots.as_deref()),
+        Arguments::Placement { preset, seeds, plots } => {
+            table::report(&preset, seeds, plots.as_deref())
+        }
     }
 }
 
--- /dev/null
+++ b/crates/bench/src/placement/table.rs
@@ -0,0 +1,109 @@
+//! Table and plots of the placement experiment.
+
+use std::path::Path;
+
+use anyhow::Context;
+
+use super::run::{PlacementKind, run};
+use super::scenario::{self, LENGTH, PlacementScenario};
+use super::world::PlacementFigures;
+use crate::preset::SitePreset;
+use crate::report::{PlotCurve, ReportTable, SeedSpread, line_plot};
+
+const HEADINGS: [&str; 14] = [
+    "scenario",
+    "policy",
+    "work, task-s/h",
+    "deadlines met %",
+    "evictions",
+    "work lost, s",
+    "service slowdown, mean",
+    "service slowdown, p99",
+    "critical tasks, mean",
+    "critical tasks, p99",
+    "urgent within 1 s %",
+    "work while out, s",
+    "allowances kept %",
+    "capacities kept %",
+];
+
+/// Runs all scenarios under all policies and prints the table.
+pub fn report(site: &SitePreset, seeds: u64, plots: Option<&Path>) -> anyhow::Result<()> {
+    println!("preset {}, seeds 1 to {seeds}, median [lowest to highest]\n", site.name);
+    let mut table = ReportTable::open(&HEADINGS);
+    for scenario in scenario::all() {
+        let mut curves = Vec::new();
+        for kind in PlacementKind::ALL {
+            let results: Result<Vec<_>, _> =
+                (1..=seeds).map(|seed| run(site, &scenario, kind, seed)).collect();
+            let results = results?;
+            let faults: u64 = results.iter().map(|figures| figures.faults).sum();
+            anyhow::ensure!(faults == 0, "{}: {faults} tasks ran twice", kind.name());
+            table.row(row(&scenario, kind, &results));
+            curves.extend(results.first().map(|figures| curve(kind, figures)));
+        }
+        if let Some(folder) = plots {
+            let name = scenario.name.replace(' ', "-");
+            let path = folder.join(format!("placement-{}-{name}.svg", site.name));
+            let title = format!("{}: {}, seed 1", site.name, scenario.name);
+            let plot = line_plot(&title, "seconds", "finished work, task-s per s", &curves);
+            std::fs::write(&path, plot)
+                .with_context(|| format!("could not write {}", path.display()))?;
+        }
+    }
+    print!("{}", table.text());
+    Ok(())
+}
+
+fn curve(kind: PlacementKind, figures: &PlacementFigures) -> PlotCurve {
+    let points = figures.work_over_time.iter().enumerate();
+    let points = points.map(|(interval, work)| (interval as f64 * 10.0, work / 10.0)).collect();
+    PlotCurve { name: kind.name().to_owned(), points }
+}
+
+fn percent(part: u64, whole: u64) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn upper(values: &[f64]) -> f64 {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    sorted.get(sorted.len() * 99 / 100).copied().unwrap_or(0.0)
+}
+
+fn row(
+    scenario: &PlacementScenario,
+    kind: PlacementKind,
+    results: &[PlacementFigures],
+) -> Vec<String> {
+    let spread = |value: &dyn Fn(&PlacementFigures) -> f64, digits: usize| {
+        let mut spread = SeedSpread::default();
+        results.iter().for_each(|figures| spread.add(value(figures)));
+        spread.text(digits)
+    };
+    let hours = LENGTH as f64 / 3_600_000.0;
+    let while_out = match scenario.out {
+        Some(_) => spread(&|it| it.work_while_out, 0),
+        None => "-".to_owned(),
+    };
+    vec![
+        scenario.name.to_owned(),
+        kind.name().to_owned(),
+        spread(&|it| it.work / hours, 0),
+        spread(&|it| percent(it.deadlines_met, it.deadlines), 1),
+        spread(&|it| it.evictions as f64, 0),
+        spread(&|it| it.lost_work, 0),
+        spread(&|it| mean(&it.slowdowns), 2),
+        spread(&|it| upper(&it.slowdowns), 2),
+        spread(&|it| mean(&it.critical_slowdowns), 2),
+        spread(&|it| upper(&it.critical_slowdowns), 2),
+        spread(&|it| percent(it.urgent_in_time, it.urgent), 1),
+        while_out,
+        spread(&|it| percent(it.allowances_kept, it.allowance_checks), 2),
+        spread(&|it| percent(it.capacities_kept, it.capacity_checks), 2),
+    ]
+}
