Measure the cost of decisions, state, messages and appends

CAPACITY.md has to derive the cost of each role from measured slopes, and no tool measured them. The subcommand capacity of the bench drives the owner's book without a network at 24, 95, 190 and 2,100 VMs, the folds, the configuration and the routing pool at three sizes each, the encoded sizes of messages and records, appends to the log stand-in and running daemons.

Ruled out: resident memory of states built after others were freed; the allocator reused the freed memory and reported next to nothing (0 to 132 KiB for 100,000 claims). All states of a run now stay alive. Usage equal to the commitment was ruled out as well: the learned need rises by its margin with each batch, until the tasks no longer fit (4,480 of 8,192 started).

--- /dev/null
+++ b/crates/bench/src/capacity.rs
@@ -0,0 +1,58 @@
+//! Cost of each role per unit of load, for `docs/CAPACITY.md`.
+//!
+//! The logic is measured alone, without a network and with the state of a whole
+//! shard; appends and daemons run against the stand-ins.
+
+mod appends;
+mod daemons;
+mod owner;
+mod process;
+mod shard;
+mod state;
+mod wire;
+
+use std::str::FromStr;
+use std::time::Duration;
+
+/// What is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CapacityPart {
+    Owner,
+    State,
+    Wire,
+    Appends,
+    Daemons,
+}
+
+impl FromStr for CapacityPart {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "owner" => Ok(Self::Owner),
+            "state" => Ok(Self::State),
+            "wire" => Ok(Self::Wire),
+            "appends" => Ok(Self::Appends),
+            "daemons" => Ok(Self::Daemons),
+            other => Err(format!("part {other:?} does not exist")),
+        }
+    }
+}
+
+/// Measures `part` and prints its tables with the command that repeats them.
+pub fn run(part: CapacityPart) -> anyhow::Result<()> {
+    let name = format!("{part:?}").to_lowercase();
+    println!("`cargo run --release -p cactusdoor-bench -- capacity {name}`\n");
+    match part {
+        CapacityPart::Owner => owner::run(),
+        CapacityPart::State => state::run(),
+        CapacityPart::Wire => wire::run(),
+        CapacityPart::Appends => actix_rt::System::new().block_on(appends::run()),
+        CapacityPart::Daemons => actix_rt::System::new().block_on(daemons::run()),
+    }
+}
+
+/// Microseconds for each of `count` operations.
+fn each(spent: Duration, count: usize) -> f64 {
+    spent.as_secs_f64() * 1e6 / count.max(1) as f64
+}
--- /dev/null
+++ b/crates/bench/src/capacity/daemons.rs
@@ -0,0 +1,187 @@
+//! Running daemons, idle and under load.
+
+use std::time::Duration;
+
+use anyhow::Context;
+use awc::http::Method;
+use bytes::Bytes;
+use cactusdoor_core::config::{AllowanceSpec, ItemChange, ItemValue, PlanSpec};
+use cactusdoor_core::name::{PlanName, ServiceName};
+use cactusdoor_core::resource::ResourceVector;
+use cactusdoor_standin::harness::{ApiClient, Cluster, ClusterPlan};
+use cactusdoor_standin::upstream::UpstreamOptions;
+use serde_json::json;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::process;
+use crate::report::ReportTable;
+
+const SIZES: [usize; 3] = [3, 12, 24];
+const PATIENCE: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_secs(8);
+/// Interactive requests a second through the entry.
+const REQUESTS: u32 = 200;
+/// Task starts a second.
+const STARTS: u32 = 20;
+
+/// Processor time and memory of one daemon.
+struct DaemonUse {
+    core_percent: f64,
+    resident: u64,
+}
+
+pub async fn run() -> anyhow::Result<()> {
+    let mut table = ReportTable::open(&[
+        "agents",
+        "load",
+        "entry core %",
+        "entry KiB",
+        "owner core %",
+        "owner KiB",
+        "other agents core %, median",
+        "other agents KiB, highest",
+        "log appends/s",
+    ]);
+    for agents in SIZES {
+        measure(agents, &mut table).await?;
+    }
+    print!("{}", table.text());
+    println!("\nLoad: {REQUESTS} interactive requests/s and {STARTS} task starts/s of 1 s each.");
+    Ok(())
+}
+
+async fn measure(agents: usize, table: &mut ReportTable) -> anyhow::Result<()> {
+    let service: ServiceName = "counter".parse()?;
+    let mut plan = ClusterPlan::uniform(1, 1, agents);
+    plan.upstream = Some(UpstreamOptions {
+        name: String::new(),
+        service: service.clone(),
+        agent: None,
+        announced: None,
+        slots: 8,
+        connections: 64,
+        service_time_ms: 5,
+        answer_bytes: 500,
+        history: None,
+    });
+    let mut cluster = Cluster::spawn(&plan)?;
+    cluster.wait_ready(PATIENCE).await?;
+    let plan: PlanName = "plan-1".parse()?;
+    publish(&cluster, &plan).await?;
+    let caller = caller(&cluster)?;
+    let begin = Instant::now();
+    while caller.interactive(&service, &plan, Bytes::from("{}")).await?.status != 200 {
+        anyhow::ensure!(begin.elapsed() < PATIENCE, "no upstream answers");
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(Duration::from_secs(3)).await;
+    table.row(watch(&cluster, agents, "idle", async { Ok(()) }).await?);
+    let load = load(&caller, &service, &plan);
+    table.row(watch(&cluster, agents, "load", load).await?);
+    Ok(())
+}
+
+fn caller(cluster: &Cluster) -> anyhow::Result<ApiClient> {
+    Ok(ApiClient::open(cluster.entries.first().context("no entry")?.callers))
+}
+
+async fn publish(cluster: &Cluster, plan: &PlanName) -> anyhow::Result<()> {
+    let batch = ResourceVector::new(8_000_000, 64_000_000, 0);
+    let allowance = AllowanceSpec { batch, requests_per_second: 100_000 };
+    let spec = PlanSpec { team: "team-1".parse()?, weight: 1 };
+    let values = [
+        ItemValue::Plan(plan.clone(), Some(spec)),
+        ItemValue::Allowance(plan.clone(), Some(allowance)),
+    ];
+    let items = values.map(|value| ItemChange { premise: 0, value });
+    let operator = ApiClient::open(cluster.entries.first().context("no entry")?.operator);
+    let body = json!({ "items": items });
+    operator.send_json(Method::POST, "/v1/config/changes", &[], &body).await?.success()?;
+    Ok(())
+}
+
+/// Offers requests and jobs for the length of a measurement.
+async fn load(caller: &ApiClient, service: &ServiceName, plan: &PlanName) -> anyhow::Result<()> {
+    let begin = Instant::now();
+    let mut number = 0_u32;
+    while begin.elapsed() < LENGTH {
+        if number.is_multiple_of(REQUESTS) {
+            let job = json!({
+                "plan": plan,
+                "kind": "transcription",
+                "class": "batch",
+                "tasks": STARTS,
+                "need": ResourceVector::new(1_000, 1_000, 0),
+                "run_time_ms": 1_000,
+                "checkpoints": true,
+            });
+            let (caller, key) = (caller.clone(), format!("job-{number}"));
+            actix_rt::spawn(async move {
+                if let Err(error) = caller.submit(&key, &job).await {
+                    eprintln!("job {key}: {error}");
+                }
+            });
+        }
+        let (caller, service, plan) = (caller.clone(), service.clone(), plan.clone());
+        actix_rt::spawn(async move {
+            let answer = caller.interactive(&service, &plan, Bytes::from("{}")).await;
+            if !answer.is_ok_and(|answer| answer.status == 200) {
+                eprintln!("a request was not answered");
+            }
+        });
+        number += 1;
+        sleep_until(begin + Duration::from_secs(1) * number / REQUESTS).await;
+    }
+    Ok(())
+}
+
+async fn watch(
+    cluster: &Cluster,
+    agents: usize,
+    name: &str,
+    load: impl Future<Output = anyhow::Result<()>>,
+) -> anyhow::Result<Vec<String>> {
+    let names = cluster.entries.iter().map(|entry| &entry.name);
+    let names: Vec<&String> = names.chain(cluster.vms.iter().map(|vm| &vm.agent)).collect();
+    let processes: anyhow::Result<Vec<String>> =
+        names.iter().map(|name| process::child_with(&format!("/{name}.ini"))).collect();
+    let processes = processes?;
+    let spent = |process: &String| process::processor_seconds(process);
+    let before = processes.iter().map(spent).collect::<anyhow::Result<Vec<f64>>>()?;
+    let appends = cluster.log.counters().appends;
+    let begin = Instant::now();
+    load.await?;
+    sleep_until(begin + LENGTH).await;
+    let length = begin.elapsed().as_secs_f64();
+    let mut uses = Vec::new();
+    for (process, before) in processes.iter().zip(before) {
+        let core_percent = 100.0 * (process::processor_seconds(process)? - before) / length;
+        uses.push(DaemonUse { core_percent, resident: process::resident(process)? });
+    }
+    let appends = (cluster.log.counters().appends - appends) as f64 / length;
+    let entry = uses.remove(0);
+    let owner = owner_of(cluster).await?;
+    let owner = uses.remove(owner);
+    let others = uses.iter().map(|daemon| daemon.core_percent).collect();
+    let highest = uses.iter().map(|daemon| daemon.resident).max().unwrap_or(0);
+    Ok(vec![
+        agents.to_string(),
+        name.to_owned(),
+        format!("{:.1}", entry.core_percent),
+        entry.resident.to_string(),
+        format!("{:.1}", owner.core_percent),
+        owner.resident.to_string(),
+        format!("{:.1}", super::owner::median(others)),
+        highest.to_string(),
+        format!("{appends:.1}"),
+    ])
+}
+
+/// Position of the agent that owns the shard.
+async fn owner_of(cluster: &Cluster) -> anyhow::Result<usize> {
+    let operator = ApiClient::open(cluster.entries.first().context("no entry")?.operator);
+    let roster: serde_json::Value = operator.get("/v1/roster").await?.success()?.json()?;
+    let owner = roster["shards"][0]["owner"].as_str().context("no owner in the roster")?;
+    let position = cluster.vms.iter().position(|vm| vm.vm == owner);
+    position.with_context(|| format!("owner {owner} is not a VM of the cluster"))
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! the systems served, next to two baselines in the same run. It is no cluster
 //! simulator: processes, the log and their failures are covered by the tests.
 
+pub mod capacity;
 pub mod event;
 pub mod load;
 pub mod model;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use bpaf::Bpaf;
+use cactusdoor_bench::capacity::{self, CapacityPart};
 use cactusdoor_bench::event::SECOND;
 use cactusdoor_bench::preset::SitePreset;
 use cactusdoor_bench::report::{PlotCurve, ReportTable, SeedSpread, line_plot};
@@ -16,6 +17,13 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
 enum Arguments {
+    /// Cost of decisions, state, appends and daemons at several sizes
+    #[bpaf(command)]
+    Capacity {
+        /// owner, state, wire, appends or daemons
+        #[bpaf(positional("PART"))]
+        part: CapacityPart,
+    },
     /// Interactive requests: tail latency, refusals, recovery
     #[bpaf(command)]
     Routing {
@@ -33,6 +41,7 @@
 
 fn main() -> anyhow::Result<()> {
     match arguments().run() {
+        Arguments::Capacity { part } => capacity::run(part),
         Arguments::Routing { preset, seeds, plots } => routing(&preset, seeds, plots.as_deref()),
     }
 }
