Make room for urgent work in a full shard

Cause: urgent tasks were placed first, but where batch work filled the shard they waited for its end, whatever the target of 1 s. An urgent or latency-critical task without room now has the batch tasks of one VM checkpointed and stopped that lose the least work: those that save their progress first, then the shortest run so far. A VM has one preemption at a time and meanwhile takes only tasks with precedence. Latency-critical tasks, watches and urgent tasks never give way. The allowance of the plan must cover the task together with those for which room is already being made. The ends of the victims are flushed at once and begin a round. Latency-critical jobs now come before other batch work in a round; otherwise the evicted work would take the room back. Ruled out: to count the allowance that a victim of the same plan would free. A plan that has used its allowance gets no precedence over itself. Bounded to 32 preemptions a round.

--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -13,6 +13,7 @@
 mod index;
 mod moves;
 mod placing;
+mod preempting;
 mod pressure;
 mod roster;
 mod tasks;
@@ -45,6 +46,7 @@
 use agents::AgentBook;
 use append::{AppendKey, AppendTable};
 use moves::MoveBook;
+use preempting::VmPreemption;
 use roster::RosterBook;
 use tasks::{StartFlight, StopWish};
 use witness::{EarlierGrants, WitnessState};
@@ -105,6 +107,7 @@
     backoffs: IndexMap<TaskId, TaskBackoff>,
     waits: HashMap<JobId, (WaitReason, Moment)>,
     ended_since: IndexMap<JobId, Moment>,
+    preemptions: IndexMap<VmName, VmPreemption>,
     moves: MoveBook,
     roster: RosterBook,
     witness: WitnessState,
@@ -148,6 +151,7 @@
             backoffs: IndexMap::new(),
             waits: HashMap::new(),
             ended_since: IndexMap::new(),
+            preemptions: IndexMap::new(),
             moves: MoveBook::default(),
             roster: RosterBook::default(),
             witness: WitnessState::default(),
--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -257,7 +257,9 @@
             }
             end => end,
         };
-        let urgent = entry.spec.urgent;
+        let makes_room =
+            self.index.placement(task).is_some_and(|placed| self.is_preempting(&placed.vm));
+        let urgent = entry.spec.urgent || makes_room;
         let record = TaskRecord::TaskEnded { epoch, task: task.clone(), token, end };
         self.append(AppendKey::Task(task.clone()), record, urgent);
     }
--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -142,6 +142,8 @@
         let flight = self.flights.swap_remove(&token);
         self.stops.swap_remove(&token);
         let vm = placement.vm.clone();
+        // The task for which room was made is placed without delay.
+        self.urgent_due |= self.is_preempting(&vm);
         let spec = self.spec(&task.job).cloned();
         if let Some(spec) = &spec {
             let started = flight.as_ref().and_then(|flight| flight.started);
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -19,9 +19,13 @@
 
 use super::ShardBook;
 use super::append::{AppendKey, PlacementHold};
+use super::preempting::has_precedence;
 
 /// Most placements in one round, so that a round stays within milliseconds.
 const ROUND_PLACEMENTS: usize = 512;
+/// Most tasks for which room is made in one round: each looks at all tasks of the
+/// shard.
+const ROUND_PREEMPTIONS: usize = 32;
 /// Most appends under way; beyond it the log is the bottleneck.
 const MAX_OPEN_APPENDS: usize = 2_048;
 /// Least time between rounds, unless urgent work arrives: a round costs the same
@@ -35,17 +39,19 @@
 type ExpectedKey = (TaskKind, ResourceVector, Millis);
 
 /// A VM that takes tasks in this round.
-struct OpenVm {
-    vm: VmName,
+pub(super) struct OpenVm {
+    pub vm: VmName,
     rack: RackName,
-    capacity: ResourceVector,
-    free: ResourceVector,
+    pub capacity: ResourceVector,
+    pub free: ResourceVector,
     /// Kinds of the tasks there, with their numbers.
     kinds: IndexMap<TaskKind, u32>,
     /// Takes no more than one task, as a probe.
-    probing: bool,
+    pub probing: bool,
     /// Takes no tasks that may be held back, to protect latency-critical ones.
-    protected: bool,
+    pub protected: bool,
+    /// Room is being made there; takes only tasks with precedence.
+    pub reserved: bool,
 }
 
 /// A job with tasks to place.
@@ -62,13 +68,15 @@
 struct RoundMemory {
     /// Running tasks per job and rack.
     racks: HashMap<JobId, HashMap<RackName, u32>>,
-    /// Needs for which there was no room, by whether they were protected.
-    too_large: Vec<(bool, ResourceVector)>,
+    /// Needs for which there was no room, by class and precedence of the job.
+    too_large: Vec<((bool, bool), ResourceVector)>,
+    /// Tasks for which room is being made.
+    preempted: usize,
 }
 
 impl RoundMemory {
-    fn has_no_room(&self, critical: bool, need: ResourceVector) -> bool {
-        self.too_large.iter().any(|(other, failed)| *other == critical && need.holds(*failed))
+    fn has_no_room(&self, rank: (bool, bool), need: ResourceVector) -> bool {
+        self.too_large.iter().any(|(other, failed)| *other == rank && need.holds(*failed))
     }
 }
 
@@ -96,6 +104,7 @@
             }
             return;
         }
+        self.settle_preemptions();
         let vms = self.open_vms(now);
         let (jobs, queue) = self.demands(now, unix_ms, &vms);
         self.round(now, vms, jobs, queue);
@@ -140,6 +149,7 @@
                 kinds,
                 probing,
                 protected: agent.ladder.step() != PressureStep::Free,
+                reserved: self.is_preempting(vm),
             });
         }
         let count = self.ramp.open(now, open.len());
@@ -236,7 +246,7 @@
             let need = self.need(&spec, home, learned);
             demands.push(JobDemand {
                 plan,
-                urgent: spec.urgent,
+                urgent: has_precedence(&spec),
                 slack: DeadlineSlack::new(spec.deadline_unix_ms, run_time, unix_ms),
                 run_time,
                 since,
@@ -337,6 +347,14 @@
                     queue.placed(position);
                     self.waits.remove(&task.job);
                 }
+                Err(WaitReason::NoRoom)
+                    if memory.preempted < ROUND_PREEMPTIONS
+                        && self.preempt_for(now, &task, need, home, &mut vms) =>
+                {
+                    memory.preempted += 1;
+                    self.urgent_due |= memory.preempted == ROUND_PREEMPTIONS;
+                    self.wait(now, &task.job, WaitReason::NoRoom);
+                }
                 Err(reason) => {
                     queue.finish(position);
                     self.wait(now, &task.job, reason);
@@ -360,7 +378,8 @@
             return Err(WaitReason::AllowanceUsed);
         }
         let critical = spec.class == JobClass::LatencyCritical;
-        if memory.has_no_room(critical, need) {
+        let precedence = has_precedence(&spec);
+        if memory.has_no_room((critical, precedence), need) {
             return Err(WaitReason::NoRoom);
         }
         if !memory.racks.contains_key(&task.job) {
@@ -369,7 +388,8 @@
         let in_racks = memory.racks.entry(task.job.clone()).or_default();
         let job_running: u32 = in_racks.values().sum();
         let offers = vms.iter().enumerate().filter_map(|(position, open)| {
-            if (open.protected && !critical) || !open.free.holds(need) {
+            let closed = (open.protected && !critical) || (open.reserved && !precedence);
+            if closed || !open.free.holds(need) {
                 return None;
             }
             let residents = open.kinds.iter().map(|(kind, count)| (kind, *count));
@@ -384,7 +404,7 @@
             Some((position, offer))
         });
         let Some(position) = choose(offers, need) else {
-            memory.too_large.push((critical, need));
+            memory.too_large.push(((critical, precedence), need));
             return Err(WaitReason::NoRoom);
         };
         let open = &mut vms[position];
