--- a/crates/bench/src/capacity/daemons.rs
+++ b/crates/bench/src/capacity/daemons.rs
@@ -28,6 +28,8 @@
 struct DaemonUse {
     core_percent: f64,
     resident: u64,
+    /// Sent and received, without connections on the own VM.
+    kilobytes_per_second: f64,
 }
 
 pub async fn run() -> anyhow::Result<()> {
@@ -36,10 +38,13 @@
         "load",
         "entry core %",
         "entry KiB",
+        "entry KB/s",
         "owner core %",
         "owner KiB",
+        "owner KB/s",
         "other agents core %, median",
         "other agents KiB, highest",
+        "other agents KB/s, median",
         "log appends/s",
     ]);
     for agents in SIZES {
@@ -149,30 +154,40 @@
     let spent = |process: &String| process::processor_seconds(process);
     let before = processes.iter().map(spent).collect::<anyhow::Result<Vec<f64>>>()?;
     let appends = cluster.log.counters().appends;
+    let service = cluster.log.address().to_string();
+    let bytes = process::socket_bytes(&processes, &service)?;
     let begin = Instant::now();
     load.await?;
     sleep_until(begin + LENGTH).await;
     let length = begin.elapsed().as_secs_f64();
     let mut uses = Vec::new();
-    for (process, before) in processes.iter().zip(before) {
+    let bytes_after = process::socket_bytes(&processes, &service)?;
+    let bytes = bytes_after.iter().zip(bytes).map(|(after, before)| after.saturating_sub(before));
+    for ((process, before), bytes) in processes.iter().zip(before).zip(bytes) {
         let core_percent = 100.0 * (process::processor_seconds(process)? - before) / length;
-        uses.push(DaemonUse { core_percent, resident: process::resident(process)? });
+        let resident = process::resident(process)?;
+        let kilobytes_per_second = bytes as f64 / 1e3 / length;
+        uses.push(DaemonUse { core_percent, resident, kilobytes_per_second });
     }
     let appends = (cluster.log.counters().appends - appends) as f64 / length;
     let entry = uses.remove(0);
     let owner = owner_of(cluster).await?;
     let owner = uses.remove(owner);
     let others = uses.iter().map(|daemon| daemon.core_percent).collect();
+    let traffic = uses.iter().map(|daemon| daemon.kilobytes_per_second).collect();
     let highest = uses.iter().map(|daemon| daemon.resident).max().unwrap_or(0);
     Ok(vec![
         agents.to_string(),
         name.to_owned(),
         format!("{:.1}", entry.core_percent),
         entry.resident.to_string(),
+        format!("{:.1}", entry.kilobytes_per_second),
         format!("{:.1}", owner.core_percent),
         owner.resident.to_string(),
+        format!("{:.1}", owner.kilobytes_per_second),
         format!("{:.1}", super::owner::median(others)),
         highest.to_string(),
+        format!("{:.1}", super::owner::median(traffic)),
         format!("{appends:.1}"),
     ])
 }
--- a/crates/bench/src/capacity/process.rs
+++ b/crates/bench/src/capacity/process.rs
@@ -1,6 +1,8 @@
 //! Memory and processor time of processes.
 
+use std::collections::HashMap;
 use std::fs;
+use std::process::Command;
 
 use anyhow::Context;
 
@@ -51,3 +53,38 @@
     }
     anyhow::bail!("no child process runs with {text}")
 }
+
+/// Bytes sent and received by each of `processes` on open connections with one
+/// another and with `service`, as `ss` of iproute2 tells them.
+///
+/// Connections to the stand-ins of the own VM do not cross the network and are
+/// left out.
+pub fn socket_bytes(processes: &[String], service: &str) -> anyhow::Result<Vec<u64>> {
+    let output = Command::new("ss").arg("-tinpH").output().context("could not run ss")?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let mut sockets = Vec::new();
+    let mut owners = HashMap::new();
+    let mut lines = text.lines();
+    while let (Some(socket), Some(detail)) = (lines.next(), lines.next()) {
+        let fields: Vec<&str> = socket.split_whitespace().collect();
+        let &[_, _, _, local, peer, ref users @ ..] = fields.as_slice() else { continue };
+        let is_user = |process: &String| {
+            let mark = format!("pid={process},");
+            users.iter().any(|users| users.contains(&mark))
+        };
+        let Some(position) = processes.iter().position(is_user) else { continue };
+        let count = |name: &str| -> u64 {
+            let value = detail.split_whitespace().find_map(|field| field.strip_prefix(name));
+            value.and_then(|value| value.parse().ok()).unwrap_or(0)
+        };
+        owners.insert(local, position);
+        sockets.push((position, peer, count("bytes_sent:") + count("bytes_received:")));
+    }
+    let mut bytes = vec![0; processes.len()];
+    for (position, peer, count) in sockets {
+        if peer == service || owners.contains_key(peer) {
+            bytes[position] += count;
+        }
+    }
+    Ok(bytes)
+}
