--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -5,6 +5,8 @@
 //! becomes `Pending` again only by the recorded end of its last placement, so
 //! it never has two placements that count.
 
+mod record;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,68 +18,9 @@
 use crate::job::{JobId, JobSpec, ParkReason, PlacementEnd, TaskId, TaskMove, TaskOutcome};
 use crate::name::{CheckpointName, ShardName, VmName};
 use crate::resource::ResourceVector;
-use crate::unit::{Epoch, Incarnation, Offset, Token};
+use crate::unit::{Epoch, Offset, Token};
 
-/// A record of a task stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TaskRecord {
-    Noop,
-    OwnerClaimed {
-        epoch: Epoch,
-        owner: VmName,
-        address: SocketAddr,
-    },
-    /// The witness that must vouch before the owner grants long leases.
-    WitnessNamed {
-        epoch: Epoch,
-        witness: WitnessId,
-    },
-    JobSubmitted(JobSpec),
-    JobCancelled(JobId),
-    TaskPlaced {
-        epoch: Epoch,
-        task: TaskId,
-        vm: VmName,
-        need: ResourceVector,
-    },
-    TaskEnded {
-        epoch: Epoch,
-        task: TaskId,
-        token: Token,
-        end: PlacementEnd,
-    },
-    JobParked {
-        epoch: Epoch,
-        job: JobId,
-        reason: ParkReason,
-    },
-    JobReleased {
-        epoch: Epoch,
-        job: JobId,
-    },
-    /// The task leaves this shard.
-    TaskHandedOver {
-        epoch: Epoch,
-        task_move: TaskMove,
-    },
-    /// The task enters this shard; written by the owner of the shard it left.
-    TaskReceived {
-        spec: JobSpec,
-        task_move: TaskMove,
-    },
-    /// The receiving stream holds the task.
-    HandOverConfirmed {
-        epoch: Epoch,
-        task: TaskId,
-        number: u32,
-    },
-    /// Forgets an ended job.
-    JobForgotten {
-        epoch: Epoch,
-        job: JobId,
-    },
-}
+pub use record::{TaskRecord, WitnessId};
 
 /// Who owns a shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,14 +30,6 @@
     pub address: SocketAddr,
 }
 
-/// An agent that was named as witness.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WitnessId {
-    pub vm: VmName,
-    pub incarnation: Incarnation,
-    pub address: SocketAddr,
-}
-
 /// The newest naming of a witness.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ShardWitness {
@@ -279,7 +214,7 @@
     }
 
     fn apply_owned(&mut self, offset: Offset, record: TaskRecord) -> TaskEffect {
-        let Some(epoch) = epoch_of(&record) else { return TaskEffect::Ignored };
+        let Some(epoch) = record.epoch() else { return TaskEffect::Ignored };
         // Epoch 0 stands for a shard without an owner.
         if epoch == 0 || epoch != self.epoch() {
             return TaskEffect::StaleEpoch { current: self.epoch() };
@@ -500,18 +435,3 @@
         Self { spec: Arc::new(spec), since, home, origin, cancelled: false, parked: None, tasks }
     }
 }
-
-/// Epoch of a record that only the owner may write.
-fn epoch_of(record: &TaskRecord) -> Option<Epoch> {
-    match record {
-        TaskRecord::TaskPlaced { epoch, .. }
-        | TaskRecord::WitnessNamed { epoch, .. }
-        | TaskRecord::TaskEnded { epoch, .. }
-        | TaskRecord::JobParked { epoch, .. }
-        | TaskRecord::JobReleased { epoch, .. }
-        | TaskRecord::TaskHandedOver { epoch, .. }
-        | TaskRecord::HandOverConfirmed { epoch, .. }
-        | TaskRecord::JobForgotten { epoch, .. } => Some(*epoch),
-        _ => None,
-    }
-}
