--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -20,13 +20,13 @@
 use cactusdoor_upstream::UpstreamRegistry;
 use cactusdoor_worker::WorkerClient;
 
-use crate::keeper::{DrainTasks, KeeperSettings, TaskKeeper};
 use crate::ledger::LedgerLimits;
 use crate::metrics::AgentMetrics;
 use crate::ownership::OwnershipPort;
 use crate::relay::{DrainRequests, RelaySettings, RequestRelay};
 use crate::routes;
 use crate::service::AgentServer;
+use crate::task_actor::{DrainTasks, TaskActor, TaskActorSettings};
 use cactusdoor_owner::witness::WitnessBook;
 
 /// Time for the last answers to leave through their connections.
@@ -40,7 +40,7 @@
     /// Where upstreams announce themselves.
     pub upstream_address: SocketAddr,
     monitor: ProcessMonitor,
-    keeper: Addr<TaskKeeper>,
+    task_actor: Addr<TaskActor>,
     relay: Addr<RequestRelay>,
     ownership: OwnershipPort,
     servers: Vec<ServerHandle>,
@@ -89,7 +89,7 @@
             registry: monitor.registry.clone(),
         });
         let ownership = OwnershipPort::of(&host);
-        let keeper = TaskKeeper::spawn(KeeperSettings {
+        let task_actor = TaskActor::spawn(TaskActorSettings {
             identity: identity.clone(),
             shard: shards.own,
             clock,
@@ -101,12 +101,12 @@
             metrics,
         });
         let (operator_address, operator) =
-            serve_operators(process.operator_address, &monitor, &keeper)?;
+            serve_operators(process.operator_address, &monitor, &task_actor)?;
         let (upstream_address, announcements) =
             serve_upstreams(settings.upstream_address, &upstreams)?;
         events.record(EventKind::ProcessStarted { data_centre: process.data_centre });
         service.spawn(AgentServer {
-            keeper: keeper.clone(),
+            task_actor: task_actor.clone(),
             relay: relay.clone(),
             host: ownership.beat.clone(),
             events,
@@ -118,7 +118,7 @@
             operator_address,
             upstream_address,
             monitor,
-            keeper,
+            task_actor,
             relay,
             ownership,
             servers: vec![operator, announcements],
@@ -133,7 +133,7 @@
         self.monitor.events.record(EventKind::ProcessStopping);
         let drain = async {
             let requests = self.relay.send(DrainRequests);
-            let tasks = self.keeper.send(DrainTasks);
+            let tasks = self.task_actor.send(DrainTasks);
             let (requests, tasks) = tokio::join!(requests, tasks);
             if requests.is_err() || tasks.is_err() {
                 log::error!("an actor ended before it was drained");
@@ -155,14 +155,14 @@
 fn serve_operators(
     address: SocketAddr,
     monitor: &ProcessMonitor,
-    keeper: &Addr<TaskKeeper>,
+    task_actor: &Addr<TaskActor>,
 ) -> anyhow::Result<(SocketAddr, ServerHandle)> {
-    let (monitor, keeper) = (monitor.clone(), keeper.clone());
+    let (monitor, task_actor) = (monitor.clone(), task_actor.clone());
     let server = HttpServer::new(move || {
-        let (monitor, keeper) = (monitor.clone(), keeper.clone());
+        let (monitor, task_actor) = (monitor.clone(), task_actor.clone());
         App::new()
             .configure(|config| monitor.configure(config))
-            .configure(|config| routes::configure(config, keeper))
+            .configure(|config| routes::configure(config, task_actor))
     });
     let server = server.workers(1).disable_signals().shutdown_timeout(1);
     let server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
--- a/crates/agent/src/pulse.rs
+++ b/crates/agent/src/heartbeats.rs
@@ -11,9 +11,9 @@
 use cactusdoor_timeline::EventKind;
 use cactusdoor_worker::EndAcknowledgement;
 
-use crate::keeper::{KeeperState, KnownOwner};
 use crate::relay::ListUpstreams;
 use crate::table::TaskTable;
+use crate::task_actor::{KnownOwner, TaskActorState};
 
 /// Least time between heartbeats, so that ends that follow each other closely
 /// share one.
@@ -43,7 +43,7 @@
     }
 }
 
-impl KeeperState {
+impl TaskActorState {
     /// Sends heartbeats for as long as the process runs.
     pub(crate) async fn beat_always(self: Rc<Self>) {
         loop {
@@ -73,7 +73,7 @@
 
     async fn beat(self: &Rc<Self>) -> BeatOutcome {
         // An owner takes the first heartbeat for a complete list of what runs here.
-        if self.board.borrow().table().is_none() {
+        if self.manager.borrow().table().is_none() {
             return BeatOutcome::NotReady;
         }
         let Some(owner) = self.owner.get() else { return BeatOutcome::OwnerUnknown };
@@ -81,7 +81,7 @@
         // After a pause, tasks whose lease has passed must not be listed as running.
         self.stop_unentitled();
         let sent = self.now();
-        let lease = self.board.borrow_mut().ask_lease(sent);
+        let lease = self.manager.borrow_mut().ask_lease(sent);
         let beat = AgentHeartbeat { upstreams, ..self.heartbeat(sent, lease) };
         let answer = if owner.address == self.settings.identity.address {
             let answer = self.settings.ownership.beat.send(HostBeat(beat));
@@ -106,8 +106,8 @@
     }
 
     fn heartbeat(&self, sent: Moment, lease: LeaseRequest) -> AgentHeartbeat {
-        let board = self.board.borrow();
-        let book = board.table().map(TaskTable::book);
+        let manager = self.manager.borrow();
+        let book = manager.table().map(TaskTable::book);
         let (measured, samples) = &*self.usage.borrow();
         let mut usage = samples.clone();
         for sample in &mut usage {
@@ -119,13 +119,13 @@
             shard: self.settings.shard.clone(),
             epoch: lease.epoch,
             number: lease.number,
-            config_revision: board.config().revision(),
+            config_revision: manager.config().revision(),
             lease_left_ms: lease.left,
             capacity: book.map(|book| book.capacity()).unwrap_or_default(),
             committed: book.map(|book| book.committed()).unwrap_or_default(),
-            draining: board.is_draining(),
-            held: board.held(),
-            ended: board.ended(),
+            draining: manager.is_draining(),
+            held: manager.held(),
+            ended: manager.ended(),
             usage,
             upstreams: Vec::new(),
         }
@@ -139,8 +139,9 @@
         reply: &HeartbeatReply,
     ) -> BeatOutcome {
         self.settings.monitor.events.observe(reply.at);
-        let before = self.board.borrow().config().data_centre(&self.settings.identity.data_centre);
-        let received = self.board.borrow_mut().receive(self.now(), sent, number, reply);
+        let before =
+            self.manager.borrow().config().data_centre(&self.settings.identity.data_centre);
+        let received = self.manager.borrow_mut().receive(self.now(), sent, number, reply);
         let Ok(effect) = received else {
             self.owner.set(None);
             return BeatOutcome::OwnerUnknown;
@@ -171,11 +172,11 @@
     }
 
     fn note_config(&self, before: cactusdoor_core::config::DataCentreState) {
-        let board = self.board.borrow();
-        let revision = board.config().revision();
+        let manager = self.manager.borrow();
+        let revision = manager.config().revision();
         self.record(EventKind::ConfigApplied { revision });
         let data_centre = self.settings.identity.data_centre.clone();
-        let state = board.config().data_centre(&data_centre);
+        let state = manager.config().data_centre(&data_centre);
         if state != before {
             self.record(EventKind::DataCentreChanged { data_centre, state, revision });
         }
@@ -220,7 +221,7 @@
         let ask = FindOwner { shard: self.settings.shard.clone(), silent_for: self.silence() };
         match self.settings.ownership.find.send(ask).await {
             Ok(Ok(found)) => {
-                let newest = self.board.borrow().epoch();
+                let newest = self.manager.borrow().epoch();
                 let known = self.owner.get();
                 if found.epoch < newest || known.is_some_and(|known| known.epoch > found.epoch) {
                     return;
@@ -239,14 +240,14 @@
 
     fn update_metrics(&self) {
         let now = self.now();
-        let board = self.board.borrow();
+        let manager = self.manager.borrow();
         let metrics = &self.settings.metrics;
         let signed = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
-        metrics.lease_left.set(signed(board.lease_left(now)));
-        metrics.epoch.set(signed(board.epoch()));
-        metrics.config_revision.set(signed(board.config().revision()));
-        metrics.config_age.set(board.view().age(now).map_or(-1, signed));
-        let Some(table) = board.table() else { return };
+        metrics.lease_left.set(signed(manager.lease_left(now)));
+        metrics.epoch.set(signed(manager.epoch()));
+        metrics.config_revision.set(signed(manager.config().revision()));
+        metrics.config_age.set(manager.view().age(now).map_or(-1, signed));
+        let Some(table) = manager.table() else { return };
         let committed = table.book().committed();
         let set = |name: &str, value: u64| {
             metrics.committed.with_label_values(&[name]).set(signed(value));
@@ -255,7 +256,7 @@
         set("memory", committed.memory);
         set("accelerators", u64::from(committed.accelerators));
         let live = table.live().count();
-        let stopping = board.stopping().len();
+        let stopping = manager.stopping().len();
         metrics.tasks.with_label_values(&["stopping"]).set(signed(stopping as u64));
         metrics.tasks.with_label_values(&["held"]).set(signed(live as u64));
     }
--- a/crates/agent/src/board.rs
+++ b/crates/agent/src/manager.rs
@@ -1,7 +1,7 @@
 //! Decisions of the agent about its tasks: start gate, epochs and lease.
 //!
 //! Nothing here performs I/O or reads a clock. The effects that a decision
-//! allows are carried out by [`keeper`](crate::keeper), which reports back.
+//! allows are carried out by [`task_actor`](crate::task_actor), which reports back.
 
 use cactusdoor_core::capacity::CapacityError;
 use cactusdoor_core::config::{ConfigState, DataCentreState};
@@ -23,9 +23,9 @@
 /// at the deadline without a checkpoint, so checkpoints have to be taken before.
 const CHECKPOINT_MARGIN: Millis = 1_000;
 
-/// What the board decides for.
+/// What the manager decides for.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct BoardIdentity {
+pub struct ManagerIdentity {
     pub incarnation: Incarnation,
     pub shard: ShardName,
     pub data_centre: DataCentre,
@@ -34,7 +34,7 @@
 /// What is to be done about an accepted start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartStep {
-    /// Resources are reserved; ask [`TaskBoard::launch_lease`] and call the worker.
+    /// Resources are reserved; ask [`TaskManager::launch_lease`] and call the worker.
     Launch,
     /// The same start was accepted before.
     Repeated,
@@ -66,8 +66,8 @@
 
 /// The right to run tasks and what runs under it.
 #[derive(Clone, Debug)]
-pub struct TaskBoard {
-    identity: BoardIdentity,
+pub struct TaskManager {
+    identity: ManagerIdentity,
     epoch: Epoch,
     config: ConfigState,
     view: ConfirmedView,
@@ -79,9 +79,9 @@
     table: Option<TaskTable>,
 }
 
-impl TaskBoard {
+impl TaskManager {
     #[must_use]
-    pub fn new(identity: BoardIdentity) -> Self {
+    pub fn new(identity: ManagerIdentity) -> Self {
         Self {
             identity,
             epoch: 0,
--- a/crates/agent/src/routes.rs
+++ b/crates/agent/src/routes.rs
@@ -11,7 +11,7 @@
 use cactusdoor_peer::heartbeat::{AgentIdentity, EndedTask, HeldTask};
 use serde::Serialize;
 
-use crate::keeper::{DescribeAgent, DescribeConfig, TaskKeeper};
+use crate::task_actor::{DescribeAgent, DescribeConfig, TaskActor};
 
 /// `GET /v1/agent`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
@@ -39,22 +39,22 @@
 }
 
 /// Adds `/v1/agent` and `/v1/config` to a server.
-pub fn configure(config: &mut ServiceConfig, keeper: Addr<TaskKeeper>) {
+pub fn configure(config: &mut ServiceConfig, task_actor: Addr<TaskActor>) {
     config
-        .app_data(Data::new(keeper))
+        .app_data(Data::new(task_actor))
         .route("/v1/agent", get().to(agent))
         .route("/v1/config", get().to(configuration));
 }
 
-async fn agent(keeper: Data<Addr<TaskKeeper>>) -> impl Responder {
-    match keeper.send(DescribeAgent).await {
+async fn agent(task_actor: Data<Addr<TaskActor>>) -> impl Responder {
+    match task_actor.send(DescribeAgent).await {
         Ok(report) => HttpResponse::Ok().json(report),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
 }
 
-async fn configuration(keeper: Data<Addr<TaskKeeper>>) -> impl Responder {
-    match keeper.send(DescribeConfig).await {
+async fn configuration(task_actor: Data<Addr<TaskActor>>) -> impl Responder {
+    match task_actor.send(DescribeConfig).await {
         Ok(report) => HttpResponse::Ok().json(report),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/agent/src/service.rs
+++ b/crates/agent/src/service.rs
@@ -23,14 +23,14 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 
-use crate::keeper::{NoteOwner, StartTasks, StopTasks, TaskKeeper};
 use crate::relay::{DeliverClaim, FenceClaim, ForwardCall, RequestRelay};
+use crate::task_actor::{NoteOwner, StartTasks, StopTasks, TaskActor};
 use cactusdoor_owner::witness::WitnessBook;
 
 /// Passes calls on to the actors; one clone per request.
 #[derive(Clone)]
 pub struct AgentServer {
-    pub keeper: Addr<TaskKeeper>,
+    pub task_actor: Addr<TaskActor>,
     pub relay: Addr<RequestRelay>,
     pub host: Recipient<HostBeat>,
     pub events: EventLog,
@@ -92,8 +92,8 @@
     }
 
     async fn announce_owner(self, _: Context, notice: OwnerNotice) {
-        if self.keeper.send(NoteOwner(notice)).await.is_err() {
-            log::error!("task keeper does not answer");
+        if self.task_actor.send(NoteOwner(notice)).await.is_err() {
+            log::error!("task actor does not answer");
         }
     }
 
@@ -107,13 +107,13 @@
 
     async fn start(self, _: Context, starts: Vec<TaskStart>) -> Vec<Result<(), StartRefusal>> {
         let count = starts.len();
-        let results = self.keeper.send(StartTasks(starts)).await;
+        let results = self.task_actor.send(StartTasks(starts)).await;
         results.unwrap_or_else(|_| vec![Err(StartRefusal::NotReady); count])
     }
 
     async fn stop(self, _: Context, stops: Vec<TaskStop>) -> Vec<Result<StopReply, TaskRefusal>> {
         let count = stops.len();
-        let results = self.keeper.send(StopTasks(stops)).await;
+        let results = self.task_actor.send(StopTasks(stops)).await;
         results.unwrap_or_else(|_| vec![Err(TaskRefusal::NotReady); count])
     }
 
--- a/crates/agent/src/keeper.rs
+++ b/crates/agent/src/task_actor.rs
@@ -1,7 +1,7 @@
 //! The actor that starts and stops tasks on the worker of this VM.
 //!
-//! [`TaskBoard`] decides; this module and its helpers [`pulse`](crate::pulse)
-//! and [`upkeep`](crate::upkeep) make the calls that the board allows and
+//! [`TaskManager`] decides; this module and its helpers [`heartbeats`](crate::heartbeats)
+//! and [`upkeep`](crate::upkeep) make the calls that the manager allows and
 //! report their answers to it.
 
 use std::cell::{Cell, RefCell};
@@ -25,8 +25,8 @@
 use futures::future::join_all;
 use tokio::sync::Notify;
 
-use crate::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
 use crate::link::OwnerLink;
+use crate::manager::{ManagerIdentity, StartStep, StopStep, TaskManager};
 use crate::metrics::AgentMetrics;
 use crate::ownership::OwnershipPort;
 use crate::relay::ListUpstreams;
@@ -71,8 +71,8 @@
 #[rtype(result = "ConfigReport")]
 pub struct DescribeConfig;
 
-/// What the keeper needs of its process.
-pub struct KeeperSettings {
+/// What the task actor needs of its process.
+pub struct TaskActorSettings {
     pub identity: AgentIdentity,
     pub shard: ShardName,
     pub clock: MonotonicClock,
@@ -91,9 +91,9 @@
     pub address: SocketAddr,
 }
 
-pub(crate) struct KeeperState {
-    pub(crate) settings: KeeperSettings,
-    pub(crate) board: RefCell<TaskBoard>,
+pub(crate) struct TaskActorState {
+    pub(crate) settings: TaskActorSettings,
+    pub(crate) manager: RefCell<TaskManager>,
     pub(crate) owner: Cell<Option<KnownOwner>>,
     /// Last heartbeat answer, or the start of the process.
     pub(crate) answered: Cell<Moment>,
@@ -115,23 +115,23 @@
 }
 
 /// Holds the tasks of a VM.
-pub struct TaskKeeper {
-    state: Rc<KeeperState>,
+pub struct TaskActor {
+    state: Rc<TaskActorState>,
 }
 
-impl TaskKeeper {
-    /// Starts the keeper on the current thread.
+impl TaskActor {
+    /// Starts the task actor on the current thread.
     #[must_use]
-    pub fn spawn(settings: KeeperSettings) -> Addr<Self> {
-        let board = TaskBoard::new(BoardIdentity {
+    pub fn spawn(settings: TaskActorSettings) -> Addr<Self> {
+        let manager = TaskManager::new(ManagerIdentity {
             incarnation: settings.identity.incarnation,
             shard: settings.shard.clone(),
             data_centre: settings.identity.data_centre.clone(),
         });
         let now = settings.clock.now();
-        let state = KeeperState {
+        let state = TaskActorState {
             settings,
-            board: RefCell::new(board),
+            manager: RefCell::new(manager),
             owner: Cell::new(None),
             answered: Cell::new(now),
             searching: Cell::new(false),
@@ -148,7 +148,7 @@
     }
 }
 
-impl Actor for TaskKeeper {
+impl Actor for TaskActor {
     type Context = Context<Self>;
 
     fn started(&mut self, _: &mut Self::Context) {
@@ -159,7 +159,7 @@
     }
 }
 
-impl Handler<StartTasks> for TaskKeeper {
+impl Handler<StartTasks> for TaskActor {
     type Result = ResponseFuture<Vec<Result<(), StartRefusal>>>;
 
     fn handle(&mut self, StartTasks(starts): StartTasks, _: &mut Context<Self>) -> Self::Result {
@@ -168,7 +168,7 @@
     }
 }
 
-impl Handler<StopTasks> for TaskKeeper {
+impl Handler<StopTasks> for TaskActor {
     type Result = ResponseFuture<Vec<Result<StopReply, TaskRefusal>>>;
 
     fn handle(&mut self, StopTasks(stops): StopTasks, _: &mut Context<Self>) -> Self::Result {
@@ -177,7 +177,7 @@
     }
 }
 
-impl Handler<NoteOwner> for TaskKeeper {
+impl Handler<NoteOwner> for TaskActor {
     type Result = ();
 
     fn handle(&mut self, NoteOwner(notice): NoteOwner, _: &mut Context<Self>) {
@@ -185,7 +185,7 @@
     }
 }
 
-impl Handler<DrainTasks> for TaskKeeper {
+impl Handler<DrainTasks> for TaskActor {
     type Result = ResponseFuture<()>;
 
     fn handle(&mut self, _: DrainTasks, _: &mut Context<Self>) -> Self::Result {
@@ -194,7 +194,7 @@
     }
 }
 
-impl Handler<DescribeAgent> for TaskKeeper {
+impl Handler<DescribeAgent> for TaskActor {
     type Result = MessageResult<DescribeAgent>;
 
     fn handle(&mut self, _: DescribeAgent, _: &mut Context<Self>) -> Self::Result {
@@ -202,7 +202,7 @@
     }
 }
 
-impl Handler<DescribeConfig> for TaskKeeper {
+impl Handler<DescribeConfig> for TaskActor {
     type Result = MessageResult<DescribeConfig>;
 
     fn handle(&mut self, _: DescribeConfig, _: &mut Context<Self>) -> Self::Result {
@@ -210,14 +210,14 @@
     }
 }
 
-impl KeeperState {
+impl TaskActorState {
     pub(crate) fn now(&self) -> Moment {
         self.settings.clock.now()
     }
 
     async fn start(self: &Rc<Self>, start: TaskStart) -> Result<(), StartRefusal> {
         self.settings.monitor.events.observe(start.at);
-        while self.board.borrow().table().is_none() {
+        while self.manager.borrow().table().is_none() {
             self.inventoried.notified().await;
         }
         let result = self.try_start(&start).await;
@@ -248,11 +248,11 @@
     /// An uncertain answer counts as accepted: the reservation stays until the
     /// worker has been asked again, and the end is then reported by heartbeat.
     async fn try_start(self: &Rc<Self>, start: &TaskStart) -> Result<(), StartRefusal> {
-        let step = self.board.borrow_mut().begin_start(self.now(), start)?;
+        let step = self.manager.borrow_mut().begin_start(self.now(), start)?;
         if step == StartStep::Repeated {
             return Ok(());
         }
-        let lease = self.board.borrow_mut().launch_lease(self.now(), start.token, start.epoch);
+        let lease = self.manager.borrow_mut().launch_lease(self.now(), start.token, start.epoch);
         let launch = TaskLaunch {
             task: start.task.clone(),
             kind: start.kind.clone(),
@@ -273,7 +273,7 @@
                 LaunchAnswer::Uncertain
             }
         };
-        self.board.borrow_mut().launched(self.now(), start.token, answer);
+        self.manager.borrow_mut().launched(self.now(), start.token, answer);
         self.after_change();
         match answer {
             LaunchAnswer::NotStarted => Err(StartRefusal::WorkerFailed),
@@ -293,7 +293,7 @@
 
     async fn stop(self: &Rc<Self>, stop: TaskStop) -> Result<StopReply, TaskRefusal> {
         self.settings.monitor.events.observe(stop.at);
-        let step = self.board.borrow_mut().begin_stop(&stop)?;
+        let step = self.manager.borrow_mut().begin_stop(&stop)?;
         match step {
             StopStep::Ended(end) => Ok(StopReply::Ended(end)),
             StopStep::NotRunning => Ok(StopReply::NotRunning),
@@ -314,7 +314,7 @@
         let order = ThrottleOrder { percent };
         match self.settings.worker.throttle(stop.token, order).await {
             Ok(()) => {
-                self.board.borrow_mut().throttled(stop.token, percent);
+                self.manager.borrow_mut().throttled(stop.token, percent);
                 self.record(EventKind::TaskThrottled {
                     task: stop.task.clone(),
                     token: stop.token,
@@ -334,8 +334,8 @@
     async fn end_of(&self, token: Token) -> Option<PlacementEnd> {
         loop {
             {
-                let board = self.board.borrow();
-                let table = board.table()?;
+                let manager = self.manager.borrow();
+                let table = manager.table()?;
                 if let Some(end) = table.end_of(token) {
                     return Some(end.clone());
                 }
@@ -347,8 +347,8 @@
 
     /// Stops what may no longer run.
     pub(crate) fn stop_unentitled(self: &Rc<Self>) {
-        let stopped = self.board.borrow_mut().stop_unentitled(self.now());
-        if !stopped.is_empty() && !self.board.borrow().is_draining() {
+        let stopped = self.manager.borrow_mut().stop_unentitled(self.now());
+        if !stopped.is_empty() && !self.manager.borrow().is_draining() {
             log::warn!(tasks = stopped.len(); "lease passes, tasks are stopped");
             self.record(EventKind::LeaseLapsed {
                 vm: self.settings.identity.vm.clone(),
@@ -360,7 +360,7 @@
 
     /// Asks the worker to stop the tasks that are stopping, once at a time each.
     pub(crate) fn send_stops(self: &Rc<Self>) {
-        for (token, cancel) in self.board.borrow().stopping() {
+        for (token, cancel) in self.manager.borrow().stopping() {
             if self.stops_sent.borrow_mut().insert(token) {
                 let state = Rc::clone(self);
                 actix_rt::spawn(async move { state.send_stop(token, cancel).await });
@@ -379,15 +379,15 @@
                 StopAnswer::Uncertain
             }
         };
-        self.board.borrow_mut().stopped(self.now(), sent, token, answer);
+        self.manager.borrow_mut().stopped(self.now(), sent, token, answer);
         self.stops_sent.borrow_mut().remove(&token);
         self.after_change();
     }
 
     /// Reports ends that are new.
     pub(crate) fn after_change(&self) {
-        let board = self.board.borrow();
-        let Some(table) = board.table() else { return };
+        let manager = self.manager.borrow();
+        let Some(table) = manager.table() else { return };
         let mut reported = self.reported.borrow_mut();
         let mut new = false;
         for task in table.ended() {
@@ -414,7 +414,7 @@
             return;
         }
         let known = self.owner.get();
-        if self.board.borrow_mut().note_epoch(notice.epoch)
+        if self.manager.borrow_mut().note_epoch(notice.epoch)
             && known.is_none_or(|known| known.epoch < notice.epoch)
         {
             self.owner.set(Some(KnownOwner { epoch: notice.epoch, address: notice.address }));
@@ -423,7 +423,7 @@
     }
 
     async fn drain(self: &Rc<Self>) {
-        self.board.borrow_mut().drain();
+        self.manager.borrow_mut().drain();
         self.stop_unentitled();
         self.wait_until(|table| table.live().next().is_none()).await;
         self.beat_wanted.notify_one();
@@ -435,7 +435,7 @@
 
     /// Waits until the tasks satisfy a condition.
     async fn wait_until(&self, condition: impl Fn(&TaskTable) -> bool) {
-        while self.board.borrow().table().is_some_and(|table| !condition(table)) {
+        while self.manager.borrow().table().is_some_and(|table| !condition(table)) {
             self.ended.notified().await;
         }
     }
@@ -445,28 +445,28 @@
     }
 
     fn describe(&self) -> AgentReport {
-        let board = self.board.borrow();
-        let book = board.table().map(TaskTable::book);
+        let manager = self.manager.borrow();
+        let book = manager.table().map(TaskTable::book);
         AgentReport {
             agent: self.settings.identity.clone(),
             shard: self.settings.shard.clone(),
-            epoch: board.epoch(),
+            epoch: manager.epoch(),
             owner: self.owner.get().map(|owner| owner.address),
-            lease_left_ms: board.lease_left(self.now()),
-            draining: board.is_draining(),
+            lease_left_ms: manager.lease_left(self.now()),
+            draining: manager.is_draining(),
             inventory_taken: book.is_some(),
             capacity: book.map(|book| book.capacity()).unwrap_or_default(),
             committed: book.map(|book| book.committed()).unwrap_or_default(),
-            held: board.held(),
-            ended: board.ended(),
+            held: manager.held(),
+            ended: manager.ended(),
         }
     }
 
     fn describe_config(&self) -> ConfigReport {
-        let board = self.board.borrow();
+        let manager = self.manager.borrow();
         ConfigReport {
-            revision: board.config().revision(),
-            confirmed_age_ms: board.view().age(self.now()),
+            revision: manager.config().revision(),
+            confirmed_age_ms: manager.view().age(self.now()),
         }
     }
 }
--- a/crates/agent/src/upkeep.rs
+++ b/crates/agent/src/upkeep.rs
@@ -8,12 +8,12 @@
 use cactusdoor_peer::heartbeat::UsageSample;
 use cactusdoor_worker::{CallError, EndAcknowledgement, LeaseRenewal};
 
-use crate::keeper::KeeperState;
+use crate::task_actor::TaskActorState;
 
 /// Longest time to an answer of a worker that was not paused.
 const PROMPT_ANSWER: Millis = 100;
 
-impl KeeperState {
+impl TaskActorState {
     fn poll_time(&self) -> Duration {
         Duration::from_millis(self.settings.worker_poll)
     }
@@ -26,7 +26,7 @@
             tokio::time::sleep(self.poll_time()).await;
         }
         self.inventoried.notify_waiters();
-        let draining = self.board.borrow().is_draining();
+        let draining = self.manager.borrow().is_draining();
         self.settings.monitor.set_ready(!draining);
         log::info!("inventory is taken");
         self.beat_wanted.notify_one();
@@ -61,7 +61,7 @@
         let sent = self.now();
         let inventory = self.settings.worker.inventory().await?;
         let now = self.now();
-        self.board.borrow_mut().take_inventory(now, sent, status.capacity, &inventory);
+        self.manager.borrow_mut().take_inventory(now, sent, status.capacity, &inventory);
         self.after_change();
         Ok(())
     }
@@ -69,10 +69,10 @@
     async fn compare_inventory(self: &Rc<Self>) -> Result<(), CallError> {
         let sent = self.now();
         let inventory = self.settings.worker.inventory().await?;
-        self.board.borrow_mut().reconcile(self.now(), sent, &inventory);
+        self.manager.borrow_mut().reconcile(self.now(), sent, &inventory);
         self.after_change();
         self.send_stops();
-        let tokens = self.board.borrow().table().map(|table| table.acknowledgeable(&inventory));
+        let tokens = self.manager.borrow().table().map(|table| table.acknowledgeable(&inventory));
         match tokens {
             Some(tokens) if !tokens.is_empty() => {
                 self.settings.worker.acknowledge(&EndAcknowledgement { tokens }).await
@@ -94,7 +94,7 @@
         let interval = Duration::from_millis(HEARTBEAT_INTERVAL);
         loop {
             // The own lease is checked right before the call: after a pause it may have passed.
-            let renewal = self.board.borrow().renewal(self.now());
+            let renewal = self.manager.borrow().renewal(self.now());
             if let Some((tokens, lease_ms)) = renewal {
                 let renewal = LeaseRenewal { tokens, lease_ms };
                 if let Err(error) = self.settings.worker.renew(&renewal).await {
--- a/crates/agent/tests/rival_agents.rs
+++ b/crates/agent/tests/rival_agents.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cactusdoor_agent::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
+use cactusdoor_agent::manager::{ManagerIdentity, StartStep, StopStep, TaskManager};
 use cactusdoor_agent::table::{LaunchAnswer, StopAnswer};
 use cactusdoor_core::constants::{PAUSE_MARGIN, TASK_LEASE};
 use cactusdoor_core::job::{PlacementEnd, StartRefusal};
@@ -124,7 +124,7 @@
 struct World {
     rng: ChaCha8Rng,
     now: Moment,
-    boards: Vec<TaskBoard>,
+    managers: Vec<TaskManager>,
     workers: Vec<SimulatedWorker>,
     awake: Vec<Moment>,
     /// Until when messages from and to a VM are lost.
@@ -137,16 +137,16 @@
 
 impl World {
     fn new(seed: u64) -> Self {
-        let board = || {
-            let identity = BoardIdentity { incarnation: INCARNATION, ..support::identity() };
-            let mut board = TaskBoard::new(identity);
-            board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
-            board
+        let manager = || {
+            let identity = ManagerIdentity { incarnation: INCARNATION, ..support::identity() };
+            let mut manager = TaskManager::new(identity);
+            manager.take_inventory(T0, T0, capacity(), &TaskInventory::default());
+            manager
         };
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: T0,
-            boards: (0..VMS).map(|_| board()).collect(),
+            managers: (0..VMS).map(|_| manager()).collect(),
             workers: (0..VMS).map(|_| SimulatedWorker::default()).collect(),
             awake: vec![T0; VMS],
             cut: vec![T0; VMS],
@@ -201,7 +201,7 @@
             8..250 if awake => self.beat(vm),
             250..350 if awake => self.tick(vm),
             350..500 if awake => {
-                if let Some((tokens, lease)) = self.boards[vm].renewal(self.now) {
+                if let Some((tokens, lease)) = self.managers[vm].renewal(self.now) {
                     self.call(Event::Renew { vm, tokens, lease });
                 }
             }
@@ -252,16 +252,16 @@
 
     fn beat(&mut self, vm: usize) {
         self.tick(vm);
-        let lease = self.boards[vm].ask_lease(self.now);
-        let ended = self.boards[vm].ended();
+        let lease = self.managers[vm].ask_lease(self.now);
+        let ended = self.managers[vm].ended();
         let ended = ended.into_iter().map(|task| (task.token, task.end)).collect();
         let sent = self.now;
         self.post(vm, Event::Beat { vm, sent, lease, ended });
     }
 
     fn tick(&mut self, vm: usize) {
-        self.boards[vm].stop_unentitled(self.now);
-        for (token, _) in self.boards[vm].stopping() {
+        self.managers[vm].stop_unentitled(self.now);
+        for (token, _) in self.managers[vm].stopping() {
             self.call(Event::End { vm, token, sent: self.now });
         }
     }
@@ -342,10 +342,10 @@
                 self.scheduler.fences[vm].remove(&token);
             }
             Event::Reply { vm, sent, number, reply } => {
-                drop(self.boards[vm].receive(now, sent, number, &reply));
+                drop(self.managers[vm].receive(now, sent, number, &reply));
             }
             Event::Start { vm, start } => self.receive_start(vm, start),
-            Event::Stop { vm, stop } => match self.boards[vm].begin_stop(&stop) {
+            Event::Stop { vm, stop } => match self.managers[vm].begin_stop(&stop) {
                 Ok(StopStep::Stop) => self.tick(vm),
                 Ok(StopStep::NotRunning | StopStep::Ended(_)) => {
                     self.post(vm, Event::StopAnswer { vm, token: stop.token });
@@ -353,14 +353,14 @@
                 _ => {}
             },
             Event::Launched { vm, token, answer } => {
-                self.boards[vm].launched(now, token, answer);
+                self.managers[vm].launched(now, token, answer);
                 self.tick(vm);
             }
             Event::Stopped { vm, token, sent, answer } => {
-                self.boards[vm].stopped(now, sent, token, answer);
+                self.managers[vm].stopped(now, sent, token, answer);
             }
             Event::Inventory { vm, sent, inventory } => {
-                self.boards[vm].reconcile(now, sent, &inventory);
+                self.managers[vm].reconcile(now, sent, &inventory);
             }
             Event::Launch { vm, start, lease, sent } => {
                 let answer = self.workers[vm].start(now, &start, lease);
@@ -394,9 +394,9 @@
     fn receive_start(&mut self, vm: usize, start: TaskStart) {
         let now = self.now;
         let token = start.token;
-        let result = match self.boards[vm].begin_start(now, &start) {
+        let result = match self.managers[vm].begin_start(now, &start) {
             Ok(StartStep::Repeated) => Ok(()),
-            Ok(StartStep::Launch) => match self.boards[vm].launch_lease(now, token, 1) {
+            Ok(StartStep::Launch) => match self.managers[vm].launch_lease(now, token, 1) {
                 Ok(lease) => {
                     self.call(Event::Launch { vm, start, lease, sent: now });
                     // Without an answer by then, the start counts as uncertain.
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub mod fake_owner;
 pub mod fake_worker;
 
-use cactusdoor_agent::board::{BoardIdentity, ReplyEffect, StaleReply, StartStep, TaskBoard};
+use cactusdoor_agent::manager::{ManagerIdentity, ReplyEffect, StaleReply, StartStep, TaskManager};
 use cactusdoor_agent::table::LaunchAnswer;
 use cactusdoor_core::config::{ConfigDelta, ConfigItem, DataCentreState, ItemValue};
 use cactusdoor_core::constants::TASK_LEASE;
@@ -76,38 +76,38 @@
     ConfigDelta { base, revision, items: vec![ConfigItem { revision, value }] }
 }
 
-pub fn identity() -> BoardIdentity {
-    BoardIdentity {
+pub fn identity() -> ManagerIdentity {
+    ManagerIdentity {
         incarnation: INCARNATION,
         shard: "dc1-0".parse().unwrap(),
         data_centre: "dc1".parse().unwrap(),
     }
 }
 
-/// A board with an empty worker whose owner of epoch 1 answered at [`T0`].
-pub fn board() -> TaskBoard {
-    let mut board = TaskBoard::new(identity());
-    board.take_inventory(T0, T0, capacity(), &TaskInventory::default());
-    beat(&mut board, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
-    board
+/// A manager with an empty worker whose owner of epoch 1 answered at [`T0`].
+pub fn manager() -> TaskManager {
+    let mut manager = TaskManager::new(identity());
+    manager.take_inventory(T0, T0, capacity(), &TaskInventory::default());
+    beat(&mut manager, T0, T0, &reply(1, TASK_LEASE, Some(0))).unwrap();
+    manager
 }
 
 /// A heartbeat sent at `sent` whose reply is received at `now`.
 pub fn beat(
-    board: &mut TaskBoard,
+    manager: &mut TaskManager,
     now: Moment,
     sent: Moment,
     reply: &HeartbeatReply,
 ) -> Result<ReplyEffect, StaleReply> {
-    let number = board.ask_lease(sent).number;
-    board.receive(now, sent, number, reply)
+    let number = manager.ask_lease(sent).number;
+    manager.receive(now, sent, number, reply)
 }
 
 /// Starts a small task that the worker confirms.
-pub fn run(board: &mut TaskBoard, now: Moment, token: Token, epoch: Epoch) {
-    assert_eq!(board.begin_start(now, &small(token, epoch)), Ok(StartStep::Launch));
-    board.launch_lease(now, token, epoch).unwrap();
-    board.launched(now, token, LaunchAnswer::Runs);
+pub fn run(manager: &mut TaskManager, now: Moment, token: Token, epoch: Epoch) {
+    assert_eq!(manager.begin_start(now, &small(token, epoch)), Ok(StartStep::Launch));
+    manager.launch_lease(now, token, epoch).unwrap();
+    manager.launched(now, token, LaunchAnswer::Runs);
 }
 
 pub fn listed(token: Token, lease_left_ms: Millis) -> RunningTask {
--- a/crates/agent/tests/keeper.rs
+++ b/crates/agent/tests/task_actor.rs
@@ -1,4 +1,4 @@
-//! The task keeper between an owner and a worker that fail.
+//! The task task_actor between an owner and a worker that fail.
 
 mod support;
 
@@ -8,14 +8,14 @@
 use std::time::Duration;
 
 use actix::Addr;
-use cactusdoor_agent::keeper::{
-    DescribeAgent, DrainTasks, KeeperSettings, NoteOwner, StartTasks, StopTasks, TaskKeeper,
-};
 use cactusdoor_agent::ledger::LedgerLimits;
 use cactusdoor_agent::metrics::AgentMetrics;
 use cactusdoor_agent::ownership::OwnershipPort;
 use cactusdoor_agent::relay::{RelaySettings, RequestRelay};
 use cactusdoor_agent::routes::AgentReport;
+use cactusdoor_agent::task_actor::{
+    DescribeAgent, DrainTasks, NoteOwner, StartTasks, StopTasks, TaskActor, TaskActorSettings,
+};
 use cactusdoor_core::constants::OWNER_SILENCE;
 use cactusdoor_core::job::{PlacementEnd, StartRefusal};
 use cactusdoor_node::clock::MonotonicClock;
@@ -34,7 +34,7 @@
 const LIMITS: LedgerLimits = LedgerLimits { claims: 1_000, answer_bytes: 1_000 };
 
 struct Bench {
-    keeper: Addr<TaskKeeper>,
+    task_actor: Addr<TaskActor>,
     owner: Rc<RefCell<OwnerState>>,
     monitor: ProcessMonitor,
 }
@@ -56,7 +56,7 @@
         limits: LIMITS,
         metrics: metrics.clone(),
     });
-    let keeper = TaskKeeper::spawn(KeeperSettings {
+    let task_actor = TaskActor::spawn(TaskActorSettings {
         identity: AgentIdentity {
             vm: "vm".parse().unwrap(),
             incarnation: INCARNATION,
@@ -73,7 +73,7 @@
         upstreams: relay.recipient(),
         metrics,
     });
-    Bench { keeper, owner, monitor }
+    Bench { task_actor, owner, monitor }
 }
 
 /// Waits until the condition holds.
@@ -88,7 +88,7 @@
 
 impl Bench {
     async fn report(&self) -> AgentReport {
-        self.keeper.send(DescribeAgent).await.unwrap()
+        self.task_actor.send(DescribeAgent).await.unwrap()
     }
 
     /// Waits for the inventory and the first answer of the owner.
@@ -99,11 +99,11 @@
     }
 
     async fn start(&self, start: TaskStart) -> Result<(), StartRefusal> {
-        self.keeper.send(StartTasks(vec![start])).await.unwrap().remove(0)
+        self.task_actor.send(StartTasks(vec![start])).await.unwrap().remove(0)
     }
 
     async fn stop(&self, token: u64, mode: StopMode) -> Result<StopReply, TaskRefusal> {
-        self.keeper.send(StopTasks(vec![stop(token, 1, mode)])).await.unwrap().remove(0)
+        self.task_actor.send(StopTasks(vec![stop(token, 1, mode)])).await.unwrap().remove(0)
     }
 
     fn end_of(&self, token: u64) -> Option<PlacementEnd> {
@@ -269,7 +269,7 @@
     bench.ready().await;
     let notice = OwnerNotice { shard: "dc1-0".parse().unwrap(), epoch: 5, address: own_address() };
     bench.owner.borrow_mut().epoch = 5;
-    bench.keeper.send(NoteOwner(notice)).await.unwrap();
+    bench.task_actor.send(NoteOwner(notice)).await.unwrap();
     assert_eq!(bench.start(small(10, 1)).await, Err(StartRefusal::EpochStale));
     assert_eq!(bench.start(small(11, 5)).await, Ok(()));
 }
@@ -300,7 +300,7 @@
     let bench = bench(worker.address);
     bench.ready().await;
     bench.start(small(10, 1)).await.unwrap();
-    bench.keeper.send(DrainTasks).await.unwrap();
+    bench.task_actor.send(DrainTasks).await.unwrap();
     let checkpoint = Some("checkpoint-10".parse().unwrap());
     assert_eq!(bench.end_of(10), Some(PlacementEnd::Evicted { checkpoint }));
     assert_eq!(bench.start(small(11, 1)).await, Err(StartRefusal::Draining));
--- a/crates/agent/tests/vm_world/mod.rs
+++ b/crates/agent/tests/vm_world/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use cactusdoor_agent::board::{BoardIdentity, StartStep, StopStep, TaskBoard};
+use cactusdoor_agent::manager::{ManagerIdentity, StartStep, StopStep, TaskManager};
 use cactusdoor_core::config::{
     AllowanceSpec, ConfigFold, ConfigRecord, ConfigState, ItemChange, ItemValue, PlanSpec,
 };
@@ -51,7 +51,7 @@
     pub number: usize,
     pub clock: SimulatedClock,
     pub worker: TrueWorker,
-    pub board: TaskBoard,
+    pub manager: TaskManager,
     pub book: ShardBook,
     pub writer: LogWriter,
     /// Counts the books of this VM: answers to an earlier one are dropped.
@@ -88,8 +88,8 @@
     (0..).find(|number| names::vm(*number) == *name).unwrap()
 }
 
-fn new_board(incarnation: u64) -> TaskBoard {
-    TaskBoard::new(BoardIdentity {
+fn new_board(incarnation: u64) -> TaskManager {
+    TaskManager::new(ManagerIdentity {
         incarnation,
         shard: names::shard(0),
         data_centre: names::centre(0),
@@ -102,7 +102,7 @@
         let writer = LogWriter::new(number);
         let mut vm = Self {
             number,
-            board: new_board(1),
+            manager: new_board(1),
             book: new_book(number, &writer, ShardFold::new(names::shard(0)), clock.now()),
             worker: TrueWorker::default(),
             writer,
@@ -126,13 +126,13 @@
 
     fn take_inventory(&mut self) {
         let (now, inventory) = (self.now(), self.worker.inventory(self.clock.nanos()));
-        self.board.take_inventory(now, now, CAPACITY, &inventory);
+        self.manager.take_inventory(now, now, CAPACITY, &inventory);
     }
 
     /// The process ends and starts again without memory.
     pub fn restart(&mut self) {
         self.writer.restart();
-        self.board = new_board(self.incarnation());
+        self.manager = new_board(self.incarnation());
         self.new_book(ShardFold::new(names::shard(0)));
         self.take_inventory();
     }
@@ -157,22 +157,22 @@
 
     /// Stops what the lease no longer covers and what is to be stopped.
     pub fn stop_due(&mut self) {
-        self.board.stop_unentitled(self.now());
-        for (token, cancel) in self.board.stopping() {
+        self.manager.stop_unentitled(self.now());
+        for (token, cancel) in self.manager.stopping() {
             let (now, answer) = (self.now(), self.worker.stop(token, cancel));
-            self.board.stopped(now, now, token, answer);
+            self.manager.stopped(now, now, token, answer);
         }
     }
 
     /// The renewal that the lease allows now; it reaches the worker later.
     pub fn renewal(&self) -> Option<(Vec<u64>, Millis)> {
-        self.board.renewal(self.now())
+        self.manager.renewal(self.now())
     }
 
     pub fn compare_inventory(&mut self) {
         let (now, inventory) = (self.now(), self.worker.inventory(self.clock.nanos()));
-        self.board.reconcile(now, now, &inventory);
-        if let Some(table) = self.board.table() {
+        self.manager.reconcile(now, now, &inventory);
+        if let Some(table) = self.manager.table() {
             self.worker.acknowledge(&table.acknowledgeable(&inventory));
         }
     }
@@ -180,7 +180,7 @@
     pub fn beat(&mut self) -> (Moment, AgentHeartbeat) {
         self.stop_due();
         let sent = self.now();
-        let lease = self.board.ask_lease(sent);
+        let lease = self.manager.ask_lease(sent);
         self.beats += 1;
         let beat = AgentHeartbeat {
             at: HybridTime { wall_ms: self.beats, counter: 0 },
@@ -188,13 +188,13 @@
             shard: names::shard(0),
             epoch: lease.epoch,
             number: lease.number,
-            config_revision: self.board.config().revision(),
+            config_revision: self.manager.config().revision(),
             lease_left_ms: lease.left,
             capacity: CAPACITY,
             committed: ResourceVector::ZERO,
             draining: false,
-            held: self.board.held(),
-            ended: self.board.ended(),
+            held: self.manager.held(),
+            ended: self.manager.ended(),
             usage: Vec::new(),
             upstreams: Vec::new(),
         };
@@ -202,35 +202,35 @@
     }
 
     pub fn receive(&mut self, sent: Moment, number: u64, reply: &HeartbeatReply) {
-        if let Ok(effect) = self.board.receive(self.now(), sent, number, reply) {
+        if let Ok(effect) = self.manager.receive(self.now(), sent, number, reply) {
             self.worker.acknowledge(&effect.recorded);
         }
     }
 
     /// Accepts a start; `Ok` with a term if the worker is to be called with it.
     pub fn begin_start(&mut self, start: &TaskStart) -> Result<Option<Millis>, StartRefusal> {
-        match self.board.begin_start(self.now(), start)? {
+        match self.manager.begin_start(self.now(), start)? {
             StartStep::Repeated => Ok(None),
             StartStep::Launch => {
-                self.board.launch_lease(self.now(), start.token, start.epoch).map(Some)
+                self.manager.launch_lease(self.now(), start.token, start.epoch).map(Some)
             }
         }
     }
 
     pub fn launch(&mut self, start: &TaskStart, term: Millis) {
         let answer = self.worker.start(self.clock.nanos(), start, term);
-        self.board.launched(self.now(), start.token, answer);
+        self.manager.launched(self.now(), start.token, answer);
         self.stop_due();
     }
 
     pub fn stop(&mut self, stop: &TaskStop) -> Result<StopReply, TaskRefusal> {
-        match self.board.begin_stop(stop)? {
+        match self.manager.begin_stop(stop)? {
             StopStep::Ended(end) => Ok(StopReply::Ended(end)),
             StopStep::NotRunning => Ok(StopReply::NotRunning),
             StopStep::Throttle(_) => Err(TaskRefusal::WorkerFailed),
             StopStep::Stop => {
                 self.stop_due();
-                let end = self.board.table().and_then(|table| table.end_of(stop.token));
+                let end = self.manager.table().and_then(|table| table.end_of(stop.token));
                 end.cloned().map(StopReply::Ended).ok_or(TaskRefusal::WorkerFailed)
             }
         }
--- a/crates/bench/src/placement/baseline.rs
+++ b/crates/bench/src/placement/baseline.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    fn vacate(&mut self, world: &mut PlacementWorld<'_>) {
+    fn evacuate(&mut self, world: &mut PlacementWorld<'_>) {
         let out = world.is_out();
         if out && !self.was_out {
             for vm in (0..world.vms.len()).filter(|&vm| world.is_vm_out(vm)).collect::<Vec<_>>() {
@@ -152,7 +152,7 @@
     }
 
     fn step(&mut self, world: &mut PlacementWorld<'_>) -> anyhow::Result<()> {
-        self.vacate(world);
+        self.evacuate(world);
         self.take_ends(world);
         self.carry_out(world);
         self.place(world);
--- a/crates/bench/src/placement/owners.rs
+++ b/crates/bench/src/placement/owners.rs
@@ -78,7 +78,7 @@
     vm_names: HashMap<VmName, usize>,
     /// Writers: one per owner, then the entry.
     writers: Vec<(WriterId, Sequence)>,
-    flights: VecDeque<Flight>,
+    pending_starts: VecDeque<Flight>,
     jobs: HashMap<JobId, usize>,
     config: ConfigFold,
     out: bool,
@@ -130,7 +130,7 @@
             shards,
             agents,
             writers,
-            flights: VecDeque::new(),
+            pending_starts: VecDeque::new(),
             config: ConfigFold::default(),
             out: false,
         };
@@ -162,7 +162,7 @@
 
     fn send(&mut self, now: Millis, shard: usize, writer: usize, record: TaskRecord) {
         let due = now + APPEND_DELAY;
-        self.flights.push_back(Flight { due, shard, writer, ticket: None, record });
+        self.pending_starts.push_back(Flight { due, shard, writer, ticket: None, record });
     }
 
     fn home(&self, job: &JobId) -> Option<usize> {
@@ -172,20 +172,27 @@
 
     /// Stores and folds the records whose delay is over.
     fn store(&mut self, world: &mut PlacementWorld<'_>) {
-        while self.flights.front().is_some_and(|flight| flight.due <= world.now) {
-            let Some(flight) = self.flights.pop_front() else { return };
+        while self
+            .pending_starts
+            .front()
+            .is_some_and(|pending_start| pending_start.due <= world.now)
+        {
+            let Some(pending_start) = self.pending_starts.pop_front() else { return };
             let now = Moment(START + world.now);
-            let (writer, sequence) = &mut self.writers[flight.writer];
+            let (writer, sequence) = &mut self.writers[pending_start.writer];
             *sequence += 1;
-            let envelope =
-                LogEnvelope { writer: writer.clone(), sequence: *sequence, body: flight.record };
+            let envelope = LogEnvelope {
+                writer: writer.clone(),
+                sequence: *sequence,
+                body: pending_start.record,
+            };
             let stored =
-                StoredRecord { offset: self.shards[flight.shard].next, sequence: *sequence };
-            self.shards[flight.shard].next += 1;
-            if let Some((owner, ticket)) = flight.ticket {
+                StoredRecord { offset: self.shards[pending_start.shard].next, sequence: *sequence };
+            self.shards[pending_start.shard].next += 1;
+            if let Some((owner, ticket)) = pending_start.ticket {
                 self.shards[owner].book.appended(now, ticket, Ok(stored));
             }
-            self.shards[flight.shard].book.folded(now, stored.offset, envelope);
+            self.shards[pending_start.shard].book.folded(now, stored.offset, envelope);
             self.carry_out(world);
         }
     }
@@ -210,12 +217,18 @@
         match action {
             BookAction::Append { ticket, record, .. } => {
                 let ticket = Some((owner, ticket));
-                self.flights.push_back(Flight { due, shard: owner, writer: owner, ticket, record });
+                self.pending_starts.push_back(Flight {
+                    due,
+                    shard: owner,
+                    writer: owner,
+                    ticket,
+                    record,
+                });
             }
             BookAction::AppendElsewhere { ticket, shard, record } => {
                 let Some(shard) = self.names.iter().position(|name| *name == shard) else { return };
                 let ticket = Some((owner, ticket));
-                self.flights.push_back(Flight { due, shard, writer: owner, ticket, record });
+                self.pending_starts.push_back(Flight { due, shard, writer: owner, ticket, record });
             }
             BookAction::Start { vm, start, .. } => self.start(world, owner, &vm, &start),
             BookAction::Stop { vm, stop, .. } => self.stop(world, owner, &vm, &stop),
--- a/crates/entry/src/binding/serve.rs
+++ b/crates/entry/src/binding/serve.rs
@@ -78,7 +78,7 @@
     let deadline = core.requests.now().after(request.deadline_ms);
     // Another entry may run the key, so a refusal here must not promise "not run".
     let (config, _work) = core.requests.admit(&request.key.plan).map_err(undecided)?;
-    let settling = core.requests.parts.board.background();
+    let settling = core.requests.parts.readiness.background();
     let (sender, receiver) = oneshot::channel();
     let run = ClaimRun::new(Rc::clone(core), request, id, deadline, config);
     actix_rt::spawn(async move {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -28,7 +28,7 @@
 use crate::metrics::EntryMetrics;
 use crate::operator::{OperatorActor, OperatorGate};
 use crate::peer::PeerListener;
-use crate::readiness::ReadinessBoard;
+use crate::readiness::ReadinessState;
 use crate::request::{RequestActor, RequestCore, RequestParts};
 use crate::stream::{EntryFold, FoldHook, StreamHandle, StreamParts};
 use cactusdoor_node::entry::EntrySettings;
@@ -44,7 +44,7 @@
     pub operator_address: SocketAddr,
     pub peer_address: SocketAddr,
     monitor: ProcessMonitor,
-    board: ReadinessBoard,
+    readiness: ReadinessState,
     servers: Vec<ServerHandle>,
 }
 
@@ -53,7 +53,7 @@
     client: LogClient,
     clock: MonotonicClock,
     writer: WriterId,
-    board: ReadinessBoard,
+    readiness: ReadinessState,
 }
 
 impl StreamBase {
@@ -65,7 +65,7 @@
         hook: Option<FoldHook<F>>,
         events: Option<EventLog>,
     ) -> StreamHandle<F> {
-        self.board.lack(stream.as_str(), "not loaded");
+        self.readiness.lack(stream.as_str(), "not loaded");
         StreamHandle::spawn(StreamParts {
             client: self.client.clone(),
             clock: self.clock,
@@ -75,7 +75,7 @@
             empty,
             publishes: true,
             events,
-            board: Some(self.board.clone()),
+            readiness: Some(self.readiness.clone()),
             hook,
         })
     }
@@ -90,7 +90,7 @@
         let monitor = ProcessMonitor::open(events.clone());
         let metrics =
             EntryMetrics::open(&monitor.registry).context("could not register metrics")?;
-        let board = ReadinessBoard::open(monitor.clone());
+        let readiness = ReadinessState::open(monitor.clone());
         let incarnation = draw_incarnation();
         let writer = WriterId { process: process.name.clone(), incarnation };
         let client = LogClient::open(settings.log_address);
@@ -106,7 +106,7 @@
             client: client.clone(),
             clock,
             writer: writer.clone(),
-            board: board.clone(),
+            readiness: readiness.clone(),
         };
         let (config, hook) = ConfigSlot::open(events.clone(), metrics.clone());
         let config_stream = base.spawn(
@@ -133,7 +133,7 @@
             clock,
             events: events.clone(),
             metrics: metrics.clone(),
-            board: board.clone(),
+            readiness: readiness.clone(),
             config: config.clone(),
             entries: entry_count,
             queue_length: settings.limits.queue_length,
@@ -161,7 +161,7 @@
             config,
             events: events.clone(),
             metrics: metrics.clone(),
-            board: board.clone(),
+            readiness: readiness.clone(),
             membership: membership.clone(),
         })
         .start();
@@ -170,7 +170,7 @@
             data_centres: settings.data_centres.clone(),
             clock,
             metrics,
-            board: board.clone(),
+            readiness: readiness.clone(),
         }
         .start();
 
@@ -206,7 +206,7 @@
         let data_centre = process.data_centre.clone();
         events.record(EventKind::ProcessStarted { data_centre });
         log::info!("entry {} serves callers at {caller_address}", process.name);
-        Ok(Self { caller_address, operator_address, peer_address, monitor, board, servers })
+        Ok(Self { caller_address, operator_address, peer_address, monitor, readiness, servers })
     }
 
     /// Whether callers may be sent here.
@@ -218,8 +218,8 @@
     /// Refuses new work, finishes the requests in progress, and closes the servers.
     pub async fn stop(&self) {
         self.monitor.events.record(EventKind::ProcessStopping);
-        self.board.drain();
-        self.board.finished(SETTLE_PATIENCE).await;
+        self.readiness.drain();
+        self.readiness.finished(SETTLE_PATIENCE).await;
         for server in &self.servers {
             server.stop(true).await;
         }
--- a/crates/entry/src/job/actor.rs
+++ b/crates/entry/src/job/actor.rs
@@ -28,7 +28,7 @@
 use crate::config::ConfigSlot;
 use crate::membership::{MembershipActor, ShowRoom};
 use crate::metrics::EntryMetrics;
-use crate::readiness::{ReadinessBoard, WorkGuard};
+use crate::readiness::{ReadinessState, WorkGuard};
 use crate::stream::{StreamHandle, StreamParts};
 
 /// Time for which a task stream is followed after a query.
@@ -69,7 +69,7 @@
     pub config: ConfigSlot,
     pub events: EventLog,
     pub metrics: EntryMetrics,
-    pub board: ReadinessBoard,
+    pub readiness: ReadinessState,
     pub membership: Addr<MembershipActor>,
 }
 
@@ -92,11 +92,11 @@
     }
 
     fn admit(&self) -> Reply<WorkGuard> {
-        if self.parts.board.is_draining() {
+        if self.parts.readiness.is_draining() {
             let text = "this entry is stopping";
             return Err(CallerError::not_run(ErrorCode::Draining, RetryAdvice::SameKey, text));
         }
-        Ok(self.parts.board.work())
+        Ok(self.parts.readiness.work())
     }
 
     fn home(&self, job: &JobId) -> Reply<ShardName> {
@@ -167,7 +167,7 @@
             empty: ShardFold::new(shard.clone()),
             publishes: false,
             events: None,
-            board: None,
+            readiness: None,
             hook: None,
         });
         self.followed.insert(shard.clone(), FollowedShard { handle: handle.clone(), asked });
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -20,7 +20,7 @@
 use crate::job::{JobActor, ShowShard};
 use crate::membership::{MembershipActor, ShowRoster};
 use crate::metrics::EntryMetrics;
-use crate::readiness::ReadinessBoard;
+use crate::readiness::ReadinessState;
 use crate::stream::StreamHandle;
 
 /// Longest wait for the log before a change is answered as unknown.
@@ -48,7 +48,7 @@
     pub data_centres: Vec<DataCentre>,
     pub clock: MonotonicClock,
     pub metrics: EntryMetrics,
-    pub board: ReadinessBoard,
+    pub readiness: ReadinessState,
 }
 
 type Reply<T> = Result<T, OperatorError>;
@@ -59,7 +59,7 @@
 
 impl OperatorActor {
     fn check(&self, items: &[ItemChange]) -> Reply<()> {
-        if self.board.is_draining() {
+        if self.readiness.is_draining() {
             let message = "this entry is stopping".to_owned();
             return Err(OperatorError::NotChanged { message });
         }
@@ -128,7 +128,7 @@
     fn handle(&mut self, ChangeConfig(items): ChangeConfig, _: &mut Self::Context) -> Self::Result {
         let checked = self.check(&items);
         let (config, metrics) = (self.config.clone(), self.metrics.clone());
-        let work = self.board.work();
+        let work = self.readiness.work();
         Box::pin(async move {
             let _work = work;
             checked?;
@@ -146,7 +146,7 @@
         let value = ItemValue::DataCentre(name, state);
         let checked = self.check(&[ItemChange { premise: 0, value: value.clone() }]);
         let (config, metrics) = (self.config.clone(), self.metrics.clone());
-        let work = self.board.work();
+        let work = self.readiness.work();
         Box::pin(async move {
             let _work = work;
             checked?;
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -17,13 +17,13 @@
     background: AtomicUsize,
 }
 
-/// Shared board of readiness and work in progress.
+/// Shared readiness of readiness and work in progress.
 #[derive(Clone)]
-pub struct ReadinessBoard {
+pub struct ReadinessState {
     state: Arc<BoardState>,
 }
 
-impl ReadinessBoard {
+impl ReadinessState {
     #[must_use]
     pub fn open(monitor: ProcessMonitor) -> Self {
         let state = BoardState {
@@ -105,19 +105,19 @@
 
 /// A piece of work in progress.
 pub struct WorkGuard {
-    board: ReadinessBoard,
+    readiness: ReadinessState,
     counter: Counter,
 }
 
 impl WorkGuard {
-    fn open(board: &ReadinessBoard, counter: Counter) -> Self {
-        counter(&board.state).fetch_add(1, Ordering::SeqCst);
-        Self { board: board.clone(), counter }
+    fn open(readiness: &ReadinessState, counter: Counter) -> Self {
+        counter(&readiness.state).fetch_add(1, Ordering::SeqCst);
+        Self { readiness: readiness.clone(), counter }
     }
 }
 
 impl Drop for WorkGuard {
     fn drop(&mut self) {
-        (self.counter)(&self.board.state).fetch_sub(1, Ordering::SeqCst);
+        (self.counter)(&self.readiness.state).fetch_sub(1, Ordering::SeqCst);
     }
 }
--- a/crates/entry/src/request/core.rs
+++ b/crates/entry/src/request/core.rs
@@ -24,7 +24,7 @@
 use crate::links::AgentLinks;
 use crate::membership::RosterChange;
 use crate::metrics::EntryMetrics;
-use crate::readiness::{ReadinessBoard, WorkGuard};
+use crate::readiness::{ReadinessState, WorkGuard};
 
 /// What requests work with.
 pub struct RequestParts {
@@ -33,7 +33,7 @@
     pub clock: MonotonicClock,
     pub events: EventLog,
     pub metrics: EntryMetrics,
-    pub board: ReadinessBoard,
+    pub readiness: ReadinessState,
     pub config: ConfigSlot,
     pub entries: watch::Receiver<usize>,
     pub queue_length: usize,
@@ -102,7 +102,7 @@
         plan: &PlanName,
     ) -> Result<(std::sync::Arc<ConfigState>, WorkGuard), CallerError> {
         let refuse = |code, retry, text: String| Err(CallerError::not_run(code, retry, text));
-        if self.parts.board.is_draining() {
+        if self.parts.readiness.is_draining() {
             let text = "this entry is stopping".to_owned();
             return refuse(ErrorCode::Draining, RetryAdvice::NewRequest, text);
         }
@@ -114,7 +114,7 @@
             let text = format!("plan {plan} does not exist");
             return refuse(ErrorCode::UnknownPlan, RetryAdvice::Never, text);
         }
-        if self.parts.board.in_progress() >= self.parts.requests_in_progress {
+        if self.parts.readiness.in_progress() >= self.parts.requests_in_progress {
             let text = "too many requests are in progress".to_owned();
             return refuse(ErrorCode::Overloaded, RetryAdvice::NewRequest, text);
         }
@@ -124,7 +124,7 @@
             let text = format!("plan {plan} may send {rate} requests per second");
             return refuse(ErrorCode::OverAllowance, RetryAdvice::NewRequest, text);
         }
-        Ok((config, self.parts.board.work()))
+        Ok((config, self.parts.readiness.work()))
     }
 
     /// Takes a place at an upstream without waiting.
--- a/crates/entry/src/stream/actor.rs
+++ b/crates/entry/src/stream/actor.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 use super::{EntryFold, FoldHook};
-use crate::readiness::ReadinessBoard;
+use crate::readiness::ReadinessState;
 
 /// Effects of own records that nobody has asked for; a bound for those whose
 /// asker is gone.
@@ -43,7 +43,7 @@
     /// Set if outages of the log are to be recorded.
     pub events: Option<EventLog>,
     /// Set if the process is not ready without this stream.
-    pub board: Option<ReadinessBoard>,
+    pub readiness: Option<ReadinessState>,
     pub hook: Option<FoldHook<F>>,
 }
 
@@ -260,8 +260,8 @@
                 if at_end {
                     self.confirmed.confirm(sent);
                     self.record_reach(true);
-                    if let Some(board) = &self.parts.board {
-                        board.have(self.parts.stream.as_str());
+                    if let Some(readiness) = &self.parts.readiness {
+                        readiness.have(self.parts.stream.as_str());
                     }
                 }
                 self.consider_snapshot(ctx);
--- a/crates/entry/src/stream/upkeep.rs
+++ b/crates/entry/src/stream/upkeep.rs
@@ -18,8 +18,8 @@
     /// Loads the newest snapshot, and tries again until the state is covered.
     pub(super) fn load(&mut self, ctx: &mut Context<Self>) {
         let stream = self.parts.stream.clone();
-        if let Some(board) = &self.parts.board {
-            board.lack(stream.as_str(), "not loaded");
+        if let Some(readiness) = &self.parts.readiness {
+            readiness.lack(stream.as_str(), "not loaded");
         }
         let (client, empty) = (self.parts.client.clone(), self.parts.empty.clone());
         let loading = async move { snapshot::load(&client, &stream, empty).await };
@@ -31,8 +31,8 @@
             }
             Err(error) => {
                 log::warn!("could not load stream {}: {error}", actor.parts.stream);
-                if let Some(board) = &actor.parts.board {
-                    board.lack(actor.parts.stream.as_str(), error.to_string());
+                if let Some(readiness) = &actor.parts.readiness {
+                    readiness.lack(actor.parts.stream.as_str(), error.to_string());
                 }
                 ctx.run_later(LOAD_PAUSE, Self::load);
             }
--- a/crates/owner/src/book.rs
+++ b/crates/owner/src/book.rs
@@ -48,7 +48,7 @@
 use moves::MoveBook;
 use preempting::VmPreemption;
 use roster::RosterBook;
-use tasks::{StartFlight, StopWish};
+use tasks::{PendingStart, PendingStop};
 use witness::{EarlierGrants, WitnessState};
 
 /// Which shard, and who keeps its book.
@@ -97,8 +97,8 @@
     config_view: ConfirmedView,
     config: Arc<ConfigState>,
     agents: IndexMap<VmName, AgentBook>,
-    flights: IndexMap<Token, StartFlight>,
-    stops: IndexMap<Token, StopWish>,
+    pending_starts: IndexMap<Token, PendingStart>,
+    stops: IndexMap<Token, PendingStop>,
     appends: AppendTable,
     ledger: FailureLedger,
     learner: UsageLearner,
@@ -141,7 +141,7 @@
             config_view: ConfirmedView::default(),
             config: Arc::default(),
             agents: IndexMap::new(),
-            flights: IndexMap::new(),
+            pending_starts: IndexMap::new(),
             stops: IndexMap::new(),
             appends: AppendTable::default(),
             ledger: FailureLedger::default(),
--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -12,7 +12,7 @@
 };
 use cactusdoor_peer::task::StopMode;
 use cactusdoor_policy::placement::allowance::sum;
-use cactusdoor_policy::placement::eviction::PressureLadder;
+use cactusdoor_policy::placement::eviction::PressureEscalation;
 use cactusdoor_timeline::{EventKind, HybridTime};
 use indexmap::{IndexMap, IndexSet};
 
@@ -54,7 +54,7 @@
     pub stray: ResourceVector,
     /// Lapsed tokens that the agent must renounce before it gets a lease again.
     pub fences: IndexMap<Token, TaskId>,
-    pub ladder: PressureLadder,
+    pub escalation: PressureEscalation,
     past: Vec<Incarnation>,
     avoid_until: Moment,
     /// Refused starts in a row.
@@ -76,7 +76,7 @@
             held: IndexSet::new(),
             stray: ResourceVector::ZERO,
             fences: IndexMap::new(),
-            ladder: PressureLadder::default(),
+            escalation: PressureEscalation::default(),
             past: Vec::new(),
             avoid_until: Moment::default(),
             refusals: 0,
@@ -278,13 +278,13 @@
         for held in &beat.held {
             let placed = self.index.placement(&held.task);
             if placed.is_some_and(|placed| placed.token == held.token) {
-                if let Some(flight) = self.flights.get_mut(&held.token) {
-                    flight.missing_since = None;
+                if let Some(pending_start) = self.pending_starts.get_mut(&held.token) {
+                    pending_start.missing_since = None;
                 }
                 continue;
             }
             stray = sum(stray, held.need);
-            self.wish_stop(now, held.token, &held.task, vm, StopMode::Cancel);
+            self.request_stop(now, held.token, &held.task, vm, StopMode::Cancel);
         }
         let ended: IndexSet<Token> = beat.ended.iter().map(|ended| ended.token).collect();
         let fences = match self.agents.get_mut(vm) {
@@ -295,7 +295,7 @@
             None => IndexMap::new(),
         };
         for (token, task) in fences {
-            self.wish_stop(now, token, &task, vm, StopMode::Cancel);
+            self.request_stop(now, token, &task, vm, StopMode::Cancel);
         }
         let load = self.index.vm(vm);
         let placed: Vec<(Token, TaskId)> = load
@@ -314,18 +314,18 @@
     /// The agent does not list a token that the fold places there.
     fn missing(&mut self, now: Moment, vm: &VmName, token: Token, task: &TaskId) {
         let incarnation = self.agents.get(vm).map(|agent| agent.identity.incarnation);
-        let ask = match self.flights.get_mut(&token) {
+        let ask = match self.pending_starts.get_mut(&token) {
             // Placed under an earlier epoch.
             None => true,
-            Some(flight) if Some(flight.incarnation) != incarnation => true,
-            Some(flight) if flight.started.is_some() => {
-                let since = *flight.missing_since.get_or_insert(now);
+            Some(pending_start) if Some(pending_start.incarnation) != incarnation => true,
+            Some(pending_start) if pending_start.started.is_some() => {
+                let since = *pending_start.missing_since.get_or_insert(now);
                 now.since(since) >= MISSING_TIME
             }
             Some(_) => false,
         };
         if ask {
-            self.wish_stop(now, token, task, vm, StopMode::CheckpointAndStop);
+            self.request_stop(now, token, task, vm, StopMode::CheckpointAndStop);
         }
     }
 
--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -12,7 +12,7 @@
 use super::action::{BookAction, Ticket};
 use super::append::AppendKey;
 use super::index::Placement;
-use super::tasks::StartFlight;
+use super::tasks::PendingStart;
 use super::{OwnerRole, OwnerTenure, ShardBook, data_centre_of};
 
 /// First delay of a task after a failure; doubled each time.
@@ -139,21 +139,21 @@
     /// The end of a placement stands in the log.
     fn ended(&mut self, now: Moment, task: &TaskId, placement: &Placement, end: PlacementEnd) {
         let token = placement.token;
-        let flight = self.flights.swap_remove(&token);
+        let pending_start = self.pending_starts.swap_remove(&token);
         self.stops.swap_remove(&token);
         let vm = placement.vm.clone();
         // The task for which room was made is placed without delay.
         self.urgent_due |= self.is_preempting(&vm);
         let spec = self.spec(&task.job).cloned();
         if let Some(spec) = &spec {
-            let started = flight.as_ref().and_then(|flight| flight.started);
+            let started = pending_start.as_ref().and_then(|pending_start| pending_start.started);
             let finished = matches!(end, PlacementEnd::Finished { .. });
             let run_time = started.filter(|_| finished).map(|started| now.since(started));
             self.learner.ended(token, &spec.kind, run_time);
         }
         match &end {
             PlacementEnd::Finished { .. } => {
-                self.settle_backoff(now, task, &flight);
+                self.settle_backoff(now, task, &pending_start);
                 // A service that ends at once must not be started in a tight loop.
                 if spec.as_ref().is_some_and(|spec| spec.class.is_endless()) {
                     self.back_off(now, task);
@@ -163,7 +163,7 @@
                 }
             }
             PlacementEnd::Failed => {
-                self.settle_backoff(now, task, &flight);
+                self.settle_backoff(now, task, &pending_start);
                 self.failed(now, task, placement);
             }
             PlacementEnd::Refused(refusal) => self.refused(now, task, placement, *refusal),
@@ -172,7 +172,7 @@
             PlacementEnd::Lapsed => {
                 self.return_evicted(task);
                 // A start that is still on its way must not find a new lease there.
-                if let (Some(agent), Some(_)) = (self.agents.get_mut(&vm), &flight) {
+                if let (Some(agent), Some(_)) = (self.agents.get_mut(&vm), &pending_start) {
                     agent.fences.insert(token, task.clone());
                 }
             }
@@ -231,10 +231,10 @@
     }
 
     /// A task that has ended for good, or ran for long, starts over.
-    fn settle_backoff(&mut self, now: Moment, task: &TaskId, flight: &Option<StartFlight>) {
+    fn settle_backoff(&mut self, now: Moment, task: &TaskId, pending_start: &Option<PendingStart>) {
         let pending = self.index.pending().get(&task.job);
         let over = !pending.is_some_and(|tasks| tasks.contains(&task.index));
-        let started = flight.as_ref().and_then(|flight| flight.started);
+        let started = pending_start.as_ref().and_then(|pending_start| pending_start.started);
         if over || started.is_some_and(|started| now.since(started) >= LONGEST_BACKOFF) {
             self.backoffs.swap_remove(task);
         }
--- a/crates/owner/src/book/moves.rs
+++ b/crates/owner/src/book/moves.rs
@@ -123,7 +123,7 @@
     pub(super) fn plan_moves(&mut self, now: Moment) {
         let out = self.config.data_centre(&self.data_centre) == DataCentreState::Out;
         if out {
-            self.vacate(now);
+            self.evacuate(now);
         }
         if self.handing_back {
             return;
@@ -149,7 +149,7 @@
     }
 
     /// Checkpoints and stops what runs in a data centre that is out.
-    fn vacate(&mut self, now: Moment) {
+    fn evacuate(&mut self, now: Moment) {
         let running: Vec<_> = self
             .index
             .vms()
@@ -160,7 +160,7 @@
             .take(EVICTIONS_PER_LOOK)
             .collect();
         for (vm, token, task) in running {
-            self.wish_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
+            self.request_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
         }
         self.send_stops(now);
     }
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -148,7 +148,7 @@
                 free: agent.capacity.saturating_sub(taken),
                 kinds,
                 probing,
-                protected: agent.ladder.step() != PressureStep::Free,
+                protected: agent.escalation.step() != PressureStep::Free,
                 reserved: self.is_preempting(vm),
             });
         }
--- a/crates/owner/src/book/preempting.rs
+++ b/crates/owner/src/book/preempting.rs
@@ -99,7 +99,7 @@
             .filter_map(|token| Some((*token, tasks?.get(token)?.clone())))
             .collect();
         for (token, victim) in &victims {
-            self.wish_stop(now, *token, victim, &vm, StopMode::CheckpointAndStop);
+            self.request_stop(now, *token, victim, &vm, StopMode::CheckpointAndStop);
         }
         let preemption = VmPreemption { task: task.clone(), victims, charged, since: now };
         self.preemptions.insert(vm, preemption);
@@ -120,7 +120,7 @@
                 return None;
             }
             // A task placed by an earlier owner may be close to its end.
-            let started = self.flights.get(token).map(|flight| flight.started);
+            let started = self.pending_starts.get(token).map(|pending_start| pending_start.started);
             let elapsed = match started {
                 Some(Some(started)) => now.since(started),
                 Some(None) => 0,
--- a/crates/owner/src/book/pressure.rs
+++ b/crates/owner/src/book/pressure.rs
@@ -36,8 +36,8 @@
         let Some(agent) = self.agents.get_mut(vm) else { return };
         // Without a latency-critical task there is nothing to protect.
         let (slowdown, lag) = worst.unwrap_or((0, 0));
-        let step = agent.ladder.observe(now, slowdown, lag);
-        let level = agent.ladder.step();
+        let step = agent.escalation.observe(now, slowdown, lag);
+        let level = agent.escalation.step();
         if matches!(step, Some(PressureStep::Evict | PressureStep::Stop)) && worst.is_some() {
             self.evict_worst(now, vm, beat, level);
         }
@@ -82,7 +82,7 @@
             PressureStep::Stop => StopMode::Cancel,
             _ => StopMode::CheckpointAndStop,
         };
-        self.wish_stop(now, token, &task, vm, mode);
+        self.request_stop(now, token, &task, vm, mode);
         self.send_stops(now);
     }
 
--- a/crates/owner/src/book/tasks.rs
+++ b/crates/owner/src/book/tasks.rs
@@ -16,7 +16,7 @@
 
 /// A committed placement on its way to the agent.
 #[derive(Clone, Debug)]
-pub(super) struct StartFlight {
+pub(super) struct PendingStart {
     task: TaskId,
     vm: VmName,
     /// Of the agent when the start was first sent.
@@ -31,7 +31,7 @@
 
 /// A stop to be repeated until it is acknowledged.
 #[derive(Clone, Debug)]
-pub(super) struct StopWish {
+pub(super) struct PendingStop {
     task: TaskId,
     pub vm: VmName,
     mode: StopMode,
@@ -45,7 +45,7 @@
         let Some(placement) = self.index.placement(task) else { return };
         let vm = placement.vm.clone();
         let incarnation = self.agents.get(&vm).map_or(0, |agent| agent.identity.incarnation);
-        let flight = StartFlight {
+        let pending_start = PendingStart {
             task: task.clone(),
             vm,
             incarnation,
@@ -55,7 +55,7 @@
             started: None,
             missing_since: None,
         };
-        self.flights.insert(token, flight);
+        self.pending_starts.insert(token, pending_start);
         self.send_start(now, token);
     }
 
@@ -65,31 +65,31 @@
         if self.config.data_centre(&self.data_centre) == DataCentreState::Out {
             return;
         }
-        let Some(flight) = self.flights.get(&token) else { return };
-        let Some(agent) = self.agents.get(&flight.vm) else { return };
-        if agent.identity.incarnation != flight.incarnation {
+        let Some(pending_start) = self.pending_starts.get(&token) else { return };
+        let Some(agent) = self.agents.get(&pending_start.vm) else { return };
+        if agent.identity.incarnation != pending_start.incarnation {
             return;
         }
-        let Some(entry) = self.fold.job(&flight.task.job) else { return };
-        let state = entry.tasks.get(&flight.task.index).map(|task| &task.state);
+        let Some(entry) = self.fold.job(&pending_start.task.job) else { return };
+        let state = entry.tasks.get(&pending_start.task.index).map(|task| &task.state);
         let Some(TaskState::Placed { need, checkpoint, .. }) = state else { return };
         let start = TaskStart {
             at: HybridTime::default(),
             shard: self.settings.shard.clone(),
             epoch,
-            agent_incarnation: flight.incarnation,
+            agent_incarnation: pending_start.incarnation,
             token,
-            task: flight.task.clone(),
+            task: pending_start.task.clone(),
             kind: entry.spec.kind.clone(),
             class: entry.spec.class,
             need: *need,
             run_time_ms: entry.spec.run_time_ms,
             checkpoint: checkpoint.clone(),
         };
-        let (vm, address) = (flight.vm.clone(), agent.identity.address);
-        if let Some(flight) = self.flights.get_mut(&token) {
-            flight.in_flight = true;
-            flight.next_try = now.after(RETRY_PAUSE);
+        let (vm, address) = (pending_start.vm.clone(), agent.identity.address);
+        if let Some(pending_start) = self.pending_starts.get_mut(&token) {
+            pending_start.in_flight = true;
+            pending_start.next_try = now.after(RETRY_PAUSE);
         }
         self.act(BookAction::Start { vm, address, start });
     }
@@ -101,12 +101,13 @@
         token: Token,
         answer: CallOutcome<Result<(), StartRefusal>>,
     ) {
-        let Some(flight) = self.flights.get_mut(&token) else { return };
-        flight.in_flight = false;
-        let (task, vm, uncertain) = (flight.task.clone(), flight.vm.clone(), flight.uncertain);
+        let Some(pending_start) = self.pending_starts.get_mut(&token) else { return };
+        pending_start.in_flight = false;
+        let (task, vm, uncertain) =
+            (pending_start.task.clone(), pending_start.vm.clone(), pending_start.uncertain);
         match answer {
             CallOutcome::Answered(Ok(())) => {
-                flight.started = Some(now);
+                pending_start.started = Some(now);
                 if let Some(agent) = self.agents.get_mut(&vm) {
                     agent.accepted();
                 }
@@ -114,20 +115,20 @@
             }
             // An earlier copy of the start may still arrive; the stop forbids it.
             CallOutcome::Answered(Err(_)) if uncertain => {
-                self.wish_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
+                self.request_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
                 self.send_stops(now);
             }
             CallOutcome::Answered(Err(refusal)) => {
                 self.record_end(&task, token, PlacementEnd::Refused(refusal));
-                if let Some(flight) = self.flights.get_mut(&token) {
+                if let Some(pending_start) = self.pending_starts.get_mut(&token) {
                     // If the append fails, the stop brings the end.
-                    flight.uncertain = true;
-                    flight.next_try = now.after(4 * RETRY_PAUSE);
+                    pending_start.uncertain = true;
+                    pending_start.next_try = now.after(4 * RETRY_PAUSE);
                 }
             }
             CallOutcome::Lost => {
-                flight.uncertain = true;
-                flight.next_try = now.after(RETRY_PAUSE);
+                pending_start.uncertain = true;
+                pending_start.next_try = now.after(RETRY_PAUSE);
             }
         }
     }
@@ -135,14 +136,14 @@
     /// Repeats starts whose answers were lost.
     pub(super) fn retry_starts(&mut self, now: Moment) {
         let due: Vec<Token> = self
-            .flights
+            .pending_starts
             .iter()
-            .filter(|(token, flight)| {
-                flight.started.is_none()
-                    && !flight.in_flight
-                    && now >= flight.next_try
+            .filter(|(token, pending_start)| {
+                pending_start.started.is_none()
+                    && !pending_start.in_flight
+                    && now >= pending_start.next_try
                     && !self.stops.contains_key(*token)
-                    && !self.is_task_busy(&flight.task)
+                    && !self.is_task_busy(&pending_start.task)
             })
             .map(|(token, _)| *token)
             .collect();
@@ -152,7 +153,7 @@
     }
 
     /// Asks for a stop, which is repeated until it is acknowledged.
-    pub(super) fn wish_stop(
+    pub(super) fn request_stop(
         &mut self,
         now: Moment,
         token: Token,
@@ -160,7 +161,7 @@
         vm: &VmName,
         mode: StopMode,
     ) {
-        let wish = self.stops.entry(token).or_insert_with(|| StopWish {
+        let pending_stop = self.stops.entry(token).or_insert_with(|| PendingStop {
             task: task.clone(),
             vm: vm.clone(),
             mode,
@@ -169,7 +170,7 @@
         });
         // A cancellation needs no checkpoint any more.
         if mode == StopMode::Cancel {
-            wish.mode = mode;
+            pending_stop.mode = mode;
         }
     }
 
@@ -187,7 +188,7 @@
             })
             .collect();
         for (task, token, vm) in placed {
-            self.wish_stop(now, token, &task, &vm, StopMode::Cancel);
+            self.request_stop(now, token, &task, &vm, StopMode::Cancel);
         }
         self.send_stops(now);
     }
@@ -196,24 +197,25 @@
     pub(super) fn send_stops(&mut self, now: Moment) {
         let Some(epoch) = self.owned_epoch() else { return };
         let mut due = Vec::new();
-        for (token, wish) in &mut self.stops {
-            if wish.in_flight || now < wish.next_try {
+        for (token, pending_stop) in &mut self.stops {
+            if pending_stop.in_flight || now < pending_stop.next_try {
                 continue;
             }
-            let Some(agent) = self.agents.get(&wish.vm).filter(|agent| !agent.silent) else {
+            let Some(agent) = self.agents.get(&pending_stop.vm).filter(|agent| !agent.silent)
+            else {
                 continue;
             };
-            wish.in_flight = true;
-            wish.next_try = now.after(RETRY_PAUSE);
+            pending_stop.in_flight = true;
+            pending_stop.next_try = now.after(RETRY_PAUSE);
             let stop = TaskStop {
                 at: HybridTime::default(),
                 shard: self.settings.shard.clone(),
                 epoch,
-                task: wish.task.clone(),
+                task: pending_stop.task.clone(),
                 token: *token,
-                mode: wish.mode,
+                mode: pending_stop.mode,
             };
-            let (vm, address) = (wish.vm.clone(), agent.identity.address);
+            let (vm, address) = (pending_stop.vm.clone(), agent.identity.address);
             due.push(BookAction::Stop { vm, address, stop });
         }
         self.actions.append(&mut due);
@@ -235,10 +237,10 @@
             }
             return;
         }
-        let Some(wish) = self.stops.get_mut(&token) else { return };
-        wish.in_flight = false;
-        wish.next_try = now.after(RETRY_PAUSE);
-        let (task, vm) = (wish.task.clone(), wish.vm.clone());
+        let Some(pending_stop) = self.stops.get_mut(&token) else { return };
+        pending_stop.in_flight = false;
+        pending_stop.next_try = now.after(RETRY_PAUSE);
+        let (task, vm) = (pending_stop.task.clone(), pending_stop.vm.clone());
         let end = match answer {
             CallOutcome::Answered(Ok(StopReply::Ended(end))) => end,
             CallOutcome::Answered(Ok(StopReply::NotRunning)) => {
@@ -251,7 +253,7 @@
         }
         let current = self.index.placement(&task).is_some_and(|placed| placed.token == token);
         if current {
-            // The wish stays until the end is folded, in case the append fails.
+            // The pending stop stays until the end is folded, in case the append fails.
             self.record_end(&task, token, end);
         } else {
             self.stops.swap_remove(&token);
--- a/crates/owner/src/book/upkeep.rs
+++ b/crates/owner/src/book/upkeep.rs
@@ -164,7 +164,7 @@
             };
             if *left != ResourceVector::ZERO {
                 *left = left.saturating_sub(max(placement.need, spec.need));
-                self.wish_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
+                self.request_stop(now, token, &task, &vm, StopMode::CheckpointAndStop);
             }
         }
         self.send_stops(now);
@@ -201,7 +201,7 @@
             .collect();
         for vm in gone {
             self.agents.swap_remove(&vm);
-            self.stops.retain(|_, wish| wish.vm != vm);
+            self.stops.retain(|_, pending_stop| pending_stop.vm != vm);
         }
     }
 }
--- a/crates/owner/src/dispatch.rs
+++ b/crates/owner/src/dispatch.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 
 use crate::book::CallOutcome;
-use crate::keeper::ShardKeeper;
 use crate::peers::{CallError, TASK_CALL_TIMEOUT, call_within, short_call};
+use crate::shard_actor::ShardActor;
 
 /// Calls that go out after the current event.
 #[derive(Default)]
@@ -30,7 +30,7 @@
     }
 }
 
-impl ShardKeeper {
+impl ShardActor {
     pub(crate) fn send_calls(&mut self, ctx: &mut Context<Self>) {
         for (address, starts) in std::mem::take(&mut self.calls.starts) {
             self.send_starts(ctx, address, starts);
@@ -55,13 +55,13 @@
             let sent = client.start(call_within(TASK_CALL_TIMEOUT), starts).await;
             peers.answer(address, sent)
         };
-        ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
-            let answers = keeper.outcomes(result, tokens.len());
-            let now = keeper.core.settings.clock.now();
+        ctx.spawn(call.into_actor(self).map(move |result, actor, ctx| {
+            let answers = actor.outcomes(result, tokens.len());
+            let now = actor.core.settings.clock.now();
             for (token, answer) in tokens.into_iter().zip(answers) {
-                keeper.book.start_answered(now, token, answer);
+                actor.book.start_answered(now, token, answer);
             }
-            keeper.carry_out(ctx);
+            actor.carry_out(ctx);
         }));
     }
 
@@ -81,13 +81,13 @@
             let sent = client.stop(call_within(TASK_CALL_TIMEOUT), stops).await;
             peers.answer(address, sent)
         };
-        ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
-            let answers = keeper.outcomes(result, asked.len());
-            let now = keeper.core.settings.clock.now();
+        ctx.spawn(call.into_actor(self).map(move |result, actor, ctx| {
+            let answers = actor.outcomes(result, asked.len());
+            let now = actor.core.settings.clock.now();
             for (stop, answer) in asked.iter().zip(answers) {
-                keeper.book.stop_answered(now, &vm, stop, answer);
+                actor.book.stop_answered(now, &vm, stop, answer);
             }
-            keeper.carry_out(ctx);
+            actor.carry_out(ctx);
         }));
     }
 
@@ -140,8 +140,8 @@
             let client = peers.agent(address).await?;
             peers.answer(address, client.vouch(short_call(), request).await)
         };
-        ctx.spawn(call.into_actor(self).map(move |result, keeper, _| {
-            keeper.book.vouch_answered(&asked, outcome(result));
+        ctx.spawn(call.into_actor(self).map(move |result, actor, _| {
+            actor.book.vouch_answered(&asked, outcome(result));
         }));
     }
 
@@ -156,8 +156,8 @@
             let client = peers.agent(address).await?;
             peers.answer(address, client.close_naming(short_call(), request).await)
         };
-        ctx.spawn(call.into_actor(self).map(move |result, keeper, _| {
-            keeper.book.naming_closed(&asked, outcome(result));
+        ctx.spawn(call.into_actor(self).map(move |result, actor, _| {
+            actor.book.naming_closed(&asked, outcome(result));
         }));
     }
 }
--- a/crates/owner/src/host.rs
+++ b/crates/owner/src/host.rs
@@ -31,9 +31,9 @@
 
 use crate::book::{BookSettings, ShardBook};
 use crate::finder::{ReadShard, is_owner_alive, read_shard, read_tail};
-use crate::keeper::{KeeperState, Resign, ShardBeat, ShardKeeper};
 use crate::metrics::OwnerMetrics;
 use crate::peers::PeerPool;
+use crate::shard_actor::{Resign, ShardActor, ShardBeat, ShardPhase};
 
 /// Least time between two grouped appends to one stream. 11 shards then make at
 /// most 220 appends a second, of several hundred that the log service takes.
@@ -101,7 +101,7 @@
     Stopping,
 }
 
-/// State shared by the host and its keepers.
+/// State shared by the host and its actors.
 pub struct HostCore {
     pub(crate) settings: HostSettings,
     pub(crate) peers: Rc<PeerPool>,
@@ -117,8 +117,8 @@
 }
 
 struct KeptShard {
-    keeper: Addr<ShardKeeper>,
-    state: watch::Receiver<KeeperState>,
+    actor: Addr<ShardActor>,
+    state: watch::Receiver<ShardPhase>,
 }
 
 impl HostCore {
@@ -142,12 +142,12 @@
         Some(appender)
     }
 
-    /// The keeper of a shard that is owned here, and its ownership.
-    fn owned(&self, shard: &ShardName) -> Option<(Addr<ShardKeeper>, ShardOwnership)> {
+    /// The actor of a shard that is owned here, and its ownership.
+    fn owned(&self, shard: &ShardName) -> Option<(Addr<ShardActor>, ShardOwnership)> {
         let kept = self.kept.borrow();
         let kept = kept.get(shard)?;
         match &*kept.state.borrow() {
-            KeeperState::Owned(ownership) => Some((kept.keeper.clone(), ownership.clone())),
+            ShardPhase::Owned(ownership) => Some((kept.actor.clone(), ownership.clone())),
             _ => None,
         }
     }
@@ -159,9 +159,9 @@
         let lock = self.finding.borrow_mut().entry(ask.shard.clone()).or_default().clone();
         let _guard = lock.lock().await;
         match self.settle_claim(&ask.shard).await {
-            Some(KeeperState::Owned(ownership)) => return Ok(ownership),
-            Some(KeeperState::Claiming) => return Err(FindError::ClaimNotStored(ask.shard)),
-            Some(KeeperState::Lost(_)) | None => {}
+            Some(ShardPhase::Owned(ownership)) => return Ok(ownership),
+            Some(ShardPhase::Claiming) => return Err(FindError::ClaimNotStored(ask.shard)),
+            Some(ShardPhase::Lost(_)) | None => {}
         }
         let mut read = self.read(&ask.shard).await?;
         if let Some(found) = self.judge(&ask, &read).await? {
@@ -230,7 +230,7 @@
         let stream = stream::config().map_err(|_| FindError::LogUnavailable)?;
         let config = load(&self.settings.log, &stream, ConfigFold::default()).await;
         let config = config.map_err(|_| FindError::LogUnavailable)?;
-        let (sender, state) = watch::channel(KeeperState::Claiming);
+        let (sender, state) = watch::channel(ShardPhase::Claiming);
         let settings = BookSettings {
             shard: shard.clone(),
             identity: self.settings.identity.clone(),
@@ -239,10 +239,10 @@
         };
         let book = ShardBook::new(settings, read.fold.clone());
         let core = Rc::clone(self);
-        let keeper = ShardKeeper::new(core, book, &read, config.fold, stream, sender).start();
-        self.kept.borrow_mut().insert(shard.clone(), KeptShard { keeper, state });
+        let actor = ShardActor::new(core, book, &read, config.fold, stream, sender).start();
+        self.kept.borrow_mut().insert(shard.clone(), KeptShard { actor, state });
         match self.settle_claim(shard).await {
-            Some(KeeperState::Owned(ownership) | KeeperState::Lost(Some(ownership)))
+            Some(ShardPhase::Owned(ownership) | ShardPhase::Lost(Some(ownership)))
                 if ownership.epoch > epoch =>
             {
                 self.known.borrow_mut().insert(shard.clone(), ownership.clone());
@@ -253,15 +253,15 @@
     }
 
     /// How far a claim made here has come, after a wait; `None` if there is none.
-    async fn settle_claim(&self, shard: &ShardName) -> Option<KeeperState> {
+    async fn settle_claim(&self, shard: &ShardName) -> Option<ShardPhase> {
         let mut state = self.kept.borrow().get(shard)?.state.clone();
-        let settled = state.wait_for(|state| *state != KeeperState::Claiming);
+        let settled = state.wait_for(|state| *state != ShardPhase::Claiming);
         let settled = match timeout(CLAIM_TIME, settled).await {
             Ok(Ok(state)) => state.clone(),
-            Ok(Err(_)) => KeeperState::Lost(None),
-            Err(_) => KeeperState::Claiming,
+            Ok(Err(_)) => ShardPhase::Lost(None),
+            Err(_) => ShardPhase::Claiming,
         };
-        if matches!(settled, KeeperState::Lost(_)) {
+        if matches!(settled, ShardPhase::Lost(_)) {
             self.kept.borrow_mut().remove(shard);
         }
         Some(settled)
@@ -316,8 +316,8 @@
         let shard = beat.shard.clone();
         let core = Rc::clone(&self.core);
         Box::pin(async move {
-            let Some((keeper, _)) = core.owned(&shard) else { return Err(core.not_owner(shard)) };
-            match keeper.send(ShardBeat(beat)).await {
+            let Some((actor, _)) = core.owned(&shard) else { return Err(core.not_owner(shard)) };
+            match actor.send(ShardBeat(beat)).await {
                 Ok(reply) => reply,
                 Err(_) => Err(core.not_owner(shard)),
             }
@@ -365,10 +365,10 @@
     fn handle(&mut self, _: HandBack, _: &mut Context<Self>) -> Self::Result {
         self.core.stopping.set(true);
         let kept = self.core.kept.borrow();
-        let keepers: Vec<_> = kept.values().map(|kept| kept.keeper.clone()).collect();
+        let actors: Vec<_> = kept.values().map(|kept| kept.actor.clone()).collect();
         Box::pin(async move {
-            for result in join_all(keepers.iter().map(|keeper| keeper.send(Resign))).await {
-                // A keeper that has stopped already has nothing to give back.
+            for result in join_all(actors.iter().map(|actor| actor.send(Resign))).await {
+                // An actor that has stopped already has nothing to give back.
                 if let Err(error) = result {
                     log::debug!("hand back: {error}");
                 }
--- a/crates/owner/src/lib.rs
+++ b/crates/owner/src/lib.rs
@@ -1,17 +1,17 @@
 //! The owner of a scheduling shard.
 //!
 //! [`host`] is the actor that the agent talks to; it finds owners, claims
-//! shards and answers heartbeats for the shards owned here. Each of these has a
-//! keeper, the actor that does the I/O for the decisions of its [`book`].
+//! shards and answers heartbeats for the shards owned here. Each of these has an
+//! actor that does the I/O for the decisions of its [`book`].
 
 pub mod book;
 mod dispatch;
 mod finder;
 pub mod host;
-mod keeper;
 mod metrics;
 mod peers;
 mod rosters;
+mod shard_actor;
 pub mod witness;
 
 pub use host::{FindError, FindOwner, HandBack, HostBeat, HostSettings, OwnerHost, SilentShards};
--- a/crates/owner/src/rosters.rs
+++ b/crates/owner/src/rosters.rs
@@ -7,8 +7,8 @@
 use indexmap::IndexMap;
 
 use crate::book::EntryView;
-use crate::keeper::ShardKeeper;
 use crate::peers::{CallError, short_call};
+use crate::shard_actor::ShardActor;
 
 /// Entries known to this owner.
 pub struct EntryBook {
@@ -36,7 +36,7 @@
     }
 }
 
-impl ShardKeeper {
+impl ShardActor {
     /// Sends every entry its update.
     pub(crate) fn send_rosters(&mut self, ctx: &mut Context<Self>) {
         let now = self.core.settings.clock.now();
@@ -57,9 +57,9 @@
                 let client = peers.entry(address).await?;
                 peers.answer(address, client.roster(short_call(), update).await)
             };
-            ctx.spawn(call.into_actor(self).map(move |result, keeper, ctx| {
-                keeper.roster_answered(address, result);
-                keeper.carry_out(ctx);
+            ctx.spawn(call.into_actor(self).map(move |result, actor, ctx| {
+                actor.roster_answered(address, result);
+                actor.carry_out(ctx);
             }));
         }
     }
--- a/crates/owner/src/keeper.rs
+++ b/crates/owner/src/shard_actor.rs
@@ -41,7 +41,7 @@
 
 /// How far this process has come with owning the shard.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum KeeperState {
+pub enum ShardPhase {
     Claiming,
     Owned(ShardOwnership),
     /// Not owner; with the owner that the stream names.
@@ -49,14 +49,14 @@
 }
 
 /// Owner of one shard.
-pub struct ShardKeeper {
+pub struct ShardActor {
     pub(crate) core: Rc<HostCore>,
     pub(crate) book: ShardBook,
     pub(crate) calls: CallDispatch,
     pub(crate) entries: EntryBook,
     stream: StreamName,
     config: Option<(ConfigFold, StreamName)>,
-    state: watch::Sender<KeeperState>,
+    state: watch::Sender<ShardPhase>,
     /// The newest known snapshot.
     newest: SnapshotWatch,
     publishing: bool,
@@ -81,8 +81,8 @@
 struct TaskEvents(FollowEvent);
 struct ConfigEvents(FollowEvent);
 
-impl ShardKeeper {
-    /// A keeper that claims the shard once it is started.
+impl ShardActor {
+    /// An actor that claims the shard once it is started.
     #[must_use]
     pub fn new(
         core: Rc<HostCore>,
@@ -90,7 +90,7 @@
         read: &ReadShard,
         config: ConfigFold,
         config_stream: StreamName,
-        state: watch::Sender<KeeperState>,
+        state: watch::Sender<ShardPhase>,
     ) -> Self {
         let entries = EntryBook::new(&core.settings.entries);
         Self {
@@ -149,7 +149,7 @@
                 BookAction::Owned(epoch) => {
                     log::info!("own shard {} in epoch {epoch}", self.book.shard());
                     if let Some(ownership) = self.book.ownership() {
-                        self.state.send_replace(KeeperState::Owned(ownership.clone()));
+                        self.state.send_replace(ShardPhase::Owned(ownership.clone()));
                     }
                 }
                 BookAction::Lost { current } => {
@@ -163,13 +163,13 @@
 
     fn give_up(&mut self, ctx: &mut Context<Self>) {
         let newest = self.book.ownership().cloned();
-        self.state.send_replace(KeeperState::Lost(newest));
+        self.state.send_replace(ShardPhase::Lost(newest));
         ctx.stop();
     }
 
     /// Gives up if the claim is known not to be stored.
     fn give_up_lost_claim(&mut self, ctx: &mut Context<Self>) {
-        let claiming = *self.state.borrow() == KeeperState::Claiming;
+        let claiming = *self.state.borrow() == ShardPhase::Claiming;
         if claiming && !self.book.has_open_appends() {
             self.give_up(ctx);
         }
@@ -189,10 +189,10 @@
         };
         // Not a future of the context, which polls all of its futures at each
         // event: hundreds of appends may be under way.
-        let keeper = ctx.address();
+        let actor = ctx.address();
         actix_rt::spawn(async move {
             let result = appender.append(record, flush).await;
-            keeper.do_send(Appended(ticket, result));
+            actor.do_send(Appended(ticket, result));
         });
     }
 
@@ -245,12 +245,12 @@
             actix_rt::time::sleep(Duration::from_millis(delay)).await;
             newest_snapshot::<ShardFold>(&log, &stream).await.ok().flatten()
         };
-        ctx.spawn(newest.into_actor(self).then(move |newest, keeper, _| {
+        ctx.spawn(newest.into_actor(self).then(move |newest, actor, _| {
             let covers = newest.map_or(0, |snapshot| snapshot.covers);
-            keeper.newest.found(covers);
-            let due = keeper.newest.is_due(bounds.start, bounds.next, now);
-            let fold = due.then(|| keeper.book.fold().clone());
-            let (log, stream) = (keeper.core.settings.log.clone(), keeper.stream.clone());
+            actor.newest.found(covers);
+            let due = actor.newest.is_due(bounds.start, bounds.next, now);
+            let fold = due.then(|| actor.book.fold().clone());
+            let (log, stream) = (actor.core.settings.log.clone(), actor.stream.clone());
             async move {
                 let fold = fold?;
                 match publish(&log, &stream, &fold).await {
@@ -261,12 +261,12 @@
                     }
                 }
             }
-            .into_actor(keeper)
-            .map(|covers, keeper, _| {
+            .into_actor(actor)
+            .map(|covers, actor, _| {
                 if let Some(covers) = covers {
-                    keeper.newest.published(covers, keeper.core.settings.clock.now());
+                    actor.newest.published(covers, actor.core.settings.clock.now());
                 }
-                keeper.publishing = false;
+                actor.publishing = false;
             })
         }));
     }
@@ -291,7 +291,7 @@
     futures::stream::poll_fn(move |context| events.poll_recv(context).map(|e| e.map(wrap)))
 }
 
-impl Actor for ShardKeeper {
+impl Actor for ShardActor {
     type Context = Context<Self>;
 
     fn started(&mut self, ctx: &mut Self::Context) {
@@ -303,26 +303,26 @@
         self.core.measure(|metrics| metrics.claims.inc());
         self.book.claim();
         self.carry_out(ctx);
-        ctx.run_interval(TICK, |keeper, ctx| {
-            keeper.book.tick(keeper.core.settings.clock.now(), unix_ms());
-            keeper.carry_out(ctx);
+        ctx.run_interval(TICK, |actor, ctx| {
+            actor.book.tick(actor.core.settings.clock.now(), unix_ms());
+            actor.carry_out(ctx);
         });
-        ctx.run_interval(ROSTER_INTERVAL, |keeper, ctx| {
-            keeper.show();
-            keeper.send_rosters(ctx);
+        ctx.run_interval(ROSTER_INTERVAL, |actor, ctx| {
+            actor.show();
+            actor.send_rosters(ctx);
         });
     }
 
     fn stopped(&mut self, _: &mut Self::Context) {
         let shard = self.book.shard().as_str();
         self.core.measure(|metrics| metrics.remove(shard));
-        if !matches!(*self.state.borrow(), KeeperState::Lost(_)) {
-            self.state.send_replace(KeeperState::Lost(self.book.ownership().cloned()));
+        if !matches!(*self.state.borrow(), ShardPhase::Lost(_)) {
+            self.state.send_replace(ShardPhase::Lost(self.book.ownership().cloned()));
         }
     }
 }
 
-impl StreamHandler<TaskEvents> for ShardKeeper {
+impl StreamHandler<TaskEvents> for ShardActor {
     fn handle(&mut self, TaskEvents(event): TaskEvents, ctx: &mut Self::Context) {
         match event {
             FollowEvent::Read { sent, records, at_end, bounds } => {
@@ -354,7 +354,7 @@
     fn finished(&mut self, _: &mut Self::Context) {}
 }
 
-impl StreamHandler<ConfigEvents> for ShardKeeper {
+impl StreamHandler<ConfigEvents> for ShardActor {
     fn handle(&mut self, ConfigEvents(event): ConfigEvents, ctx: &mut Self::Context) {
         match event {
             FollowEvent::Read { sent, records, at_end, .. } => {
@@ -379,7 +379,7 @@
     fn finished(&mut self, _: &mut Self::Context) {}
 }
 
-impl Handler<Appended> for ShardKeeper {
+impl Handler<Appended> for ShardActor {
     type Result = ();
 
     fn handle(&mut self, Appended(ticket, result): Appended, ctx: &mut Self::Context) {
@@ -393,7 +393,7 @@
     }
 }
 
-impl Handler<ShardBeat> for ShardKeeper {
+impl Handler<ShardBeat> for ShardActor {
     type Result = Result<HeartbeatReply, HeartbeatRefusal>;
 
     fn handle(&mut self, ShardBeat(beat): ShardBeat, ctx: &mut Self::Context) -> Self::Result {
@@ -406,24 +406,24 @@
     }
 }
 
-impl Handler<Resign> for ShardKeeper {
+impl Handler<Resign> for ShardActor {
     type Result = ResponseActFuture<Self, ()>;
 
     fn handle(&mut self, _: Resign, _: &mut Self::Context) -> Self::Result {
         self.book.hand_back();
         let wait = async { actix_rt::time::sleep(TICK).await };
         let started = std::time::Instant::now();
-        Box::pin(wait.into_actor(self).then(move |(), keeper, _| keeper.settle_and_stop(started)))
+        Box::pin(wait.into_actor(self).then(move |(), actor, _| actor.settle_and_stop(started)))
     }
 }
 
-impl ShardKeeper {
+impl ShardActor {
     /// Waits for open appends, publishes a snapshot and stops.
     fn settle_and_stop(&mut self, started: std::time::Instant) -> ResponseActFuture<Self, ()> {
         if self.book.has_open_appends() && started.elapsed() < HAND_BACK_TIME {
             let wait = async { actix_rt::time::sleep(TICK).await };
             return Box::pin(
-                wait.into_actor(self).then(move |(), keeper, _| keeper.settle_and_stop(started)),
+                wait.into_actor(self).then(move |(), actor, _| actor.settle_and_stop(started)),
             );
         }
         let fold = self.book.owned_epoch().map(|_| self.book.fold().clone());
@@ -435,6 +435,6 @@
                 log::warn!("could not publish snapshot of stream {stream}: {error}");
             }
         };
-        Box::pin(published.into_actor(self).map(|(), keeper, ctx| keeper.give_up(ctx)))
+        Box::pin(published.into_actor(self).map(|(), actor, ctx| actor.give_up(ctx)))
     }
 }
--- a/crates/owner/src/witness.rs
+++ b/crates/owner/src/witness.rs
@@ -6,18 +6,18 @@
 use indexmap::IndexMap;
 
 #[derive(Clone, Copy, Debug, Default)]
-struct ShardTestimony {
+struct ShardNamings {
     /// The newest naming that was vouched for.
     vouched: Option<Offset>,
     /// The newest naming that was closed; older ones are closed too.
     closed: Option<Offset>,
 }
 
-/// Testimony by shard. It has one small entry per shard that named this agent.
+/// Namings by shard. There is one small entry per shard that named this agent.
 #[derive(Clone, Debug)]
 pub struct WitnessBook {
     incarnation: Incarnation,
-    shards: IndexMap<ShardName, ShardTestimony>,
+    shards: IndexMap<ShardName, ShardNamings>,
 }
 
 impl WitnessBook {
@@ -31,11 +31,11 @@
         if request.incarnation != self.incarnation {
             return VouchReply::OtherIncarnation;
         }
-        let testimony = self.shards.entry(request.shard.clone()).or_default();
-        if testimony.closed >= Some(request.naming) {
+        let namings = self.shards.entry(request.shard.clone()).or_default();
+        if namings.closed >= Some(request.naming) {
             return VouchReply::Closed;
         }
-        testimony.vouched = testimony.vouched.max(Some(request.naming));
+        namings.vouched = namings.vouched.max(Some(request.naming));
         VouchReply::Vouched
     }
 
@@ -44,9 +44,9 @@
         if request.incarnation != self.incarnation {
             return ClosingReply::OtherIncarnation;
         }
-        let testimony = self.shards.entry(request.shard.clone()).or_default();
-        testimony.closed = testimony.closed.max(Some(request.naming));
-        if testimony.vouched >= Some(request.naming) {
+        let namings = self.shards.entry(request.shard.clone()).or_default();
+        namings.closed = namings.closed.max(Some(request.naming));
+        if namings.vouched >= Some(request.naming) {
             ClosingReply::Vouched
         } else {
             ClosingReply::NotVouched
--- a/crates/owner/tests/leases.rs
+++ b/crates/owner/tests/leases.rs
@@ -153,7 +153,7 @@
     assert!(!bench.vouches.is_empty());
 }
 
-/// Guards against a testimony that is used up by one outage: the next loss of the
+/// Guards against a naming that is used up by one outage: the next loss of the
 /// owner would cost the long wait for ever.
 #[test]
 fn a_new_naming_follows_an_outage() {
--- a/crates/owner/tests/world/agent.rs
+++ b/crates/owner/tests/world/agent.rs
@@ -70,7 +70,7 @@
 pub struct AgentModel {
     pub identity: AgentIdentity,
     /// Lost with the incarnation.
-    pub testimony: WitnessBook,
+    pub namings: WitnessBook,
     pub owner: Option<usize>,
     /// When an owner last answered.
     pub heard: Moment,
@@ -88,7 +88,7 @@
 impl AgentModel {
     pub fn new(identity: AgentIdentity, now: Moment) -> Self {
         Self {
-            testimony: WitnessBook::new(identity.incarnation),
+            namings: WitnessBook::new(identity.incarnation),
             identity,
             owner: None,
             heard: now.before(5_000),
--- a/crates/owner/tests/world/wire.rs
+++ b/crates/owner/tests/world/wire.rs
@@ -104,7 +104,7 @@
                 });
             }
             Message::Vouch { to, from, request } => {
-                let answer = self.processes[to].agent.testimony.vouch(&request);
+                let answer = self.processes[to].agent.namings.vouch(&request);
                 if self.passes(to, from) {
                     let (delay, answer) = (self.delay(), CallOutcome::Answered(answer));
                     let message = Message::VouchAnswered { to: from, request, answer };
@@ -112,7 +112,7 @@
                 }
             }
             Message::CloseNaming { to, from, request } => {
-                let answer = self.processes[to].agent.testimony.close(&request);
+                let answer = self.processes[to].agent.namings.close(&request);
                 self.closings += usize::from(answer == ClosingReply::NotVouched);
                 if self.passes(to, from) {
                     let (delay, answer) = (self.delay(), CallOutcome::Answered(answer));
--- a/crates/policy/src/placement/eviction.rs
+++ b/crates/policy/src/placement/eviction.rs
@@ -62,13 +62,13 @@
 
 /// Pressure on one VM.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct PressureLadder {
+pub struct PressureEscalation {
     step: PressureStep,
     changed: Option<Moment>,
     calm_since: Option<Moment>,
 }
 
-impl PressureLadder {
+impl PressureEscalation {
     #[must_use]
     pub fn step(&self) -> PressureStep {
         self.step
--- a/crates/policy/tests/experience.rs
+++ b/crates/policy/tests/experience.rs
@@ -8,7 +8,7 @@
     FAILURES_PER_BAD_VM, FIRST_BACKOFF, FailureLedger, FailureVerdict, LONGEST_BACKOFF,
     VMS_PER_BAD_JOB, VmStanding,
 };
-use cactusdoor_policy::placement::eviction::{PressureLadder, PressureStep, RELAX_PAUSE};
+use cactusdoor_policy::placement::eviction::{PressureEscalation, PressureStep, RELAX_PAUSE};
 use cactusdoor_policy::placement::interference::PairTable;
 use cactusdoor_policy::placement::learning::UsageLearner;
 
@@ -226,25 +226,25 @@
 /// lagging figures, and against flapping between steps.
 #[test]
 fn pressure_rises_step_by_step_and_falls_after_calm() {
-    let mut ladder = PressureLadder::default();
+    let mut escalation = PressureEscalation::default();
     let mut now = Moment(100_000);
-    assert_eq!(ladder.observe(now, 14, 500), None, "below the threshold");
-    assert_eq!(ladder.observe(now, 30, 500), Some(PressureStep::Throttle));
+    assert_eq!(escalation.observe(now, 14, 500), None, "below the threshold");
+    assert_eq!(escalation.observe(now, 30, 500), Some(PressureStep::Throttle));
     now = now.after(1_000);
-    assert_eq!(ladder.observe(now, 30, 500), None, "the figures are older than the step");
+    assert_eq!(escalation.observe(now, 30, 500), None, "the figures are older than the step");
     for expected in [PressureStep::ThrottleHard, PressureStep::Evict, PressureStep::Stop] {
         now = now.after(1_500);
-        assert_eq!(ladder.observe(now, 30, 500), Some(expected));
+        assert_eq!(escalation.observe(now, 30, 500), Some(expected));
     }
     // Between the thresholds nothing moves.
     for _ in 0..20 {
         now = now.after(1_000);
-        assert_eq!(ladder.observe(now, 10, 500), None);
+        assert_eq!(escalation.observe(now, 10, 500), None);
     }
-    assert_eq!(ladder.step(), PressureStep::Stop);
+    assert_eq!(escalation.step(), PressureStep::Stop);
     for expected in [PressureStep::ThrottleHard, PressureStep::Throttle, PressureStep::Free] {
-        assert_eq!(ladder.observe(now, 0, 500), None);
+        assert_eq!(escalation.observe(now, 0, 500), None);
         now = now.after(RELAX_PAUSE);
-        assert_eq!(ladder.observe(now, 0, 500), Some(expected));
+        assert_eq!(escalation.observe(now, 0, 500), Some(expected));
     }
 }
