Show an evicted and resumed task with its timeline in the demo

The new step found a fault: a TaskHandedOver event had a field with the name of one of its envelope, so JSON carried it twice and the page of the process could not be read any more; cactusdoor timeline failed from the first hand-over on. The field is renamed and a test reads such an event back. Ruled out: nesting the kind instead of flattening it, which would change every event.

--- a/crates/owner/src/book/fold.rs
+++ b/crates/owner/src/book/fold.rs
@@ -122,7 +122,7 @@
                 self.backoffs.swap_remove(&task_move.task);
                 let (from, to) = (task_move.from.clone(), task_move.to.clone());
                 let (task, number) = (task_move.task.clone(), task_move.number);
-                self.event(EventKind::TaskHandedOver { task, from, to, number });
+                self.event(EventKind::TaskHandedOver { task, from, to, move_number: number });
             }
             TaskRecord::TaskReceived { task_move, .. } => self.returned(now, &task_move),
             TaskRecord::HandOverConfirmed { task, .. } => self.moves.confirmed(&task),
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -3,6 +3,8 @@
 //! What happened is judged by the histories of the stand-ins, not by what the
 //! daemons say about themselves.
 
+mod evacuation;
+
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
@@ -88,6 +90,7 @@
         self.interactive().await.context("interactive request failed")?;
         self.settlement().await.context("settlement failed")?;
         self.job().await.context("batch job failed")?;
+        self.evacuation().await.context("taking out a data centre failed")?;
         self.stop().await.context("could not stop gracefully")
     }
 
--- a/crates/timeline/src/event.rs
+++ b/crates/timeline/src/event.rs
@@ -60,7 +60,7 @@
     TaskStarted { task: TaskId, token: Token, vm: VmName },
     TaskThrottled { task: TaskId, token: Token, vm: VmName, percent: u8 },
     TaskEnded { task: TaskId, token: Token, vm: VmName, end: PlacementEnd },
-    TaskHandedOver { task: TaskId, from: ShardName, to: ShardName, number: u32 },
+    TaskHandedOver { task: TaskId, from: ShardName, to: ShardName, move_number: u32 },
     LeaseLapsed { vm: VmName, shard: ShardName },
     RequestSent { request: String, vm: VmName, attempt: u32 },
     RequestEnded { request: String, outcome: String, elapsed_ms: Millis },
--- a/crates/timeline/tests/merge.rs
+++ b/crates/timeline/tests/merge.rs
@@ -1,6 +1,6 @@
 //! Merge and filter of events.
 
-use cactusdoor_core::job::JobId;
+use cactusdoor_core::job::{JobId, TaskId};
 use cactusdoor_core::name::{DataCentre, ProcessName, ShardName, VmName};
 use cactusdoor_timeline::{
     EventFilter, EventKind, EventLog, EventSubject, HybridTime, TimelineEvent, TimelineMerge,
@@ -69,3 +69,20 @@
     let both = [EventSubject::Job(job), EventSubject::Request("r".into())];
     assert_eq!(shown(&both), [true, false, true]);
 }
+
+/// Guards against an event whose fields collide with those of its envelope: one
+/// hand-over made the whole page of its process unreadable.
+#[test]
+fn handed_over_task_is_read_back_from_json() {
+    let job = JobId { plan: "p".parse().unwrap(), key: "k".parse().unwrap() };
+    let shard = |name: &str| ShardName::new(name).unwrap();
+    let kind = EventKind::TaskHandedOver {
+        task: TaskId { job, index: 0 },
+        from: shard("a-0"),
+        to: shard("b-0"),
+        move_number: 7,
+    };
+    let written = TimelineEvent { kind, ..event("a", 3, 10, 0) };
+    let text = serde_json::to_string(&written).unwrap();
+    assert_eq!(serde_json::from_str::<TimelineEvent>(&text).unwrap(), written);
+}
