Use one sum of resources and one call of witnesses

The placement policy had a function of its own for the saturating sum that ResourceVector has too, and the owner's two calls to a witness were copies.

--- a/crates/owner/src/book/agents.rs
+++ b/crates/owner/src/book/agents.rs
@@ -11,7 +11,6 @@
     AgentHeartbeat, AgentIdentity, HeartbeatRefusal, HeartbeatReply, UpstreamStatus,
 };
 use cactusdoor_peer::task::StopMode;
-use cactusdoor_policy::placement::allowance::sum;
 use cactusdoor_policy::placement::eviction::PressureEscalation;
 use cactusdoor_timeline::{EventKind, HybridTime};
 use indexmap::{IndexMap, IndexSet};
@@ -283,7 +282,7 @@
                 }
                 continue;
             }
-            stray = sum(stray, held.need);
+            stray = stray.saturating_add(held.need);
             self.request_stop(now, held.token, &held.task, vm, StopMode::Cancel);
         }
         let ended: IndexSet<Token> = beat.ended.iter().map(|ended| ended.token).collect();
--- a/crates/owner/src/book/append.rs
+++ b/crates/owner/src/book/append.rs
@@ -6,7 +6,7 @@
 use cactusdoor_core::name::{PlanName, VmName};
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Moment, Offset};
-use cactusdoor_policy::placement::allowance::{AllowanceBook, sum};
+use cactusdoor_policy::placement::allowance::AllowanceBook;
 use indexmap::IndexMap;
 
 use super::action::Ticket;
@@ -67,7 +67,7 @@
     pub fn hold(&mut self, ticket: Ticket, hold: PlacementHold) {
         if let Some(entry) = self.open.get_mut(&ticket) {
             let held = self.held.entry(hold.vm.clone()).or_default();
-            *held = sum(*held, hold.need);
+            *held = (*held).saturating_add(hold.need);
             self.charged.add(&hold.plan, hold.charged);
             entry.hold = Some(hold);
         }
--- a/crates/owner/src/book/index.rs
+++ b/crates/owner/src/book/index.rs
@@ -10,7 +10,7 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::shard::{JobEntry, ShardFold, TaskState};
 use cactusdoor_core::unit::{Epoch, Token};
-use cactusdoor_policy::placement::allowance::{AllowanceBook, max, sum};
+use cactusdoor_policy::placement::allowance::{AllowanceBook, max};
 use indexmap::{IndexMap, IndexSet};
 
 /// A placement that the fold holds.
@@ -195,7 +195,7 @@
                 self.local.add(&task.job.plan, placement.need);
                 let load = self.vms.entry(placement.vm.clone()).or_default();
                 load.tasks.insert(placement.token, task.clone());
-                load.committed = sum(load.committed, placement.need);
+                load.committed = load.committed.saturating_add(placement.need);
                 let spread = self.spread.entry(task.job.clone()).or_default();
                 *spread.entry(placement.vm.clone()).or_default() += 1;
             }
--- a/crates/owner/src/book/placing.rs
+++ b/crates/owner/src/book/placing.rs
@@ -9,7 +9,7 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::shard::TaskRecord;
 use cactusdoor_core::unit::{Millis, Moment};
-use cactusdoor_policy::placement::allowance::{max, min, sum};
+use cactusdoor_policy::placement::allowance::{max, min};
 use cactusdoor_policy::placement::attribution::VmStanding;
 use cactusdoor_policy::placement::choice::{VmOffer, choose};
 use cactusdoor_policy::placement::eviction::PressureStep;
@@ -139,7 +139,7 @@
                 continue;
             }
             let committed = load.map_or(ResourceVector::ZERO, |load| load.committed);
-            let taken = sum(sum(committed, self.appends.held(vm)), agent.stray);
+            let taken = committed.saturating_add(self.appends.held(vm)).saturating_add(agent.stray);
             let kinds = if self.pairs.is_empty() { IndexMap::new() } else { self.kinds_on(vm) };
             open.push(OpenVm {
                 vm: vm.clone(),
@@ -254,7 +254,8 @@
             });
             jobs.push(OpenJob { id: job, need, next, home });
         }
-        let total = vms.iter().fold(ResourceVector::ZERO, |total, vm| sum(total, vm.capacity));
+        let total =
+            vms.iter().fold(ResourceVector::ZERO, |total, vm| total.saturating_add(vm.capacity));
         (jobs, FairQueue::new(total, plans.into_values().collect(), demands))
     }
 
@@ -425,7 +426,7 @@
     /// Whether the plan may use `need` more, with what is being placed.
     pub(super) fn allowance_covers(&self, plan: &PlanName, need: ResourceVector) -> bool {
         let Some(allowance) = self.config.allowance(plan) else { return false };
-        let more = sum(self.appends.charged(plan), need);
+        let more = self.appends.charged(plan).saturating_add(need);
         self.index.allowances().shortage(plan, allowance.batch, more).is_none()
     }
 
--- a/crates/owner/src/book/preempting.rs
+++ b/crates/owner/src/book/preempting.rs
@@ -10,7 +10,7 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Millis, Moment, Token};
 use cactusdoor_peer::task::StopMode;
-use cactusdoor_policy::placement::allowance::{max, sum};
+use cactusdoor_policy::placement::allowance::max;
 use cactusdoor_policy::placement::preemption::{VictimChoice, VictimOffer, choose_victims};
 use indexmap::IndexMap;
 
@@ -76,7 +76,7 @@
             .preemptions
             .values()
             .filter(|other| other.task.job.plan == task.job.plan && other.task != *task);
-        let reserved = reserved.fold(charged, |total, other| sum(total, other.charged));
+        let reserved = reserved.fold(charged, |total, other| total.saturating_add(other.charged));
         if charged != ResourceVector::ZERO && !self.allowance_covers(&task.job.plan, reserved) {
             return false;
         }
--- a/crates/owner/src/book/roster.rs
+++ b/crates/owner/src/book/roster.rs
@@ -6,7 +6,6 @@
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_peer::heartbeat::{AgentIdentity, OwnerNotice};
 use cactusdoor_peer::roster::{RosterMember, RosterReply, RosterUpdate, ShardRoom};
-use cactusdoor_policy::placement::allowance::sum;
 use cactusdoor_timeline::HybridTime;
 use indexmap::IndexMap;
 
@@ -84,9 +83,9 @@
         };
         for (vm, agent) in self.agents.iter().filter(|(_, agent)| agent.takes_tasks(now)) {
             let committed = self.index.vm(vm).map_or(ResourceVector::ZERO, |load| load.committed);
-            let taken = sum(sum(committed, self.appends.held(vm)), agent.stray);
+            let taken = committed.saturating_add(self.appends.held(vm)).saturating_add(agent.stray);
             let free = agent.capacity.saturating_sub(taken);
-            room.free = sum(room.free, free);
+            room.free = room.free.saturating_add(free);
             let size = |amount: ResourceVector| (amount.accelerators, amount.processors);
             if size(free) > size(room.largest) {
                 room.largest = free;
--- a/crates/owner/src/dispatch.rs
+++ b/crates/owner/src/dispatch.rs
@@ -4,12 +4,14 @@
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use cactusdoor_core::name::VmName;
+use cactusdoor_peer::AgentServiceClient;
 use cactusdoor_peer::heartbeat::OwnerNotice;
 use cactusdoor_peer::task::{TaskStart, TaskStop};
 use cactusdoor_peer::witness::WitnessRequest;
 use indexmap::IndexMap;
+use tarpc::client::RpcError;
 
-use crate::book::CallOutcome;
+use crate::book::{CallOutcome, ShardBook};
 use crate::peers::{CallError, TASK_CALL_TIMEOUT, call_within, short_call};
 use crate::shard_actor::ShardActor;
 
@@ -135,14 +137,13 @@
         address: SocketAddr,
         request: WitnessRequest,
     ) {
-        let (peers, asked) = (self.core.peers.clone(), request.clone());
-        let call = async move {
-            let client = peers.agent(address).await?;
-            peers.answer(address, client.vouch(short_call(), request).await)
-        };
-        ctx.spawn(call.into_actor(self).map(move |result, actor, _| {
-            actor.book.vouch_answered(&asked, outcome(result));
-        }));
+        let asked = request.clone();
+        self.call_witness(
+            ctx,
+            address,
+            async move |client| client.vouch(short_call(), request).await,
+            move |book, answer| book.vouch_answered(&asked, answer),
+        );
     }
 
     pub(crate) fn close_naming(
@@ -151,13 +152,30 @@
         address: SocketAddr,
         request: WitnessRequest,
     ) {
-        let (peers, asked) = (self.core.peers.clone(), request.clone());
-        let call = async move {
+        let asked = request.clone();
+        self.call_witness(
+            ctx,
+            address,
+            async move |client| client.close_naming(short_call(), request).await,
+            move |book, answer| book.naming_closed(&asked, answer),
+        );
+    }
+
+    /// Calls a witness and gives its answer to the book.
+    fn call_witness<T: 'static>(
+        &self,
+        ctx: &mut Context<Self>,
+        address: SocketAddr,
+        call: impl AsyncFnOnce(AgentServiceClient) -> Result<T, RpcError> + 'static,
+        take: impl FnOnce(&mut ShardBook, CallOutcome<T>) + 'static,
+    ) {
+        let peers = self.core.peers.clone();
+        let answer = async move {
             let client = peers.agent(address).await?;
-            peers.answer(address, client.close_naming(short_call(), request).await)
+            peers.answer(address, call(client).await)
         };
-        ctx.spawn(call.into_actor(self).map(move |result, actor, _| {
-            actor.book.naming_closed(&asked, outcome(result));
+        ctx.spawn(answer.into_actor(self).map(move |result, actor, _| {
+            take(&mut actor.book, outcome(result));
         }));
     }
 }
--- a/crates/policy/src/placement/allowance.rs
+++ b/crates/policy/src/placement/allowance.rs
@@ -18,7 +18,7 @@
 
     pub fn add(&mut self, plan: &PlanName, need: ResourceVector) {
         let used = self.used.entry(plan.clone()).or_default();
-        *used = sum(*used, need);
+        *used = (*used).saturating_add(need);
     }
 
     pub fn remove(&mut self, plan: &PlanName, need: ResourceVector) {
@@ -38,7 +38,7 @@
         limit: ResourceVector,
         need: ResourceVector,
     ) -> Option<ResourceKind> {
-        limit.shortage(sum(self.used(plan), need))
+        limit.shortage(self.used(plan).saturating_add(need))
     }
 
     pub fn plans(&self) -> impl Iterator<Item = (&PlanName, ResourceVector)> {
@@ -46,16 +46,6 @@
     }
 }
 
-/// Sum that stays at the largest amount instead of overflowing.
-#[must_use]
-pub fn sum(a: ResourceVector, b: ResourceVector) -> ResourceVector {
-    ResourceVector {
-        processors: a.processors.saturating_add(b.processors),
-        memory: a.memory.saturating_add(b.memory),
-        accelerators: a.accelerators.saturating_add(b.accelerators),
-    }
-}
-
 /// Componentwise maximum.
 #[must_use]
 pub fn max(a: ResourceVector, b: ResourceVector) -> ResourceVector {
--- a/crates/policy/src/placement/order.rs
+++ b/crates/policy/src/placement/order.rs
@@ -7,8 +7,6 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Millis, Offset};
 
-use super::allowance::sum;
-
 /// Slack below which a deadline takes precedence, as a multiple of the run time.
 const PRESSURE_RUN_TIMES: u64 = 1;
 /// Slack below which a deadline takes precedence in any case; covers a move
@@ -113,7 +111,7 @@
     /// A task of `demand` was placed.
     pub fn placed(&mut self, demand: usize) {
         let JobDemand { plan, need, .. } = self.demands[demand];
-        self.shares[plan].used = sum(self.shares[plan].used, need);
+        self.shares[plan].used = self.shares[plan].used.saturating_add(need);
     }
 
     /// The demand has no further task for this round.
--- a/crates/policy/src/placement/preemption.rs
+++ b/crates/policy/src/placement/preemption.rs
@@ -3,8 +3,6 @@
 use cactusdoor_core::resource::ResourceVector;
 use cactusdoor_core::unit::{Millis, Token};
 
-use super::allowance::sum;
-
 /// A batch task that may be evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VictimOffer {
@@ -51,7 +49,7 @@
 ) -> Option<VictimChoice> {
     offers.sort_by_key(|offer| (offer.work_lost(), offer.elapsed, offer.token));
     let room = |taken: &[VictimOffer]| {
-        taken.iter().fold(free, |room, offer| sum(room, offer.need)).holds(need)
+        taken.iter().fold(free, |room, offer| room.saturating_add(offer.need)).holds(need)
     };
     let enough = (0..=offers.len()).find(|&count| room(&offers[..count]))?;
     offers.truncate(enough);
