Connect owners through the shared transport, and read runs in one place

The owner opened its connections itself, without the frame limit and without the TCP_NODELAY of the wire module that agents and entries use; the calls and their timeouts stay as they were. The demo read and checked the workers' histories in two places.

--- a/crates/owner/src/peers.rs
+++ b/crates/owner/src/peers.rs
@@ -5,10 +5,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cactusdoor_peer::wire::{connect_agent, connect_entry};
 use cactusdoor_peer::{AgentServiceClient, EntryServiceClient};
 use tarpc::context::Context;
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::{client, serde_transport};
 use thiserror::Error;
 use tokio::time::timeout;
 
@@ -34,32 +33,29 @@
 }
 
 macro_rules! connect {
-    ($pool:expr, $client:ident, $address:expr) => {{
+    ($pool:expr, $connect:path, $address:expr) => {{
         let known = $pool.borrow().get(&$address).cloned();
         match known {
             Some(client) => Ok(client),
-            None => {
-                let connecting = serde_transport::tcp::connect($address, Bincode::default);
-                match timeout(CALL_TIMEOUT, connecting).await {
-                    Ok(Ok(transport)) => {
-                        let client = $client::new(client::Config::default(), transport).spawn();
-                        $pool.borrow_mut().insert($address, client.clone());
-                        Ok(client)
-                    }
-                    _ => Err(CallError::NotConnected($address)),
+            None => match timeout(CALL_TIMEOUT, $connect($address)).await {
+                Ok(Ok((client, dispatch))) => {
+                    actix_rt::spawn(dispatch);
+                    $pool.borrow_mut().insert($address, client.clone());
+                    Ok(client)
                 }
-            }
+                _ => Err(CallError::NotConnected($address)),
+            },
         }
     }};
 }
 
 impl PeerPool {
     pub async fn agent(&self, address: SocketAddr) -> Result<AgentServiceClient, CallError> {
-        connect!(self.agents, AgentServiceClient, address)
+        connect!(self.agents, connect_agent, address)
     }
 
     pub async fn entry(&self, address: SocketAddr) -> Result<EntryServiceClient, CallError> {
-        connect!(self.entries, EntryServiceClient, address)
+        connect!(self.entries, connect_entry, address)
     }
 
     /// The result of a call; a connection without an answer is closed.
--- a/crates/standin/src/demo.rs
+++ b/crates/standin/src/demo.rs
@@ -261,13 +261,19 @@
         Ok(reply.json()?)
     }
 
-    /// Number of finished tasks; fails if one finished twice or ran in two places at once.
-    fn finished_tasks(&self) -> Result<usize> {
+    /// Runs on all workers; fails if a task ran in two places at once.
+    fn task_runs(&self) -> Result<Vec<TaskRun>> {
         let history: Vec<_> = self.cluster.vms.iter().flat_map(|vm| vm.worker.history()).collect();
         let runs = check::runs(&history);
-        if let Some(violation) = check::overlaps(&runs).pop() {
-            return Err(violation.into());
+        match check::overlaps(&runs).pop() {
+            Some(violation) => Err(violation.into()),
+            None => Ok(runs),
         }
+    }
+
+    /// Number of finished tasks; fails if one finished twice or ran in two places at once.
+    fn finished_tasks(&self) -> Result<usize> {
+        let runs = self.task_runs()?;
         let is_finished = |run: &&TaskRun| matches!(run.stopped, Some((_, StopReason::Finished)));
         let finished: Vec<_> = runs.iter().filter(is_finished).map(|run| &run.task).collect();
         let tasks: BTreeSet<_> = finished.iter().collect();
--- a/crates/standin/src/demo/evacuation.rs
+++ b/crates/standin/src/demo/evacuation.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 
 use super::{Demo, POLL_INTERVAL, WORK_TIMEOUT};
-use crate::check::{self, TaskRun};
+use crate::check::TaskRun;
 use crate::harness::ApiClient;
 use crate::worker::StopReason;
 
@@ -65,12 +65,7 @@
     async fn run_of(&self, id: &JobId, wanted: impl Fn(&TaskRun) -> bool) -> Result<TaskRun> {
         let deadline = Instant::now() + WORK_TIMEOUT;
         loop {
-            let history: Vec<_> =
-                self.cluster.vms.iter().flat_map(|vm| vm.worker.history()).collect();
-            let runs = check::runs(&history);
-            if let Some(violation) = check::overlaps(&runs).pop() {
-                return Err(violation.into());
-            }
+            let runs = self.task_runs()?;
             let found = runs.into_iter().find(|run| run.task.job == *id && wanted(run));
             if let Some(run) = found {
                 return Ok(run);
