--- /dev/null
+++ b/crates/fleet/src/agent.rs
@@ -0,0 +1,109 @@
+//! `cactusdoor-fleet agent`: the process beside a worker.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_node::process::draw_incarnation;
+use cactusdoor_node::shutdown;
+use cactusdoor_platform::store::StoreClient;
+use cactusdoor_platform::worker::WorkerClient;
+use prometheus::Registry;
+use tokio::sync::watch;
+
+use crate::candidate::{self, CandidateContext, OwnerContact};
+use crate::check::Run;
+use crate::decision::DecisionEvent;
+use crate::finder::OwnerFinder;
+use crate::journal::{DecisionLog, open_logger};
+use crate::keeper::{KeeperContext, WorkerKeeper};
+use crate::meters::{AgentMeters, OwnerMeters};
+use crate::owner::OwnerContext;
+use crate::port::OwnerPort;
+use crate::reporter::OwnerReporter;
+use crate::settings::AgentSettings;
+use crate::{announcements, operators, signals};
+
+/// Longest wait for an owner's resignation and a last report at a stop.
+const RESIGN_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Runs the agent until it is told to stop.
+pub struct AgentRun {
+    pub settings: PathBuf,
+}
+
+impl Run for AgentRun {
+    fn run(self) -> anyhow::Result<()> {
+        let settings = AgentSettings::load(&self.settings)?;
+        let name = settings.process.name.clone();
+        let log = DecisionLog::open(name, std::io::stdout()).context("could not open the log")?;
+        let _logger = open_logger(&settings.process.log_level, &log)?;
+        actix_rt::System::new().block_on(run(self.settings, settings, log))
+    }
+}
+
+async fn run(path: PathBuf, settings: AgentSettings, log: DecisionLog) -> anyhow::Result<()> {
+    let process = &settings.process;
+    let incarnation = draw_incarnation();
+    log.note(DecisionEvent::ProcessStarted { role: "agent", incarnation });
+    let registry = Registry::new();
+    let clock = MonotonicClock::open();
+    let store = StoreClient::open(process.store_address);
+    let port = OwnerPort::bind(settings.peer_address)
+        .await
+        .with_context(|| format!("could not listen at {}", settings.peer_address))?;
+    let (server, messages) =
+        announcements::bind(settings.announce_address, process.metrics_address, registry.clone())?;
+    let finder = OwnerFinder::open(store.clone(), clock, log.clone());
+    let (contact, contacts) = watch::channel(OwnerContact::Refused);
+    let (stop, stopping) = watch::channel(false);
+    let meters = AgentMeters::open(&registry).context("could not register meters")?;
+    let keeper = WorkerKeeper::spawn(KeeperContext {
+        worker: WorkerClient::open(settings.worker_address),
+        clock,
+        log: log.clone(),
+        meters: meters.clone(),
+        messages,
+    });
+    OwnerReporter::spawn(OwnerReporter {
+        name: process.name.clone(),
+        incarnation,
+        clock,
+        finder: Rc::clone(&finder),
+        keeper: Rc::clone(&keeper),
+        contact,
+        meters,
+        log: log.clone(),
+    });
+    let owner = OwnerContext {
+        name: process.name.clone(),
+        address: settings.peer_address,
+        store: store.clone(),
+        clock,
+        log: log.clone(),
+        port,
+        views: operators::spawn(store, clock, log.clone()),
+        meters: OwnerMeters::open(&registry).context("could not register meters")?,
+        lease_limit: settings.lease_limit,
+    };
+    let candidate = actix_rt::spawn(candidate::run(CandidateContext {
+        owner,
+        finder,
+        contact: contacts,
+        stopping,
+    }));
+    let reload = signals::watch_settings(&path, log.clone(), AgentSettings::load);
+    tokio::select! {
+        stopped = shutdown::requested() => stopped.context("could not wait for signals")?,
+        reloaded = reload => reloaded.context("could not wait for signals")?,
+    }
+    log.note(DecisionEvent::ProcessStopping);
+    if stop.send(true).is_ok() && tokio::time::timeout(RESIGN_LIMIT, candidate).await.is_err() {
+        log::warn!("owner did not resign in time");
+    }
+    server.stop(true).await;
+    log.note(DecisionEvent::ProcessStopped);
+    Ok(())
+}
--- /dev/null
+++ b/crates/fleet/src/args.rs
@@ -0,0 +1,38 @@
+//! Arguments of `cactusdoor-fleet`.
+
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+
+/// Runs cactusdoor on the platform.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub enum FleetCommand {
+    /// Runs the entry of an edge VM
+    #[bpaf(command)]
+    Entry(#[bpaf(external(settings_path))] PathBuf),
+    /// Runs the agent beside a worker
+    #[bpaf(command)]
+    Agent(#[bpaf(external(settings_path))] PathBuf),
+    /// Checks a settings file of an entry or an agent
+    #[bpaf(command)]
+    Check {
+        #[bpaf(external(check_role))]
+        role: CheckRole,
+        #[bpaf(external(settings_path))]
+        settings: PathBuf,
+    },
+}
+
+/// Whose settings are checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Bpaf)]
+pub enum CheckRole {
+    /// Checks the settings of an entry
+    Entry,
+    /// Checks the settings of an agent
+    Agent,
+}
+
+fn settings_path() -> impl bpaf::Parser<PathBuf> {
+    bpaf::long("settings").env("CACTUSDOOR_CONFIG").help("Settings file").argument("FILE")
+}
--- /dev/null
+++ b/crates/fleet/src/entry.rs
@@ -0,0 +1,111 @@
+//! `cactusdoor-fleet entry`: the process that callers reach.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use actix_web::web::{self, Data, PayloadConfig};
+use actix_web::{App, HttpServer};
+use anyhow::Context as _;
+use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_node::process::draw_incarnation;
+use cactusdoor_node::shutdown;
+use cactusdoor_platform::store::StoreClient;
+use prometheus::Registry;
+use tokio::sync::mpsc;
+
+use crate::check::Run;
+use crate::decision::DecisionEvent;
+use crate::finder::OwnerFinder;
+use crate::front::{self, FrontContext};
+use crate::journal::{DecisionLog, open_logger};
+use crate::meters::EntryMeters;
+use crate::settings::EntrySettings;
+use crate::watcher::JobStates;
+use crate::{operators, signals, submitter, watcher};
+
+/// Idle connections of callers are kept for longer than the operators' limit.
+const KEEP_ALIVE: Duration = Duration::from_secs(20);
+/// Largest body of a call, beyond what the operators' limits allow.
+const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+/// The balancer takes an entry out after two missed probes, a second apart.
+const PROBE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Runs the entry until it is told to stop.
+pub struct EntryRun {
+    pub settings: PathBuf,
+}
+
+impl Run for EntryRun {
+    fn run(self) -> anyhow::Result<()> {
+        let settings = EntrySettings::load(&self.settings)?;
+        let name = settings.process.name.clone();
+        let log = DecisionLog::open(name, std::io::stdout()).context("could not open the log")?;
+        let _logger = open_logger(&settings.process.log_level, &log)?;
+        actix_rt::System::new().block_on(run(self.settings, settings, log))
+    }
+}
+
+async fn run(path: PathBuf, settings: EntrySettings, log: DecisionLog) -> anyhow::Result<()> {
+    let process = &settings.process;
+    let incarnation = draw_incarnation();
+    log.note(DecisionEvent::ProcessStarted { role: "entry", incarnation });
+    let registry = Registry::new();
+    let clock = MonotonicClock::open();
+    let store = StoreClient::open(process.store_address);
+    let finder = OwnerFinder::open(store.clone(), clock, log.clone());
+    let states = JobStates::default();
+    let (finds, found) = mpsc::unbounded_channel();
+    watcher::spawn(finder, states.clone(), found);
+    let producer = format!("{}-{incarnation:016x}", process.name);
+    let stopping = Arc::new(AtomicBool::new(false));
+    let context = Data::new(FrontContext {
+        ready_address: settings.ready_address,
+        metrics_address: process.metrics_address,
+        config_bound: settings.config_bound,
+        clock,
+        log: log.clone(),
+        meters: EntryMeters::open(&registry).context("could not register meters")?,
+        registry,
+        views: operators::spawn(store.clone(), clock, log.clone()),
+        states,
+        submits: submitter::spawn(store, clock, producer),
+        finds,
+        stopping: Arc::clone(&stopping),
+    });
+    let server = serve(&settings, context)?;
+    let reload = signals::watch_settings(&path, log.clone(), EntrySettings::load);
+    tokio::select! {
+        stopped = shutdown::requested() => stopped.context("could not wait for signals")?,
+        reloaded = reload => reloaded.context("could not wait for signals")?,
+    }
+    log.note(DecisionEvent::ProcessStopping);
+    stopping.store(true, Ordering::Relaxed);
+    let linger = Duration::from_millis(process.stop / 2).min(PROBE_TIME);
+    tokio::time::sleep(linger).await;
+    server.stop(true).await;
+    log.note(DecisionEvent::ProcessStopped);
+    Ok(())
+}
+
+fn serve(settings: &EntrySettings, context: Data<FrontContext>) -> anyhow::Result<ServerHandle> {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(context.clone())
+            .app_data(PayloadConfig::new(MAX_BODY_BYTES))
+            .default_service(web::to(front::answer))
+    });
+    let grace = settings.process.stop.saturating_sub(3_000).max(1_000) / 1_000;
+    let mut server =
+        server.workers(1).disable_signals().keep_alive(KEEP_ALIVE).shutdown_timeout(grace);
+    let process = &settings.process;
+    for address in [settings.caller_address, settings.ready_address, process.metrics_address] {
+        server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
+    }
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
--- /dev/null
+++ b/crates/fleet/src/front.rs
@@ -0,0 +1,321 @@
+//! Answers callers: jobs, their states, cancels, and readiness.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use actix_web::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use actix_web::http::{Method, StatusCode};
+use actix_web::web::{Bytes, Data};
+use actix_web::{HttpRequest, HttpResponse};
+use cactusdoor_core::unit::Millis;
+use cactusdoor_node::clock::{MonotonicClock, unix_ms};
+use cactusdoor_peer::queue::FindReply;
+use cactusdoor_platform::status::{FaultBody, PendingBody, StateBody};
+use cactusdoor_platform::store::KeyedRecord;
+use cactusdoor_platform::{calls, submission};
+use cactusdoor_queue::name::JobId;
+use cactusdoor_queue::record::RequestKey;
+use cactusdoor_queue::report::JobState;
+use cactusdoor_queue::terms::QueueTerms;
+use prometheus::Registry;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::decision::DecisionEvent;
+use crate::journal::DecisionLog;
+use crate::meters::{self, EntryMeters};
+use crate::operators::ConfirmedView;
+use crate::submitter::{SubmitCall, SubmitVerdict};
+use crate::watcher::{FindCall, JobStates};
+
+/// Deadline of a call that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
+/// Kept back from a caller's deadline for the way of the answer.
+const ANSWER_MARGIN: Duration = Duration::from_millis(120);
+/// Pause between two questions to the owner.
+const FIND_PAUSE: Duration = Duration::from_millis(120);
+/// When a refused caller may come back, in seconds.
+const COME_BACK: &str = "1";
+/// The store has to have answered within this time for an entry to be ready.
+const READY_AGE: Millis = 2_500;
+/// Most characters of a job id: a name chosen by the caller.
+const MAX_ID: usize = 64;
+
+/// What the front needs; shared by its threads.
+pub struct FrontContext {
+    pub ready_address: SocketAddr,
+    pub metrics_address: SocketAddr,
+    pub config_bound: Millis,
+    pub clock: MonotonicClock,
+    pub log: DecisionLog,
+    pub meters: EntryMeters,
+    pub registry: Registry,
+    pub views: watch::Receiver<ConfirmedView>,
+    pub states: JobStates,
+    pub submits: mpsc::UnboundedSender<SubmitCall>,
+    pub finds: mpsc::UnboundedSender<FindCall>,
+    pub stopping: Arc<AtomicBool>,
+}
+
+/// Answers any call, by the address at which it came in.
+pub async fn answer(
+    context: Data<FrontContext>,
+    request: HttpRequest,
+    body: Bytes,
+) -> HttpResponse {
+    let address = request.app_config().local_addr();
+    if address == context.ready_address {
+        return context.answer_ready(&request);
+    }
+    if address == context.metrics_address {
+        return context.answer_metrics();
+    }
+    let mut response = context.answer_caller(&request, &body).await;
+    let call = match *request.method() {
+        Method::POST => "submit",
+        Method::DELETE => "cancel",
+        _ => "query",
+    };
+    let status = response.status();
+    context.meters.answers.with_label_values(&[call, status.as_str()]).inc();
+    if context.stopping.load(Ordering::Relaxed) {
+        let close = actix_web::http::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// A call that is not carried out.
+struct Refusal {
+    status: StatusCode,
+    cause: &'static str,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, cause: &'static str) -> Self {
+        Self { status, cause }
+    }
+}
+
+impl FrontContext {
+    fn answer_ready(&self, request: &HttpRequest) -> HttpResponse {
+        let ready = request.path() == calls::READINESS && self.is_ready();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        HttpResponse::new(status)
+    }
+
+    /// Whether jobs can be stored under a configuration that is in force.
+    fn is_ready(&self) -> bool {
+        let view = self.views.borrow();
+        let fresh = self.clock.now() <= view.confirmed.after(READY_AGE);
+        fresh && view.view.config.is_some() && !self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn answer_metrics(&self) -> HttpResponse {
+        match meters::text(&self.registry) {
+            Ok(text) => HttpResponse::Ok().content_type("text/plain; charset=utf-8").body(text),
+            Err(error) => {
+                log::error!("could not encode metrics: {error}");
+                HttpResponse::InternalServerError().finish()
+            }
+        }
+    }
+
+    async fn answer_caller(&self, request: &HttpRequest, body: &Bytes) -> HttpResponse {
+        let deadline = Instant::now() + caller_deadline(request);
+        let (queue, version) = match self.find_queue(request) {
+            Ok(found) => found,
+            Err(refusal) => {
+                self.log.note(DecisionEvent::CallRefused {
+                    path: request.path().to_owned(),
+                    status: refusal.status.as_u16(),
+                    cause: refusal.cause,
+                });
+                return refuse(&refusal);
+            }
+        };
+        let id = &request.path()[queue.prefix.len()..];
+        if id.is_empty() && request.method() == Method::GET {
+            return self.answer_pending(&queue);
+        }
+        if !is_job_id(id) {
+            return refuse(&Refusal::new(StatusCode::NOT_FOUND, "no job id"));
+        }
+        let job = JobId::from(id);
+        match *request.method() {
+            Method::POST => self.submit(&queue, version, &job, body, deadline).await,
+            Method::GET => self.show(&job, deadline).await,
+            Method::DELETE => self.cancel(&queue, &job, deadline).await,
+            _ => refuse(&Refusal::new(StatusCode::METHOD_NOT_ALLOWED, "method")),
+        }
+    }
+
+    fn find_queue(&self, request: &HttpRequest) -> Result<(QueueTerms, u64), Refusal> {
+        let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.unwrap_or_default().split(':').next().unwrap_or_default();
+        let view = self.views.borrow();
+        let Some(config) = &view.view.config else {
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration"));
+        };
+        if let Some(queue) = config.find(host, request.path()) {
+            return Ok((queue.clone(), config.version));
+        }
+        // A queue may have been added since the view was confirmed.
+        if self.clock.now() > view.confirmed.after(self.config_bound) {
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "configuration is old"));
+        }
+        Err(Refusal::new(StatusCode::NOT_FOUND, "no such queue"))
+    }
+
+    fn answer_pending(&self, queue: &QueueTerms) -> HttpResponse {
+        match self.states.pending(&queue.name) {
+            Some(pending) => HttpResponse::Ok().json(PendingBody { pending }),
+            None => refuse(&Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no owner yet")),
+        }
+    }
+
+    async fn submit(
+        &self,
+        queue: &QueueTerms,
+        version: u64,
+        job: &JobId,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> HttpResponse {
+        if self.states.get(job).is_some() {
+            return HttpResponse::Ok().finish();
+        }
+        let spec = match submission::read(body, queue, unix_ms()) {
+            Ok(spec) => spec,
+            Err(error) => {
+                let error = error.to_string();
+                return HttpResponse::BadRequest().json(FaultBody { error });
+            }
+        };
+        let value = serde_json::to_vec(&spec).unwrap_or_default();
+        let key = RequestKey::Job(job.clone()).text();
+        let record = KeyedRecord { key, value: Some(value.into()) };
+        let started = Instant::now();
+        let refusal = match self.store(record, deadline).await {
+            Ok(()) => {
+                self.states.accept(job);
+                let (job, queue, waited) = (job.clone(), queue.name.clone(), elapsed(started));
+                self.log.note(DecisionEvent::JobAccepted { job, queue, version, waited });
+                return HttpResponse::Ok().finish();
+            }
+            Err(refusal) => refusal,
+        };
+        self.log.note(DecisionEvent::JobRefused {
+            job: job.clone(),
+            queue: queue.name.clone(),
+            status: refusal.status.as_u16(),
+            cause: refusal.cause,
+            waited: elapsed(started),
+        });
+        refuse(&refusal)
+    }
+
+    /// Stores a request; a verdict that is not known in time is no refusal.
+    async fn store(&self, record: KeyedRecord, deadline: Instant) -> Result<(), Refusal> {
+        let started = Instant::now();
+        let (reply, verdict) = oneshot::channel();
+        let call = SubmitCall { record, arrived: self.clock.now(), reply };
+        if self.submits.send(call).is_err() {
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store lane has ended"));
+        }
+        let verdict = tokio::time::timeout_at(deadline.into(), verdict).await;
+        self.meters.store_wait.observe(started.elapsed().as_secs_f64());
+        match verdict {
+            Ok(Ok(SubmitVerdict::Stored)) => Ok(()),
+            Ok(Ok(SubmitVerdict::Refused)) => {
+                Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "not stored"))
+            }
+            Ok(Err(_)) => Err(Refusal::new(StatusCode::BAD_GATEWAY, "store lane has ended")),
+            Err(_) => Err(Refusal::new(StatusCode::GATEWAY_TIMEOUT, "verdict not known")),
+        }
+    }
+
+    /// The state of a job; asks the owner for one that is not known here.
+    async fn find(&self, job: &JobId, deadline: Instant) -> Result<Option<JobState>, Refusal> {
+        loop {
+            if let Some(state) = self.states.get(job) {
+                return Ok(Some(state));
+            }
+            let limit = deadline.saturating_duration_since(Instant::now());
+            if limit.is_zero() {
+                return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "owner did not answer"));
+            }
+            let (reply, answer) = oneshot::channel();
+            let call = FindCall { job: job.clone(), limit, reply };
+            if self.finds.send(call).is_err() {
+                return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"));
+            }
+            match answer.await {
+                Ok(Some(FindReply::Known(state))) => return Ok(Some(state)),
+                Ok(Some(FindReply::Unknown)) => return Ok(None),
+                _ => tokio::time::sleep(FIND_PAUSE).await,
+            }
+        }
+    }
+
+    async fn show(&self, job: &JobId, deadline: Instant) -> HttpResponse {
+        match self.find(job, deadline).await {
+            Ok(Some(state)) => HttpResponse::Ok().json(StateBody::of(state)),
+            Ok(None) => refuse(&Refusal::new(StatusCode::GONE, "no such job")),
+            Err(refusal) => refuse(&refusal),
+        }
+    }
+
+    async fn cancel(&self, queue: &QueueTerms, job: &JobId, deadline: Instant) -> HttpResponse {
+        let started = Instant::now();
+        match self.find(job, deadline).await {
+            Ok(Some(state)) if state.has_ended() => return HttpResponse::Ok().finish(),
+            Ok(Some(_)) => {}
+            Ok(None) => return refuse(&Refusal::new(StatusCode::GONE, "no such job")),
+            Err(refusal) => return refuse(&refusal),
+        }
+        let key = RequestKey::Cancel(job.clone()).text();
+        let record = KeyedRecord { key, value: Some(Bytes::from_static(b"{}")) };
+        match self.store(record, deadline).await {
+            Ok(()) => {
+                let (job, waited) = (job.clone(), elapsed(started));
+                self.log.note(DecisionEvent::CancelAccepted { job, waited });
+                HttpResponse::Ok().finish()
+            }
+            Err(refusal) => {
+                self.log.note(DecisionEvent::JobRefused {
+                    job: job.clone(),
+                    queue: queue.name.clone(),
+                    status: refusal.status.as_u16(),
+                    cause: refusal.cause,
+                    waited: elapsed(started),
+                });
+                refuse(&refusal)
+            }
+        }
+    }
+}
+
+fn refuse(refusal: &Refusal) -> HttpResponse {
+    let mut response = HttpResponse::build(refusal.status);
+    if refusal.status == StatusCode::SERVICE_UNAVAILABLE {
+        response.insert_header((RETRY_AFTER, COME_BACK));
+    }
+    response.json(FaultBody { error: refusal.cause.to_owned() })
+}
+
+fn caller_deadline(request: &HttpRequest) -> Duration {
+    let header = request.headers().get(calls::DEADLINE_HEADER);
+    let millis = header.and_then(|header| header.to_str().ok()?.parse().ok());
+    let deadline = millis.map_or(DEFAULT_DEADLINE, Duration::from_millis);
+    deadline.saturating_sub(ANSWER_MARGIN)
+}
+
+fn is_job_id(id: &str) -> bool {
+    (1..=MAX_ID).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_alphanumeric())
+}
+
+fn elapsed(started: Instant) -> Millis {
+    u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fleet/src/journal.rs
@@ -0,0 +1,149 @@
+//! The decision log: one JSON line a decision, bounded, never blocking.
+//!
+//! Lines go through a bounded queue to a thread of their own, which writes as
+//! many as wait in one call. A full queue drops lines, and each kind of event
+//! has a budget a second; what was left out is counted and said once a second.
+
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cactusdoor_core::unit::Millis;
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_queue::name::AgentName;
+use flexi_logger::writers::LogWriter;
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use indexmap::IndexMap;
+use log::Record;
+use serde::Serialize;
+
+use crate::decision::DecisionEvent;
+
+/// Lines that wait for the writing thread: some seconds of a busy process.
+const MAX_WAITING: usize = 2_048;
+/// Lines a second of one kind of event on an ordinary path.
+const ROUTINE_BUDGET: u64 = 60;
+/// Lines a second of one kind of event about failures and changes of belief.
+const FAILURE_BUDGET: u64 = 200;
+/// Bytes that are written in one call.
+const WRITE_BYTES: usize = 32 * 1024;
+
+#[derive(Serialize)]
+struct DecisionLine<'a> {
+    /// Unix milliseconds.
+    at: Millis,
+    process: &'a str,
+    #[serde(flatten)]
+    event: &'a DecisionEvent,
+}
+
+#[derive(Default)]
+struct LineBudget {
+    second: Millis,
+    used: IndexMap<&'static str, u64>,
+}
+
+/// Writes decisions; cheap to clone.
+#[derive(Clone)]
+pub struct DecisionLog {
+    process: AgentName,
+    lines: SyncSender<String>,
+    dropped: Arc<AtomicU64>,
+    budget: Arc<Mutex<LineBudget>>,
+}
+
+impl DecisionLog {
+    /// Starts the writing thread.
+    pub fn open(process: AgentName, output: impl Write + Send + 'static) -> io::Result<Self> {
+        let (lines, waiting) = sync_channel(MAX_WAITING);
+        std::thread::Builder::new()
+            .name("decision-log".into())
+            .spawn(move || write_lines(&waiting, output))?;
+        Ok(Self { process, lines, dropped: Arc::default(), budget: Arc::default() })
+    }
+
+    /// Lines that did not fit into the queue.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+
+    pub fn note(&self, event: DecisionEvent) {
+        let now = unix_ms();
+        if self.spend(&event, now) {
+            self.send(&event, now);
+        }
+    }
+
+    /// Takes a line off the budget; says what was left out in the last second.
+    fn spend(&self, event: &DecisionEvent, now: Millis) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut left_out = Vec::new();
+        if budget.second != now / 1_000 {
+            budget.second = now / 1_000;
+            let used = std::mem::take(&mut budget.used);
+            left_out.extend(used.into_iter().filter(|(_, used)| *used > FAILURE_BUDGET));
+        }
+        let (kind, failure) = event.kind();
+        let used = budget.used.entry(kind).or_insert(0);
+        *used += 1;
+        let allowed = *used <= if failure { FAILURE_BUDGET } else { ROUTINE_BUDGET };
+        drop(budget);
+        if !left_out.is_empty() {
+            self.send(&DecisionEvent::LinesLeftOut { kinds: left_out }, now);
+        }
+        allowed
+    }
+
+    fn send(&self, event: &DecisionEvent, now: Millis) {
+        let line = DecisionLine { at: now, process: &self.process, event };
+        match serde_json::to_string(&line) {
+            Ok(line) => self.send_line(line),
+            Err(error) => log::error!("could not write a decision: {error}"),
+        }
+    }
+
+    fn send_line(&self, line: String) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Sends the records of the `log` crate the same way.
+impl LogWriter for DecisionLog {
+    fn write(&self, _now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+        let line = serde_json::json!({
+            "at": unix_ms(),
+            "process": &*self.process,
+            "level": record.level().as_str(),
+            "message": record.args().to_string(),
+        });
+        self.send_line(line.to_string());
+        Ok(())
+    }
+
+    fn flush(&self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging at `level`.
+pub fn open_logger(level: &str, log: &DecisionLog) -> Result<LoggerHandle, FlexiLoggerError> {
+    Logger::try_with_str(level)?.log_to_writer(Box::new(log.clone())).start()
+}
+
+fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
+    while let Ok(first) = lines.recv() {
+        let mut text = first + "\n";
+        while text.len() < WRITE_BYTES {
+            let Ok(line) = lines.try_recv() else { break };
+            text.push_str(&line);
+            text.push('\n');
+        }
+        if output.write_all(text.as_bytes()).and_then(|()| output.flush()).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/link.rs
@@ -0,0 +1,107 @@
+//! Calls to the owner over one connection, dropped after a call without an answer.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cactusdoor_peer::queue::{FindReply, QueueServiceClient, WatchReply, WatchRequest};
+use cactusdoor_peer::wire;
+use cactusdoor_queue::name::JobId;
+use cactusdoor_queue::report::{AgentReport, ReportReply};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use thiserror::Error;
+
+/// Longest wait for an answer, beyond the wait that a call asks for: an owner
+/// with a tenth of a core may need a few hundred milliseconds when all call.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Why a call has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum LinkError {
+    /// Nobody listens there.
+    #[error("could not connect to the owner")]
+    NotConnected,
+    #[error("owner did not answer")]
+    NoAnswer,
+}
+
+/// One connection, to the owner that was last called.
+#[derive(Default)]
+pub struct OwnerLink {
+    client: RefCell<Option<(SocketAddr, QueueServiceClient)>>,
+}
+
+impl OwnerLink {
+    pub async fn report(
+        &self,
+        address: SocketAddr,
+        report: AgentReport,
+    ) -> Result<ReportReply, LinkError> {
+        let limit = ANSWER_TIMEOUT + Duration::from_millis(report.wait);
+        self.call(
+            address,
+            limit,
+            |client, context| async move { client.report(context, report).await },
+        )
+        .await
+    }
+
+    pub async fn watch(
+        &self,
+        address: SocketAddr,
+        request: WatchRequest,
+    ) -> Result<Option<WatchReply>, LinkError> {
+        let limit = ANSWER_TIMEOUT + Duration::from_millis(request.wait);
+        self.call(
+            address,
+            limit,
+            |client, context| async move { client.watch(context, request).await },
+        )
+        .await
+    }
+
+    pub async fn find(
+        &self,
+        address: SocketAddr,
+        job: JobId,
+        limit: Duration,
+    ) -> Result<FindReply, LinkError> {
+        self.call(address, limit, |client, context| async move { client.find(context, job).await })
+            .await
+    }
+
+    async fn call<T, F: Future<Output = Result<T, RpcError>>>(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+        call: impl FnOnce(QueueServiceClient, Context) -> F,
+    ) -> Result<T, LinkError> {
+        let exchange = async {
+            let client = self.connect(address).await?;
+            let mut context = Context::current();
+            context.deadline = Instant::now() + limit;
+            call(client, context).await.map_err(|_| LinkError::NoAnswer)
+        };
+        let answer = tokio::time::timeout(limit, exchange).await;
+        let answer = answer.unwrap_or(Err(LinkError::NoAnswer));
+        if answer.is_err() {
+            self.client.borrow_mut().take();
+        }
+        answer
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<QueueServiceClient, LinkError> {
+        if let Some((open, client)) = &*self.client.borrow()
+            && *open == address
+        {
+            return Ok(client.clone());
+        }
+        let connected = wire::connect_queue(address).await;
+        let (client, dispatch) = connected.map_err(|_| LinkError::NotConnected)?;
+        actix_rt::spawn(dispatch);
+        *self.client.borrow_mut() = Some((address, client.clone()));
+        Ok(client)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/main.rs
@@ -0,0 +1,13 @@
+//! `cactusdoor-fleet`: the daemons on the users' platform.
+
+use cactusdoor_fleet::args::{FleetCommand, fleet_command};
+use cactusdoor_fleet::check::Run as _;
+use cactusdoor_fleet::{agent, check, entry};
+
+fn main() -> anyhow::Result<()> {
+    match fleet_command().run() {
+        FleetCommand::Entry(settings) => entry::EntryRun { settings }.run(),
+        FleetCommand::Agent(settings) => agent::AgentRun { settings }.run(),
+        FleetCommand::Check { role, settings } => check::SettingsCheck { role, settings }.run(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner.rs
@@ -0,0 +1,614 @@
+//! One term of an owner: the loop around its book.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use cactusdoor_core::unit::{Millis, Moment, Offset};
+use cactusdoor_node::clock::{MonotonicClock, unix_ms};
+use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
+use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
+use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
+use cactusdoor_queue::name::{AgentName, JobId, QueueName};
+use cactusdoor_queue::record::RequestKey;
+use cactusdoor_queue::report::{AgentGrant, AgentReport, JobState, ReportReply, RunEnd};
+use indexmap::IndexMap;
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::candidate::open_lane;
+use crate::decision::DecisionEvent;
+use crate::finder::OwnerBeacon;
+use crate::follower::{TopicFollower, TopicReading};
+use crate::journal::DecisionLog;
+use crate::lane::{AppendLane, LaneFault, StoredAppend, pause};
+use crate::meters::OwnerMeters;
+use crate::operators::ConfirmedView;
+use crate::port::{CallReceiver, OwnerCall, OwnerPort};
+use crate::topic::REQUESTS;
+
+/// Lease of an agent, renewed with each report: longer than an election takes.
+const GRANT: Millis = 7_000;
+/// No grant lasts longer than this after the sending of a confirmed append:
+/// bridges a short outage of the store.
+pub const CONFIRM_LIMIT: Millis = 9_000;
+/// An owner whose last confirmation is older asks its agents to look for another.
+const CONFIRM_DOUBT: Millis = 2_000;
+/// Between two renewals of the beacon.
+const BEACON_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Between two appends: groups what arrives meanwhile.
+const APPEND_GAP: Millis = 15;
+/// Most records of one append, and most bytes: a fraction of what a call may hold.
+const APPEND_RECORDS: usize = 600;
+const APPEND_BYTES: usize = 400_000;
+/// Longest wait of a reading of requests; also bounds the answer to `find`.
+const REQUEST_WAIT: Duration = Duration::from_millis(500);
+/// Time after which the loop looks at its deadlines without any event.
+const IDLE: Millis = 250;
+/// Time after which the loop looks again at tasks that wait for a retry.
+const RETRY_TICK: Millis = 50;
+/// Agents that have not reported for so long are out of reach.
+const OUT_OF_REACH: Millis = 2_500;
+/// Least number of agents of which an owner that reaches fewer than half resigns.
+const QUORUM_AGENTS: usize = 3;
+/// Between two removals of the requests of ended jobs.
+const FORGET_INTERVAL: Millis = 2_000;
+
+/// A moment by which `millis` have surely passed on every clock: clocks may run
+/// 2% slow, and a message takes its time.
+#[must_use]
+pub fn clock_bound(now: Moment, millis: Millis) -> Moment {
+    now.after(millis + millis * 3 / 100 + 300)
+}
+
+/// What an owner needs.
+#[derive(Clone)]
+pub struct OwnerContext {
+    pub name: AgentName,
+    pub address: SocketAddr,
+    pub store: StoreClient,
+    pub clock: MonotonicClock,
+    pub log: DecisionLog,
+    pub port: OwnerPort,
+    pub views: watch::Receiver<ConfirmedView>,
+    pub meters: OwnerMeters,
+    /// Longest lease that the workers accept.
+    pub lease_limit: Millis,
+}
+
+/// Why a term ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TermEnd {
+    Fenced,
+    Isolated,
+    Stopped,
+}
+
+impl TermEnd {
+    fn cause(self) -> &'static str {
+        match self {
+            Self::Fenced => "fenced",
+            Self::Isolated => "isolated",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
+type LaneVerdict = Result<StoredAppend, LaneFault>;
+type WaitingReport = (oneshot::Sender<ReportReply>, Moment, Moment);
+type WaitingWatch = (WatchRequest, oneshot::Sender<WatchReply>, Moment);
+
+/// The term of an owner.
+pub struct OwnerTerm {
+    context: OwnerContext,
+    book: QueueBook,
+    calls: CallReceiver,
+    requests: mpsc::UnboundedReceiver<TopicReading>,
+    groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
+    beacons: mpsc::UnboundedReceiver<LaneVerdict>,
+    forgotten: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    resignation: watch::Sender<bool>,
+    entries: VecDeque<BookEntry>,
+    in_flight: Option<Vec<BookEntry>>,
+    appended: Moment,
+    confirmed: Moment,
+    began: Moment,
+    reports: IndexMap<AgentName, WaitingReport>,
+    watches: Vec<WaitingWatch>,
+    finds: Vec<(JobId, oneshot::Sender<FindReply>, Moment)>,
+    changes: Vec<(JobId, JobState)>,
+    shown: IndexMap<JobId, JobState>,
+    pending: (u64, IndexMap<QueueName, u64>),
+    ended: Vec<JobId>,
+    forget_at: Moment,
+}
+
+impl OwnerTerm {
+    #[must_use]
+    pub fn open(
+        context: OwnerContext,
+        book: QueueBook,
+        requests_end: Offset,
+        confirmed: Moment,
+        (tasks, beacons, beacon): (AppendLane, AppendLane, OwnerBeacon),
+    ) -> Self {
+        let (groups, verdicts) = spawn_lane(tasks);
+        let (resignation, resigned) = watch::channel(false);
+        let beacons = spawn_beacons(beacons, beacon, resigned);
+        let requests = spawn_requests(&context, requests_end);
+        let forgotten =
+            spawn_lane(open_lane(&context.store, context.clock, REQUESTS, book.epoch)).0;
+        let now = context.clock.now();
+        Self {
+            calls: context.port.open(),
+            book,
+            requests,
+            groups,
+            verdicts,
+            beacons,
+            forgotten,
+            resignation,
+            entries: VecDeque::new(),
+            in_flight: None,
+            appended: now,
+            confirmed,
+            began: now,
+            reports: IndexMap::new(),
+            watches: Vec::new(),
+            finds: Vec::new(),
+            changes: Vec::new(),
+            shown: IndexMap::new(),
+            pending: (1, IndexMap::new()),
+            ended: Vec::new(),
+            forget_at: now.after(FORGET_INTERVAL),
+            context,
+        }
+    }
+
+    /// Runs until another owner is elected or this one resigns.
+    pub async fn run(mut self, mut stopping: watch::Receiver<bool>) {
+        let end = loop {
+            if let Some(end) = self.step() {
+                break end;
+            }
+            let wake = self.context.clock.instant(self.next_wake());
+            tokio::select! {
+                call = self.calls.recv() => if let Some(call) = call { self.take_call(call) },
+                Some(reading) = self.requests.recv() => self.take_requests(reading),
+                Some(verdict) = self.verdicts.recv() => {
+                    if let Some(end) = self.take_verdict(verdict) { break end }
+                }
+                Some(verdict) = self.beacons.recv() => {
+                    if let Some(end) = self.take_beacon(verdict) { break end }
+                }
+                _ = self.context.views.changed() => {}
+                _ = stopping.changed() => if *stopping.borrow() { break TermEnd::Stopped },
+                () = tokio::time::sleep_until(wake.into()) => {}
+            }
+            while let Ok(call) = self.calls.try_recv() {
+                self.take_call(call);
+            }
+        };
+        self.close(end).await;
+    }
+
+    async fn close(self, end: TermEnd) {
+        let epoch = self.book.epoch;
+        self.context.log.note(DecisionEvent::OwnerResigned { epoch, cause: end.cause() });
+        self.context.port.close();
+        self.context.meters.owns.set(0);
+        if end != TermEnd::Fenced && self.resignation.send(true).is_ok() {
+            // The last beacon says so; a successor need not wait for silence.
+            let mut beacons = self.beacons;
+            let last = async { while beacons.recv().await.is_some() {} };
+            if tokio::time::timeout(BEACON_INTERVAL, last).await.is_err() {
+                log::warn!("resignation of epoch {epoch} was not confirmed");
+            }
+        }
+    }
+
+    fn next_wake(&self) -> Moment {
+        let now = self.context.clock.now();
+        let waiting = self.book.jobs.values().any(|job| job.has_waiting());
+        let mut wake = now.after(if waiting { RETRY_TICK } else { IDLE });
+        let deadlines = self.reports.values().map(|(_, until, _)| *until);
+        let deadlines = deadlines.chain(self.watches.iter().map(|(_, _, until)| *until));
+        if let Some(first) = deadlines.min() {
+            wake = wake.min(first);
+        }
+        if self.in_flight.is_none() && !self.entries.is_empty() {
+            wake = wake.min(self.appended.after(APPEND_GAP));
+        }
+        wake
+    }
+
+    /// Decides, stores and answers what there is; returns why the term ends.
+    fn step(&mut self) -> Option<TermEnd> {
+        let (now, unix) = (self.context.clock.now(), unix_ms());
+        if self.is_isolated(now) {
+            return Some(TermEnd::Isolated);
+        }
+        let view = self.context.views.borrow_and_update().view.clone();
+        if view != self.book.view {
+            self.book.view = view;
+        }
+        for (agent, silent) in self.book.expire(now, unix) {
+            self.context.log.note(DecisionEvent::AgentSilent { agent, silent });
+        }
+        // Without a configuration nobody knows which workers serve a queue.
+        if self.book.view.config.is_some() {
+            self.book.place(now, unix);
+        }
+        self.forget(now, unix);
+        self.entries.extend(self.book.take_entries());
+        self.flush(now);
+        self.count_pending();
+        self.answer(now);
+        None
+    }
+
+    /// Whether too few agents reach this owner.
+    fn is_isolated(&self, now: Moment) -> bool {
+        if now < self.began.after(2 * OUT_OF_REACH) {
+            return false;
+        }
+        let known = self.book.seats.values().filter(|seat| seat.incarnation != 0);
+        let (mut agents, mut reached) = (0, 0);
+        for seat in known {
+            agents += 1;
+            reached += usize::from(now <= seat.heard.after(OUT_OF_REACH));
+        }
+        agents >= QUORUM_AGENTS && reached * 2 < agents
+    }
+
+    /// Releases what needs no storing and starts the next append.
+    fn flush(&mut self, now: Moment) {
+        while self.in_flight.is_none() && self.entries.front().is_some_and(|e| e.record.is_none()) {
+            if let Some(effect) = self.entries.pop_front().and_then(|entry| entry.effect) {
+                self.release(&effect);
+            }
+        }
+        if self.in_flight.is_some() || self.entries.is_empty() {
+            return;
+        }
+        if now < self.appended.after(APPEND_GAP) {
+            return;
+        }
+        let (mut group, mut records, mut bytes) = (Vec::new(), Vec::new(), 0);
+        while bytes < APPEND_BYTES && records.len() < APPEND_RECORDS {
+            let Some(entry) = self.entries.pop_front() else { break };
+            if let Some((key, value)) = &entry.record {
+                let value = value.clone().map(Bytes::from);
+                let record = KeyedRecord { key: key.clone(), value };
+                bytes += record.size();
+                records.push(record);
+            }
+            group.push(entry);
+        }
+        self.appended = now;
+        self.context.meters.appended_records.inc_by(records.len() as u64);
+        if self.groups.send(records).is_err() {
+            log::error!("lane of the owner has ended");
+        }
+        self.in_flight = Some(group);
+    }
+
+    fn take_verdict(&mut self, verdict: LaneVerdict) -> Option<TermEnd> {
+        match verdict {
+            Ok(stored) => {
+                self.confirmed = self.confirmed.max(stored.sent);
+                let group = self.in_flight.take().unwrap_or_default();
+                for effect in group.into_iter().filter_map(|entry| entry.effect) {
+                    self.release(&effect);
+                }
+                None
+            }
+            Err(_) => Some(TermEnd::Fenced),
+        }
+    }
+
+    fn take_beacon(&mut self, verdict: LaneVerdict) -> Option<TermEnd> {
+        match verdict {
+            Ok(stored) => {
+                self.confirmed = self.confirmed.max(stored.sent);
+                None
+            }
+            Err(LaneFault::Fenced) => Some(TermEnd::Fenced),
+            Err(_) => None,
+        }
+    }
+
+    fn release(&mut self, effect: &BookEffect) {
+        self.book.release(effect);
+        let epoch = self.book.epoch;
+        match effect {
+            BookEffect::Started { agent, task, run } => {
+                let (task, run, agent) = (task.clone(), *run, agent.clone());
+                self.context.meters.started.inc();
+                self.context.log.note(DecisionEvent::TaskPlaced { task, run, agent, epoch });
+            }
+            BookEffect::Shown { job, state } => {
+                if self.shown.insert(job.clone(), *state) != Some(*state) {
+                    self.changes.push((job.clone(), *state));
+                    let (job, state) = (job.clone(), *state);
+                    self.context.log.note(DecisionEvent::JobShown { job, state, epoch });
+                }
+                if state.has_ended() {
+                    self.ended.push(job.clone());
+                }
+            }
+            BookEffect::Noted { .. } | BookEffect::Settled { .. } => {}
+        }
+    }
+
+    /// Drops the requests of ended jobs and endings that nobody may ask for.
+    fn forget(&mut self, now: Moment, unix: Millis) {
+        if now < self.forget_at {
+            return;
+        }
+        self.forget_at = now.after(FORGET_INTERVAL);
+        for job in self.book.forget(unix) {
+            self.shown.shift_remove(&job);
+        }
+        let ended = std::mem::take(&mut self.ended);
+        let keys = ended.into_iter().flat_map(|job| {
+            [RequestKey::Job(job.clone()), RequestKey::Cancel(job)].map(|key| key.text())
+        });
+        let records: Vec<_> = keys.map(|key| KeyedRecord { key, value: None }).collect();
+        if !records.is_empty() && self.forgotten.send(records).is_err() {
+            log::warn!("lane of forgotten requests has ended");
+        }
+    }
+
+    fn take_call(&mut self, call: OwnerCall) {
+        let now = self.context.clock.now();
+        match call {
+            OwnerCall::Report(report, reply) => self.take_report(&report, reply, now),
+            OwnerCall::Watch(request, reply) => {
+                let until = now.after(request.wait);
+                self.watches.push((request, reply, until));
+            }
+            OwnerCall::Find(job, reply) => self.finds.push((job, reply, now)),
+        }
+    }
+
+    fn take_report(
+        &mut self,
+        report: &AgentReport,
+        reply: oneshot::Sender<ReportReply>,
+        now: Moment,
+    ) {
+        if report.epoch > self.book.epoch {
+            // The agent follows a later owner; the verdict of the lane will say so too.
+            send(reply, ReportReply::NotOwner);
+            return;
+        }
+        let epoch = self.book.epoch;
+        for ended in &report.ended {
+            if self.book.holds(&report.agent, &ended.task, ended.run) {
+                self.context.meters.ended.with_label_values(&[end_label(ended.end)]).inc();
+                self.context.log.note(DecisionEvent::RunEnded {
+                    task: ended.task.clone(),
+                    run: ended.run,
+                    agent: report.agent.clone(),
+                    end: ended.end,
+                    epoch,
+                });
+            }
+        }
+        self.book.report(report, now, unix_ms());
+        let until = now.after(report.wait);
+        if let Some((older, _, received)) =
+            self.reports.insert(report.agent.clone(), (reply, until, now))
+        {
+            self.answer_report(&report.agent, older, received);
+        }
+    }
+
+    fn take_requests(&mut self, reading: TopicReading) {
+        for stored in &reading.records {
+            self.take_request(stored);
+        }
+        let (answered, waiting) = std::mem::take(&mut self.finds)
+            .into_iter()
+            .partition(|(_, _, asked)| *asked < reading.sent);
+        self.finds = waiting;
+        let answered: Vec<_> = answered;
+        for (job, reply, _) in answered {
+            let state = self.book.jobs.get(&job).map(|job| job.state);
+            let state = state.or_else(|| self.book.ended.get(&job).map(|ending| ending.state));
+            send(reply, state.map_or(FindReply::Unknown, FindReply::Known));
+        }
+    }
+
+    fn take_request(&mut self, stored: &StoredRecord) {
+        let Some(value) = &stored.record.value else { return };
+        match RequestKey::parse(&stored.record.key) {
+            RequestKey::Cancel(job) => {
+                self.book.cancel(&job, unix_ms());
+            }
+            RequestKey::Job(job) => match serde_json::from_slice(value) {
+                Ok(spec) => {
+                    self.book.submit(&job, spec);
+                }
+                Err(error) => log::error!("job {job} is not used: {error}"),
+            },
+        }
+    }
+
+    fn count_pending(&mut self) {
+        let pending = self.book.pending();
+        if pending != self.pending.1 {
+            self.pending = (self.pending.0 + 1, pending);
+        }
+    }
+
+    fn answer(&mut self, now: Moment) {
+        let book = &self.book;
+        let ready = |agent: &AgentName, until: Moment| {
+            until <= now || book.seats.get(agent).is_some_and(|seat| seat.news)
+        };
+        let due: Vec<_> = self
+            .reports
+            .iter()
+            .filter(|(agent, (_, until, _))| ready(agent, *until))
+            .map(|(agent, _)| agent.clone())
+            .collect();
+        for agent in due {
+            if let Some((reply, _, received)) = self.reports.swap_remove(&agent) {
+                self.answer_report(&agent, reply, received);
+            }
+        }
+        for (request, reply, until) in std::mem::take(&mut self.watches) {
+            let from = self.watched_from(&request);
+            if self.changes.len() > from || until <= now {
+                self.answer_watch(&request, reply);
+            } else {
+                self.watches.push((request, reply, until));
+            }
+        }
+    }
+
+    fn answer_report(
+        &mut self,
+        agent: &AgentName,
+        reply: oneshot::Sender<ReportReply>,
+        received: Moment,
+    ) {
+        let now = self.context.clock.now();
+        let limit = GRANT.min(self.context.lease_limit * 7 / 10);
+        let until = received.after(limit).min(self.confirmed.after(CONFIRM_LIMIT));
+        let grant = until.0.saturating_sub(received.0);
+        let Some(seat) = self.book.seats.get_mut(agent) else {
+            send(reply, ReportReply::NotOwner);
+            return;
+        };
+        seat.granted_until = seat.granted_until.max(clock_bound(received, grant));
+        seat.news = false;
+        let granted = AgentGrant {
+            epoch: self.book.epoch,
+            life: seat.worker.as_ref().map(|worker| worker.life.clone()),
+            grant,
+            confirmed: now <= self.confirmed.after(CONFIRM_DOUBT),
+            noted: seat.noted,
+            settled: std::mem::take(&mut seat.settled),
+            orders: seat.orders.iter().cloned().collect(),
+        };
+        send(reply, ReportReply::Grant(granted));
+    }
+
+    fn watched_from(&self, request: &WatchRequest) -> usize {
+        let from = if request.epoch == self.book.epoch { request.from } else { 0 };
+        usize::try_from(from).unwrap_or(usize::MAX)
+    }
+
+    fn answer_watch(&self, request: &WatchRequest, reply: oneshot::Sender<WatchReply>) {
+        let same = request.epoch == self.book.epoch;
+        let from = self.watched_from(request).min(self.changes.len());
+        let (number, pending) = &self.pending;
+        let known = same && request.pending == *number;
+        let pending = (!known).then(|| pending.iter().map(|(q, n)| (q.clone(), *n)).collect());
+        let answer = WatchReply {
+            epoch: self.book.epoch,
+            next: self.changes.len() as u64,
+            states: self.changes[from..].to_vec(),
+            pending: (*number, pending),
+        };
+        send(reply, answer);
+    }
+}
+
+/// Answers a call; the caller may have given up.
+fn send<T>(reply: oneshot::Sender<T>, answer: T) {
+    if reply.send(answer).is_err() {
+        log::debug!("a peer gave up its call");
+    }
+}
+
+fn end_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lapsed",
+        RunEnd::Broken => "broken",
+        RunEnd::Alone => "alone",
+        RunEnd::NotStarted => "not_started",
+    }
+}
+
+/// Appends groups in order; refusals are repeated.
+fn spawn_lane(
+    mut lane: AppendLane,
+) -> (mpsc::UnboundedSender<Vec<KeyedRecord>>, mpsc::UnboundedReceiver<LaneVerdict>) {
+    let (groups, mut waiting) = mpsc::unbounded_channel::<Vec<KeyedRecord>>();
+    let (results, verdicts) = mpsc::unbounded_channel();
+    actix_rt::spawn(async move {
+        while let Some(group) = waiting.recv().await {
+            let verdict = loop {
+                match lane.append(None, &group).await {
+                    Err(LaneFault::Refused(_)) if !waiting.is_closed() => {
+                        pause((60, 180)).await;
+                    }
+                    verdict => break verdict,
+                }
+            };
+            // Nobody waits for the verdicts of forgotten requests.
+            if results.send(verdict).is_err() && verdict.is_err() {
+                return;
+            }
+        }
+    });
+    (groups, verdicts)
+}
+
+/// Renews the beacon until the owner resigns, and then says so.
+fn spawn_beacons(
+    mut lane: AppendLane,
+    mut beacon: OwnerBeacon,
+    mut resigned: watch::Receiver<bool>,
+) -> mpsc::UnboundedReceiver<LaneVerdict> {
+    let (results, verdicts) = mpsc::unbounded_channel();
+    actix_rt::spawn(async move {
+        loop {
+            let renewal = tokio::time::timeout(BEACON_INTERVAL, resigned.changed());
+            match renewal.await {
+                Ok(Ok(())) => beacon.resigned = *resigned.borrow(),
+                Ok(Err(_)) => return,
+                Err(_) => {}
+            }
+            let verdict = lane.append(None, &[beacon.record()]).await;
+            if results.send(verdict).is_err()
+                || beacon.resigned
+                || verdict == Err(LaneFault::Fenced)
+            {
+                return;
+            }
+        }
+    });
+    verdicts
+}
+
+/// Follows the requests from an offset on.
+fn spawn_requests(context: &OwnerContext, next: Offset) -> mpsc::UnboundedReceiver<TopicReading> {
+    let (readings, receiver) = mpsc::unbounded_channel();
+    let (store, clock) = (context.store.clone(), context.clock);
+    actix_rt::spawn(async move {
+        let mut follower = TopicFollower::resume(store, clock, REQUESTS, next);
+        while !readings.is_closed() {
+            match follower.read(REQUEST_WAIT).await {
+                Ok(reading) => {
+                    if readings.send(reading).is_err() {
+                        return;
+                    }
+                }
+                Err(fault) => {
+                    log::debug!("could not read requests: {fault}");
+                    follower.recover().await;
+                }
+            }
+        }
+    });
+    receiver
+}
--- /dev/null
+++ b/crates/fleet/src/port.rs
@@ -0,0 +1,93 @@
+//! The peer port of an agent: calls reach the owner's loop while there is one.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use cactusdoor_peer::queue::{FindReply, QueueService, WatchReply, WatchRequest};
+use cactusdoor_peer::wire::{MAX_FRAME_BYTES, send_at_once};
+use cactusdoor_queue::name::JobId;
+use cactusdoor_queue::report::{AgentReport, ReportReply};
+use futures::StreamExt as _;
+use tarpc::context::Context;
+use tarpc::serde_transport::tcp;
+use tarpc::server::{BaseChannel, Channel as _};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::sync::{mpsc, oneshot};
+
+/// A call to the owner, with where its answer goes.
+#[derive(Debug)]
+pub enum OwnerCall {
+    Report(AgentReport, oneshot::Sender<ReportReply>),
+    Watch(WatchRequest, oneshot::Sender<WatchReply>),
+    Find(JobId, oneshot::Sender<FindReply>),
+}
+
+/// Receives the calls while this process owns the queues.
+pub type CallReceiver = mpsc::UnboundedReceiver<OwnerCall>;
+
+/// The open port; cheap to clone.
+#[derive(Clone, Default)]
+pub struct OwnerPort {
+    owner: Arc<Mutex<Option<mpsc::UnboundedSender<OwnerCall>>>>,
+}
+
+impl OwnerPort {
+    /// Listens at `address`.
+    pub async fn bind(address: SocketAddr) -> std::io::Result<Self> {
+        let port = Self::default();
+        let mut listener = tcp::listen(&address, Bincode::default).await?;
+        listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let server = port.clone();
+        actix_rt::spawn(async move {
+            while let Some(accepted) = listener.next().await {
+                match accepted {
+                    Ok(transport) => {
+                        if let Err(error) = send_at_once(transport.get_ref()) {
+                            log::debug!("could not set up a connection: {error}");
+                        }
+                        let channel = BaseChannel::with_defaults(transport);
+                        let calls = channel.execute(server.clone().serve());
+                        actix_rt::spawn(calls.for_each_concurrent(None, |call| call));
+                    }
+                    Err(error) => log::warn!("could not accept a connection: {error}"),
+                }
+            }
+        });
+        Ok(port)
+    }
+
+    /// Takes the calls from now on.
+    #[must_use]
+    pub fn open(&self) -> CallReceiver {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        *self.owner.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+        receiver
+    }
+
+    pub fn close(&self) {
+        self.owner.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> OwnerCall) -> Option<T> {
+        let owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
+        let (sender, receiver) = oneshot::channel();
+        owner.send(call(sender)).ok()?;
+        receiver.await.ok()
+    }
+}
+
+impl QueueService for OwnerPort {
+    async fn report(self, _: Context, report: AgentReport) -> ReportReply {
+        let reply = self.ask(|reply| OwnerCall::Report(report, reply)).await;
+        reply.unwrap_or(ReportReply::NotOwner)
+    }
+
+    async fn watch(self, _: Context, request: WatchRequest) -> Option<WatchReply> {
+        self.ask(|reply| OwnerCall::Watch(request, reply)).await
+    }
+
+    async fn find(self, _: Context, job: JobId) -> FindReply {
+        let reply = self.ask(|reply| OwnerCall::Find(job, reply)).await;
+        reply.unwrap_or(FindReply::NotOwner)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,116 @@
+//! Settings of the daemons, from the INI file that the platform fills in.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use cactusdoor_core::unit::Millis;
+use cactusdoor_node::settings::{SettingsError, SettingsFile};
+use cactusdoor_queue::name::{AgentName, DataCentre};
+
+const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:7000";
+
+/// The `[process]` and `[logging]` sections, which all daemons have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProcessSettings {
+    pub name: AgentName,
+    pub data_centre: DataCentre,
+    pub log_level: String,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    pub store_address: SocketAddr,
+    /// Longest graceful stop.
+    pub stop: Millis,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    pub process: ProcessSettings,
+    pub caller_address: SocketAddr,
+    pub ready_address: SocketAddr,
+    /// A configuration is in force within this time.
+    pub config_bound: Millis,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    pub process: ProcessSettings,
+    /// Where peers call this process.
+    pub peer_address: SocketAddr,
+    /// Where the worker reports itself.
+    pub announce_address: SocketAddr,
+    pub worker_address: SocketAddr,
+    /// Longest lease that a worker accepts.
+    pub lease_limit: Millis,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let mut file = SettingsFile::open(path)?;
+        let process = read_process(&mut file);
+        let caller_address = file.required("callers", "address", ADDRESS);
+        let ready_address = file.required("callers", "ready_address", ADDRESS);
+        let config_bound = file.integer("bounds", "config_ms", (100, 600_000), Some(2_000));
+        skip(&mut file, "worker", &["address", "announce_address", "lease_limit_ms"]);
+        let settings = (|| {
+            Some(Self {
+                process: process?,
+                caller_address: caller_address?,
+                ready_address: ready_address?,
+                config_bound: config_bound?,
+            })
+        })();
+        file.finish(settings)
+    }
+}
+
+impl AgentSettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let mut file = SettingsFile::open(path)?;
+        let process = read_process(&mut file);
+        let peer_address = file.required("process", "peer_address", ADDRESS);
+        let announce_address = file.required("worker", "announce_address", ADDRESS);
+        let worker_address = file.required("worker", "address", ADDRESS);
+        let lease_limit = file.integer("worker", "lease_limit_ms", (1_000, 600_000), Some(10_000));
+        skip(&mut file, "callers", &["address", "ready_address"]);
+        skip(&mut file, "bounds", &["config_ms"]);
+        let settings = (|| {
+            Some(Self {
+                process: process?,
+                peer_address: peer_address?,
+                announce_address: announce_address?,
+                worker_address: worker_address?,
+                lease_limit: lease_limit?,
+            })
+        })();
+        file.finish(settings)
+    }
+}
+
+fn read_process(file: &mut SettingsFile) -> Option<ProcessSettings> {
+    let name: Option<String> = file.required("process", "name", "a name");
+    let data_centre: Option<String> = file.required("process", "data_centre", "a name");
+    let metrics_address = file.required("process", "metrics_address", ADDRESS);
+    let _: Option<String> = file.or_default("process", "peer_address", ADDRESS, String::new());
+    let store_address = file.required("store", "address", ADDRESS);
+    let stop = file.integer("bounds", "stop_ms", (500, 600_000), Some(6_000));
+    let log_level = file.or_default("logging", "level", "a log level", "info".to_owned());
+    Some(ProcessSettings {
+        name: name?.into(),
+        data_centre: data_centre?.into(),
+        log_level: log_level?,
+        metrics_address: metrics_address?,
+        store_address: store_address?,
+        stop: stop?,
+    })
+}
+
+/// One template serves both daemons: each knows the other's keys.
+fn skip(file: &mut SettingsFile, section: &str, keys: &[&str]) {
+    for key in keys {
+        let _: Option<String> = file.or_default(section, key, "any text", String::new());
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod heartbeat;
+pub mod queue;
 pub mod roster;
 pub mod task;
 pub mod wire;
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -4,13 +4,24 @@
 use std::io;
 use std::net::SocketAddr;
 
-use tarpc::client::Config;
-use tarpc::serde_transport::tcp;
+use serde::{Deserialize, Serialize};
+use tarpc::client::{Config, NewClient};
+use tarpc::serde_transport::{Transport, tcp};
 use tarpc::tokio_serde::formats::Bincode;
+use tarpc::{ChannelError, ClientMessage, Response};
 use tokio::net::TcpStream;
 
+use crate::queue::QueueServiceClient;
 use crate::{AgentServiceClient, EntryServiceClient};
 
+/// Transport of a client whose calls are `Req` and whose answers are `Resp`.
+type PeerTransport<Req, Resp> = Transport<
+    TcpStream,
+    Response<Resp>,
+    ClientMessage<Req>,
+    Bincode<Response<Resp>, ClientMessage<Req>>,
+>;
+
 /// Largest frame: a request body of 8 MiB with its envelope.
 pub const MAX_FRAME_BYTES: usize = 9 * 1024 * 1024;
 
@@ -22,36 +33,46 @@
     stream.set_nodelay(true)
 }
 
-/// Connects to an agent; the future drives the connection and ends with it.
-pub async fn connect_agent(
+/// Connects to a peer; `client` makes a client of the transport.
+async fn connect<C, D, Req, Resp>(
     address: SocketAddr,
-) -> io::Result<(AgentServiceClient, impl Future<Output = ()>)> {
+    client: impl FnOnce(PeerTransport<Req, Resp>) -> NewClient<C, D>,
+) -> io::Result<(C, impl Future<Output = ()>)>
+where
+    D: Future<Output = Result<(), ChannelError<io::Error>>>,
+    Req: Serialize,
+    Resp: for<'de> Deserialize<'de>,
+{
     let mut connect = tcp::connect(address, Bincode::default);
     connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
     let transport = connect.await?;
     send_at_once(transport.get_ref())?;
-    let new = AgentServiceClient::new(Config::default(), transport);
+    let new = client(transport);
     let dispatch = async move {
         if let Err(error) = new.dispatch.await {
-            log::debug!("connection to agent {address} broke: {error}");
+            log::debug!("connection to {address} broke: {error}");
         }
     };
     Ok((new.client, dispatch))
 }
 
+/// Connects to an agent; the future drives the connection and ends with it.
+pub async fn connect_agent(
+    address: SocketAddr,
+) -> io::Result<(AgentServiceClient, impl Future<Output = ()>)> {
+    connect(address, |transport| AgentServiceClient::new(Config::default(), transport)).await
+}
+
 /// Connects to an entry; the future drives the connection and ends with it.
 pub async fn connect_entry(
     address: SocketAddr,
 ) -> io::Result<(EntryServiceClient, impl Future<Output = ()>)> {
-    let mut connect = tcp::connect(address, Bincode::default);
-    connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
-    let transport = connect.await?;
-    send_at_once(transport.get_ref())?;
-    let new = EntryServiceClient::new(Config::default(), transport);
-    let dispatch = async move {
-        if let Err(error) = new.dispatch.await {
-            log::debug!("connection to entry {address} broke: {error}");
-        }
-    };
-    Ok((new.client, dispatch))
+    connect(address, |transport| EntryServiceClient::new(Config::default(), transport)).await
+}
+
+/// Connects to the owner of the queues; the future drives the connection and ends with it.
+pub async fn connect_queue(
+    address: SocketAddr,
+) -> io::Result<(QueueServiceClient, impl Future<Output = ()>)> {
+    connect(address, |transport| QueueServiceClient::new(Config::default(), transport)).await
 }
--- /dev/null
+++ b/crates/queue/src/agent.rs
@@ -0,0 +1,375 @@
+//! An agent's book: its worker's runs and the orders of the owner.
+//!
+//! A run is settled only by the worker's own list: an end that it lists, or a
+//! list that was asked for after the worker had answered a call about the run
+//! and that names it neither as running nor as ended.
+
+use cactusdoor_core::unit::{Epoch, Moment};
+use indexmap::IndexMap;
+
+use crate::name::{Checkpoint, RunNumber, TaskName, WorkerLife};
+use crate::pacing::{FULL_PACE, FillPace, PaceCall, ServingLoad};
+use crate::report::{
+    AgentGrant, AgentOrder, AgentReport, EndedRun, HeldRun, RunEnd, StartOrder, WorkerState,
+};
+
+/// Most ends in one list of a worker; a full list may lack some.
+const MAX_LISTED_ENDS: usize = 500;
+
+/// How far an order has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// The worker has not answered yet.
+    Open,
+    /// The worker has answered; lists asked for after this one name the run.
+    Answered { list: u64 },
+}
+
+/// A run that the owner has ordered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderedRun {
+    pub run: RunNumber,
+    /// `None` once a stop has been ordered.
+    pub start: Option<StartOrder>,
+    pub target: u64,
+    pub fills: bool,
+    pub phase: RunPhase,
+}
+
+/// A run as the worker lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedRun {
+    pub task: TaskName,
+    pub run: RunNumber,
+    pub saved: Checkpoint,
+    pub percent: u8,
+    /// Tail latency in ms of a task that serves, else processors in use.
+    pub figure: u64,
+}
+
+/// A worker's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerList {
+    pub running: Vec<ListedRun>,
+    pub ended: Vec<EndedRun>,
+}
+
+/// A call to the worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum WorkerCall {
+    Start(StartOrder),
+    Stop { task: TaskName, run: RunNumber },
+}
+
+/// The book of one agent.
+#[derive(Debug, Default)]
+pub struct AgentBook {
+    pub worker: Option<WorkerState>,
+    pub epoch: Epoch,
+    /// Highest order received in `epoch`.
+    pub received: u64,
+    /// Ends up to this number are stored.
+    pub noted: u64,
+    /// The worker's tasks may be kept until then.
+    pub granted_until: Moment,
+    ordered: IndexMap<TaskName, OrderedRun>,
+    running: Vec<ListedRun>,
+    ended: Vec<EndedRun>,
+    unlisted: Vec<EndedRun>,
+    pace: FillPace,
+    paced: IndexMap<(TaskName, RunNumber), u8>,
+    reports: u64,
+}
+
+impl AgentBook {
+    /// Takes up what the worker says of itself; returns whether it is a new life.
+    pub fn meet(&mut self, worker: WorkerState) -> bool {
+        let known = self.worker.as_ref().map(|known| known.life.clone());
+        match known {
+            Some(life) if life == worker.life => {
+                self.worker = Some(worker);
+                false
+            }
+            Some(life) if worker.life.born < life.born => false,
+            _ => {
+                self.forget_runs();
+                self.worker = Some(worker);
+                true
+            }
+        }
+    }
+
+    /// Drops a worker that is gone for good.
+    pub fn part(&mut self) {
+        self.worker = None;
+        self.forget_runs();
+    }
+
+    fn forget_runs(&mut self) {
+        self.ordered.clear();
+        self.running.clear();
+        self.ended.clear();
+        self.unlisted.clear();
+        self.paced.clear();
+        self.pace = FillPace::default();
+        self.noted = 0;
+    }
+
+    #[must_use]
+    pub fn life(&self) -> Option<&WorkerLife> {
+        self.worker.as_ref().map(|worker| &worker.life)
+    }
+
+    /// Takes up a worker's list, asked for after `list - 1` others; returns
+    /// whether it has ends that were not known.
+    pub fn list(&mut self, number: u64, list: WorkerList) -> bool {
+        let newest = self.ended.last().map_or(self.noted, |ended| ended.number);
+        let news = list.ended.iter().any(|ended| ended.number > newest);
+        let whole = list.ended.len() < MAX_LISTED_ENDS;
+        self.running = list.running;
+        self.ended = list.ended;
+        let ended: Vec<_> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
+        for (task, run) in ended {
+            if self.ordered.get(&task).is_some_and(|ordered| ordered.run <= run) {
+                self.ordered.shift_remove(&task);
+            }
+        }
+        let absent = if whole { self.take_absent(number) } else { Vec::new() };
+        let news = news || !absent.is_empty();
+        self.unlisted.extend(absent);
+        let running = &self.running;
+        let runs = |key: &(TaskName, RunNumber)| {
+            running.iter().any(|listed| listed.task == key.0 && listed.run == key.1)
+        };
+        self.paced.retain(|key, _| runs(key));
+        news
+    }
+
+    /// Runs that the worker has answered for and does not list.
+    fn take_absent(&mut self, number: u64) -> Vec<EndedRun> {
+        let running = &self.running;
+        let is_absent = |task: &TaskName, ordered: &OrderedRun| {
+            let answered = matches!(ordered.phase, RunPhase::Answered { list } if list < number);
+            answered
+                && !running.iter().any(|listed| listed.task == *task && listed.run == ordered.run)
+        };
+        let absent: Vec<_> = self
+            .ordered
+            .iter()
+            .filter(|(task, ordered)| is_absent(task, ordered))
+            .map(|(task, ordered)| EndedRun {
+                number: 0,
+                task: task.clone(),
+                run: ordered.run,
+                end: RunEnd::NotStarted,
+                saved: Checkpoint::from(""),
+            })
+            .collect();
+        for ended in &absent {
+            self.ordered.shift_remove(&ended.task);
+        }
+        absent
+    }
+
+    /// Takes up the owner's answer; returns the calls that it asks for.
+    pub fn grant(&mut self, grant: AgentGrant, sent: Moment) -> Vec<WorkerCall> {
+        if grant.epoch < self.epoch {
+            return Vec::new();
+        }
+        self.adopt(grant.epoch);
+        self.granted_until = self.granted_until.max(sent.after(grant.grant));
+        if grant.life.as_ref() == self.life() {
+            self.noted = self.noted.max(grant.noted);
+        }
+        let noted = self.noted;
+        self.ended.retain(|ended| ended.number > noted);
+        let settled = grant.settled;
+        self.unlisted.retain(|ended| {
+            !settled.iter().any(|(task, run)| *task == ended.task && *run == ended.run)
+        });
+        let mut calls = Vec::new();
+        for (number, order) in grant.orders {
+            if number == self.received + 1 {
+                self.received = number;
+                calls.extend(self.take_order(order));
+            }
+        }
+        calls
+    }
+
+    /// Follows an owner of a higher epoch.
+    pub fn adopt(&mut self, epoch: Epoch) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.received = 0;
+        }
+    }
+
+    fn take_order(&mut self, order: AgentOrder) -> Option<WorkerCall> {
+        match order {
+            AgentOrder::Start(start) => self.order_start(start),
+            AgentOrder::Stop { task, run } => self.order_stop(task, run),
+        }
+    }
+
+    fn order_start(&mut self, start: StartOrder) -> Option<WorkerCall> {
+        if self.life() != Some(&start.life) {
+            return None;
+        }
+        let known = self.ordered.get(&start.task).is_some_and(|known| known.run >= start.run);
+        let ended = self.ended.iter().chain(&self.unlisted);
+        let mut ended = ended.filter(|ended| ended.task == start.task);
+        if known || ended.any(|ended| ended.run >= start.run) {
+            return None;
+        }
+        let ordered = OrderedRun {
+            run: start.run,
+            target: start.target,
+            fills: start.fills,
+            start: Some(start.clone()),
+            phase: RunPhase::Open,
+        };
+        self.ordered.insert(start.task.clone(), ordered);
+        Some(WorkerCall::Start(start))
+    }
+
+    fn order_stop(&mut self, task: TaskName, run: RunNumber) -> Option<WorkerCall> {
+        let ended = |ended: &EndedRun| ended.task == task && ended.run >= run;
+        if self.ended.iter().chain(&self.unlisted).any(ended) {
+            return None;
+        }
+        if self.ordered.get(&task).is_some_and(|known| known.run > run) {
+            return None;
+        }
+        let (target, fills) =
+            self.ordered.get(&task).map_or((0, false), |known| (known.target, known.fills));
+        let stopped = OrderedRun { run, start: None, target, fills, phase: RunPhase::Open };
+        self.ordered.insert(task.clone(), stopped);
+        Some(WorkerCall::Stop { task, run })
+    }
+
+    /// Whether a start is still wanted.
+    #[must_use]
+    pub fn wants_start(&self, start: &StartOrder) -> bool {
+        let ordered = self.ordered.get(&start.task);
+        self.life() == Some(&start.life)
+            && ordered.is_some_and(|known| known.start.as_ref() == Some(start))
+    }
+
+    /// Whether a stop is still wanted.
+    #[must_use]
+    pub fn wants_stop(&self, task: &TaskName, run: RunNumber) -> bool {
+        let ordered = self.ordered.get(task);
+        ordered.is_some_and(|known| known.run == run && known.start.is_none())
+    }
+
+    /// Notes that the worker has answered; `list` lists have been asked for.
+    pub fn answered(&mut self, task: &TaskName, run: RunNumber, list: u64) {
+        if let Some(ordered) = self.ordered.get_mut(task).filter(|known| known.run == run) {
+            ordered.phase = RunPhase::Answered { list };
+        }
+    }
+
+    /// Notes that the worker has refused a start and done nothing.
+    pub fn refused(&mut self, task: &TaskName, run: RunNumber) {
+        if self.ordered.get(task).is_some_and(|known| known.run == run) {
+            self.ordered.shift_remove(task);
+            let (task, saved) = (task.clone(), Checkpoint::from(""));
+            self.unlisted.push(EndedRun { number: 0, task, run, end: RunEnd::NotStarted, saved });
+        }
+    }
+
+    /// The paces to set after a list.
+    pub fn pace(&mut self) -> Vec<PaceCall> {
+        let mut serving = Vec::new();
+        let mut filling = Vec::new();
+        for listed in &self.running {
+            let Some(ordered) = self.ordered.get(&listed.task) else { continue };
+            if ordered.target > 0 && listed.percent >= FULL_PACE {
+                serving.push(ServingLoad { tail: listed.figure, target: ordered.target });
+            }
+            if ordered.fills {
+                filling.push((listed.task.clone(), listed.run));
+            }
+        }
+        self.pace.follow(&serving);
+        let percent = self.pace.percent;
+        let paced = &self.paced;
+        let changed = filling
+            .into_iter()
+            .filter(|key| paced.get(key).copied().unwrap_or(FULL_PACE) != percent);
+        changed.map(|(task, run)| PaceCall { task, run, percent }).collect()
+    }
+
+    pub fn paced(&mut self, call: &PaceCall) {
+        self.paced.insert((call.task.clone(), call.run), call.percent);
+    }
+
+    /// Whether a task that serves runs beside one that fills.
+    #[must_use]
+    pub fn is_shared(&self) -> bool {
+        let mut ordered = self.ordered.values();
+        ordered.any(|run| run.target > 0) && self.ordered.values().any(|run| run.fills)
+    }
+
+    /// Ends that are not stored yet.
+    #[must_use]
+    pub fn has_ends(&self) -> bool {
+        !self.ended.is_empty() || !self.unlisted.is_empty()
+    }
+
+    /// The next report; `whole` asks for the worker's whole list.
+    pub fn report(&mut self, shape: ReportShape) -> AgentReport {
+        self.reports += 1;
+        AgentReport {
+            agent: shape.agent,
+            incarnation: shape.incarnation,
+            number: self.reports,
+            epoch: self.epoch,
+            received: self.received,
+            worker: self.worker.clone(),
+            ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
+            held: shape.whole.then(|| self.held()),
+            wait: shape.wait,
+        }
+    }
+
+    fn held(&self) -> Vec<HeldRun> {
+        let paces = &self.paced;
+        let pace =
+            |task: &TaskName, run| paces.get(&(task.clone(), run)).copied().unwrap_or(FULL_PACE);
+        let mut held: Vec<_> = self
+            .running
+            .iter()
+            .map(|listed| HeldRun {
+                task: listed.task.clone(),
+                run: listed.run,
+                saved: listed.saved.clone(),
+                percent: Some(listed.percent),
+                pace: pace(&listed.task, listed.run),
+            })
+            .collect();
+        for (task, ordered) in &self.ordered {
+            let listed = self.running.iter();
+            if !listed.clone().any(|known| known.task == *task && known.run == ordered.run) {
+                held.push(HeldRun {
+                    task: task.clone(),
+                    run: ordered.run,
+                    saved: Checkpoint::from(""),
+                    percent: None,
+                    pace: FULL_PACE,
+                });
+            }
+        }
+        held
+    }
+}
+
+/// What a report is to carry.
+#[derive(Clone, Debug)]
+pub struct ReportShape {
+    pub agent: crate::name::AgentName,
+    pub incarnation: u64,
+    pub whole: bool,
+    pub wait: u64,
+}
--- /dev/null
+++ b/crates/queue/src/name.rs
@@ -0,0 +1,66 @@
+//! Names, shared and immutable.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Chosen by the caller, unique among jobs.
+pub type JobId = Arc<str>;
+/// Name of a VM, which is the name of its agent.
+pub type AgentName = Arc<str>;
+pub type DataCentre = Arc<str>;
+/// Kind or rack of a worker.
+pub type Label = Arc<str>;
+pub type QueueName = Arc<str>;
+pub type ServiceName = Arc<str>;
+/// Opaque progress of a task; empty for none.
+pub type Checkpoint = Arc<str>;
+/// Number of a task's starts, from 1.
+pub type RunNumber = u32;
+
+/// One life of a worker: its id and when it was born, in Unix milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct WorkerLife {
+    pub id: Arc<str>,
+    pub born: u64,
+}
+
+/// A task: `JOB.OCCURRENCE.STEP.INDEX`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskName {
+    pub job: JobId,
+    pub occurrence: u32,
+    pub step: u16,
+    pub index: u32,
+}
+
+/// A text that names no task.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{0:?} does not name a task")]
+pub struct TaskNameError(pub String);
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = TaskNameError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parse(text).ok_or_else(|| TaskNameError(text.to_owned()))
+    }
+}
+
+fn parse(text: &str) -> Option<TaskName> {
+    let mut parts = text.rsplitn(4, '.');
+    let index = parts.next()?.parse().ok()?;
+    let step = parts.next()?.parse().ok()?;
+    let occurrence = parts.next()?.parse().ok()?;
+    let job = parts.next().filter(|job| !job.is_empty())?;
+    Some(TaskName { job: job.into(), occurrence, step, index })
+}
--- /dev/null
+++ b/crates/queue/src/placing.rs
@@ -0,0 +1,85 @@
+//! Which worker gets a task.
+
+use std::collections::BTreeSet;
+
+use cactusdoor_core::unit::Moment;
+
+use crate::name::{DataCentre, ServiceName, TaskName};
+use crate::seat::{SILENCE, WorkerSeat};
+use crate::spec::StepSpec;
+
+/// Share of the idle processors that tasks which fill may ask for together, in
+/// percent: beyond it each further one only slows the others.
+const FILL_LIMIT_PERCENT: u64 = 100;
+/// Added for a worker that is not near the data, in thousandths of its capacity.
+const REMOTE_PENALTY: u64 = 2_000;
+/// Added for a worker with tasks that serve users, which a task that fills disturbs.
+const SERVING_PENALTY: u64 = 300;
+
+/// What a choice depends on beside the worker.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceContext<'a> {
+    pub task: &'a TaskName,
+    pub step: &'a StepSpec,
+    pub service: &'a ServiceName,
+    pub taken_out: &'a BTreeSet<DataCentre>,
+    pub now: Moment,
+}
+
+/// The cost of a task on a worker, lowest first; `None` if it cannot run there.
+#[must_use]
+pub fn cost(seat: &WorkerSeat, context: &ChoiceContext<'_>) -> Option<u64> {
+    if !accepts(seat, context) || !admits(seat, context) {
+        return None;
+    }
+    let step = context.step;
+    let near = step.rack.as_ref().is_none_or(|rack| seat.has_label(rack));
+    let remote = if near { 0 } else { REMOTE_PENALTY };
+    let load = if step.fills { fill_cost(seat, step)? } else { reserve_cost(seat, step) };
+    Some(load + remote)
+}
+
+/// Whether the worker takes new tasks of the service at all.
+#[must_use]
+pub fn accepts(seat: &WorkerSeat, context: &ChoiceContext<'_>) -> bool {
+    let Some(worker) = &seat.worker else { return false };
+    worker.service == *context.service
+        && worker.leaves_in.is_none()
+        && !context.taken_out.contains(&worker.data_centre)
+        && context.now <= seat.heard.after(SILENCE)
+        && !seat.trust.is_barred(context.now)
+}
+
+fn admits(seat: &WorkerSeat, context: &ChoiceContext<'_>) -> bool {
+    let step = context.step;
+    let labelled = step.label.as_ref().is_none_or(|label| seat.has_label(label));
+    labelled
+        && !seat.runs.contains_key(context.task)
+        && step.reserved().fits(&seat.free())
+        && (step.per_worker == 0 || siblings(seat, context.task) < step.per_worker)
+}
+
+fn siblings(seat: &WorkerSeat, task: &TaskName) -> u32 {
+    let same = |other: &&TaskName| {
+        other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
+    };
+    u32::try_from(seat.runs.keys().filter(same).count()).unwrap_or(u32::MAX)
+}
+
+/// Thousandths of the capacity that are reserved afterwards.
+fn reserve_cost(seat: &WorkerSeat, step: &StepSpec) -> u64 {
+    let capacity = seat.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
+    let filling = if step.target > 0 { seat.filling() / 4 } else { 0 };
+    (seat.used().cpu + step.need.cpu + filling) * 1_000 / capacity
+}
+
+/// Thousandths of the idle processors that are asked for afterwards.
+fn fill_cost(seat: &WorkerSeat, step: &StepSpec) -> Option<u64> {
+    let idle = seat.free().cpu.max(1);
+    let asked = seat.filling() + step.need.cpu;
+    if asked * 100 > idle * FILL_LIMIT_PERCENT {
+        return None;
+    }
+    let serving = if seat.serving() > 0 { SERVING_PENALTY } else { 0 };
+    Some(asked * 1_000 / idle + serving)
+}
