Pack tasks that serve users onto the fullest workers

An agent that was restarted reported its worker as gone; it now says that it does not know one, and the owner ends runs only of a life that is over.

--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -36,6 +36,8 @@
     NotStored(#[from] LaneFault),
     #[error("a higher epoch was elected before")]
     Outdated,
+    #[error("the owner that was just elected has not shown itself yet")]
+    Unshown,
 }
 
 /// How the agent beside this candidate stands with the owner.
@@ -58,6 +60,7 @@
 
 /// Stands for election whenever there is no owner, until the process stops.
 pub async fn run(mut context: CandidateContext) {
+    let mut unshown = UnshownOwner::default();
     while !*context.stopping.borrow() {
         let contact = *context.contact.borrow_and_update();
         if contact == OwnerContact::Good {
@@ -70,7 +73,7 @@
         if is_vacant(&context, contact).await {
             pause(CANDIDATE_SPREAD).await;
             if is_vacant(&context, *context.contact.borrow()).await {
-                stand(&mut context).await;
+                stand(&mut context, &mut unshown).await;
                 continue;
             }
         }
@@ -79,7 +82,7 @@
 }
 
 async fn is_vacant(context: &CandidateContext, contact: OwnerContact) -> bool {
-    if contact == OwnerContact::Good || context.finder.refresh().await.is_err() {
+    if contact == OwnerContact::Good || context.finder.read().await.is_err() {
         return false;
     }
     if context.finder.is_vacant() {
@@ -90,9 +93,26 @@
     resigned || context.finder.still() >= silence
 }
 
-async fn stand(context: &mut CandidateContext) {
+/// An owner that was elected and has not shown a beacon, and since when.
+#[derive(Debug, Default)]
+struct UnshownOwner {
+    epoch: Epoch,
+    since: Moment,
+}
+
+impl UnshownOwner {
+    /// Whether the owner of `epoch` has had the time to show itself.
+    fn is_over(&mut self, epoch: Epoch, now: Moment) -> bool {
+        if self.epoch != epoch {
+            *self = Self { epoch, since: now };
+        }
+        now >= self.since.after(BEACON_SILENCE)
+    }
+}
+
+async fn stand(context: &mut CandidateContext, unshown: &mut UnshownOwner) {
     let started = context.owner.clock.now();
-    match elect(context, started).await {
+    match elect(context, unshown, started).await {
         Ok(term) => {
             term.run(context.stopping.clone()).await;
             pause(DEFEAT_PAUSE).await;
@@ -106,13 +126,20 @@
 }
 
 /// Loads the stored state and appends the next epoch right behind it.
-async fn elect(context: &CandidateContext, started: Moment) -> Result<OwnerTerm, ElectionFault> {
+async fn elect(
+    context: &CandidateContext,
+    unshown: &mut UnshownOwner,
+    started: Moment,
+) -> Result<OwnerTerm, ElectionFault> {
     let owner = &context.owner;
     let state = StoredState::load(&owner.store).await?;
     let shown = context.finder.owner().map_or(0, |beacon| beacon.epoch);
     if shown > state.epoch {
         return Err(ElectionFault::Outdated);
     }
+    if shown < state.epoch && !unshown.is_over(state.epoch, owner.clock.now()) {
+        return Err(ElectionFault::Unshown);
+    }
     let epoch = state.epoch + 1;
     let mut tasks = open_lane(&owner.store, owner.clock, TASKS, epoch);
     let record = election_record(epoch, owner);
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -97,6 +97,12 @@
         if self.answered.get() && now < self.read_at.get().after(READ_INTERVAL) {
             return Ok(());
         }
+        self.read().await
+    }
+
+    /// Reads the beacon.
+    pub async fn read(&self) -> Result<(), ReadFault> {
+        let now = self.clock.now();
         let (records, _) = read_newest(&self.store, OWNER).await?;
         // A gap between two readings proves nothing about the time in between.
         let gap = now.0.saturating_sub(self.read_at.get().0) > 4 * READ_INTERVAL;
--- a/crates/fleet/src/journal.rs
+++ b/crates/fleet/src/journal.rs
@@ -29,6 +29,9 @@
 /// Bytes that are written in one call.
 const WRITE_BYTES: usize = 32 * 1024;
 
+/// Libraries that say at every start what the decision log says already.
+const QUIET_LIBRARIES: &str = "actix_server=warn, actix_http=warn, tarpc=error";
+
 #[derive(Serialize)]
 struct DecisionLine<'a> {
     /// Unix milliseconds.
@@ -131,7 +134,9 @@
 
 /// Starts logging at `level`.
 pub fn open_logger(level: &str, log: &DecisionLog) -> Result<LoggerHandle, FlexiLoggerError> {
-    Logger::try_with_str(level)?.log_to_writer(Box::new(log.clone())).start()
+    Logger::try_with_str(format!("{level}, {QUIET_LIBRARIES}"))?
+        .log_to_writer(Box::new(log.clone()))
+        .start()
 }
 
 fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -484,7 +484,10 @@
             send(reply, ReportReply::NotOwner);
             return;
         };
-        seat.granted_until = seat.granted_until.max(clock_bound(received, grant));
+        // Without a known worker no lease is extended.
+        if seat.worker.is_some() {
+            seat.granted_until = seat.granted_until.max(clock_bound(received, grant));
+        }
         seat.news = false;
         let granted = AgentGrant {
             epoch: self.book.epoch,
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -65,6 +65,8 @@
 #[derive(Debug, Default)]
 pub struct AgentBook {
     pub worker: Option<WorkerState>,
+    /// Newest life that is known to be over.
+    gone: Option<WorkerLife>,
     pub epoch: Epoch,
     /// Highest order received in `epoch`.
     pub received: u64,
@@ -91,8 +93,9 @@
                 false
             }
             Some(life) if worker.life.born < life.born => false,
-            _ => {
+            known => {
                 self.forget_runs();
+                self.gone = known.or(self.gone.take()).filter(|gone| *gone != worker.life);
                 self.worker = Some(worker);
                 true
             }
@@ -101,7 +104,7 @@
 
     /// Drops a worker that is gone for good.
     pub fn part(&mut self) {
-        self.worker = None;
+        self.gone = self.worker.take().map(|worker| worker.life).or(self.gone.take());
         self.forget_runs();
     }
 
@@ -328,6 +331,7 @@
             epoch: self.epoch,
             received: self.received,
             worker: self.worker.clone(),
+            gone: self.gone.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
             held: shape.whole.then(|| self.held()),
             wait: shape.wait,
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -4,7 +4,7 @@
 
 use crate::book::{BookEffect, QueueBook};
 use crate::job::TaskPlace;
-use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName};
+use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerLife};
 use crate::report::{AgentOrder, AgentReport, EndedRun, HeldRun, JobState, RunEnd, WorkerState};
 use crate::seat::{SeatRun, WorkerSeat};
 
@@ -35,7 +35,7 @@
         // Orders of an earlier owner were numbered by themselves.
         let received = if report.epoch == self.epoch { report.received } else { 0 };
         seat.orders.retain(|(number, _)| *number > received);
-        self.meet_worker(agent, report.worker.as_ref(), now, unix);
+        self.meet_worker(agent, (report.worker.as_ref(), report.gone.as_ref()), now, unix);
         self.take_ends(agent, &report.ended, now, unix);
         if let Some(held) = &report.held {
             self.compare(agent, held, received, now);
@@ -47,15 +47,19 @@
     fn meet_worker(
         &mut self,
         agent: &AgentName,
-        worker: Option<&WorkerState>,
+        (worker, gone): (Option<&WorkerState>, Option<&WorkerLife>),
         now: Moment,
         unix: Millis,
     ) {
         let Some(seat) = self.seats.get_mut(agent) else { return };
+        // An agent that was restarted does not know its worker yet.
+        let is_over = |life: &WorkerLife| {
+            gone == Some(life) || worker.is_some_and(|worker| worker.life != *life)
+        };
         let over: Vec<_> = seat
             .runs
             .iter()
-            .filter(|(_, run)| worker.is_none_or(|worker| worker.life != run.start.life))
+            .filter(|(_, run)| is_over(&run.start.life))
             .map(|(task, run)| (task.clone(), run.start.run))
             .collect();
         if seat.worker.as_ref().map(|old| &old.life) != worker.map(|new| &new.life) {
--- a/crates/queue/src/name.rs
+++ b/crates/queue/src/name.rs
@@ -30,6 +30,7 @@
 
 /// A task: `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct TaskName {
     pub job: JobId,
     pub occurrence: u32,
@@ -56,6 +57,20 @@
     }
 }
 
+impl From<TaskName> for String {
+    fn from(task: TaskName) -> Self {
+        task.to_string()
+    }
+}
+
+impl TryFrom<String> for TaskName {
+    type Error = TaskNameError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
 fn parse(text: &str) -> Option<TaskName> {
     let mut parts = text.rsplitn(4, '.');
     let index = parts.next()?.parse().ok()?;
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -10,7 +10,7 @@
 
 /// Share of the idle processors that tasks which fill may ask for together, in
 /// percent: beyond it each further one only slows the others.
-const FILL_LIMIT_PERCENT: u64 = 100;
+const FILL_LIMIT_PERCENT: u64 = 120;
 /// Added for a worker that is not near the data, in thousandths of its capacity.
 const REMOTE_PENALTY: u64 = 2_000;
 /// Added for a worker with tasks that serve users, which a task that fills disturbs.
@@ -67,15 +67,18 @@
 }
 
 /// Thousandths of the capacity that are reserved afterwards.
+///
+/// Tasks that serve users share the fullest workers, so that others are left
+/// where tasks that fill disturb nobody.
 fn reserve_cost(seat: &WorkerSeat, step: &StepSpec) -> u64 {
     let capacity = seat.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
-    let filling = if step.target > 0 { seat.filling() / 4 } else { 0 };
-    (seat.used().cpu + step.need.cpu + filling) * 1_000 / capacity
+    let reserved = (seat.used().cpu + step.need.cpu) * 1_000 / capacity;
+    if step.target > 0 { 1_000u64.saturating_sub(reserved) } else { reserved }
 }
 
 /// Thousandths of the idle processors that are asked for afterwards.
 fn fill_cost(seat: &WorkerSeat, step: &StepSpec) -> Option<u64> {
-    let idle = seat.free().cpu.max(1);
+    let idle = seat.idle().max(1);
     let asked = seat.filling() + step.need.cpu;
     if asked * 100 > idle * FILL_LIMIT_PERCENT {
         return None;
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -73,7 +73,10 @@
     pub epoch: Epoch,
     /// Highest order received from this owner.
     pub received: u64,
+    /// `None` if none is known, which does not say that none is up.
     pub worker: Option<WorkerState>,
+    /// Newest life of a worker that is known to be over.
+    pub gone: Option<WorkerLife>,
     /// Ends that the owner has not noted yet.
     pub ended: Vec<EndedRun>,
     /// The worker's whole list, if this report carries it.
--- a/crates/queue/src/seat.rs
+++ b/crates/queue/src/seat.rs
@@ -11,6 +11,9 @@
 
 /// An agent that was silent for longer gets no new tasks: two reports were lost.
 pub const SILENCE: Millis = 1_600;
+/// Share of its processors that a task which serves users keeps busy on average:
+/// it is sized for the peak of its load.
+const SERVING_PERCENT: u64 = 50;
 /// Distinct jobs that fail on a worker in a row before it is barred.
 const FAILED_JOBS: usize = 2;
 /// First time for which a failing worker is barred; doubled each time.
@@ -177,6 +180,17 @@
         capacity.minus(&self.used())
     }
 
+    /// Processors that are idle on average, although some of them are reserved.
+    #[must_use]
+    pub fn idle(&self) -> u64 {
+        let capacity = self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu);
+        let busy = |run: &SeatRun| {
+            let share = if run.start.target > 0 { SERVING_PERCENT } else { 100 };
+            run.reserved.cpu * share / 100
+        };
+        capacity.saturating_sub(self.runs.values().map(busy).sum())
+    }
+
     /// Processors that the tasks that fill could use together.
     #[must_use]
     pub fn filling(&self) -> u64 {
