--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -57,7 +57,7 @@
     let (server, messages) =
         announcements::bind(settings.announce_address, process.metrics_address, registry.clone())?;
     let finder = OwnerFinder::open(store.clone(), clock, log.clone());
-    let (contact, contacts) = watch::channel(OwnerContact::Refused);
+    let (contact, contacts) = watch::channel(OwnerContact::Doubtful);
     let (stop, stopping) = watch::channel(false);
     let meters = AgentMeters::open(&registry).context("could not register meters")?;
     let keeper = WorkerKeeper::spawn(KeeperContext {
--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -11,7 +11,7 @@
 
 use crate::decision::DecisionEvent;
 use crate::finder::{OwnerBeacon, OwnerFinder};
-use crate::lane::{AppendLane, LaneFault, pause};
+use crate::lane::{AppendLane, LaneFault, StoredAppend, pause};
 use crate::loading::StoredState;
 use crate::owner::{CONFIRM_LIMIT, OwnerContext, OwnerTerm, clock_bound};
 use crate::topic::{OWNER, OWNER_PRODUCER, TASKS};
@@ -46,8 +46,8 @@
     Good,
     /// No answer, or the owner's last append was confirmed too long ago.
     Doubtful,
-    /// Nobody owns the queues at the owner's address.
-    Refused,
+    /// Nobody owns the queues at the address of the owner of this epoch.
+    Refused(Epoch),
 }
 
 /// What a candidate needs.
@@ -88,9 +88,10 @@
     if context.finder.is_vacant() {
         return true;
     }
-    let resigned = context.finder.owner().is_some_and(|beacon| beacon.resigned);
-    let silence = if contact == OwnerContact::Refused { REFUSED_SILENCE } else { BEACON_SILENCE };
-    resigned || context.finder.still() >= silence
+    let Some(beacon) = context.finder.owner() else { return false };
+    let refused = contact == OwnerContact::Refused(beacon.epoch);
+    let silence = if refused { REFUSED_SILENCE } else { BEACON_SILENCE };
+    beacon.resigned || context.finder.still() >= silence
 }
 
 /// An owner that was elected and has not shown a beacon, and since when.
@@ -126,35 +127,42 @@
 }
 
 /// Loads the stored state and appends the next epoch right behind it.
+///
+/// The election is appended under a producer of this process: two candidates
+/// that numbered it alike would both get the answer to the first. Then the
+/// epoch fences the predecessor, and what it stored until then is read.
 async fn elect(
     context: &CandidateContext,
     unshown: &mut UnshownOwner,
     started: Moment,
 ) -> Result<OwnerTerm, ElectionFault> {
     let owner = &context.owner;
-    let state = StoredState::load(&owner.store).await?;
+    let mut state = StoredState::load(&owner.store).await?;
     let shown = context.finder.owner().map_or(0, |beacon| beacon.epoch);
-    if shown > state.epoch {
+    if shown > state.epoch() {
         return Err(ElectionFault::Outdated);
     }
-    if shown < state.epoch && !unshown.is_over(state.epoch, owner.clock.now()) {
+    if shown < state.epoch() && !unshown.is_over(state.epoch(), owner.clock.now()) {
         return Err(ElectionFault::Unshown);
     }
-    let epoch = state.epoch + 1;
-    let mut tasks = open_lane(&owner.store, owner.clock, TASKS, epoch);
+    let epoch = state.epoch() + 1;
     let record = election_record(epoch, owner);
-    let stored = tasks.append(Some(state.tasks_end), &[record]).await?;
-    let mut beacons = open_lane(&owner.store, owner.clock, OWNER, epoch);
-    let beacon =
-        OwnerBeacon { epoch, owner: owner.name.clone(), address: owner.address, resigned: false };
+    let producer = format!("candidate-{}-{:016x}", owner.name, rand::random::<u64>());
+    let (store, clock) = (&owner.store, owner.clock);
+    let mut election = AppendLane::open(store.clone(), clock, TASKS, producer, 1);
+    election.append(Some(state.tasks_end), std::slice::from_ref(&record)).await?;
+    let mut tasks = open_lane(store, clock, TASKS, epoch);
+    append_surely(&mut tasks, &record).await?;
+    let mut beacons = open_lane(store, clock, OWNER, epoch);
+    let (name, address) = (owner.name.clone(), owner.address);
+    let beacon = OwnerBeacon { epoch, owner: name, address, resigned: false };
     // Fences the beacon of the predecessor, which would renew its grants.
-    while let Err(fault) = beacons.append(None, &[beacon.record()]).await {
-        if fault == LaneFault::Fenced {
-            return Err(fault.into());
-        }
+    let confirmed = append_surely(&mut beacons, &beacon.record()).await?.sent;
+    let now = clock.now();
+    while let Err(fault) = state.catch_up(store).await {
+        log::warn!("could not read what the predecessor stored: {fault}");
         pause(WATCH_PAUSE).await;
     }
-    let now = owner.clock.now();
     let requests_end = state.requests_end;
     let grants_end = clock_bound(now, CONFIRM_LIMIT);
     let book = state.into_book(epoch, grants_end, now, unix_ms());
@@ -164,7 +172,20 @@
         runs: book.seats.values().map(|seat| seat.runs.len()).sum(),
         loading: now.0.saturating_sub(started.0),
     });
-    Ok(OwnerTerm::open(owner.clone(), book, requests_end, stored.sent, (tasks, beacons, beacon)))
+    Ok(OwnerTerm::open(owner.clone(), book, requests_end, confirmed, (tasks, beacons, beacon)))
+}
+
+/// Appends a record that only this process may append.
+async fn append_surely(
+    lane: &mut AppendLane,
+    record: &KeyedRecord,
+) -> Result<StoredAppend, LaneFault> {
+    loop {
+        match lane.append(None, std::slice::from_ref(record)).await {
+            Err(LaneFault::Refused(_)) => pause(WATCH_PAUSE).await,
+            verdict => return verdict,
+        }
+    }
 }
 
 fn election_record(epoch: Epoch, owner: &OwnerContext) -> KeyedRecord {
--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -1,10 +1,14 @@
 //! Reads the stored state of all jobs before an election.
 
+use std::time::Duration;
+
 use cactusdoor_core::unit::{Epoch, Millis, Moment, Offset};
 use cactusdoor_platform::store::{ReadFault, StoreClient, StoredRecord};
 use cactusdoor_queue::book::QueueBook;
 use cactusdoor_queue::name::{JobId, TaskName};
-use cactusdoor_queue::record::{JobEnding, OwnerElected, RequestKey, TaskKey, TaskRecord};
+use cactusdoor_queue::record::{
+    ELECTION_KEY, JobEnding, OwnerElected, RequestKey, TaskKey, TaskRecord,
+};
 use cactusdoor_queue::spec::JobSpec;
 use indexmap::IndexMap;
 
@@ -18,8 +22,7 @@
     cancels: Vec<JobId>,
     tasks: Vec<(TaskName, TaskRecord)>,
     endings: Vec<(JobId, JobEnding)>,
-    /// Of the last election; 0 if there was none.
-    pub epoch: Epoch,
+    newest: IndexMap<String, StoredRecord>,
     /// Where `keyed.requests` goes on.
     pub requests_end: Offset,
     /// Where `keyed.tasks` ends.
@@ -36,17 +39,47 @@
             state.take_request(&stored);
         }
         let (newest, end) = read_newest(store, TASKS).await?;
-        let mut tasks: IndexMap<String, StoredRecord> = IndexMap::new();
+        state.tasks_end = end;
         for stored in newest {
-            tasks.insert(stored.record.key.clone(), stored);
-        }
-        state.tasks_end = read_rest(store, end, &mut tasks).await?;
-        for stored in tasks.values() {
-            state.take_task(stored);
+            state.newest.insert(stored.record.key.clone(), stored);
         }
+        state.catch_up(store).await?;
         Ok(state)
     }
 
+    /// Reads what was appended to `keyed.tasks` since.
+    pub async fn catch_up(&mut self, store: &StoreClient) -> Result<(), ReadFault> {
+        loop {
+            let page = store.read(TASKS, self.tasks_end, Duration::ZERO).await?;
+            for stored in page.records {
+                let known = self.newest.get(&stored.record.key).map(|known| known.offset);
+                if known.is_none_or(|known| known < stored.offset) {
+                    self.newest.insert(stored.record.key.clone(), stored);
+                }
+            }
+            self.tasks_end = page.next;
+            if page.next >= page.end {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Of the last election; 0 if there was none.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        let stored = self.newest.get(ELECTION_KEY);
+        let value = stored.and_then(|stored| stored.record.value.as_ref());
+        let elected = value.map(|value| serde_json::from_slice::<OwnerElected>(value));
+        match elected {
+            Some(Ok(elected)) => elected.epoch,
+            Some(Err(error)) => {
+                log::error!("record of the election is not used: {error}");
+                0
+            }
+            None => 0,
+        }
+    }
+
     fn take_request(&mut self, stored: &StoredRecord) {
         let Some(value) = &stored.record.value else { return };
         match RequestKey::parse(&stored.record.key) {
@@ -61,8 +94,7 @@
     fn take_task(&mut self, stored: &StoredRecord) {
         let Some(value) = &stored.record.value else { return };
         let parsed = match TaskKey::parse(&stored.record.key) {
-            TaskKey::Election => serde_json::from_slice(value)
-                .map(|elected: OwnerElected| self.epoch = elected.epoch),
+            TaskKey::Election => Ok(()),
             TaskKey::Task(name) => {
                 serde_json::from_slice(value).map(|record| self.tasks.push((name, record)))
             }
@@ -77,7 +109,16 @@
 
     /// The book of the owner of `epoch`.
     #[must_use]
-    pub fn into_book(self, epoch: Epoch, grants: Moment, now: Moment, unix: Millis) -> QueueBook {
+    pub fn into_book(
+        mut self,
+        epoch: Epoch,
+        grants: Moment,
+        now: Moment,
+        unix: Millis,
+    ) -> QueueBook {
+        for stored in std::mem::take(&mut self.newest).into_values() {
+            self.take_task(&stored);
+        }
         let mut book = QueueBook::open(epoch, grants);
         for (job, ending) in self.endings {
             book.restore_ending(&job, ending);
@@ -97,24 +138,3 @@
         book
     }
 }
-
-/// Reads what was appended while the pages were read; returns the end.
-async fn read_rest(
-    store: &StoreClient,
-    mut from: Offset,
-    tasks: &mut IndexMap<String, StoredRecord>,
-) -> Result<Offset, ReadFault> {
-    loop {
-        let page = store.read(TASKS, from, std::time::Duration::ZERO).await?;
-        for stored in page.records {
-            let known = tasks.get(&stored.record.key).map(|known| known.offset);
-            if known.is_none_or(|known| known < stored.offset) {
-                tasks.insert(stored.record.key.clone(), stored);
-            }
-        }
-        from = page.next;
-        if from >= page.end {
-            return Ok(page.end);
-        }
-    }
-}
--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -69,7 +69,9 @@
 impl ReportLoop {
     async fn wait_for_orders(self: Rc<Self>) {
         loop {
-            if self.report(ORDER_WAIT).await {
+            // The first answer of an owner is not worth waiting for orders.
+            let good = *self.reporter.contact.borrow() == OwnerContact::Good;
+            if self.report(if good { ORDER_WAIT } else { 0 }).await {
                 continue;
             }
             if let Err(fault) = self.reporter.finder.refresh().await {
@@ -113,20 +115,27 @@
                 self.contact(contact);
                 let calls = reporter.keeper.book.borrow_mut().grant(grant, sent);
                 reporter.keeper.carry_out(calls);
-                contact == OwnerContact::Good || self.look_around().await
+                if contact == OwnerContact::Doubtful {
+                    self.look_around().await;
+                }
+                true
+            }
+            Ok(ReportReply::NotOwner) => {
+                self.lose(OwnerContact::Refused(beacon.epoch), "not the owner")
+            }
+            Err(LinkError::NotConnected) => {
+                self.lose(OwnerContact::Refused(beacon.epoch), "not connected")
             }
-            Ok(ReportReply::NotOwner) => self.lose(OwnerContact::Refused, "not the owner"),
-            Err(LinkError::NotConnected) => self.lose(OwnerContact::Refused, "not connected"),
             Err(LinkError::NoAnswer) => self.lose(OwnerContact::Doubtful, "no answer"),
         }
     }
 
     /// Looks whether a doubtful owner has been replaced.
-    async fn look_around(&self) -> bool {
+    async fn look_around(&self) {
         if let Err(fault) = self.reporter.finder.refresh().await {
             log::debug!("could not look for the owner: {fault}");
         }
-        true
+        pause(RETRY_PAUSE).await;
     }
 
     fn contact(&self, contact: OwnerContact) {
