--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -65,6 +65,7 @@
         clock,
         log: log.clone(),
         meters: meters.clone(),
+        lease_limit: settings.lease_limit,
         messages,
     });
     OwnerReporter::spawn(OwnerReporter {
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -43,6 +43,8 @@
     pub clock: MonotonicClock,
     pub log: DecisionLog,
     pub meters: AgentMeters,
+    /// Longest lease that the worker accepts.
+    pub lease_limit: Millis,
     pub messages: mpsc::UnboundedReceiver<WorkerMessage>,
 }
 
@@ -59,6 +61,7 @@
     clock: MonotonicClock,
     log: DecisionLog,
     meters: AgentMeters,
+    lease_limit: Millis,
     pub book: RefCell<AgentBook>,
     sample: Cell<ClockSample>,
     /// No lease of the worker ends later.
@@ -79,12 +82,13 @@
 impl WorkerKeeper {
     /// Starts to keep the worker.
     pub fn spawn(context: KeeperContext) -> Rc<Self> {
-        let KeeperContext { worker, clock, log, meters, messages } = context;
+        let KeeperContext { worker, clock, log, meters, lease_limit, messages } = context;
         let keeper = Rc::new(Self {
             worker,
             clock,
             log,
             meters,
+            lease_limit,
             book: RefCell::default(),
             sample: Cell::default(),
             leased_until: Cell::default(),
@@ -121,6 +125,8 @@
         let leaving = book.worker.as_ref().is_some_and(|worker| worker.leaves_in.is_some());
         if book.meet(announced.worker) {
             self.sample.set(ClockSample { clock: announced.clock, at: now });
+            // An earlier process may have extended the lease just before.
+            self.leased_until.set(now.after(self.lease_limit));
             let (worker, born) = (life.id.to_string(), life.born);
             self.log.note(DecisionEvent::WorkerMet { worker, born });
             self.wake.notify_one();
@@ -148,7 +154,7 @@
     async fn look(self: Rc<Self>) {
         let mut unheard = 0;
         loop {
-            let Some(life) = self.book.borrow().life().cloned() else {
+            let Some(life) = self.known_life() else {
                 unheard = 0;
                 self.wake.notified().await;
                 continue;
@@ -176,13 +182,22 @@
                 }
                 Err(fault) => {
                     log::debug!("look at the worker failed: {fault}");
-                    self.take_silence(&life);
+                    if matches!(fault, WorkerFault::NoAnswer | WorkerFault::NotSent) {
+                        self.take_silence(&life);
+                    }
                     pause(RETRY_PAUSE).await;
                 }
             }
         }
     }
 
+    /// The worker's life, once an owner's epoch is known: a worker refuses a
+    /// lower one than it has seen.
+    fn known_life(&self) -> Option<WorkerLife> {
+        let book = self.book.borrow();
+        book.life().filter(|_| book.epoch > 0).cloned()
+    }
+
     fn request(&self) -> HoldRequest {
         let book = self.book.borrow();
         let wait = if book.is_shared() { SHARED_WAIT } else { CALM_WAIT };
