--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -72,7 +72,9 @@
         }
         if is_vacant(&context, contact).await {
             pause(CANDIDATE_SPREAD).await;
-            if is_vacant(&context, *context.contact.borrow()).await {
+            // A borrow held over an await would block the reporter on this thread.
+            let contact = *context.contact.borrow();
+            if is_vacant(&context, contact).await {
                 stand(&mut context, &mut unshown).await;
                 continue;
             }
