--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -122,6 +122,8 @@
     pending: (u64, IndexMap<QueueName, u64>),
     ended: Vec<JobId>,
     forget_at: Moment,
+    /// An agent follows a later owner.
+    deposed: bool,
 }
 
 impl OwnerTerm {
@@ -162,6 +164,7 @@
             pending: (1, IndexMap::new()),
             ended: Vec::new(),
             forget_at: now.after(FORGET_INTERVAL),
+            deposed: false,
             context,
         }
     }
@@ -226,6 +229,9 @@
     /// Decides, stores and answers what there is; returns why the term ends.
     fn step(&mut self) -> Option<TermEnd> {
         let (now, unix) = (self.context.clock.now(), unix_ms());
+        if self.deposed {
+            return Some(TermEnd::Fenced);
+        }
         if self.is_isolated(now) {
             return Some(TermEnd::Isolated);
         }
@@ -380,8 +386,9 @@
         now: Moment,
     ) {
         if report.epoch > self.book.epoch {
-            // The agent follows a later owner; the verdict of the lane will say so too.
+            // The agent follows a later owner.
             send(reply, ReportReply::NotOwner);
+            self.deposed = true;
             return;
         }
         let epoch = self.book.epoch;
@@ -480,6 +487,7 @@
         let limit = GRANT.min(self.context.lease_limit * 7 / 10);
         let until = received.after(limit).min(self.confirmed.after(CONFIRM_LIMIT));
         let grant = until.0.saturating_sub(received.0);
+        let confirmed = self.is_confirmed(now);
         let Some(seat) = self.book.seats.get_mut(agent) else {
             send(reply, ReportReply::NotOwner);
             return;
@@ -493,7 +501,7 @@
             epoch: self.book.epoch,
             life: seat.worker.as_ref().map(|worker| worker.life.clone()),
             grant,
-            confirmed: now <= self.confirmed.after(CONFIRM_DOUBT),
+            confirmed,
             noted: seat.noted,
             settled: std::mem::take(&mut seat.settled),
             orders: seat.orders.iter().cloned().collect(),
@@ -501,6 +509,10 @@
         send(reply, ReportReply::Grant(granted));
     }
 
+    fn is_confirmed(&self, now: Moment) -> bool {
+        now <= self.confirmed.after(CONFIRM_DOUBT)
+    }
+
     fn watched_from(&self, request: &WatchRequest) -> usize {
         let from = if request.epoch == self.book.epoch { request.from } else { 0 };
         usize::try_from(from).unwrap_or(usize::MAX)
@@ -514,6 +526,7 @@
         let pending = (!known).then(|| pending.iter().map(|(q, n)| (q.clone(), *n)).collect());
         let answer = WatchReply {
             epoch: self.book.epoch,
+            confirmed: self.is_confirmed(self.context.clock.now()),
             next: self.changes.len() as u64,
             states: self.changes[from..].to_vec(),
             pending: (*number, pending),
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -27,7 +27,7 @@
 struct WatchedJobs {
     states: IndexMap<JobId, JobState>,
     pending: IndexMap<QueueName, u64>,
-    /// Whether an owner has told its pending figures.
+    /// Whether an owner that was confirmed recently has told its pending figures.
     told: bool,
 }
 
@@ -74,8 +74,8 @@
         }
         if let (_, Some(pending)) = reply.pending {
             jobs.pending = pending.into_iter().collect();
-            jobs.told = true;
         }
+        jobs.told = reply.confirmed;
     }
 }
 
@@ -146,8 +146,10 @@
         match self.link.watch(beacon.address, request).await {
             Ok(Some(reply)) if reply.epoch >= epoch => {
                 self.position.set((reply.epoch, reply.next, reply.pending.0));
+                // An owner that is cut off from the store may have been replaced.
+                let confirmed = reply.confirmed;
                 self.states.take(reply);
-                true
+                confirmed
             }
             _ => false,
         }
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -33,6 +33,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WatchReply {
     pub epoch: Epoch,
+    /// Whether the owner's last append was confirmed recently.
+    pub confirmed: bool,
     pub next: u64,
     pub states: Vec<(JobId, JobState)>,
     /// Number of the pending figures, and the figures if they have changed.
