Learn the press of each image and pace the heaviest first

Cause: all tasks that fill on a worker were paced alike, and again at each look, long before the figures (of the last half second) showed the change. Ruled out: queueing at placement (the limit of the sum of fills made no difference).

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -238,7 +238,7 @@
     async fn set_pace(&self, life: &WorkerLife) {
         let (calls, epoch) = {
             let mut book = self.book.borrow_mut();
-            (book.pace(), book.epoch)
+            (book.pace(self.clock.now()), book.epoch)
         };
         for call in calls {
             match self.worker.pace(life, &call, epoch).await {
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -10,7 +10,7 @@
 use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
 use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
-use cactusdoor_queue::name::{AgentName, JobId, QueueName};
+use cactusdoor_queue::name::{AgentName, JobId, Label, QueueName};
 use cactusdoor_queue::record::RequestKey;
 use cactusdoor_queue::report::{AgentGrant, AgentReport, JobState, ReportReply, RunEnd};
 use indexmap::IndexMap;
@@ -51,6 +51,8 @@
 const OUT_OF_REACH: Millis = 2_500;
 /// Least number of agents of which an owner that reaches fewer than half resigns.
 const QUORUM_AGENTS: usize = 3;
+/// Between two tellings of the learned figures to an agent.
+const PRESS_INTERVAL: Millis = 1_000;
 /// Between two removals of the requests of ended jobs.
 const FORGET_INTERVAL: Millis = 2_000;
 
@@ -124,6 +126,8 @@
     forget_at: Moment,
     /// An agent follows a later owner.
     deposed: bool,
+    /// When each agent was last told the learned figures.
+    told: IndexMap<AgentName, Moment>,
 }
 
 impl OwnerTerm {
@@ -165,6 +169,7 @@
             ended: Vec::new(),
             forget_at: now.after(FORGET_INTERVAL),
             deposed: false,
+            told: IndexMap::new(),
             context,
         }
     }
@@ -488,6 +493,7 @@
         let until = received.after(limit).min(self.confirmed.after(CONFIRM_LIMIT));
         let grant = until.0.saturating_sub(received.0);
         let confirmed = self.is_confirmed(now);
+        let presses = self.press_figures(agent, now);
         let Some(seat) = self.book.seats.get_mut(agent) else {
             send(reply, ReportReply::NotOwner);
             return;
@@ -505,10 +511,21 @@
             noted: seat.noted,
             settled: std::mem::take(&mut seat.settled),
             orders: seat.orders.iter().cloned().collect(),
+            presses,
         };
         send(reply, ReportReply::Grant(granted));
     }
 
+    /// The learned figures, once a second for each agent.
+    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<Vec<(Label, f64)>> {
+        let told = self.told.entry(agent.clone()).or_default();
+        if now < told.after(PRESS_INTERVAL) {
+            return None;
+        }
+        *told = now;
+        Some(self.book.presses.figures())
+    }
+
     fn is_confirmed(&self, now: Moment) -> bool {
         now <= self.confirmed.after(CONFIRM_DOUBT)
     }
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -4,11 +4,13 @@
 //! list that was asked for after the worker had answered a call about the run
 //! and that names it neither as running nor as ended.
 
+use std::sync::Arc;
+
 use cactusdoor_core::unit::{Epoch, Moment};
 use indexmap::IndexMap;
 
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerLife};
-use crate::pacing::{FULL_PACE, FillPace, PaceCall, ServingLoad};
+use crate::pacing::{FULL_PACE, FillPace, FillingRun, PaceCall, PressSample};
 use crate::report::{
     AgentGrant, AgentOrder, AgentReport, EndedRun, HeldRun, RunEnd, StartOrder, WorkerState,
 };
@@ -31,8 +33,8 @@
     pub run: RunNumber,
     /// `None` once a stop has been ordered.
     pub start: Option<StartOrder>,
-    pub target: u64,
-    pub fills: bool,
+    /// What is known of the task, once its start was ordered.
+    pub shape: Option<Arc<StartOrder>>,
     pub phase: RunPhase,
 }
 
@@ -80,6 +82,7 @@
     unlisted: Vec<EndedRun>,
     pace: FillPace,
     paced: IndexMap<(TaskName, RunNumber), u8>,
+    sample: Option<PressSample>,
     reports: u64,
 }
 
@@ -190,6 +193,9 @@
         self.unlisted.retain(|ended| {
             !settled.iter().any(|(task, run)| *task == ended.task && *run == ended.run)
         });
+        if let Some(presses) = grant.presses {
+            self.pace.model.take(presses);
+        }
         let mut calls = Vec::new();
         for (number, order) in grant.orders {
             if number == self.received + 1 {
@@ -227,8 +233,7 @@
         }
         let ordered = OrderedRun {
             run: start.run,
-            target: start.target,
-            fills: start.fills,
+            shape: Some(Arc::new(start.clone())),
             start: Some(start.clone()),
             phase: RunPhase::Open,
         };
@@ -244,9 +249,8 @@
         if self.ordered.get(&task).is_some_and(|known| known.run > run) {
             return None;
         }
-        let (target, fills) =
-            self.ordered.get(&task).map_or((0, false), |known| (known.target, known.fills));
-        let stopped = OrderedRun { run, start: None, target, fills, phase: RunPhase::Open };
+        let shape = self.ordered.get(&task).and_then(|known| known.shape.clone());
+        let stopped = OrderedRun { run, start: None, shape, phase: RunPhase::Open };
         self.ordered.insert(task.clone(), stopped);
         Some(WorkerCall::Stop { task, run })
     }
@@ -283,25 +287,31 @@
     }
 
     /// The paces to set after a list.
-    pub fn pace(&mut self) -> Vec<PaceCall> {
-        let mut serving = Vec::new();
+    pub fn pace(&mut self, now: Moment) -> Vec<PaceCall> {
+        let capacity = self.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
+        let mut ratio: Option<f64> = None;
         let mut filling = Vec::new();
         for listed in &self.running {
-            let Some(ordered) = self.ordered.get(&listed.task) else { continue };
-            if ordered.target > 0 && listed.percent >= FULL_PACE {
-                serving.push(ServingLoad { tail: listed.figure, target: ordered.target });
+            let ordered = self.ordered.get(&listed.task);
+            let Some(shape) = ordered.and_then(|ordered| ordered.shape.as_ref()) else { continue };
+            if shape.target > 0 && listed.percent >= FULL_PACE {
+                let tail = share(listed.figure, shape.target);
+                ratio = Some(ratio.unwrap_or_default().max(tail));
             }
-            if ordered.fills {
-                filling.push((listed.task.clone(), listed.run));
+            if shape.fills {
+                let pace = self.paced.get(&(listed.task.clone(), listed.run)).copied();
+                filling.push(FillingRun {
+                    task: listed.task.clone(),
+                    run: listed.run,
+                    image: shape.image.clone(),
+                    share: share(shape.cpu, capacity),
+                    pace: pace.unwrap_or(FULL_PACE),
+                });
             }
         }
-        self.pace.follow(&serving);
-        let percent = self.pace.percent;
-        let paced = &self.paced;
-        let changed = filling
-            .into_iter()
-            .filter(|key| paced.get(key).copied().unwrap_or(FULL_PACE) != percent);
-        changed.map(|(task, run)| PaceCall { task, run, percent }).collect()
+        let (calls, sample) = self.pace.follow(ratio, &filling, now);
+        self.sample = sample.or(self.sample.take());
+        calls
     }
 
     pub fn paced(&mut self, call: &PaceCall) {
@@ -311,8 +321,8 @@
     /// Whether a task that serves runs beside one that fills.
     #[must_use]
     pub fn is_shared(&self) -> bool {
-        let mut ordered = self.ordered.values();
-        ordered.any(|run| run.target > 0) && self.ordered.values().any(|run| run.fills)
+        let shapes = || self.ordered.values().filter_map(|run| run.shape.as_ref());
+        shapes().any(|shape| shape.target > 0) && shapes().any(|shape| shape.fills)
     }
 
     /// Ends that are not stored yet.
@@ -334,6 +344,7 @@
             gone: self.gone.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
             held: shape.whole.then(|| self.held()),
+            sample: self.sample.take(),
             wait: shape.wait,
         }
     }
@@ -369,6 +380,11 @@
     }
 }
 
+#[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+fn share(part: u64, whole: u64) -> f64 {
+    part as f64 / whole as f64
+}
+
 /// What a report is to carry.
 #[derive(Clone, Debug)]
 pub struct ReportShape {
--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -10,6 +10,7 @@
 
 use crate::job::{JobProgress, TaskPlace};
 use crate::name::{AgentName, Checkpoint, JobId, QueueName, RunNumber, TaskName, WorkerLife};
+use crate::pacing::PressModel;
 use crate::placing::{ChoiceContext, cost};
 use crate::record::{JobEnding, PlacedAt, TaskRecord};
 use crate::report::{JobState, StartOrder};
@@ -60,6 +61,8 @@
     pub ended: IndexMap<JobId, JobEnding>,
     pub seats: IndexMap<AgentName, WorkerSeat>,
     pub view: OperatorView,
+    /// Learned anew by each owner.
+    pub presses: PressModel,
     entries: Vec<BookEntry>,
     /// Runs of agents that have not reported yet may live until then.
     unknown_until: Moment,
@@ -74,6 +77,7 @@
             ended: IndexMap::new(),
             seats: IndexMap::new(),
             view: OperatorView::default(),
+            presses: PressModel::default(),
             entries: Vec::new(),
             unknown_until,
         }
@@ -318,7 +322,8 @@
         now: Moment,
     ) -> Option<AgentName> {
         let taken_out = &self.view.taken_out;
-        let context = ChoiceContext { task, step, service: &terms.service, taken_out, now };
+        let (service, presses) = (&terms.service, &self.presses);
+        let context = ChoiceContext { task, step, service, taken_out, presses, now };
         let costs = self.seats.values().filter_map(|seat| Some((cost(seat, &context)?, seat)));
         costs.min_by_key(|(cost, _)| *cost).map(|(_, seat)| seat.agent.clone())
     }
@@ -433,8 +438,17 @@
     step: &StepSpec,
     payload: Arc<str>,
 ) -> StartOrder {
-    let (target, fills) = (step.target, step.fills);
-    StartOrder { task: task.clone(), life, run, saved, payload, target, fills }
+    StartOrder {
+        task: task.clone(),
+        life,
+        run,
+        saved,
+        payload,
+        target: step.target,
+        fills: step.fills,
+        image: step.image.clone(),
+        cpu: step.need.cpu,
+    }
 }
 
 /// A run whose placement is not stored yet.
@@ -443,7 +457,6 @@
         saved: start.saved.clone(),
         start,
         reserved: step.reserved(),
-        cpu: step.need.cpu,
         endless: step.endless,
         checkpoints: step.checkpoints,
         estimate: step.estimate,
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -28,6 +28,9 @@
             return false;
         }
         seat.report = report.number;
+        if let Some(sample) = &report.sample {
+            self.presses.learn(sample);
+        }
         seat.heard = now;
         if seat.incarnation != report.incarnation {
             renew(seat, report.incarnation);
--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -1,26 +1,103 @@
 //! How fast an agent lets tasks that fill idle processors run, so that the
 //! tasks that serve users beside them meet their bound.
+//!
+//! How much a task that fills disturbs depends on its image. The owner learns
+//! the press of each image from samples of all workers; each agent turns these
+//! figures into paces, lightest images first, and corrects them by the tail
+//! latencies that it sees.
 
-use crate::name::{RunNumber, TaskName};
+use cactusdoor_core::unit::{Millis, Moment};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::name::{Label, RunNumber, TaskName};
 
 /// Full speed, percent.
 pub const FULL_PACE: u8 = 100;
-/// A tail latency above this share of its bound slows the tasks that fill.
-const HIGH_PERCENT: u64 = 90;
-/// Below this share of the bound they speed up again.
-const LOW_PERCENT: u64 = 60;
-/// Speed that is given back at once, percent.
-const RISE: u8 = 15;
-/// Slower than this is a standstill, percent.
-const LEAST: u8 = 10;
-
-/// A running task that serves users.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServingLoad {
-    /// Tail latency of the last half second, ms.
-    pub tail: u64,
-    /// Bound on it, ms.
-    pub target: u64,
+/// Figures are of the last half second: a pace is kept until they show it.
+const PACE_INTERVAL: Millis = 550;
+/// Share of the bound that a tail latency may reach by the model.
+const GOAL: f64 = 0.75;
+/// Above this share of the bound the paces fall, below the other they rise.
+const HIGH: f64 = 0.9;
+const LOW: f64 = 0.65;
+/// Factors by which the correction of the model falls and rises.
+const FALL: f64 = 0.5;
+const RISE: f64 = 1.25;
+/// Range of the correction.
+const MIN_SCALE: f64 = 0.02;
+const MAX_SCALE: f64 = 4.0;
+/// Tasks that fill stand still after so long over a bound: half of the time in
+/// which a bound may be missed.
+const STANDSTILL: Millis = 1_900;
+/// Share of the bound without any press: a bound leaves room for swings of load.
+const BASE: f64 = 0.25;
+/// Press of an image that was never seen: in doubt it disturbs.
+const UNKNOWN_PRESS: f64 = 1.5;
+/// Least press, so that the correction reaches every image.
+const LEAST_PRESS: f64 = 0.05;
+const MOST_PRESS: f64 = 50.0;
+/// Ratios above this say no more than that the bound is far exceeded.
+const MOST_RATIO: f64 = 4.0;
+/// Share of an error that one sample corrects.
+const LEARNING_RATE: f64 = 0.2;
+/// Paces are set in steps, percent.
+const PACE_STEP: u8 = 5;
+
+/// Tail latency of a worker's serving tasks beside the tasks that fill there.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PressSample {
+    /// Highest tail latency as a share of its bound.
+    pub ratio: f64,
+    /// By image: processors at work as a share of the worker's.
+    pub shares: Vec<(Label, f64)>,
+}
+
+/// What the images of tasks that fill add to the tail latencies beside them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PressModel {
+    presses: IndexMap<Label, f64>,
+}
+
+impl PressModel {
+    /// Press of an image for a whole worker's processors, as a share of the bound.
+    #[must_use]
+    pub fn press(&self, image: Option<&Label>) -> f64 {
+        let known = image.and_then(|image| self.presses.get(image)).copied();
+        known.unwrap_or(UNKNOWN_PRESS)
+    }
+
+    /// Corrects the presses by the error of a sample (normalised least mean squares).
+    pub fn learn(&mut self, sample: &PressSample) {
+        let norm: f64 = sample.shares.iter().map(|(_, share)| share * share).sum();
+        if norm <= f64::EPSILON || !sample.ratio.is_finite() {
+            return;
+        }
+        let modelled = |(image, share): &(Label, f64)| self.press(Some(image)) * share;
+        let expected = BASE + sample.shares.iter().map(modelled).sum::<f64>();
+        let error = sample.ratio.min(MOST_RATIO) - expected;
+        for (image, share) in &sample.shares {
+            let press = self.press(Some(image)) + LEARNING_RATE * error * share / norm;
+            self.presses.insert(image.clone(), press.clamp(LEAST_PRESS, MOST_PRESS));
+        }
+    }
+
+    /// The presses, for the agents.
+    #[must_use]
+    pub fn figures(&self) -> Vec<(Label, f64)> {
+        self.presses.iter().map(|(image, press)| (image.clone(), *press)).collect()
+    }
+
+    /// Takes up the owner's figures.
+    pub fn take(&mut self, figures: Vec<(Label, f64)>) {
+        self.presses = figures.into_iter().collect();
+    }
+
+    /// Share of full speed that tasks with this press in sum may have.
+    #[must_use]
+    pub fn slowdown(press: f64) -> f64 {
+        press / (GOAL - BASE)
+    }
 }
 
 /// A call to set the pace of a task.
@@ -31,28 +108,114 @@
     pub percent: u8,
 }
 
-/// The pace of all tasks that fill on one worker.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A running task that fills.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FillingRun {
+    pub task: TaskName,
+    pub run: RunNumber,
+    pub image: Option<Label>,
+    /// Processors as a share of the worker's.
+    pub share: f64,
+    /// Percent.
+    pub pace: u8,
+}
+
+/// The paces of the tasks that fill on one worker.
+#[derive(Clone, Debug)]
 pub struct FillPace {
-    pub percent: u8,
+    pub model: PressModel,
+    /// Correction of the model on this worker.
+    scale: f64,
+    next: Moment,
+    over_since: Option<Moment>,
 }
 
 impl Default for FillPace {
     fn default() -> Self {
-        Self { percent: FULL_PACE }
+        Self { model: PressModel::default(), scale: 1.0, next: Moment::default(), over_since: None }
     }
 }
 
 impl FillPace {
-    /// Follows the newest figures: halves when a bound is near, rises slowly.
-    pub fn follow(&mut self, serving: &[ServingLoad]) {
-        let over = |load: &ServingLoad| load.tail * 100 > load.target * HIGH_PERCENT;
-        let under = |load: &ServingLoad| load.tail * 100 < load.target * LOW_PERCENT;
-        if serving.iter().any(over) {
-            let half = self.percent / 2;
-            self.percent = if half < LEAST { 0 } else { half };
-        } else if serving.iter().all(under) {
-            self.percent = self.percent.saturating_add(RISE).min(FULL_PACE);
+    /// Follows the newest figures: `ratio` is the highest tail latency as a
+    /// share of its bound, `None` where no task serves. Returns the new paces
+    /// and, where the figures are of the old ones, a sample.
+    pub fn follow(
+        &mut self,
+        ratio: Option<f64>,
+        filling: &[FillingRun],
+        now: Moment,
+    ) -> (Vec<PaceCall>, Option<PressSample>) {
+        let Some(ratio) = ratio else {
+            self.over_since = None;
+            self.scale = 1.0;
+            return (changes(filling, |_| FULL_PACE), None);
+        };
+        if now < self.next {
+            return (Vec::new(), None);
+        }
+        self.next = now.after(PACE_INTERVAL);
+        self.correct(ratio, now);
+        let sample = sample(ratio, filling);
+        let still = self.over_since.is_some_and(|since| since.after(STANDSTILL) <= now);
+        let paces = if still { vec![0; filling.len()] } else { self.paces(filling) };
+        let mut paces = paces.into_iter();
+        (changes(filling, |_| paces.next().unwrap_or(FULL_PACE)), sample)
+    }
+
+    fn correct(&mut self, ratio: f64, now: Moment) {
+        if ratio > HIGH {
+            self.scale = (self.scale * FALL).max(MIN_SCALE);
+        } else if ratio < LOW {
+            self.scale = (self.scale * RISE).min(MAX_SCALE);
+        }
+        if ratio <= 1.0 {
+            self.over_since = None;
+        } else if self.over_since.is_none() {
+            self.over_since = Some(now);
+        }
+    }
+
+    /// Gives the room that the bound leaves to the lightest images first.
+    fn paces(&self, filling: &[FillingRun]) -> Vec<u8> {
+        let mut order: Vec<_> = filling.iter().enumerate().collect();
+        let press = |run: &FillingRun| self.model.press(run.image.as_ref());
+        order.sort_by(|(_, one), (_, other)| press(one).total_cmp(&press(other)));
+        let mut room = (GOAL - BASE) * self.scale;
+        let mut paces = vec![0; filling.len()];
+        for (index, run) in order {
+            let wanted = press(run) * run.share;
+            let part = if wanted <= room { 1.0 } else { (room / wanted).max(0.0) };
+            room -= wanted * part;
+            paces[index] = percent(part);
         }
+        paces
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a share from 0 to 1 in percent"
+)]
+fn percent(part: f64) -> u8 {
+    let percent = (part * f64::from(FULL_PACE)) as u8;
+    percent / PACE_STEP * PACE_STEP
+}
+
+fn changes(filling: &[FillingRun], mut pace: impl FnMut(&FillingRun) -> u8) -> Vec<PaceCall> {
+    let paced = filling.iter().map(|run| (run, pace(run)));
+    let changed = paced.filter(|(run, percent)| run.pace != *percent);
+    changed
+        .map(|(run, percent)| PaceCall { task: run.task.clone(), run: run.run, percent })
+        .collect()
+}
+
+fn sample(ratio: f64, filling: &[FillingRun]) -> Option<PressSample> {
+    let mut shares: IndexMap<Label, f64> = IndexMap::new();
+    for run in filling.iter().filter(|run| run.pace > 0) {
+        let image = run.image.clone()?;
+        *shares.entry(image).or_insert(0.0) += run.share * f64::from(run.pace) / 100.0;
     }
+    (!shares.is_empty()).then(|| PressSample { ratio, shares: shares.into_iter().collect() })
 }
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -5,12 +5,12 @@
 use cactusdoor_core::unit::Moment;
 
 use crate::name::{DataCentre, ServiceName, TaskName};
+use crate::pacing::PressModel;
 use crate::seat::{SILENCE, WorkerSeat};
 use crate::spec::StepSpec;
 
-/// Share of the idle processors that tasks which fill may ask for together, in
-/// percent: beyond it each further one only slows the others.
-const FILL_LIMIT_PERCENT: u64 = 120;
+/// Largest slowdown of tasks that fill, in thousandths: beyond it a task waits.
+const FILL_LIMIT: u64 = 1_500;
 /// Added for a worker that is not near the data, in thousandths of its capacity.
 const REMOTE_PENALTY: u64 = 2_000;
 /// Added for a worker with tasks that serve users, which a task that fills disturbs.
@@ -23,6 +23,7 @@
     pub step: &'a StepSpec,
     pub service: &'a ServiceName,
     pub taken_out: &'a BTreeSet<DataCentre>,
+    pub presses: &'a PressModel,
     pub now: Moment,
 }
 
@@ -35,7 +36,7 @@
     let step = context.step;
     let near = step.rack.as_ref().is_none_or(|rack| seat.has_label(rack));
     let remote = if near { 0 } else { REMOTE_PENALTY };
-    let load = if step.fills { fill_cost(seat, step)? } else { reserve_cost(seat, step) };
+    let load = if step.fills { fill_cost(seat, context)? } else { reserve_cost(seat, step) };
     Some(load + remote)
 }
 
@@ -76,13 +77,27 @@
     if step.target > 0 { 1_000u64.saturating_sub(reserved) } else { reserved }
 }
 
-/// Thousandths of the idle processors that are asked for afterwards.
-fn fill_cost(seat: &WorkerSeat, step: &StepSpec) -> Option<u64> {
+/// Thousandths by which the tasks that fill are slowed there afterwards: they
+/// share the idle processors, and they are paced for the sake of those that serve.
+fn fill_cost(seat: &WorkerSeat, context: &ChoiceContext<'_>) -> Option<u64> {
+    let step = context.step;
     let idle = seat.idle().max(1);
     let asked = seat.filling() + step.need.cpu;
-    if asked * 100 > idle * FILL_LIMIT_PERCENT {
-        return None;
+    let shared = asked * 1_000 / idle;
+    if seat.serving() == 0 {
+        return (shared <= FILL_LIMIT).then_some(shared);
     }
-    let serving = if seat.serving() > 0 { SERVING_PENALTY } else { 0 };
-    Some(asked * 1_000 / idle + serving)
+    let press = context.presses.press(step.image.as_ref()) * seat.share(step.need.cpu);
+    let paced = PressModel::slowdown(seat.pressing(context.presses) + press);
+    let slowed = shared.max(thousandths(paced));
+    (slowed <= FILL_LIMIT).then_some(slowed + SERVING_PENALTY)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "saturates, and is not negative"
+)]
+fn thousandths(share: f64) -> u64 {
+    (share * 1_000.0) as u64
 }
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -8,6 +8,7 @@
 use crate::name::{
     AgentName, Checkpoint, DataCentre, Label, RunNumber, ServiceName, TaskName, WorkerLife,
 };
+use crate::pacing::PressSample;
 use crate::spec::TaskNeed;
 
 /// A worker as it describes itself.
@@ -62,7 +63,7 @@
 }
 
 /// What an agent tells the owner.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AgentReport {
     pub agent: AgentName,
     /// Drawn when the agent starts.
@@ -81,6 +82,8 @@
     pub ended: Vec<EndedRun>,
     /// The worker's whole list, if this report carries it.
     pub held: Option<Vec<HeldRun>>,
+    /// Tail latencies since the last sample.
+    pub sample: Option<PressSample>,
     /// Longest wait for orders.
     pub wait: Millis,
 }
@@ -96,6 +99,9 @@
     pub payload: Arc<str>,
     pub target: Millis,
     pub fills: bool,
+    pub image: Option<Label>,
+    /// Thousandths of a processor.
+    pub cpu: u64,
 }
 
 /// What the owner tells an agent to do.
@@ -106,7 +112,7 @@
 }
 
 /// The owner's answer to a report.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ReportReply {
     Grant(AgentGrant),
     /// This process does not own the queues (any more).
@@ -114,7 +120,7 @@
 }
 
 /// The right of an agent to keep its worker's tasks.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AgentGrant {
     pub epoch: Epoch,
     /// Life of the worker that `noted` counts for.
@@ -129,6 +135,8 @@
     pub settled: Vec<(TaskName, RunNumber)>,
     /// Orders after `AgentReport::received`, numbered without gaps.
     pub orders: Vec<(u64, AgentOrder)>,
+    /// What images add to the tail latencies beside them, now and then.
+    pub presses: Option<Vec<(Label, f64)>>,
 }
 
 /// State of a job as callers see it.
--- a/crates/queue/src/seat.rs
+++ b/crates/queue/src/seat.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
+use crate::pacing::PressModel;
 use crate::report::{AgentOrder, StartOrder, WorkerState};
 use crate::spec::TaskNeed;
 
@@ -26,8 +27,6 @@
 pub struct SeatRun {
     pub start: StartOrder,
     pub reserved: TaskNeed,
-    /// Processors that the task can use; those of a task that fills are not reserved.
-    pub cpu: u64,
     pub endless: bool,
     /// Whether a stop loses no more than the work since the last checkpoint.
     pub checkpoints: bool,
@@ -194,7 +193,22 @@
     /// Processors that the tasks that fill could use together.
     #[must_use]
     pub fn filling(&self) -> u64 {
-        self.runs.values().filter(|run| run.start.fills).map(|run| run.cpu).sum()
+        self.runs.values().filter(|run| run.start.fills).map(|run| run.start.cpu).sum()
+    }
+
+    /// What the tasks that fill add to the tail latencies here at full speed.
+    #[must_use]
+    pub fn pressing(&self, presses: &PressModel) -> f64 {
+        let filling = self.runs.values().filter(|run| run.start.fills);
+        filling.map(|run| presses.press(run.start.image.as_ref()) * self.share(run.start.cpu)).sum()
+    }
+
+    /// Processors as a share of the worker's.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "far below 2^53")]
+    pub fn share(&self, cpu: u64) -> f64 {
+        let capacity = self.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
+        cpu as f64 / capacity as f64
     }
 
     /// Tasks that serve users under a bound.
