--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -373,11 +373,11 @@
         match effect {
             BookEffect::Started { agent, task, run } => self.release_start(agent, task, *run),
             BookEffect::Noted { agent, life, number } => {
-                if let Some(seat) = self.seats.get_mut(agent) {
-                    if seat.worker.as_ref().is_some_and(|worker| worker.life == *life) {
-                        seat.noted = seat.noted.max(*number);
-                        seat.news = true;
-                    }
+                if let Some(seat) = self.seats.get_mut(agent)
+                    && seat.worker.as_ref().is_some_and(|worker| worker.life == *life)
+                {
+                    seat.noted = seat.noted.max(*number);
+                    seat.news = true;
                 }
             }
             BookEffect::Settled { agent, task, run } => {
--- /dev/null
+++ b/crates/queue/tests/fuzz.rs
@@ -0,0 +1,318 @@
+//! The book and the agents' books against an oracle of true workers.
+//!
+//! Random sequences of submissions, ends, lost answers, restarts, rebirths,
+//! cancels and changes of owner. The oracle holds what the workers really run
+//! and checks that no task runs twice, that capacity and order are kept, that
+//! no task starts after a noted `done`, and that all jobs end in the end.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::agent::{AgentBook, ListedRun, ReportShape, WorkerCall, WorkerList};
+use cactusdoor_queue::book::QueueBook;
+use cactusdoor_queue::name::{JobId, TaskName};
+use cactusdoor_queue::record::{TaskKey, TaskRecord};
+use cactusdoor_queue::report::{AgentGrant, EndedRun, RunEnd, WorkerState};
+use cactusdoor_queue::spec::{JobSpec, StepSpec};
+use proptest::prelude::*;
+use support::*;
+
+const AGENTS: [&str; 3] = ["a", "b", "c"];
+const TICK: u64 = 100;
+
+#[derive(Clone, Debug)]
+enum Action {
+    Submit(u8, u8),
+    Cancel(u8),
+    /// A worker ends its oldest run.
+    End(u8, bool),
+    /// An agent and the owner exchange a report; the answer may be lost.
+    Exchange(u8, bool),
+    Store,
+    RestartAgent(u8),
+    RebirthWorker(u8),
+    NewOwner,
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        3 => (0..6u8, 1..4u8).prop_map(|(job, width)| Action::Submit(job, width)),
+        1 => (0..6u8).prop_map(Action::Cancel),
+        5 => (0..3u8, prop::bool::weighted(0.85)).prop_map(|(w, done)| Action::End(w, done)),
+        8 => (0..3u8, prop::bool::weighted(0.2)).prop_map(|(w, lost)| Action::Exchange(w, lost)),
+        6 => Just(Action::Store),
+        1 => (0..3u8).prop_map(Action::RestartAgent),
+        1 => (0..3u8).prop_map(Action::RebirthWorker),
+        1 => Just(Action::NewOwner),
+    ]
+}
+
+/// A worker as it truly is.
+#[derive(Default)]
+struct TrueWorker {
+    born: u64,
+    running: Vec<(TaskName, u32)>,
+    last_runs: BTreeMap<TaskName, u32>,
+    ended: Vec<EndedRun>,
+    last_end: u64,
+}
+
+impl TrueWorker {
+    fn state(&self, name: &str) -> WorkerState {
+        worker(name, self.born)
+    }
+
+    fn end(&mut self, index: usize, how: RunEnd) -> Option<(TaskName, u32)> {
+        if index >= self.running.len() {
+            return None;
+        }
+        let (task, run) = self.running.remove(index);
+        self.last_end += 1;
+        self.ended.push(ended(self.last_end, &task, run, how));
+        Some((task, run))
+    }
+
+    fn list(&self) -> WorkerList {
+        let running = self.running.iter().map(|(task, run)| ListedRun {
+            task: task.clone(),
+            run: *run,
+            saved: "".into(),
+            percent: 10,
+            figure: 0,
+        });
+        WorkerList { running: running.collect(), ended: self.ended.clone() }
+    }
+}
+
+struct World {
+    book: QueueBook,
+    agents: Vec<(AgentBook, u64, u64)>,
+    workers: Vec<TrueWorker>,
+    /// What the store holds.
+    jobs: Vec<(JobId, JobSpec)>,
+    cancels: Vec<JobId>,
+    records: BTreeMap<String, Vec<u8>>,
+    noted_done: Vec<TaskName>,
+    now: Moment,
+    epoch: u64,
+}
+
+impl World {
+    fn open() -> Self {
+        let workers = AGENTS.iter().map(|_| TrueWorker { born: 1, ..TrueWorker::default() });
+        Self {
+            book: book(),
+            agents: AGENTS.iter().map(|_| (AgentBook::default(), 1, 0)).collect(),
+            workers: workers.collect(),
+            jobs: Vec::new(),
+            cancels: Vec::new(),
+            records: BTreeMap::new(),
+            noted_done: Vec::new(),
+            now: Moment(100_000),
+            epoch: 1,
+        }
+    }
+
+    fn act(&mut self, action: &Action) {
+        self.now = self.now.after(TICK);
+        match action {
+            Action::Submit(job, width) => self.submit(*job, *width),
+            Action::Cancel(job) => self.cancel(*job),
+            Action::End(worker, done) => {
+                let how = if *done { RunEnd::Done } else { RunEnd::Failed };
+                self.workers[usize::from(*worker)].end(0, how);
+            }
+            Action::Exchange(agent, lost) => self.exchange(usize::from(*agent), *lost),
+            Action::Store => self.store(),
+            Action::RestartAgent(agent) => {
+                let agent = &mut self.agents[usize::from(*agent)];
+                *agent = (AgentBook::default(), agent.1 + 1, 0);
+            }
+            Action::RebirthWorker(worker) => {
+                let worker = &mut self.workers[usize::from(*worker)];
+                *worker = TrueWorker { born: worker.born + 1, ..TrueWorker::default() };
+            }
+            Action::NewOwner => self.change_owner(),
+        }
+    }
+
+    fn submit(&mut self, job_number: u8, width: u8) {
+        let id: JobId = format!("job{job_number}").into();
+        if self.jobs.iter().any(|(known, _)| *known == id) {
+            return;
+        }
+        let second = StepSpec { after: vec![0], ..step(u32::from(width), 900) };
+        let spec = job(vec![step(u32::from(width), 1_300), second]);
+        self.jobs.push((id.clone(), spec.clone()));
+        self.book.submit(&id, spec);
+    }
+
+    fn cancel(&mut self, job: u8) {
+        let id: JobId = format!("job{job}").into();
+        if self.jobs.iter().any(|(known, _)| *known == id) {
+            self.cancels.push(id.clone());
+            self.book.cancel(&id, UNIX);
+        }
+    }
+
+    fn store(&mut self) {
+        self.book.place(self.now, UNIX);
+        for entry in self.book.take_entries() {
+            match entry.record {
+                Some((key, Some(value))) => drop(self.records.insert(key, value)),
+                Some((key, None)) => drop(self.records.remove(&key)),
+                None => {}
+            }
+            if let Some(effect) = entry.effect {
+                self.book.release(&effect);
+            }
+        }
+    }
+
+    /// A new owner knows only what was stored.
+    fn change_owner(&mut self) {
+        self.epoch += 1;
+        let mut book = QueueBook::open(self.epoch, self.now.after(1_000_000));
+        book.view = view();
+        let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
+        let keys: Vec<_> = keys.collect();
+        for (key, value) in &keys {
+            if let TaskKey::Job(job) = key {
+                book.restore_ending(job, serde_json::from_slice(value).unwrap());
+            }
+        }
+        for (id, spec) in &self.jobs {
+            book.submit(id, spec.clone());
+        }
+        for (key, value) in &keys {
+            if let TaskKey::Task(name) = key {
+                let record: TaskRecord = serde_json::from_slice(value).unwrap();
+                book.restore_task(name, &record, self.now);
+            }
+        }
+        book.finish_loading(UNIX);
+        for job in &self.cancels {
+            book.cancel(job, UNIX);
+        }
+        self.book = book;
+    }
+
+    fn exchange(&mut self, index: usize, lost: bool) {
+        let name = AGENTS[index];
+        let state = self.workers[index].state(name);
+        let (agent, incarnation, looks) = &mut self.agents[index];
+        agent.meet(state);
+        *looks += 1;
+        if agent.epoch > 0 {
+            let noted = agent.noted;
+            self.workers[index].ended.retain(|ended| {
+                let forgotten = ended.number <= noted;
+                if forgotten && ended.end == RunEnd::Done {
+                    self.noted_done.push(ended.task.clone());
+                }
+                !forgotten
+            });
+            agent.list(*looks, self.workers[index].list());
+        }
+        let (agent_name, incarnation) = (name.into(), *incarnation);
+        let shape = ReportShape { agent: agent_name, incarnation, whole: true, wait: 0 };
+        let report = agent.report(shape);
+        assert!(report.epoch <= self.epoch);
+        self.book.report(&report, self.now, UNIX);
+        self.store();
+        let seat = &mut self.book.seats[name];
+        seat.granted_until = seat.granted_until.max(self.now.after(1_000_000));
+        let grant = AgentGrant {
+            epoch: self.epoch,
+            life: seat.worker.as_ref().map(|worker| worker.life.clone()),
+            grant: 1_000,
+            confirmed: true,
+            noted: seat.noted,
+            settled: std::mem::take(&mut seat.settled),
+            orders: seat.orders.iter().cloned().collect(),
+            presses: None,
+        };
+        if lost {
+            return;
+        }
+        let calls = self.agents[index].0.grant(grant, self.now);
+        for call in calls {
+            self.carry_out(index, call);
+        }
+        self.check();
+    }
+
+    fn carry_out(&mut self, index: usize, call: WorkerCall) {
+        let (agent, _, looks) = &mut self.agents[index];
+        let worker = &mut self.workers[index];
+        let (task, run) = match &call {
+            WorkerCall::Start(order) => (order.task.clone(), order.run),
+            WorkerCall::Stop { task, run } => (task.clone(), *run),
+        };
+        let last = worker.last_runs.entry(task.clone()).or_insert(0);
+        let runs = worker.running.iter().position(|running| *running == (task.clone(), run));
+        match call {
+            WorkerCall::Start(order) if *last < run && order.life.born == worker.born => {
+                *last = run;
+                assert!(!self.noted_done.contains(&task), "{task} started after it was done");
+                worker.running.push((task.clone(), run));
+            }
+            WorkerCall::Start(_) => {}
+            WorkerCall::Stop { .. } => {
+                *last = (*last).max(run);
+                if let Some(position) = runs {
+                    worker.end(position, RunEnd::Stopped);
+                }
+            }
+        }
+        agent.answered(&task, run, *looks);
+    }
+
+    fn check(&self) {
+        let mut seen: BTreeMap<&TaskName, usize> = BTreeMap::new();
+        for (index, worker) in self.workers.iter().enumerate() {
+            let mut cpu = 0;
+            for (task, run) in &worker.running {
+                let other = seen.insert(task, index);
+                assert_eq!(other, None, "{task} run {run} runs twice");
+                cpu += if task.step == 0 { 1_300 } else { 900 };
+            }
+            assert!(cpu <= 4_000, "{} is committed beyond its capacity", AGENTS[index]);
+        }
+    }
+
+    /// Without further faults every job ends.
+    fn settle(&mut self) {
+        for _ in 0..400 {
+            self.now = self.now.after(TICK);
+            for index in 0..AGENTS.len() {
+                self.workers[index].end(0, RunEnd::Done);
+                self.exchange(index, false);
+            }
+            if self.book.jobs.is_empty() {
+                return;
+            }
+        }
+        let left: Vec<_> = self.book.jobs.keys().collect();
+        panic!("jobs that never end: {left:?}");
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    /// Guards against double runs, overcommitment and lost jobs under
+    /// restarts, rebirths, lost answers and changes of owner.
+    #[test]
+    fn no_task_runs_twice_and_every_job_ends(
+        actions in prop::collection::vec(action(), 1..120)
+    ) {
+        let mut world = World::open();
+        for action in &actions {
+            world.act(action);
+        }
+        world.settle();
+    }
+}
--- /dev/null
+++ b/crates/queue/tests/support/mod.rs
@@ -0,0 +1,124 @@
+//! Jobs, workers and reports for tests of the book.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::book::{BookEntry, QueueBook};
+use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerLife};
+use cactusdoor_queue::report::{AgentOrder, AgentReport, EndedRun, RunEnd, WorkerState};
+use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
+use cactusdoor_queue::terms::{ConfigList, OperatorView, QueueTerms};
+use indexmap::IndexMap;
+
+pub const UNIX: u64 = 1_700_000_000_000;
+
+pub fn queue() -> QueueTerms {
+    QueueTerms {
+        name: "q".into(),
+        host: "h".into(),
+        prefix: "/q/".into(),
+        service: "minutes".into(),
+        priority: 0,
+        attempts: 3,
+        stretch: 2.0,
+        aim: 100,
+        timeout: 0,
+    }
+}
+
+pub fn view() -> OperatorView {
+    let queues = IndexMap::from([("q".into(), queue())]);
+    let config = ConfigList { version: 1, queues, body_bytes: 0 };
+    OperatorView { config: Some(config), ..OperatorView::default() }
+}
+
+pub fn book() -> QueueBook {
+    let mut book = QueueBook::open(1, Moment(0));
+    book.view = view();
+    book
+}
+
+pub fn step(tasks: u32, cpu: u64) -> StepSpec {
+    let need = TaskNeed { cpu, memory: 100, accelerators: 0 };
+    StepSpec { tasks, need, ..StepSpec::default() }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        queue: "q".into(),
+        service: "minutes".into(),
+        payload: "text".into(),
+        steps,
+        times: 0,
+        first_due: 0,
+        interval: 0,
+        accepted: UNIX,
+    }
+}
+
+pub fn worker(agent: &str, born: u64) -> WorkerState {
+    WorkerState {
+        life: WorkerLife { id: format!("i-{agent}").into(), born },
+        service: "minutes".into(),
+        data_centre: "north".into(),
+        capacity: TaskNeed { cpu: 4_000, memory: 10_000, accelerators: 0 },
+        labels: vec!["a".into(), "r1".into()],
+        leaves_in: None,
+    }
+}
+
+pub fn report(agent: &str, number: u64, worker: Option<WorkerState>) -> AgentReport {
+    AgentReport {
+        agent: agent.into(),
+        incarnation: 1,
+        number,
+        epoch: 1,
+        received: 0,
+        worker,
+        gone: None,
+        ended: Vec::new(),
+        held: None,
+        sample: None,
+        wait: 0,
+    }
+}
+
+pub fn ended(number: u64, task: &TaskName, run: u32, end: RunEnd) -> EndedRun {
+    EndedRun { number, task: task.clone(), run, end, saved: "".into() }
+}
+
+/// Stores all entries and releases their effects.
+pub fn store(book: &mut QueueBook) -> Vec<BookEntry> {
+    let entries = book.take_entries();
+    for effect in entries.iter().filter_map(|entry| entry.effect.as_ref()) {
+        book.release(effect);
+    }
+    entries
+}
+
+/// Starts that an agent has been ordered, with their run numbers.
+pub fn starts(book: &QueueBook, agent: &str) -> Vec<(TaskName, u32)> {
+    let Some(seat) = book.seats.get(agent) else { return Vec::new() };
+    let starts = seat.orders.iter().filter_map(|(_, order)| match order {
+        AgentOrder::Start(start) => Some((start.task.clone(), start.run)),
+        AgentOrder::Stop { .. } => None,
+    });
+    starts.collect()
+}
+
+pub fn stops(book: &QueueBook, agent: &str) -> Vec<(TaskName, u32)> {
+    let Some(seat) = book.seats.get(agent) else { return Vec::new() };
+    let stops = seat.orders.iter().filter_map(|(_, order)| match order {
+        AgentOrder::Stop { task, run } => Some((task.clone(), *run)),
+        AgentOrder::Start(_) => None,
+    });
+    stops.collect()
+}
+
+pub fn task(job: &str, step: u16, index: u32) -> TaskName {
+    TaskName { job: JobId::from(job), occurrence: 0, step, index }
+}
+
+pub fn agent(name: &str) -> AgentName {
+    name.into()
+}
