Run the daemons against stand-ins for the platform's store and workers

Tests for the faults found so far: one owner an epoch, workers that run on through a restart of all, agents that find the new owner, lost answers, late starts, rebirth, a paused owner, an outage of the store.

--- /dev/null
+++ b/crates/fleet/tests/failures.rs
@@ -0,0 +1,192 @@
+//! Processes, workers and the store fail; no task runs twice and no job is lost.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactusdoor_standin::platform_store::StoreMode;
+use rustix::process::Signal;
+use serde_json::Value;
+use support::{Site, tasks};
+
+/// Elections by epoch, as they stand in the store.
+fn elections(site: &Site) -> BTreeMap<u64, Vec<String>> {
+    let mut elections: BTreeMap<u64, Vec<String>> = BTreeMap::new();
+    for (key, value) in site.store.records("keyed.tasks") {
+        if key == "@owner" {
+            let elected: Value = serde_json::from_slice(&value).unwrap();
+            let owner = elected["owner"].as_str().unwrap().to_owned();
+            elections.entry(elected["epoch"].as_u64().unwrap()).or_default().push(owner);
+        }
+    }
+    elections
+}
+
+fn check_elections(site: &Site) {
+    for (epoch, owners) in elections(site) {
+        let mut different = owners.clone();
+        different.dedup();
+        assert_eq!(different.len(), 1, "epoch {epoch} was won by {owners:?}");
+    }
+}
+
+/// Two candidates that numbered their elections alike once both won.
+#[actix_web::test]
+async fn each_epoch_has_one_owner_when_all_stand_at_once() {
+    let mut site = Site::open(8).await;
+    site.submit("a1", 100, tasks(8)).await;
+    site.await_state("a1", "completed").await;
+    site.restart_all();
+    site.submit("a2", 100, tasks(8)).await;
+    site.await_state("a2", "completed").await;
+    check_elections(&site);
+    site.check();
+}
+
+#[actix_web::test]
+async fn another_agent_takes_over_from_a_killed_owner() {
+    let mut site = Site::open(3).await;
+    site.submit("b1", 3_000, tasks(6)).await;
+    site.await_state("b1", "running").await;
+    let owner = site.owner().unwrap();
+    site.kill_agent(owner);
+    site.submit("b2", 100, tasks(3)).await;
+    site.await_state("b2", "completed").await;
+    assert_ne!(site.owner(), Some(owner));
+    site.start_agent(owner);
+    site.await_state("b1", "completed").await;
+    check_elections(&site);
+    site.check();
+}
+
+#[actix_web::test]
+async fn a_stopped_owner_hands_over() {
+    let mut site = Site::open(3).await;
+    site.submit("c1", 100, tasks(3)).await;
+    site.await_state("c1", "completed").await;
+    let owner = site.owner().unwrap();
+    site.stop_agent(owner);
+    site.submit("c2", 100, tasks(3)).await;
+    site.await_state("c2", "completed").await;
+    let name = format!("agent-{owner}");
+    assert_eq!(site.log_lines(&name, "\"cause\":\"stopped\""), 1);
+    site.check();
+}
+
+/// A paused owner comes back with orders that another owner has overtaken.
+#[actix_web::test]
+async fn a_paused_owner_acts_no_more() {
+    let mut site = Site::open(3).await;
+    site.submit("d1", 2_000, tasks(4)).await;
+    site.await_state("d1", "running").await;
+    let owner = site.owner().unwrap();
+    site.signal_agent(owner, Signal::STOP);
+    site.submit("d2", 100, tasks(4)).await;
+    site.await_that("another owner", |site| site.owner() != Some(owner)).await;
+    site.signal_agent(owner, Signal::CONT);
+    site.await_state("d2", "completed").await;
+    site.await_state("d1", "completed").await;
+    check_elections(&site);
+    site.check();
+}
+
+/// A restarted agent once reported its worker as gone while its tasks ran on.
+#[actix_web::test]
+async fn workers_run_on_while_all_processes_are_restarted() {
+    let mut site = Site::open(3).await;
+    site.submit("e1", 4_000, tasks(9)).await;
+    site.await_that("nine tasks run", |site| {
+        site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 9
+    })
+    .await;
+    site.restart_all();
+    site.await_state("e1", "completed").await;
+    assert_eq!(site.history.lock().unwrap().starts, 9, "no task was started again");
+    site.check();
+}
+
+/// A restarted agent once never found the new owner, as one of its tasks held a
+/// borrow that another waited for.
+#[actix_web::test]
+async fn every_agent_finds_the_owner_after_a_restart_of_all() {
+    let mut site = Site::open(6).await;
+    site.submit("f1", 0, tasks(24)).await;
+    for round in 0..3 {
+        site.await_that("all tasks run", |site| {
+            site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 24
+        })
+        .await;
+        site.restart_all();
+        // Longer than the leases: an agent without an owner would let its tasks lapse.
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        let running: usize = site.workers.iter().map(|worker| worker.running()).sum();
+        assert_eq!(running, 24, "round {round}\n{}", site.logs());
+    }
+    site.check();
+}
+
+#[actix_web::test]
+async fn a_worker_reborn_under_its_id_starts_with_nothing() {
+    let site = Site::open(2).await;
+    site.submit("g1", 1_500, tasks(6)).await;
+    site.await_that("six tasks run", |site| {
+        site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 6
+    })
+    .await;
+    site.workers[0].rebirth();
+    site.await_state("g1", "completed").await;
+    site.check();
+}
+
+#[actix_web::test]
+async fn starts_without_an_answer_are_carried_out_once() {
+    let site = Site::open(2).await;
+    site.submit("h0", 50, tasks(1)).await;
+    site.await_state("h0", "completed").await;
+    for worker in &site.workers {
+        worker.set_late(Some(Duration::from_millis(2_500)));
+    }
+    site.submit("h1", 300, tasks(4)).await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for worker in &site.workers {
+        worker.set_late(None);
+    }
+    site.await_state("h1", "completed").await;
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    site.check();
+}
+
+#[actix_web::test]
+async fn running_tasks_outlive_a_short_outage_of_the_store() {
+    let site = Site::open(3).await;
+    site.submit("i1", 5_000, tasks(6)).await;
+    site.await_that("six tasks run", |site| {
+        site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 6
+    })
+    .await;
+    site.store.set_mode(StoreMode::Busy);
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    site.store.set_mode(StoreMode::Serving);
+    site.await_state("i1", "completed").await;
+    assert_eq!(site.history.lock().unwrap().starts, 6);
+    site.check();
+}
+
+#[actix_web::test]
+async fn lost_answers_of_the_store_elect_no_second_owner() {
+    let mut site = Site::open(4).await;
+    site.submit("j1", 100, tasks(4)).await;
+    site.await_that("an owner", |site| site.owner().is_some()).await;
+    site.store.set_mode(StoreMode::LosingAnswers);
+    let owner = site.owner().unwrap();
+    site.kill_agent(owner);
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    site.store.set_mode(StoreMode::Serving);
+    site.start_agent(owner);
+    site.submit("j2", 100, tasks(4)).await;
+    site.await_state("j1", "completed").await;
+    site.await_state("j2", "completed").await;
+    check_elections(&site);
+    site.check();
+}
--- /dev/null
+++ b/crates/fleet/tests/logging.rs
@@ -0,0 +1,89 @@
+//! The decision log is bounded and never blocks.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, mpsc};
+use std::time::{Duration, Instant};
+
+use cactusdoor_fleet::decision::DecisionEvent;
+use cactusdoor_fleet::journal::DecisionLog;
+
+/// A pipe whose reader has stopped: the first write waits for the test.
+struct FullPipe(mpsc::Receiver<()>);
+
+impl Write for FullPipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _closed = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[derive(Clone, Default)]
+struct SharedText(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedText {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl SharedText {
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).unwrap()
+    }
+}
+
+#[test]
+fn a_full_pipe_drops_lines_and_stops_nobody() {
+    let (open, pipe) = mpsc::channel();
+    let log = DecisionLog::open("p".into(), FullPipe(pipe)).unwrap();
+    let started = Instant::now();
+    // More than the queue holds, from more seconds' budgets than one.
+    while log.dropped() == 0 {
+        let agent = "a".into();
+        log.note(DecisionEvent::AgentSilent { agent, silent: 1 });
+        assert!(started.elapsed() < Duration::from_secs(60), "the queue is not bounded");
+        std::thread::sleep(Duration::from_micros(200));
+    }
+    drop(open);
+}
+
+#[test]
+fn each_kind_of_event_has_a_budget_and_what_is_left_out_is_counted() {
+    let text = SharedText::default();
+    let log = DecisionLog::open("p".into(), text.clone()).unwrap();
+    for _ in 0..1_000 {
+        log.note(DecisionEvent::CancelAccepted { job: "j".into(), waited: 1 });
+    }
+    log.note(DecisionEvent::AgentSilent { agent: "a".into(), silent: 1 });
+    std::thread::sleep(Duration::from_millis(1_200));
+    log.note(DecisionEvent::ProcessStopping);
+    std::thread::sleep(Duration::from_millis(200));
+    let text = text.text();
+    let routine = text.lines().filter(|line| line.contains("cancel_accepted\"")).count();
+    assert!(routine <= 2 * 60 + 1, "{routine} lines of a routine event");
+    assert!(text.contains("agent_silent"), "a failure keeps its own budget");
+    assert!(text.contains("lines_left_out"), "{text}");
+}
+
+#[test]
+fn a_line_is_json_with_the_name_of_the_event() {
+    let text = SharedText::default();
+    let log = DecisionLog::open("p".into(), text.clone()).unwrap();
+    let event = DecisionEvent::OwnerLost { epoch: 3, cause: "no answer".into(), silent: 7 };
+    let (kind, failure) = event.kind();
+    log.note(event);
+    std::thread::sleep(Duration::from_millis(200));
+    let line: serde_json::Value = serde_json::from_str(text.text().trim()).unwrap();
+    assert_eq!((line["event"].as_str(), failure), (Some(kind), true));
+    assert_eq!((line["process"].as_str(), line["epoch"].as_u64()), (Some("p"), Some(3)));
+    assert!(line["at"].as_u64().is_some());
+}
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,279 @@
+//! A small site: the true daemons against stand-ins for the store and the workers.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use cactusdoor_standin::harness::address::free_address;
+use cactusdoor_standin::platform_store::PlatformStore;
+use cactusdoor_standin::platform_worker::{PlatformWorker, RunHistory};
+use cactusdoor_standin::socket::spawn_child;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Longest wait for anything that is to happen, on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(40);
+const PAUSE: Duration = Duration::from_millis(25);
+const HOST: &str = "minutes.example";
+
+struct Process {
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Process {
+    fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_cactusdoor-fleet"));
+        command.arg(self.role).arg("--settings").arg(&self.settings);
+        command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        self.child = Some(spawn_child(&mut command).unwrap());
+    }
+
+    fn signal(&mut self, signal: Signal) {
+        let child = self.child.as_mut().unwrap();
+        let pid = Pid::from_child(child);
+        kill_process(pid, signal).unwrap();
+    }
+
+    fn end(&mut self, signal: Signal) {
+        self.signal(signal);
+        if let Some(mut child) = self.child.take() {
+            child.wait().unwrap();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+/// A running site; dropping it ends everything.
+pub struct Site {
+    pub store: PlatformStore,
+    pub workers: Vec<PlatformWorker>,
+    pub history: Arc<Mutex<RunHistory>>,
+    processes: Vec<Process>,
+    entries: Vec<(SocketAddr, SocketAddr)>,
+    agents: usize,
+    directory: TempDir,
+    client: awc::Client,
+}
+
+impl Site {
+    /// Starts a store, a worker for each agent, the agents and two entries.
+    pub async fn open(agents: usize) -> Self {
+        let store = PlatformStore::spawn(free_address().unwrap()).unwrap();
+        let mut site = Self {
+            store,
+            workers: Vec::new(),
+            history: Arc::default(),
+            processes: Vec::new(),
+            entries: Vec::new(),
+            agents,
+            directory: tempfile::tempdir().unwrap(),
+            client: awc::Client::builder().timeout(Duration::from_secs(5)).finish(),
+        };
+        site.configure(1, &["q"]);
+        for index in 0..agents {
+            site.add_agent(index);
+        }
+        for index in 0..2 {
+            site.add_entry(index);
+        }
+        site.processes.iter_mut().for_each(Process::start);
+        site
+    }
+
+    /// Publishes a configuration with one queue for each name.
+    pub fn configure(&self, version: u64, queues: &[&str]) {
+        let routes: Vec<_> = queues
+            .iter()
+            .map(|name| {
+                json!({"name": name, "host": HOST, "pathPrefix": format!("/{name}/"),
+                    "service": "minutes", "maxAttempts": 3, "slackFactor": 2.0})
+            })
+            .collect();
+        let config = json!({"version": version, "routes": routes, "services": [], "limits": {}});
+        self.store.write("keyed.op", "config", config.to_string().as_bytes());
+    }
+
+    fn add_agent(&mut self, index: usize) {
+        let name = format!("agent-{index}");
+        let (announce, worker) = (free_address().unwrap(), free_address().unwrap());
+        let text = format!(
+            "[process]\nname = {name}\ndata_centre = north\npeer_address = {}\n\
+             metrics_address = {}\n[store]\naddress = {}\n[worker]\naddress = {worker}\n\
+             announce_address = {announce}\nlease_limit_ms = 10000\n",
+            free_address().unwrap(),
+            free_address().unwrap(),
+            self.store.address(),
+        );
+        self.add_process("agent", &name, &text);
+        let history = Arc::clone(&self.history);
+        let id = format!("i-{index}");
+        self.workers.push(PlatformWorker::spawn(&id, worker, announce, "north", history).unwrap());
+    }
+
+    fn add_entry(&mut self, index: usize) {
+        let name = format!("entry-{index}");
+        let (callers, ready) = (free_address().unwrap(), free_address().unwrap());
+        let text = format!(
+            "[process]\nname = {name}\ndata_centre = north\nmetrics_address = {}\n\
+             [store]\naddress = {}\n[callers]\naddress = {callers}\nready_address = {ready}\n",
+            free_address().unwrap(),
+            self.store.address(),
+        );
+        self.entries.push((callers, ready));
+        self.add_process("entry", &name, &text);
+    }
+
+    fn add_process(&mut self, role: &'static str, name: &str, text: &str) {
+        let settings = self.directory.path().join(format!("{name}.ini"));
+        std::fs::write(&settings, text).unwrap();
+        let log = self.directory.path().join(format!("{name}.log"));
+        self.processes.push(Process { role, settings, log, child: None });
+    }
+
+    /// Kills an agent; its worker runs on.
+    pub fn kill_agent(&mut self, index: usize) {
+        self.processes[index].end(Signal::KILL);
+    }
+
+    pub fn stop_agent(&mut self, index: usize) {
+        self.processes[index].end(Signal::TERM);
+    }
+
+    pub fn start_agent(&mut self, index: usize) {
+        self.processes[index].start();
+    }
+
+    /// Pauses or resumes an agent.
+    pub fn signal_agent(&mut self, index: usize, signal: Signal) {
+        self.processes[index].signal(signal);
+    }
+
+    /// Kills all processes of the system at once and starts them again.
+    pub fn restart_all(&mut self) {
+        for process in &mut self.processes {
+            process.signal(Signal::KILL);
+        }
+        for process in &mut self.processes {
+            if let Some(mut child) = process.child.take() {
+                child.wait().unwrap();
+            }
+            process.start();
+        }
+    }
+
+    /// The agent that owns the queues, by its beacon.
+    pub fn owner(&self) -> Option<usize> {
+        let (_, value) = self.store.records("keyed.owner").pop()?;
+        let beacon: Value = serde_json::from_slice(&value).ok()?;
+        beacon["owner"].as_str()?.strip_prefix("agent-")?.parse().ok()
+    }
+
+    pub async fn call(&self, method: &str, entry: usize, path: &str, body: Value) -> (u16, Value) {
+        let address = self.entries[entry].0;
+        let method = method.parse().unwrap();
+        let request = self.client.request(method, format!("http://{address}{path}"));
+        let request = request.insert_header(("Host", HOST));
+        match request.send_json(&body).await {
+            Ok(mut answer) => {
+                let body = answer.body().await.unwrap_or_default();
+                let body = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                (answer.status().as_u16(), body)
+            }
+            Err(_) => (0, Value::Null),
+        }
+    }
+
+    pub async fn ready(&self, entry: usize) -> bool {
+        let address = self.entries[entry].1;
+        let answer = self.client.get(format!("http://{address}/readiness")).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Hands a job in, as often as it takes, at all entries in turn.
+    pub async fn submit(&self, id: &str, millis: u64, steps: Value) {
+        let body = json!({"spec": millis.to_string(), "steps": steps});
+        let deadline = Instant::now() + PATIENCE;
+        let mut entry = 0;
+        while self.call("POST", entry, &format!("/q/{id}"), body.clone()).await.0 != 200 {
+            entry = (entry + 1) % self.entries.len();
+            assert!(Instant::now() < deadline, "job {id} was not accepted\n{}", self.logs());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    pub async fn state(&self, id: &str) -> String {
+        let (_, body) = self.call("GET", 0, &format!("/q/{id}"), Value::Null).await;
+        body["state"].as_str().unwrap_or("unknown").to_owned()
+    }
+
+    /// Waits until a job is shown in a state.
+    pub async fn await_state(&self, id: &str, state: &str) {
+        let deadline = Instant::now() + PATIENCE;
+        while self.state(id).await != state {
+            assert!(Instant::now() < deadline, "job {id} is not {state}\n{}", self.logs());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Waits until `holds` is true.
+    pub async fn await_that(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let deadline = Instant::now() + PATIENCE;
+        while !holds(self) {
+            assert!(Instant::now() < deadline, "not so: {what}\n{}", self.logs());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Checks that nothing ran twice.
+    pub fn check(&self) {
+        let history = self.history.lock().unwrap();
+        assert!(history.faults.is_empty(), "{:#?}\n{}", history.faults, self.logs());
+        let repeated: Vec<_> = history.done.iter().filter(|(_, times)| **times > 1).collect();
+        assert!(repeated.is_empty(), "done more than once: {repeated:?}");
+    }
+
+    /// The last lines of all processes.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        for process in &self.processes {
+            let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+            let lines: Vec<_> = log.lines().collect();
+            text.push_str(&format!("== {}\n", process.log.display()));
+            for line in &lines[lines.len().saturating_sub(12)..] {
+                text.push_str(line);
+                text.push('\n');
+            }
+        }
+        text
+    }
+
+    /// Lines of one process that contain a text.
+    pub fn log_lines(&self, name: &str, text: &str) -> usize {
+        let log = self.directory.path().join(format!("{name}.log"));
+        let log = std::fs::read_to_string(log).unwrap_or_default();
+        log.lines().filter(|line| line.contains(text)).count()
+    }
+}
+
+/// Tasks of one step.
+pub fn tasks(count: u32) -> Value {
+    json!([{"count": count, "cpu": 1000, "memMb": 100}])
+}
