--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -2,39 +2,28 @@
 
 mod support;
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use cactusdoor_standin::platform_store::StoreMode;
 use rustix::process::Signal;
-use serde_json::Value;
 use support::{Site, tasks};
 
-/// Elections by epoch, as they stand in the store.
-fn elections(site: &Site) -> BTreeMap<u64, Vec<String>> {
-    let mut elections: BTreeMap<u64, Vec<String>> = BTreeMap::new();
-    for (key, value) in site.store.records("keyed.tasks") {
-        if key == "@owner" {
-            let elected: Value = serde_json::from_slice(&value).unwrap();
-            let owner = elected["owner"].as_str().unwrap().to_owned();
-            elections.entry(elected["epoch"].as_u64().unwrap()).or_default().push(owner);
-        }
-    }
-    elections
-}
+/// A store that takes its time, so that what candidates do overlaps.
+const SLOW: Duration = Duration::from_millis(40);
 
+/// No two processes may believe to own the same epoch.
 fn check_elections(site: &Site) {
-    for (epoch, owners) in elections(site) {
-        let mut different = owners.clone();
-        different.dedup();
-        assert_eq!(different.len(), 1, "epoch {epoch} was won by {owners:?}");
-    }
+    let elected = site.elected();
+    let mut different = elected.clone();
+    different.dedup();
+    assert_eq!(elected, different, "an epoch was won twice\n{}", site.logs());
 }
 
 /// Two candidates that numbered their elections alike once both won.
 #[actix_web::test]
 async fn each_epoch_has_one_owner_when_all_stand_at_once() {
     let mut site = Site::open(8).await;
+    site.store.set_delay(SLOW);
     site.submit("a1", 100, tasks(8)).await;
     site.await_state("a1", "completed").await;
     site.restart_all();
@@ -106,11 +95,33 @@
     site.check();
 }
 
+/// An agent that was restarted does not know what lease the earlier process had
+/// extended to: it must not take a silent worker's lease for passed.
+#[actix_web::test]
+async fn a_silent_worker_keeps_its_tasks_through_a_restart_of_its_agent() {
+    let mut site = Site::open(3).await;
+    site.submit("k1", 6_000, tasks(9)).await;
+    site.await_that("nine tasks run", |site| {
+        site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 9
+    })
+    .await;
+    let agent = (site.owner().unwrap() + 1) % 3;
+    site.workers[agent].set_silent(true);
+    site.kill_agent(agent);
+    site.start_agent(agent);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(site.history.lock().unwrap().starts, 9);
+    site.workers[agent].set_silent(false);
+    site.await_state("k1", "completed").await;
+    site.check();
+}
+
 /// A restarted agent once never found the new owner, as one of its tasks held a
 /// borrow that another waited for.
 #[actix_web::test]
 async fn every_agent_finds_the_owner_after_a_restart_of_all() {
     let mut site = Site::open(6).await;
+    site.store.set_delay(SLOW);
     site.submit("f1", 0, tasks(24)).await;
     for round in 0..3 {
         site.await_that("all tasks run", |site| {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -265,6 +265,19 @@
         text
     }
 
+    /// Elections that processes believe to have won, by epoch.
+    pub fn elected(&self) -> Vec<u64> {
+        let mut epochs = Vec::new();
+        for process in &self.processes {
+            let log = std::fs::read_to_string(&process.log).unwrap_or_default();
+            let lines = log.lines().filter(|line| line.contains("\"event\":\"owner_elected\""));
+            let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            epochs.extend(lines.filter_map(|line| line["epoch"].as_u64()));
+        }
+        epochs.sort_unstable();
+        epochs
+    }
+
     /// Lines of one process that contain a text.
     pub fn log_lines(&self, name: &str, text: &str) -> usize {
         let log = self.directory.path().join(format!("{name}.log"));
--- a/crates/standin/src/platform_store.rs
+++ b/crates/standin/src/platform_store.rs
@@ -53,6 +53,8 @@
 #[derive(Default)]
 struct StoreState {
     mode: StoreMode,
+    /// Before each call is carried out and before it is answered.
+    delay: Duration,
     topics: IndexMap<String, Topic>,
 }
 
@@ -85,6 +87,11 @@
         lock(&self.state).mode = mode;
     }
 
+    /// Makes each call take twice this time.
+    pub fn set_delay(&self, delay: Duration) {
+        lock(&self.state).delay = delay;
+    }
+
     /// Appends a record as another writer would.
     pub fn write(&self, topic: &str, key: &str, value: &[u8]) {
         let mut state = lock(&self.state);
@@ -140,19 +147,29 @@
     body: Bytes,
     request: HttpRequest,
 ) -> HttpResponse {
-    let mut state = lock(&state);
-    if state.mode == StoreMode::Busy {
-        return HttpResponse::ServiceUnavailable().finish();
-    }
-    let loses = state.mode == StoreMode::LosingAnswers;
-    let topic = state.topics.entry(query.topic.clone()).or_default();
-    let answer = append_to(topic, &query, &body);
-    if loses {
-        cut_connection(&request);
-    }
+    wait_delay(&state).await;
+    let answer = {
+        let mut state = lock(&state);
+        if state.mode == StoreMode::Busy {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        let loses = state.mode == StoreMode::LosingAnswers;
+        let topic = state.topics.entry(query.topic.clone()).or_default();
+        let answer = append_to(topic, &query, &body);
+        if loses {
+            cut_connection(&request);
+        }
+        answer
+    };
+    wait_delay(&state).await;
     answer
 }
 
+async fn wait_delay(state: &Mutex<StoreState>) {
+    let delay = lock(state).delay;
+    tokio::time::sleep(delay).await;
+}
+
 fn append_to(topic: &mut Topic, query: &AppendQuery, body: &Bytes) -> HttpResponse {
     let end = topic.end();
     if let Some(name) = &query.producer {
@@ -214,6 +231,7 @@
 }
 
 async fn read(state: Data<Mutex<StoreState>>, query: Query<ReadQuery>) -> HttpResponse {
+    wait_delay(&state).await;
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         {
@@ -255,7 +273,13 @@
 }
 
 async fn newest(state: Data<Mutex<StoreState>>, query: Query<NewestQuery>) -> HttpResponse {
-    let mut state = lock(&state);
+    wait_delay(&state).await;
+    let page = newest_page(&mut lock(&state), &query);
+    wait_delay(&state).await;
+    page
+}
+
+fn newest_page(state: &mut StoreState, query: &NewestQuery) -> HttpResponse {
     if state.mode == StoreMode::Busy {
         return HttpResponse::ServiceUnavailable().finish();
     }
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -79,6 +79,8 @@
     ended: Vec<(u64, String, u32, &'static str)>,
     last_end: u64,
     draining: bool,
+    /// Calls are neither carried out nor answered.
+    silent: bool,
     /// Start calls that get no answer and are carried out after this time.
     late: Option<Duration>,
     late_starts: Vec<(Instant, StartBody)>,
@@ -176,6 +178,7 @@
             ended: Vec::new(),
             last_end: 0,
             draining: false,
+            silent: false,
             late: None,
             late_starts: Vec::new(),
         }));
@@ -235,6 +238,11 @@
         lock(&self.state).draining = true;
     }
 
+    /// Makes the worker deaf to calls; its tasks run on, and it reports itself.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.state).silent = silent;
+    }
+
     /// Leaves starts unanswered and carries them out later; `None` ends that.
     pub fn set_late(&self, late: Option<Duration>) {
         lock(&self.state).late = late;
@@ -284,6 +292,10 @@
 ) -> HttpResponse {
     let mut state = lock(&state);
     state.advance();
+    if state.silent {
+        cut_connection(&request);
+        return HttpResponse::Ok().finish();
+    }
     if let Some(late) = state.late {
         state.late_starts.push((Instant::now() + late, body.into_inner()));
         cut_connection(&request);
@@ -309,9 +321,17 @@
     fencing_token: u64,
 }
 
-async fn run_stop(state: Data<Mutex<WorkerState>>, body: Json<StopBody>) -> HttpResponse {
+async fn run_stop(
+    state: Data<Mutex<WorkerState>>,
+    body: Json<StopBody>,
+    request: HttpRequest,
+) -> HttpResponse {
     let mut state = lock(&state);
     state.advance();
+    if state.silent {
+        cut_connection(&request);
+        return HttpResponse::Ok().finish();
+    }
     if body.fencing_token < state.fence {
         return answer(&state, Some("fence"));
     }
@@ -337,11 +357,19 @@
     wait_ms: u64,
 }
 
-async fn hold(state: Data<Mutex<WorkerState>>, body: Json<HoldBody>) -> HttpResponse {
+async fn hold(
+    state: Data<Mutex<WorkerState>>,
+    body: Json<HoldBody>,
+    request: HttpRequest,
+) -> HttpResponse {
     let until = Instant::now() + Duration::from_millis(body.wait_ms);
     {
         let mut state = lock(&state);
         state.advance();
+        if state.silent {
+            cut_connection(&request);
+            return HttpResponse::Ok().finish();
+        }
         if body.fencing_token < state.fence {
             return answer(&state, Some("fence"));
         }
