--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -124,7 +124,7 @@
             book.restore_ending(&job, ending);
         }
         let mut jobs = self.jobs;
-        jobs.sort_by(|(_, one), (_, other)| one.accepted.cmp(&other.accepted));
+        jobs.sort_by_key(|(_, job)| job.accepted);
         for (job, spec) in jobs {
             book.submit(&job, spec);
         }
--- a/crates/fleet/src/port.rs
+++ b/crates/fleet/src/port.rs
@@ -17,7 +17,7 @@
 /// A call to the owner, with where its answer goes.
 #[derive(Debug)]
 pub enum OwnerCall {
-    Report(AgentReport, oneshot::Sender<ReportReply>),
+    Report(Box<AgentReport>, oneshot::Sender<ReportReply>),
     Watch(WatchRequest, oneshot::Sender<WatchReply>),
     Find(JobId, oneshot::Sender<FindReply>),
 }
@@ -78,7 +78,7 @@
 
 impl QueueService for OwnerPort {
     async fn report(self, _: Context, report: AgentReport) -> ReportReply {
-        let reply = self.ask(|reply| OwnerCall::Report(report, reply)).await;
+        let reply = self.ask(|reply| OwnerCall::Report(Box::new(report), reply)).await;
         reply.unwrap_or(ReportReply::NotOwner)
     }
 
--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -323,7 +323,8 @@
     ) -> Option<AgentName> {
         let taken_out = &self.view.taken_out;
         let (service, presses) = (&terms.service, &self.presses);
-        let context = ChoiceContext { task, step, service, taken_out, presses, now };
+        let may_wait = self.jobs.get(&task.job).is_some_and(JobProgress::has_placed);
+        let context = ChoiceContext { task, step, service, taken_out, presses, may_wait, now };
         let costs = self.seats.values().filter_map(|seat| Some((cost(seat, &context)?, seat)));
         costs.min_by_key(|(cost, _)| *cost).map(|(_, seat)| seat.agent.clone())
     }
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -161,6 +161,13 @@
             || self.occurrences.values().flatten().any(|step| step.tasks.iter().any(waiting))
     }
 
+    /// Whether a task is placed on a worker.
+    #[must_use]
+    pub fn has_placed(&self) -> bool {
+        let placed = |task: &TaskProgress| matches!(task.place, TaskPlace::Placed(_));
+        self.occurrences.values().flatten().any(|step| step.tasks.iter().any(placed))
+    }
+
     /// Whether all steps that must come first are done.
     #[must_use]
     pub fn is_ready(&self, occurrence: u32, step: u16) -> bool {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -24,6 +24,8 @@
     pub service: &'a ServiceName,
     pub taken_out: &'a BTreeSet<DataCentre>,
     pub presses: &'a PressModel,
+    /// Whether the task may wait for a less busy worker: others of its job run.
+    pub may_wait: bool,
     pub now: Moment,
 }
 
@@ -37,7 +39,7 @@
     let near = step.rack.as_ref().is_none_or(|rack| seat.has_label(rack));
     let remote = if near { 0 } else { REMOTE_PENALTY };
     let load = if step.fills { fill_cost(seat, context)? } else { reserve_cost(seat, step) };
-    Some(load + remote)
+    Some(load.saturating_add(remote))
 }
 
 /// Whether the worker takes new tasks of the service at all.
@@ -84,13 +86,14 @@
     let idle = seat.idle().max(1);
     let asked = seat.filling() + step.need.cpu;
     let shared = asked * 1_000 / idle;
+    let bearable = |slowed: u64| slowed <= FILL_LIMIT || !context.may_wait;
     if seat.serving() == 0 {
-        return (shared <= FILL_LIMIT).then_some(shared);
+        return bearable(shared).then_some(shared);
     }
     let press = context.presses.press(step.image.as_ref()) * seat.share(step.need.cpu);
     let paced = PressModel::slowdown(seat.pressing(context.presses) + press);
     let slowed = shared.max(thousandths(paced));
-    (slowed <= FILL_LIMIT).then_some(slowed + SERVING_PENALTY)
+    bearable(slowed).then(|| slowed.saturating_add(SERVING_PENALTY))
 }
 
 #[expect(
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -278,3 +278,16 @@
     store(&mut book);
     assert_eq!(starts(&book, "a").len(), 2, "only the first starts");
 }
+
+/// A job of tasks that fill once waited although nothing of it ran.
+#[test]
+fn a_job_with_nothing_running_is_placed_however_busy_the_workers_are() {
+    let fill = |tasks| StepSpec { fills: true, image: Some("x".into()), ..step(tasks, 4_000) };
+    let mut book = running(vec![fill(8)]);
+    assert_eq!(starts(&book, "a").len(), 1, "one and a half times the idle processors");
+    book.submit(&"k".into(), job(vec![fill(8)]));
+    book.place(NOW, UNIX);
+    store(&mut book);
+    assert!(starts(&book, "a").contains(&(task("k", 0, 0), 1)));
+    assert_eq!(starts(&book, "a").len(), 2);
+}
