--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -225,6 +225,9 @@
     }
 
     fn place_job(&mut self, id: &JobId, now: Moment, unix: Millis) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.note_idle(now);
+        }
         let Some(job) = self.jobs.get(id) else { return };
         let mut ready = Vec::new();
         for (&occurrence, steps) in &job.occurrences {
@@ -263,6 +266,9 @@
             let run = task.run + 1;
             let Some(agent) = self.choose(&name, step, terms, now) else { return };
             self.start(&agent, &name, run, now);
+            if let Some(job) = self.jobs.get_mut(&first.job) {
+                job.note_idle(now);
+            }
         }
     }
 
@@ -323,7 +329,7 @@
     ) -> Option<AgentName> {
         let taken_out = &self.view.taken_out;
         let (service, presses) = (&terms.service, &self.presses);
-        let may_wait = self.jobs.get(&task.job).is_some_and(JobProgress::has_placed);
+        let may_wait = self.jobs.get(&task.job).is_none_or(|job| job.may_wait(now));
         let context = ChoiceContext { task, step, service, taken_out, presses, may_wait, now };
         let costs = self.seats.values().filter_map(|seat| Some((cost(seat, &context)?, seat)));
         costs.min_by_key(|(cost, _)| *cost).map(|(_, seat)| seat.agent.clone())
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -10,6 +10,10 @@
 use crate::report::JobState;
 use crate::spec::{JobSpec, StepSpec};
 
+/// A job of which nothing runs waits no longer than this for workers that are
+/// less busy: half of the time after which it counts as lost.
+const IDLE_LIMIT: Millis = 1_500;
+
 /// Where a task stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum TaskPlace {
@@ -84,6 +88,8 @@
     pub spec: Arc<JobSpec>,
     pub payload: Arc<str>,
     pub state: JobState,
+    /// Since when nothing of it has been placed; `None` while something is.
+    pub idle_since: Option<Moment>,
     pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
 }
 
@@ -92,7 +98,8 @@
     pub fn open(id: JobId, spec: JobSpec) -> Self {
         let payload = spec.payload.as_str().into();
         let (spec, occurrences) = (Arc::new(spec), BTreeMap::new());
-        Self { id, spec, payload, state: JobState::Queued, occurrences }
+        let (state, idle_since) = (JobState::Queued, None);
+        Self { id, spec, payload, state, idle_since, occurrences }
     }
 
     /// Opens the occurrences that are due; returns whether there were any.
@@ -161,11 +168,20 @@
             || self.occurrences.values().flatten().any(|step| step.tasks.iter().any(waiting))
     }
 
-    /// Whether a task is placed on a worker.
-    #[must_use]
-    pub fn has_placed(&self) -> bool {
+    /// Notes whether a task is placed on a worker.
+    pub fn note_idle(&mut self, now: Moment) {
         let placed = |task: &TaskProgress| matches!(task.place, TaskPlace::Placed(_));
-        self.occurrences.values().flatten().any(|step| step.tasks.iter().any(placed))
+        if self.occurrences.values().flatten().any(|step| step.tasks.iter().any(placed)) {
+            self.idle_since = None;
+        } else if self.idle_since.is_none() {
+            self.idle_since = Some(now);
+        }
+    }
+
+    /// Whether its tasks may wait for a less busy worker.
+    #[must_use]
+    pub fn may_wait(&self, now: Moment) -> bool {
+        self.idle_since.is_none_or(|since| now < since.after(IDLE_LIMIT))
     }
 
     /// Whether all steps that must come first are done.
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -287,6 +287,9 @@
     assert_eq!(starts(&book, "a").len(), 1, "one and a half times the idle processors");
     book.submit(&"k".into(), job(vec![fill(8)]));
     book.place(NOW, UNIX);
+    let later = NOW.after(1_500);
+    book.report(&report("a", 2, Some(worker("a", 1))), later, UNIX);
+    book.place(later, UNIX);
     store(&mut book);
     assert!(starts(&book, "a").contains(&(task("k", 0, 0), 1)));
     assert_eq!(starts(&book, "a").len(), 2);
