--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -10,7 +10,8 @@
 use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
 use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
-use cactusdoor_queue::name::{AgentName, JobId, Label, QueueName};
+use cactusdoor_queue::name::{AgentName, JobId, QueueName};
+use cactusdoor_queue::pacing::PressFigures;
 use cactusdoor_queue::record::RequestKey;
 use cactusdoor_queue::report::{AgentGrant, AgentReport, JobState, ReportReply, RunEnd};
 use indexmap::IndexMap;
@@ -517,7 +518,7 @@
     }
 
     /// The learned figures, once a second for each agent.
-    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<Vec<(Label, f64)>> {
+    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<PressFigures> {
         let told = self.told.entry(agent.clone()).or_default();
         if now < told.after(PRESS_INTERVAL) {
             return None;
--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -17,7 +17,7 @@
 /// Figures are of the last half second: a pace is kept until they show it.
 const PACE_INTERVAL: Millis = 550;
 /// Share of the bound that a tail latency may reach by the model.
-const GOAL: f64 = 0.75;
+const GOAL: f64 = 0.85;
 /// Above this share of the bound the paces fall, below the other they rise.
 const HIGH: f64 = 0.9;
 const LOW: f64 = 0.65;
@@ -30,8 +30,13 @@
 /// Tasks that fill stand still after so long over a bound: half of the time in
 /// which a bound may be missed.
 const STANDSTILL: Millis = 1_900;
-/// Share of the bound without any press: a bound leaves room for swings of load.
-const BASE: f64 = 0.25;
+/// Share of the bound without any press, before it is learned.
+const FIRST_BASE: f64 = 0.4;
+/// Range of the learned base.
+const BASE_RANGE: (f64, f64) = (0.1, 0.65);
+/// Weight of the base beside the shares of the images when an error is spread: a
+/// sample says little of an image that hardly works.
+const BASE_SHARE: f64 = 0.3;
 /// Press of an image that was never seen: in doubt it disturbs.
 const UNKNOWN_PRESS: f64 = 1.5;
 /// Least press, so that the correction reaches every image.
@@ -54,9 +59,24 @@
 }
 
 /// What the images of tasks that fill add to the tail latencies beside them.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PressModel {
     presses: IndexMap<Label, f64>,
+    /// Share of the bound without any press.
+    base: f64,
+}
+
+/// The learned figures, for the agents.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PressFigures {
+    pub base: f64,
+    pub presses: Vec<(Label, f64)>,
+}
+
+impl Default for PressModel {
+    fn default() -> Self {
+        Self { presses: IndexMap::new(), base: FIRST_BASE }
+    }
 }
 
 impl PressModel {
@@ -67,36 +87,47 @@
         known.unwrap_or(UNKNOWN_PRESS)
     }
 
-    /// Corrects the presses by the error of a sample (normalised least mean squares).
+    /// Corrects base and presses by the error of a sample (normalised least
+    /// mean squares).
     pub fn learn(&mut self, sample: &PressSample) {
-        let norm: f64 = sample.shares.iter().map(|(_, share)| share * share).sum();
-        if norm <= f64::EPSILON || !sample.ratio.is_finite() {
+        if !sample.ratio.is_finite() {
             return;
         }
+        let norm: f64 = sample.shares.iter().map(|(_, share)| share * share).sum();
+        let norm = norm + BASE_SHARE * BASE_SHARE;
         let modelled = |(image, share): &(Label, f64)| self.press(Some(image)) * share;
-        let expected = BASE + sample.shares.iter().map(modelled).sum::<f64>();
-        let error = sample.ratio.min(MOST_RATIO) - expected;
+        let expected = self.base + sample.shares.iter().map(modelled).sum::<f64>();
+        let step = LEARNING_RATE * (sample.ratio.min(MOST_RATIO) - expected) / norm;
+        let (least, most) = BASE_RANGE;
+        self.base = (self.base + step * BASE_SHARE * BASE_SHARE).clamp(least, most);
         for (image, share) in &sample.shares {
-            let press = self.press(Some(image)) + LEARNING_RATE * error * share / norm;
+            let press = self.press(Some(image)) + step * share;
             self.presses.insert(image.clone(), press.clamp(LEAST_PRESS, MOST_PRESS));
         }
     }
 
-    /// The presses, for the agents.
     #[must_use]
-    pub fn figures(&self) -> Vec<(Label, f64)> {
-        self.presses.iter().map(|(image, press)| (image.clone(), *press)).collect()
+    pub fn figures(&self) -> PressFigures {
+        let presses = self.presses.iter().map(|(image, press)| (image.clone(), *press));
+        PressFigures { base: self.base, presses: presses.collect() }
     }
 
     /// Takes up the owner's figures.
-    pub fn take(&mut self, figures: Vec<(Label, f64)>) {
-        self.presses = figures.into_iter().collect();
+    pub fn take(&mut self, figures: PressFigures) {
+        self.presses = figures.presses.into_iter().collect();
+        self.base = figures.base;
+    }
+
+    /// What the bound leaves for tasks that fill.
+    #[must_use]
+    pub fn room(&self) -> f64 {
+        GOAL - self.base
     }
 
-    /// Share of full speed that tasks with this press in sum may have.
+    /// How much slower tasks with this press in sum have to run.
     #[must_use]
-    pub fn slowdown(press: f64) -> f64 {
-        press / (GOAL - BASE)
+    pub fn slowdown(&self, press: f64) -> f64 {
+        press / self.room()
     }
 }
 
@@ -181,7 +212,7 @@
         let mut order: Vec<_> = filling.iter().enumerate().collect();
         let press = |run: &FillingRun| self.model.press(run.image.as_ref());
         order.sort_by(|(_, one), (_, other)| press(one).total_cmp(&press(other)));
-        let mut room = (GOAL - BASE) * self.scale;
+        let mut room = self.model.room() * self.scale;
         let mut paces = vec![0; filling.len()];
         for (index, run) in order {
             let wanted = press(run) * run.share;
@@ -217,5 +248,5 @@
         let image = run.image.clone()?;
         *shares.entry(image).or_insert(0.0) += run.share * f64::from(run.pace) / 100.0;
     }
-    (!shares.is_empty()).then(|| PressSample { ratio, shares: shares.into_iter().collect() })
+    Some(PressSample { ratio, shares: shares.into_iter().collect() })
 }
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -10,7 +10,7 @@
 use crate::spec::StepSpec;
 
 /// Largest slowdown of tasks that fill, in thousandths: beyond it a task waits.
-const FILL_LIMIT: u64 = 1_500;
+const FILL_LIMIT: u64 = 3_000;
 /// Added for a worker that is not near the data, in thousandths of its capacity.
 const REMOTE_PENALTY: u64 = 2_000;
 /// Added for a worker with tasks that serve users, which a task that fills disturbs.
@@ -69,14 +69,17 @@
     u32::try_from(seat.runs.keys().filter(same).count()).unwrap_or(u32::MAX)
 }
 
-/// Thousandths of the capacity that are reserved afterwards.
+/// Thousandths of the capacity that are reserved afterwards; for tasks that serve
+/// users, tenths of a processor that are left.
 ///
 /// Tasks that serve users share the fullest workers, so that others are left
 /// where tasks that fill disturb nobody.
 fn reserve_cost(seat: &WorkerSeat, step: &StepSpec) -> u64 {
     let capacity = seat.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
-    let reserved = (seat.used().cpu + step.need.cpu) * 1_000 / capacity;
-    if step.target > 0 { 1_000u64.saturating_sub(reserved) } else { reserved }
+    if step.target > 0 {
+        return seat.free().cpu.saturating_sub(step.need.cpu) / 100;
+    }
+    (seat.used().cpu + step.need.cpu) * 1_000 / capacity
 }
 
 /// Thousandths by which the tasks that fill are slowed there afterwards: they
@@ -91,7 +94,7 @@
         return bearable(shared).then_some(shared);
     }
     let press = context.presses.press(step.image.as_ref()) * seat.share(step.need.cpu);
-    let paced = PressModel::slowdown(seat.pressing(context.presses) + press);
+    let paced = context.presses.slowdown(seat.pressing(context.presses) + press);
     let slowed = shared.max(thousandths(paced));
     bearable(slowed).then(|| slowed.saturating_add(SERVING_PENALTY))
 }
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -8,7 +8,7 @@
 use crate::name::{
     AgentName, Checkpoint, DataCentre, Label, RunNumber, ServiceName, TaskName, WorkerLife,
 };
-use crate::pacing::PressSample;
+use crate::pacing::{PressFigures, PressSample};
 use crate::spec::TaskNeed;
 
 /// A worker as it describes itself.
@@ -136,7 +136,7 @@
     /// Orders after `AgentReport::received`, numbered without gaps.
     pub orders: Vec<(u64, AgentOrder)>,
     /// What images add to the tail latencies beside them, now and then.
-    pub presses: Option<Vec<(Label, f64)>>,
+    pub presses: Option<PressFigures>,
 }
 
 /// State of a job as callers see it.
