Do not take tasks that are paced down for a worker that stands still

Only tasks at half speed or more count now, and 5% of the estimate. The decision log says when a worker is barred, and its last line is written before the process ends.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -106,5 +106,6 @@
     }
     server.stop(true).await;
     log.note(DecisionEvent::ProcessStopped);
+    log.finish();
     Ok(())
 }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -87,6 +87,7 @@
     tokio::time::sleep(linger).await;
     server.stop(true).await;
     log.note(DecisionEvent::ProcessStopped);
+    log.finish();
     Ok(())
 }
 
--- a/crates/fleet/src/journal.rs
+++ b/crates/fleet/src/journal.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use cactusdoor_core::unit::Millis;
 use cactusdoor_node::clock::unix_ms;
@@ -26,6 +27,8 @@
 const ROUTINE_BUDGET: u64 = 60;
 /// Lines a second of one kind of event about failures and changes of belief.
 const FAILURE_BUDGET: u64 = 200;
+/// Longest wait for the last lines of a process.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
 /// Bytes that are written in one call.
 const WRITE_BYTES: usize = 32 * 1024;
 
@@ -47,11 +50,18 @@
     used: IndexMap<&'static str, u64>,
 }
 
+/// What the writing thread gets.
+enum LogLine {
+    Text(String),
+    /// Answered once all lines before it are written.
+    Flush(SyncSender<()>),
+}
+
 /// Writes decisions; cheap to clone.
 #[derive(Clone)]
 pub struct DecisionLog {
     process: AgentName,
-    lines: SyncSender<String>,
+    lines: SyncSender<LogLine>,
     dropped: Arc<AtomicU64>,
     budget: Arc<Mutex<LineBudget>>,
 }
@@ -107,8 +117,18 @@
         }
     }
 
+    /// Waits for the lines so far to be written, at the end of the process.
+    pub fn finish(&self) {
+        let (written, answer) = sync_channel(1);
+        if self.lines.try_send(LogLine::Flush(written)).is_ok()
+            && answer.recv_timeout(FINISH_LIMIT).is_err()
+        {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     fn send_line(&self, line: String) {
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(line) {
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(LogLine::Text(line)) {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -139,16 +159,27 @@
         .start()
 }
 
-fn write_lines(lines: &Receiver<String>, mut output: impl Write) {
+fn write_lines(lines: &Receiver<LogLine>, mut output: impl Write) {
     while let Ok(first) = lines.recv() {
-        let mut text = first + "\n";
-        while text.len() < WRITE_BYTES {
-            let Ok(line) = lines.try_recv() else { break };
-            text.push_str(&line);
-            text.push('\n');
+        let mut text = String::new();
+        let mut flushes = Vec::new();
+        let mut next = Some(first);
+        while let Some(line) = next {
+            match line {
+                LogLine::Text(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                LogLine::Flush(written) => flushes.push(written),
+            }
+            next = if text.len() < WRITE_BYTES { lines.try_recv().ok() } else { None };
         }
         if output.write_all(text.as_bytes()).and_then(|()| output.flush()).is_err() {
             return;
         }
+        for written in flushes {
+            // Whoever waits may have given up.
+            drop(written.try_send(()));
+        }
     }
 }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -410,7 +410,12 @@
                 });
             }
         }
+        let bars = self.bars(&report.agent);
         self.book.report(report, now, unix_ms());
+        if self.bars(&report.agent) > bars {
+            let (agent, bars) = (report.agent.clone(), self.bars(&report.agent));
+            self.context.log.note(DecisionEvent::WorkerBarred { agent, bars, epoch });
+        }
         let until = now.after(report.wait);
         if let Some((older, _, received)) =
             self.reports.insert(report.agent.clone(), (reply, until, now))
@@ -419,6 +424,10 @@
         }
     }
 
+    fn bars(&self, agent: &AgentName) -> u32 {
+        self.book.seats.get(agent).map_or(0, |seat| seat.trust.bars())
+    }
+
     fn take_requests(&mut self, reading: TopicReading) {
         for stored in &reading.records {
             self.take_request(stored);
--- a/crates/fleet/tests/logging.rs
+++ b/crates/fleet/tests/logging.rs
@@ -87,3 +87,13 @@
     assert_eq!((line["process"].as_str(), line["epoch"].as_u64()), (Some("p"), Some(3)));
     assert!(line["at"].as_u64().is_some());
 }
+
+/// The last line of a process that stops was lost with the process.
+#[test]
+fn the_last_line_is_written_before_the_process_ends() {
+    let text = SharedText::default();
+    let log = DecisionLog::open("p".into(), text.clone()).unwrap();
+    log.note(DecisionEvent::ProcessStopped);
+    log.finish();
+    assert!(text.text().contains("process_stopped"));
+}
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -15,6 +15,10 @@
 /// A worker none of whose tasks has progressed for so long stands still: four
 /// reports of its whole list.
 const STALL: Millis = 3_500;
+/// The same as a share of a task's estimate: progress is told in percent.
+const STALL_PERCENT: Millis = 5;
+/// A task that is paced down further says nothing about its worker.
+const STALL_PACE: u8 = 50;
 /// Left of a leaving worker's time when its tasks are moved: a stop and a report.
 const LEAVE_MARGIN: Millis = 600;
 
@@ -246,11 +250,14 @@
 
 /// Moves all tasks away from a worker on which none makes progress.
 fn check_stall(seat: &mut WorkerSeat, held: &[HeldRun], now: Moment) {
-    let working = held.iter().filter(|run| run.pace > 0 && run.percent.is_some());
+    let working = held.iter().filter(|run| run.pace >= STALL_PACE && run.percent.is_some());
     let runs = working.filter_map(|listed| seat.runs.get(&listed.task));
     let finite: Vec<_> = runs.filter(|run| !run.stopping && !run.endless).collect();
-    let stalled = |progressed: Moment| progressed.after(STALL) < now;
-    if finite.is_empty() || !finite.iter().all(|run| stalled(run.progressed)) {
+    let stalled = |run: &&SeatRun| {
+        let limit = STALL.max(run.estimate * STALL_PERCENT / 100);
+        run.progressed.after(limit) < now
+    };
+    if finite.is_empty() || !finite.iter().all(stalled) {
         return;
     }
     seat.trust.bar(now);
--- a/crates/queue/src/seat.rs
+++ b/crates/queue/src/seat.rs
@@ -99,6 +99,12 @@
         self.failed.clear();
     }
 
+    /// How often in a row the worker has been barred.
+    #[must_use]
+    pub fn bars(&self) -> u32 {
+        self.bars
+    }
+
     #[must_use]
     pub fn is_barred(&self, now: Moment) -> bool {
         now < self.barred_until
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -295,3 +295,36 @@
     assert!(starts(&book, "a").contains(&(task("k", 0, 0), 1)));
     assert_eq!(starts(&book, "a").len(), placed + 1);
 }
+
+/// Lists of a worker whose tasks stand at the same percent.
+fn stand_still(book: &mut QueueBook, pace: u8, lists: u64) {
+    for list in 1..=lists {
+        let now = NOW.after(list * 900);
+        let mut still = report("a", 10 + list, Some(worker("a", 1)));
+        still.received = book.seats["a"].last_order;
+        let held = |index| HeldRun {
+            task: task("j", 0, index),
+            run: 1,
+            saved: "".into(),
+            percent: Some(7),
+            pace,
+        };
+        still.held = Some(vec![held(0), held(1)]);
+        book.report(&still, now, UNIX);
+    }
+}
+
+#[test]
+fn all_tasks_leave_a_worker_on_which_none_makes_progress() {
+    let mut book = running(vec![step(2, 1_000)]);
+    stand_still(&mut book, 100, 5);
+    assert_eq!(stops(&book, "a").len(), 2);
+}
+
+/// Tasks that were paced down once counted as standing still, and were stopped.
+#[test]
+fn a_task_that_is_paced_down_does_not_stand_still() {
+    let mut book = running(vec![step(2, 1_000)]);
+    stand_still(&mut book, 20, 6);
+    assert_eq!(stops(&book, "a"), vec![]);
+}
