--- a/crates/fleet/src/journal.rs
+++ b/crates/fleet/src/journal.rs
@@ -178,8 +178,9 @@
             return;
         }
         for written in flushes {
-            // Whoever waits may have given up.
-            drop(written.try_send(()));
+            if written.try_send(()).is_err() {
+                log::debug!("nobody waits for the last lines any more");
+            }
         }
     }
 }
