--- a/crates/fleet/src/args.rs
+++ b/crates/fleet/src/args.rs
@@ -14,6 +14,16 @@
     /// Runs the agent beside a worker
     #[bpaf(command)]
     Agent(#[bpaf(external(settings_path))] PathBuf),
+    /// Shows the decisions about one job from the logs of all processes
+    #[bpaf(command)]
+    Trace {
+        /// Id of the job
+        #[bpaf(argument("ID"))]
+        job: String,
+        /// Logs of the processes; standard input if there is none
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Checks a settings file of an entry or an agent
     #[bpaf(command)]
     Check {
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -9,36 +9,140 @@
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum DecisionEvent {
-    ProcessStarted { role: &'static str, incarnation: u64 },
+    ProcessStarted {
+        role: &'static str,
+        incarnation: u64,
+    },
     ProcessStopping,
     ProcessStopped,
-    SettingsReloaded { fault: Option<String> },
-    DependencyLost { dependency: &'static str, cause: String },
-    DependencyRegained { dependency: &'static str, silent: Millis },
-    ConfigApplied { version: u64, queues: usize, offset: Offset },
-    DataCentreTakenOut { data_centre: DataCentre },
-    DataCentreBroughtBack { data_centre: DataCentre },
-    JobAccepted { job: JobId, queue: QueueName, version: u64, waited: Millis },
-    JobRefused { job: JobId, queue: QueueName, status: u16, cause: &'static str, waited: Millis },
-    CancelAccepted { job: JobId, waited: Millis },
-    CallRefused { path: String, status: u16, cause: &'static str },
-    OwnerFound { epoch: Epoch, owner: AgentName },
-    OwnerLost { epoch: Epoch, cause: String, silent: Millis },
-    OwnerElected { epoch: Epoch, jobs: usize, runs: usize, loading: Millis },
-    ElectionLost { epoch: Epoch, cause: String },
-    OwnerResigned { epoch: Epoch, cause: &'static str },
-    JobShown { job: JobId, state: JobState, epoch: Epoch },
-    TaskPlaced { task: TaskName, run: RunNumber, agent: AgentName, epoch: Epoch },
-    RunEnded { task: TaskName, run: RunNumber, agent: AgentName, end: RunEnd, epoch: Epoch },
-    AgentSilent { agent: AgentName, silent: Millis },
-    WorkerBarred { agent: AgentName, bars: u32, epoch: Epoch },
-    StartAnswered { task: TaskName, run: RunNumber, outcome: String, attempts: u32 },
-    StopAnswered { task: TaskName, run: RunNumber, outcome: String, attempts: u32 },
-    RunPaced { task: TaskName, run: RunNumber, percent: u8 },
-    WorkerMet { worker: String, born: u64 },
-    WorkerLeaving { worker: String, left: Millis },
-    WorkerGone { worker: String, cause: &'static str },
-    LinesLeftOut { kinds: Vec<(&'static str, u64)> },
+    SettingsReloaded {
+        fault: Option<String>,
+    },
+    DependencyLost {
+        dependency: &'static str,
+        cause: String,
+    },
+    DependencyRegained {
+        dependency: &'static str,
+        silent: Millis,
+    },
+    ConfigApplied {
+        version: u64,
+        queues: usize,
+        offset: Offset,
+    },
+    DataCentreTakenOut {
+        data_centre: DataCentre,
+    },
+    DataCentreBroughtBack {
+        data_centre: DataCentre,
+    },
+    JobAccepted {
+        job: JobId,
+        queue: QueueName,
+        version: u64,
+        waited: Millis,
+    },
+    JobRefused {
+        /// `submit` or `cancel`.
+        call: &'static str,
+        job: JobId,
+        queue: QueueName,
+        status: u16,
+        cause: &'static str,
+        waited: Millis,
+    },
+    CancelAccepted {
+        job: JobId,
+        waited: Millis,
+    },
+    CallRefused {
+        path: String,
+        status: u16,
+        cause: &'static str,
+    },
+    OwnerFound {
+        epoch: Epoch,
+        owner: AgentName,
+    },
+    OwnerLost {
+        epoch: Epoch,
+        cause: String,
+        silent: Millis,
+    },
+    OwnerElected {
+        epoch: Epoch,
+        jobs: usize,
+        runs: usize,
+        loading: Millis,
+    },
+    ElectionLost {
+        epoch: Epoch,
+        cause: String,
+    },
+    OwnerResigned {
+        epoch: Epoch,
+        cause: &'static str,
+    },
+    JobShown {
+        job: JobId,
+        state: JobState,
+        epoch: Epoch,
+    },
+    TaskPlaced {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        epoch: Epoch,
+    },
+    RunEnded {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        end: RunEnd,
+        epoch: Epoch,
+    },
+    AgentSilent {
+        agent: AgentName,
+        silent: Millis,
+    },
+    WorkerBarred {
+        agent: AgentName,
+        bars: u32,
+        epoch: Epoch,
+    },
+    StartAnswered {
+        task: TaskName,
+        run: RunNumber,
+        outcome: String,
+        attempts: u32,
+    },
+    StopAnswered {
+        task: TaskName,
+        run: RunNumber,
+        outcome: String,
+        attempts: u32,
+    },
+    RunPaced {
+        task: TaskName,
+        run: RunNumber,
+        percent: u8,
+    },
+    WorkerMet {
+        worker: String,
+        born: u64,
+    },
+    WorkerLeaving {
+        worker: String,
+        left: Millis,
+    },
+    WorkerGone {
+        worker: String,
+        cause: &'static str,
+    },
+    LinesLeftOut {
+        kinds: Vec<(&'static str, u64)>,
+    },
 }
 
 impl DecisionEvent {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -207,6 +207,7 @@
             Err(refusal) => refusal,
         };
         self.log.note(DecisionEvent::JobRefused {
+            call: "submit",
             job: job.clone(),
             queue: queue.name.clone(),
             status: refusal.status.as_u16(),
@@ -285,6 +286,7 @@
             }
             Err(refusal) => {
                 self.log.note(DecisionEvent::JobRefused {
+                    call: "cancel",
                     job: job.clone(),
                     queue: queue.name.clone(),
                     status: refusal.status.as_u16(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod signals;
 pub mod submitter;
 pub mod topic;
+pub mod trace;
 pub mod watcher;
