--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -19,6 +19,8 @@
 const STALL_PERCENT: Millis = 5;
 /// A task that is paced down further says nothing about its worker.
 const STALL_PACE: u8 = 50;
+/// Percent of a task that lasts and is at work.
+const AT_WORK: u8 = 100;
 /// Left of a leaving worker's time when its tasks are moved: a stop and a report.
 const LEAVE_MARGIN: Millis = 600;
 
@@ -261,7 +263,10 @@
         return;
     }
     seat.trust.bar(now);
-    for task in seat.runs.keys().cloned().collect::<Vec<_>>() {
+    // A task that lasts and is at work has no progress to show.
+    let at_work = |run: &SeatRun| run.endless && run.percent >= Some(AT_WORK);
+    let leaving = seat.runs.iter().filter(|(_, run)| !at_work(run));
+    for task in leaving.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
         seat.stop(&task);
     }
 }
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -328,3 +328,14 @@
     stand_still(&mut book, 20, 6);
     assert_eq!(stops(&book, "a"), vec![]);
 }
+
+/// Guards against an order that takes a task at work away from its users.
+#[test]
+fn a_task_that_lasts_and_is_at_work_stays_on_a_barred_worker() {
+    let lasting = StepSpec { endless: true, ..step(1, 1_000) };
+    let mut book = running(vec![step(2, 1_000), lasting]);
+    book.seats["a"].runs.get_mut(&task("j", 1, 0)).unwrap().percent = Some(100);
+    stand_still(&mut book, 100, 5);
+    assert_eq!(stops(&book, "a").len(), 2);
+    assert!(!stops(&book, "a").contains(&(task("j", 1, 0), 1)));
+}
