--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -206,15 +206,27 @@
             }
             Err(refusal) => refusal,
         };
+        self.refuse_job("submit", queue, job, &refusal, started)
+    }
+
+    /// Refuses a call about a job and says why.
+    fn refuse_job(
+        &self,
+        call: &'static str,
+        queue: &QueueTerms,
+        job: &JobId,
+        refusal: &Refusal,
+        started: Instant,
+    ) -> HttpResponse {
         self.log.note(DecisionEvent::JobRefused {
-            call: "submit",
+            call,
             job: job.clone(),
             queue: queue.name.clone(),
             status: refusal.status.as_u16(),
             cause: refusal.cause,
             waited: elapsed(started),
         });
-        refuse(&refusal)
+        refuse(refusal)
     }
 
     /// Stores a request; a verdict that is not known in time is no refusal.
@@ -284,17 +296,7 @@
                 self.log.note(DecisionEvent::CancelAccepted { job, waited });
                 HttpResponse::Ok().finish()
             }
-            Err(refusal) => {
-                self.log.note(DecisionEvent::JobRefused {
-                    call: "cancel",
-                    job: job.clone(),
-                    queue: queue.name.clone(),
-                    status: refusal.status.as_u16(),
-                    cause: refusal.cause,
-                    waited: elapsed(started),
-                });
-                refuse(&refusal)
-            }
+            Err(refusal) => self.refuse_job("cancel", queue, job, &refusal, started),
         }
     }
 }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -1,8 +1,10 @@
 //! One term of an owner: the loop around its book.
 
+mod answers;
+mod feeds;
+
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment, Offset};
@@ -11,39 +13,31 @@
 use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
 use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
-use cactusdoor_queue::pacing::PressFigures;
 use cactusdoor_queue::record::RequestKey;
-use cactusdoor_queue::report::{AgentGrant, AgentReport, JobState, ReportReply, RunEnd};
+use cactusdoor_queue::report::{AgentReport, JobState, ReportReply, RunEnd};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use self::feeds::{BEACON_INTERVAL, spawn_beacons, spawn_lane, spawn_requests};
 use crate::candidate::open_lane;
 use crate::decision::DecisionEvent;
 use crate::finder::OwnerBeacon;
-use crate::follower::{TopicFollower, TopicReading};
+use crate::follower::TopicReading;
 use crate::journal::DecisionLog;
-use crate::lane::{AppendLane, LaneFault, StoredAppend, pause};
+use crate::lane::{AppendLane, LaneFault, StoredAppend};
 use crate::meters::OwnerMeters;
 use crate::operators::ConfirmedView;
 use crate::port::{CallReceiver, OwnerCall, OwnerPort};
 use crate::topic::REQUESTS;
 
-/// Lease of an agent, renewed with each report: longer than an election takes.
-const GRANT: Millis = 7_000;
 /// No grant lasts longer than this after the sending of a confirmed append:
 /// bridges a short outage of the store.
 pub const CONFIRM_LIMIT: Millis = 9_000;
-/// An owner whose last confirmation is older asks its agents to look for another.
-const CONFIRM_DOUBT: Millis = 2_000;
-/// Between two renewals of the beacon.
-const BEACON_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Between two appends: groups what arrives meanwhile.
 const APPEND_GAP: Millis = 15;
 /// Most records of one append, and most bytes: a fraction of what a call may hold.
 const APPEND_RECORDS: usize = 600;
 const APPEND_BYTES: usize = 400_000;
-/// Longest wait of a reading of requests; also bounds the answer to `find`.
-const REQUEST_WAIT: Duration = Duration::from_millis(500);
 /// Time after which the loop looks at its deadlines without any event.
 const IDLE: Millis = 250;
 /// Time after which the loop looks again at tasks that wait for a retry.
@@ -52,8 +46,6 @@
 const OUT_OF_REACH: Millis = 2_500;
 /// Least number of agents of which an owner that reaches fewer than half resigns.
 const QUORUM_AGENTS: usize = 3;
-/// Between two tellings of the learned figures to an agent.
-const PRESS_INTERVAL: Millis = 1_000;
 /// Between two removals of the requests of ended jobs.
 const FORGET_INTERVAL: Millis = 2_000;
 
@@ -465,101 +457,6 @@
             self.pending = (self.pending.0 + 1, pending);
         }
     }
-
-    fn answer(&mut self, now: Moment) {
-        let book = &self.book;
-        let ready = |agent: &AgentName, until: Moment| {
-            until <= now || book.seats.get(agent).is_some_and(|seat| seat.news)
-        };
-        let due: Vec<_> = self
-            .reports
-            .iter()
-            .filter(|(agent, (_, until, _))| ready(agent, *until))
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in due {
-            if let Some((reply, _, received)) = self.reports.swap_remove(&agent) {
-                self.answer_report(&agent, reply, received);
-            }
-        }
-        for (request, reply, until) in std::mem::take(&mut self.watches) {
-            let from = self.watched_from(&request);
-            if self.changes.len() > from || until <= now {
-                self.answer_watch(&request, reply);
-            } else {
-                self.watches.push((request, reply, until));
-            }
-        }
-    }
-
-    fn answer_report(
-        &mut self,
-        agent: &AgentName,
-        reply: oneshot::Sender<ReportReply>,
-        received: Moment,
-    ) {
-        let now = self.context.clock.now();
-        let limit = GRANT.min(self.context.lease_limit * 7 / 10);
-        let until = received.after(limit).min(self.confirmed.after(CONFIRM_LIMIT));
-        let grant = until.0.saturating_sub(received.0);
-        let confirmed = self.is_confirmed(now);
-        let presses = self.press_figures(agent, now);
-        let Some(seat) = self.book.seats.get_mut(agent) else {
-            send(reply, ReportReply::NotOwner);
-            return;
-        };
-        // Without a known worker no lease is extended.
-        if seat.worker.is_some() {
-            seat.granted_until = seat.granted_until.max(clock_bound(received, grant));
-        }
-        seat.news = false;
-        let granted = AgentGrant {
-            epoch: self.book.epoch,
-            life: seat.worker.as_ref().map(|worker| worker.life.clone()),
-            grant,
-            confirmed,
-            noted: seat.noted,
-            settled: std::mem::take(&mut seat.settled),
-            orders: seat.orders.iter().cloned().collect(),
-            presses,
-        };
-        send(reply, ReportReply::Grant(granted));
-    }
-
-    /// The learned figures, once a second for each agent.
-    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<PressFigures> {
-        let told = self.told.entry(agent.clone()).or_default();
-        if now < told.after(PRESS_INTERVAL) {
-            return None;
-        }
-        *told = now;
-        Some(self.book.presses.figures())
-    }
-
-    fn is_confirmed(&self, now: Moment) -> bool {
-        now <= self.confirmed.after(CONFIRM_DOUBT)
-    }
-
-    fn watched_from(&self, request: &WatchRequest) -> usize {
-        let from = if request.epoch == self.book.epoch { request.from } else { 0 };
-        usize::try_from(from).unwrap_or(usize::MAX)
-    }
-
-    fn answer_watch(&self, request: &WatchRequest, reply: oneshot::Sender<WatchReply>) {
-        let same = request.epoch == self.book.epoch;
-        let from = self.watched_from(request).min(self.changes.len());
-        let (number, pending) = &self.pending;
-        let known = same && request.pending == *number;
-        let pending = (!known).then(|| pending.iter().map(|(q, n)| (q.clone(), *n)).collect());
-        let answer = WatchReply {
-            epoch: self.book.epoch,
-            confirmed: self.is_confirmed(self.context.clock.now()),
-            next: self.changes.len() as u64,
-            states: self.changes[from..].to_vec(),
-            pending: (*number, pending),
-        };
-        send(reply, answer);
-    }
 }
 
 /// Answers a call; the caller may have given up.
@@ -580,78 +477,3 @@
         RunEnd::NotStarted => "not_started",
     }
 }
-
-/// Appends groups in order; refusals are repeated.
-fn spawn_lane(
-    mut lane: AppendLane,
-) -> (mpsc::UnboundedSender<Vec<KeyedRecord>>, mpsc::UnboundedReceiver<LaneVerdict>) {
-    let (groups, mut waiting) = mpsc::unbounded_channel::<Vec<KeyedRecord>>();
-    let (results, verdicts) = mpsc::unbounded_channel();
-    actix_rt::spawn(async move {
-        while let Some(group) = waiting.recv().await {
-            let verdict = loop {
-                match lane.append(None, &group).await {
-                    Err(LaneFault::Refused(_)) if !waiting.is_closed() => {
-                        pause((60, 180)).await;
-                    }
-                    verdict => break verdict,
-                }
-            };
-            // Nobody waits for the verdicts of forgotten requests.
-            if results.send(verdict).is_err() && verdict.is_err() {
-                return;
-            }
-        }
-    });
-    (groups, verdicts)
-}
-
-/// Renews the beacon until the owner resigns, and then says so.
-fn spawn_beacons(
-    mut lane: AppendLane,
-    mut beacon: OwnerBeacon,
-    mut resigned: watch::Receiver<bool>,
-) -> mpsc::UnboundedReceiver<LaneVerdict> {
-    let (results, verdicts) = mpsc::unbounded_channel();
-    actix_rt::spawn(async move {
-        loop {
-            let renewal = tokio::time::timeout(BEACON_INTERVAL, resigned.changed());
-            match renewal.await {
-                Ok(Ok(())) => beacon.resigned = *resigned.borrow(),
-                Ok(Err(_)) => return,
-                Err(_) => {}
-            }
-            let verdict = lane.append(None, &[beacon.record()]).await;
-            if results.send(verdict).is_err()
-                || beacon.resigned
-                || verdict == Err(LaneFault::Fenced)
-            {
-                return;
-            }
-        }
-    });
-    verdicts
-}
-
-/// Follows the requests from an offset on.
-fn spawn_requests(context: &OwnerContext, next: Offset) -> mpsc::UnboundedReceiver<TopicReading> {
-    let (readings, receiver) = mpsc::unbounded_channel();
-    let (store, clock) = (context.store.clone(), context.clock);
-    actix_rt::spawn(async move {
-        let mut follower = TopicFollower::resume(store, clock, REQUESTS, next);
-        while !readings.is_closed() {
-            match follower.read(REQUEST_WAIT).await {
-                Ok(reading) => {
-                    if readings.send(reading).is_err() {
-                        return;
-                    }
-                }
-                Err(fault) => {
-                    log::debug!("could not read requests: {fault}");
-                    follower.recover().await;
-                }
-            }
-        }
-    });
-    receiver
-}
