Note an agent's grant when its report arrives, not with the answer

The test of the book fails without the change. The stand-in store can refuse one caller only; a test now covers an owner that it turns away.

--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -6,6 +6,7 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_platform::store::{KeyedRecord, ReadFault, StoreClient};
+use cactusdoor_queue::lease::{CONFIRM_LIMIT, clock_bound};
 use cactusdoor_queue::record::{ELECTION_KEY, OwnerElected};
 use thiserror::Error;
 
@@ -13,7 +14,7 @@
 use crate::finder::{OwnerBeacon, OwnerFinder};
 use crate::lane::{AppendLane, LaneFault, StoredAppend, pause};
 use crate::loading::StoredState;
-use crate::owner::{CONFIRM_LIMIT, OwnerContext, OwnerTerm, clock_bound};
+use crate::owner::{OwnerContext, OwnerTerm};
 use crate::topic::{OWNER, OWNER_PRODUCER, TASKS};
 
 /// A beacon that has not moved for so long has no owner: two renewals were missed.
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -9,6 +9,7 @@
 use cactusdoor_platform::announcement::WorkerAnnouncement;
 use cactusdoor_platform::worker::{HeldList, HoldRequest, WorkerClient, WorkerFault};
 use cactusdoor_queue::agent::{AgentBook, WorkerCall};
+use cactusdoor_queue::lease::clock_bound;
 use cactusdoor_queue::name::{RunNumber, TaskName, WorkerLife};
 use cactusdoor_queue::report::StartOrder;
 use tokio::sync::{Notify, Semaphore, mpsc};
@@ -18,7 +19,6 @@
 use crate::journal::DecisionLog;
 use crate::lane::pause;
 use crate::meters::AgentMeters;
-use crate::owner::clock_bound;
 
 /// Longest wait of a look at the worker; figures are of the last half second.
 const SHARED_WAIT: Millis = 450;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -30,9 +30,6 @@
 use crate::port::{CallReceiver, OwnerCall, OwnerPort};
 use crate::topic::REQUESTS;
 
-/// No grant lasts longer than this after the sending of a confirmed append:
-/// bridges a short outage of the store.
-pub const CONFIRM_LIMIT: Millis = 9_000;
 /// Between two appends: groups what arrives meanwhile.
 const APPEND_GAP: Millis = 15;
 /// Most records of one append, and most bytes: a fraction of what a call may hold.
@@ -49,13 +46,6 @@
 /// Between two removals of the requests of ended jobs.
 const FORGET_INTERVAL: Millis = 2_000;
 
-/// A moment by which `millis` have surely passed on every clock: clocks may run
-/// 2% slow, and a message takes its time.
-#[must_use]
-pub fn clock_bound(now: Moment, millis: Millis) -> Moment {
-    now.after(millis + millis * 3 / 100 + 300)
-}
-
 /// What an owner needs.
 #[derive(Clone)]
 pub struct OwnerContext {
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -2,15 +2,14 @@
 
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_peer::queue::{WatchReply, WatchRequest};
+use cactusdoor_queue::lease::{CONFIRM_LIMIT, GRANT};
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::pacing::PressFigures;
 use cactusdoor_queue::report::{AgentGrant, ReportReply};
 use tokio::sync::oneshot;
 
-use super::{CONFIRM_LIMIT, OwnerTerm, clock_bound, send};
+use super::{OwnerTerm, send};
 
-/// Lease of an agent, renewed with each report: longer than an election takes.
-const GRANT: Millis = 7_000;
 /// An owner whose last confirmation is older asks its agents to look for another.
 const CONFIRM_DOUBT: Millis = 2_000;
 /// Between two tellings of the learned figures to an agent.
@@ -59,10 +58,6 @@
             send(reply, ReportReply::NotOwner);
             return;
         };
-        // Without a known worker no lease is extended.
-        if seat.worker.is_some() {
-            seat.granted_until = seat.granted_until.max(clock_bound(received, grant));
-        }
         seat.news = false;
         let granted = AgentGrant {
             epoch: self.book.epoch,
--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -201,3 +201,26 @@
     check_elections(&site);
     site.check();
 }
+
+/// An entry once went on asking an owner that the store refused and that had
+/// been replaced.
+#[actix_web::test]
+async fn an_owner_that_the_store_refuses_is_left_by_agents_and_entries() {
+    let site = Site::open(3).await;
+    site.submit("l1", 100, tasks(3)).await;
+    site.await_state("l1", "completed").await;
+    let owner = site.owner().unwrap();
+    site.refuse_agent(owner, true);
+    site.submit("l2", 100, tasks(3)).await;
+    site.await_state("l2", "completed").await;
+    assert_ne!(site.owner(), Some(owner));
+    let found = site.await_that("both entries follow", |site| {
+        ["entry-0", "entry-1"].iter().all(|name| site.log_lines(name, "owner_found") == 2)
+    });
+    found.await;
+    site.refuse_agent(owner, false);
+    site.submit("l3", 100, tasks(3)).await;
+    site.await_state("l3", "completed").await;
+    check_elections(&site);
+    site.check();
+}
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -72,7 +72,7 @@
     site.store.set_mode(StoreMode::Serving);
     site.submit("e2", 50, tasks(1)).await;
     site.await_state("e2", "completed").await;
-    assert!(site.ready(0).await);
+    site.await_ready(0).await;
     site.check();
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_standin::harness::address::free_address;
-use cactusdoor_standin::platform_store::PlatformStore;
+use cactusdoor_standin::platform_store::{PlatformStore, StoreDoor};
 use cactusdoor_standin::platform_worker::{PlatformWorker, RunHistory};
 use cactusdoor_standin::socket::spawn_child;
 use rustix::process::{Pid, Signal, kill_process};
@@ -67,6 +67,8 @@
     pub workers: Vec<PlatformWorker>,
     pub history: Arc<Mutex<RunHistory>>,
     processes: Vec<Process>,
+    /// Each process reaches the store through one of its own.
+    doors: Vec<StoreDoor>,
     entries: Vec<(SocketAddr, SocketAddr)>,
     agents: usize,
     directory: TempDir,
@@ -76,12 +78,13 @@
 impl Site {
     /// Starts a store, a worker for each agent, the agents and two entries.
     pub async fn open(agents: usize) -> Self {
-        let store = PlatformStore::spawn(free_address().unwrap()).unwrap();
+        let store = PlatformStore::open();
         let mut site = Self {
             store,
             workers: Vec::new(),
             history: Arc::default(),
             processes: Vec::new(),
+            doors: Vec::new(),
             entries: Vec::new(),
             agents,
             directory: tempfile::tempdir().unwrap(),
@@ -120,7 +123,7 @@
              announce_address = {announce}\nlease_limit_ms = 10000\n",
             free_address().unwrap(),
             free_address().unwrap(),
-            self.store.address(),
+            self.open_door(),
         );
         self.add_process("agent", &name, &text);
         let history = Arc::clone(&self.history);
@@ -135,12 +138,22 @@
             "[process]\nname = {name}\ndata_centre = north\nmetrics_address = {}\n\
              [store]\naddress = {}\n[callers]\naddress = {callers}\nready_address = {ready}\n",
             free_address().unwrap(),
-            self.store.address(),
+            self.open_door(),
         );
         self.entries.push((callers, ready));
         self.add_process("entry", &name, &text);
     }
 
+    fn open_door(&mut self) -> SocketAddr {
+        self.doors.push(self.store.open_door(free_address().unwrap()).unwrap());
+        self.doors.last().unwrap().address()
+    }
+
+    /// Lets the store refuse one agent only.
+    pub fn refuse_agent(&self, index: usize, refused: bool) {
+        self.doors[index].set_closed(refused);
+    }
+
     fn add_process(&mut self, role: &'static str, name: &str, text: &str) {
         let settings = self.directory.path().join(format!("{name}.ini"));
         std::fs::write(&settings, text).unwrap();
@@ -207,6 +220,15 @@
         answer.is_ok_and(|answer| answer.status().is_success())
     }
 
+    /// Waits until an entry says that it is ready.
+    pub async fn await_ready(&self, entry: usize) {
+        let deadline = Instant::now() + PATIENCE;
+        while !self.ready(entry).await {
+            assert!(Instant::now() < deadline, "entry {entry} is not ready\n{}", self.logs());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
     /// Hands a job in, as often as it takes, at all entries in turn.
     pub async fn submit(&self, id: &str, millis: u64, steps: Value) {
         let body = json!({"spec": millis.to_string(), "steps": steps});
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -4,6 +4,7 @@
 
 use crate::book::{BookEffect, QueueBook};
 use crate::job::TaskPlace;
+use crate::lease::{GRANT, clock_bound};
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerLife};
 use crate::report::{AgentOrder, AgentReport, EndedRun, HeldRun, JobState, RunEnd, WorkerState};
 use crate::seat::{SeatRun, WorkerSeat};
@@ -46,6 +47,11 @@
         seat.orders.retain(|(number, _)| *number > received);
         self.meet_worker(agent, (report.worker.as_ref(), report.gone.as_ref()), now, unix);
         self.take_ends(agent, &report.ended, now, unix);
+        // The answer grants a lease from now on, also to what is placed before
+        // it is sent. Without a known worker no lease is extended.
+        if let Some(seat) = self.seats.get_mut(agent).filter(|seat| seat.worker.is_some()) {
+            seat.granted_until = seat.granted_until.max(clock_bound(now, GRANT));
+        }
         if let Some(held) = &report.held {
             self.compare(agent, held, received, now);
         }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod book;
 pub mod ending;
 pub mod job;
+pub mod lease;
 pub mod name;
 pub mod pacing;
 pub mod placing;
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -6,6 +6,7 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::book::{BookEffect, QueueBook};
 use cactusdoor_queue::job::TaskPlace;
+use cactusdoor_queue::lease::{GRANT, clock_bound};
 use cactusdoor_queue::record::{JobEnding, PlacedAt, TaskRecord};
 use cactusdoor_queue::report::{HeldRun, JobState, RunEnd};
 use cactusdoor_queue::spec::StepSpec;
@@ -152,10 +153,10 @@
 #[test]
 fn runs_of_a_silent_agent_are_redone_only_after_its_grant() {
     let mut book = running(vec![step(1, 1_000)]);
-    book.seats["a"].granted_until = NOW.after(7_000);
-    assert_eq!(book.expire(NOW.after(7_000), UNIX), vec![]);
+    let until = clock_bound(NOW, GRANT);
+    assert_eq!(book.expire(until, UNIX), vec![]);
     assert!(book.holds(&agent("a"), &task("j", 0, 0), 1));
-    book.expire(NOW.after(7_001), UNIX);
+    book.expire(until.after(1), UNIX);
     assert!(!book.holds(&agent("a"), &task("j", 0, 0), 1));
 }
 
@@ -339,3 +340,24 @@
     assert_eq!(stops(&book, "a").len(), 2);
     assert!(!stops(&book, "a").contains(&(task("j", 1, 0), 1)));
 }
+
+/// The answer to a report may wait; a run placed meanwhile once counted as
+/// lapsed at once, and was started a second time.
+#[test]
+fn a_run_placed_before_the_answer_to_the_first_report_has_its_lease() {
+    let mut book = running(vec![step(1, 1_000)]);
+    assert_eq!(book.expire(NOW.after(20), UNIX), vec![]);
+    assert!(book.holds(&agent("a"), &task("j", 0, 0), 1));
+}
+
+/// An agent that does not know its worker extends no lease.
+#[test]
+fn reports_without_a_worker_do_not_keep_its_runs() {
+    let mut book = running(vec![step(1, 1_000)]);
+    let until = clock_bound(NOW, GRANT);
+    let mut fresh = report("a", 1, None);
+    fresh.incarnation = 2;
+    book.report(&fresh, until, UNIX);
+    book.expire(until.after(1), UNIX);
+    assert!(!book.holds(&agent("a"), &task("j", 0, 0), 1));
+}
--- a/crates/standin/src/platform_store.rs
+++ b/crates/standin/src/platform_store.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -58,29 +59,49 @@
     topics: IndexMap<String, Topic>,
 }
 
+/// An address of the store that can refuse its callers by itself.
+pub struct StoreDoor {
+    server: RunningServer,
+    closed: Arc<AtomicBool>,
+}
+
+impl StoreDoor {
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Refuses all calls here while the store serves others.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.store(closed, Ordering::Relaxed);
+    }
+}
+
 /// A running store.
 pub struct PlatformStore {
-    server: RunningServer,
     state: Arc<Mutex<StoreState>>,
 }
 
 impl PlatformStore {
-    pub fn spawn(address: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(StoreState::default()));
-        let shared = Data::from(Arc::clone(&state));
-        let server = RunningServer::spawn(address, 2, move |config: &mut ServiceConfig| {
+    /// A store that nobody can reach yet.
+    #[must_use]
+    pub fn open() -> Self {
+        Self { state: Arc::default() }
+    }
+
+    /// Serves callers at one more address.
+    pub fn open_door(&self, address: SocketAddr) -> io::Result<StoreDoor> {
+        let closed = Arc::new(AtomicBool::new(false));
+        let (shared, flag) = (Data::from(Arc::clone(&self.state)), Arc::clone(&closed));
+        let server = RunningServer::spawn(address, 1, move |config: &mut ServiceConfig| {
             config
                 .app_data(shared.clone())
+                .app_data(Data::from(Arc::clone(&flag)))
                 .route("/log-append", post().to(append))
                 .route("/log-read", get().to(read))
                 .route("/log-newest", get().to(newest));
         })?;
-        Ok(Self { server, state })
-    }
-
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
+        Ok(StoreDoor { server, closed })
     }
 
     pub fn set_mode(&self, mode: StoreMode) {
@@ -143,6 +164,7 @@
 
 async fn append(
     state: Data<Mutex<StoreState>>,
+    closed: Data<AtomicBool>,
     query: Query<AppendQuery>,
     body: Bytes,
     request: HttpRequest,
@@ -150,7 +172,7 @@
     wait_delay(&state).await;
     let answer = {
         let mut state = lock(&state);
-        if state.mode == StoreMode::Busy {
+        if state.mode == StoreMode::Busy || closed.load(Ordering::Relaxed) {
             return HttpResponse::ServiceUnavailable().finish();
         }
         let loses = state.mode == StoreMode::LosingAnswers;
@@ -230,13 +252,17 @@
     wait_ms: u64,
 }
 
-async fn read(state: Data<Mutex<StoreState>>, query: Query<ReadQuery>) -> HttpResponse {
+async fn read(
+    state: Data<Mutex<StoreState>>,
+    closed: Data<AtomicBool>,
+    query: Query<ReadQuery>,
+) -> HttpResponse {
     wait_delay(&state).await;
     let until = Instant::now() + Duration::from_millis(query.wait_ms);
     loop {
         {
             let mut state = lock(&state);
-            if state.mode == StoreMode::Busy {
+            if state.mode == StoreMode::Busy || closed.load(Ordering::Relaxed) {
                 return HttpResponse::ServiceUnavailable().finish();
             }
             let topic = state.topics.entry(query.topic.clone()).or_default();
@@ -272,8 +298,15 @@
     after: Option<String>,
 }
 
-async fn newest(state: Data<Mutex<StoreState>>, query: Query<NewestQuery>) -> HttpResponse {
+async fn newest(
+    state: Data<Mutex<StoreState>>,
+    closed: Data<AtomicBool>,
+    query: Query<NewestQuery>,
+) -> HttpResponse {
     wait_delay(&state).await;
+    if closed.load(Ordering::Relaxed) {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let page = newest_page(&mut lock(&state), &query);
     wait_delay(&state).await;
     page
