--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -306,6 +306,7 @@
                     image: shape.image.clone(),
                     share: share(shape.cpu, capacity),
                     pace: pace.unwrap_or(FULL_PACE),
+                    percent: listed.percent,
                 });
             }
         }
--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -46,6 +46,9 @@
 const MOST_RATIO: f64 = 4.0;
 /// Share of an error that one sample corrects.
 const LEARNING_RATE: f64 = 0.2;
+/// A task ranks by its press times its rest; this much more than the rest keeps
+/// heavy images behind light ones to the end.
+const RANK_REST: f64 = 1.1;
 /// Paces are set in steps, percent.
 const PACE_STEP: u8 = 5;
 
@@ -149,6 +152,8 @@
     pub share: f64,
     /// Percent.
     pub pace: u8,
+    /// Progress, percent.
+    pub percent: u8,
 }
 
 /// The paces of the tasks that fill on one worker.
@@ -207,11 +212,13 @@
         }
     }
 
-    /// Gives the room that the bound leaves to the lightest images first.
+    /// Gives the room that the bound leaves to the lightest images first, and
+    /// among alike to the tasks that are nearly done.
     fn paces(&self, filling: &[FillingRun]) -> Vec<u8> {
         let mut order: Vec<_> = filling.iter().enumerate().collect();
         let press = |run: &FillingRun| self.model.press(run.image.as_ref());
-        order.sort_by(|(_, one), (_, other)| press(one).total_cmp(&press(other)));
+        let rank = |run: &FillingRun| press(run) * (RANK_REST - f64::from(run.percent) / 100.0);
+        order.sort_by(|(_, one), (_, other)| rank(one).total_cmp(&rank(other)));
         let mut room = self.model.room() * self.scale;
         let mut paces = vec![0; filling.len()];
         for (index, run) in order {
--- a/crates/queue/tests/pacing.rs
+++ b/crates/queue/tests/pacing.rs
@@ -10,6 +10,7 @@
         image: Some(image.into()),
         share: 0.2,
         pace,
+        percent: 0,
     }
 }
 
@@ -87,3 +88,15 @@
     let (calls, sample) = pace.follow(None, &runs, Moment(1_000));
     assert_eq!((calls[0].percent, sample), (100, None));
 }
+
+/// Work that is nearly done frees its room soonest.
+#[test]
+fn of_two_alike_the_one_that_is_nearly_done_goes_on() {
+    let mut pace = FillPace::default();
+    pace.model.take(PressFigures { base: 0.4, presses: vec![("x".into(), 2.0)] });
+    let nearly = FillingRun { percent: 80, ..filling("x", 1, 100) };
+    let runs = [filling("x", 0, 100), nearly];
+    let (calls, _) = pace.follow(Some(0.8), &runs, Moment(1_000));
+    assert_eq!(calls.len(), 1);
+    assert_eq!(calls[0].task, runs[0].task);
+}
