--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -20,10 +20,12 @@
 use crate::lane::pause;
 use crate::meters::AgentMeters;
 
-/// Longest wait of a look at the worker; figures are of the last half second.
-const SHARED_WAIT: Millis = 450;
-/// The same while no task that serves runs beside one that fills.
-const CALM_WAIT: Millis = 900;
+/// Longest wait of a look at the worker: half of the time between two paces, which
+/// only follow a look.
+const SHARED_WAIT: Millis = 250;
+/// The same while no task that serves runs beside one that fills; a task that
+/// fills may start at any time.
+const CALM_WAIT: Millis = 600;
 /// Wait for the store before the next look, while ends are not stored: a look
 /// answers at once as long as there are ends that were not noted.
 const NOTE_WAIT: Duration = Duration::from_millis(60);
--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -15,7 +15,7 @@
 /// Full speed, percent.
 pub const FULL_PACE: u8 = 100;
 /// Figures are of the last half second: a pace is kept until they show it.
-const PACE_INTERVAL: Millis = 550;
+const PACE_INTERVAL: Millis = 500;
 /// Share of the bound that a tail latency may reach by the model.
 const GOAL: f64 = 0.85;
 /// Above this share of the bound the paces fall, below the other they rise.
@@ -27,9 +27,10 @@
 /// Range of the correction.
 const MIN_SCALE: f64 = 0.02;
 const MAX_SCALE: f64 = 4.0;
-/// Tasks that fill stand still after so long over a bound: half of the time in
-/// which a bound may be missed.
-const STANDSTILL: Millis = 1_900;
+/// Tasks that fill stand still after so long over a bound. A bound may be missed
+/// for 4 s; the figures come up to half a second late, a look 250 ms, and a pace
+/// is set up to 750 ms after the last one.
+const STANDSTILL: Millis = 1_400;
 /// Share of the bound without any press, before it is learned.
 const FIRST_BASE: f64 = 0.4;
 /// Range of the learned base.
--- a/crates/queue/tests/pacing.rs
+++ b/crates/queue/tests/pacing.rs
@@ -67,7 +67,9 @@
         for call in pace.follow(Some(2.0), &runs, now).0 {
             runs[0].pace = call.percent;
         }
-        now = now.after(100);
+        // Looks follow each other at 250 ms.
+        now = now.after(250);
+        // Within 4 s, with half a second until the figures show it, a look and the pace.
         assert!(now < Moment(1_000 + 3_000), "still at {}%", runs[0].pace);
     }
 }
