--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -223,10 +223,11 @@
         if self.is_isolated(now) {
             return Some(TermEnd::Isolated);
         }
-        let view = self.context.views.borrow_and_update().view.clone();
-        if view != self.book.view {
-            self.book.view = view;
+        let confirmed = self.context.views.borrow_and_update();
+        if confirmed.view != self.book.view {
+            self.book.view = confirmed.view.clone();
         }
+        drop(confirmed);
         for (agent, silent) in self.book.expire(now, unix) {
             self.context.log.note(DecisionEvent::AgentSilent { agent, silent });
         }
