Start tasks only on fresh readings of requests and operators' orders

Placements, start orders and start calls now each check the age of what they rest on as their last step, as a share of the bounds in the settings; an owner that stores but cannot read resigns after 3 s. A query about a job that the owner has shown is answered without waiting for a reading.

Ruled out: an agent that repeats a start for long (the start in the finding was answered at once).

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -66,6 +66,7 @@
         log: log.clone(),
         meters: meters.clone(),
         lease_limit: settings.lease_limit,
+        cancel_bound: settings.bounds.cancel,
         messages,
     });
     OwnerReporter::spawn(OwnerReporter {
@@ -88,6 +89,7 @@
         views: operators::spawn(store, clock, log.clone()),
         meters: OwnerMeters::open(&registry).context("could not register meters")?,
         lease_limit: settings.lease_limit,
+        bounds: settings.bounds,
     };
     let candidate = actix_rt::spawn(candidate::run(CandidateContext {
         owner,
--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -166,11 +166,13 @@
         log::warn!("could not read what the predecessor stored: {fault}");
         pause(WATCH_PAUSE).await;
     }
+    let mut requests_read = clock.now();
     while let Err(fault) = state.read_requests(store).await {
         log::warn!("could not read the requests: {fault}");
         pause(WATCH_PAUSE).await;
+        requests_read = clock.now();
     }
-    let requests_end = state.requests_end;
+    let requests = (state.requests_end, requests_read);
     let grants_end = clock_bound(now, CONFIRM_LIMIT);
     let book = state.into_book(epoch, grants_end, now, unix_ms());
     owner.log.note(DecisionEvent::OwnerElected {
@@ -179,7 +181,7 @@
         runs: book.seats.values().map(|seat| seat.runs.len()).sum(),
         loading: now.0.saturating_sub(started.0),
     });
-    Ok(OwnerTerm::open(owner.clone(), book, requests_end, confirmed, (tasks, beacons, beacon)))
+    Ok(OwnerTerm::open(owner.clone(), book, requests, confirmed, (tasks, beacons, beacon)))
 }
 
 /// Appends a record that only this process may append.
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -84,6 +84,15 @@
         epoch: Epoch,
         cause: &'static str,
     },
+    /// Starts wait, or go on, as cancels or operators' orders may be unknown.
+    StartsWithheld {
+        epoch: Epoch,
+        withheld: bool,
+        /// Of the newest reading of the requests.
+        requests_age: Millis,
+        /// Of the newest reading of what operators say.
+        view_age: Millis,
+    },
     JobShown {
         job: JobId,
         state: JobState,
@@ -104,7 +113,8 @@
     },
     AgentSilent {
         agent: AgentName,
-        silent: Millis,
+        /// `None` if this owner has never heard it.
+        silent: Option<Millis>,
     },
     WorkerBarred {
         agent: AgentName,
@@ -169,6 +179,7 @@
             Self::OwnerElected { .. } => ("owner_elected", true),
             Self::ElectionLost { .. } => ("election_lost", true),
             Self::OwnerResigned { .. } => ("owner_resigned", true),
+            Self::StartsWithheld { .. } => ("starts_withheld", true),
             Self::JobShown { .. } => ("job_shown", false),
             Self::TaskPlaced { .. } => ("task_placed", false),
             Self::RunEnded { end, .. } => ("run_ended", *end != RunEnd::Done),
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -36,6 +36,9 @@
 /// Calls to the worker at the same time, beside the look: a quarter of the
 /// connections that a worker takes.
 const MAX_CALLS: usize = 16;
+/// Share of the bound on cancels that the owner's last answer may be old at a
+/// start, in percent; the owner's readings take another share.
+const START_PERCENT: Millis = 45;
 /// Clocks may run slow by 2%: a lease is shortened by that share.
 const CLOCK_PERCENT: u64 = 98;
 
@@ -47,6 +50,8 @@
     pub meters: AgentMeters,
     /// Longest lease that the worker accepts.
     pub lease_limit: Millis,
+    /// After it no task of a cancelled job starts.
+    pub cancel_bound: Millis,
     pub messages: mpsc::UnboundedReceiver<WorkerMessage>,
 }
 
@@ -64,6 +69,8 @@
     log: DecisionLog,
     meters: AgentMeters,
     lease_limit: Millis,
+    /// Oldest answer of the owner that a start may rest on.
+    start_limit: Millis,
     pub book: RefCell<AgentBook>,
     sample: Cell<ClockSample>,
     /// No lease of the worker ends later.
@@ -84,13 +91,15 @@
 impl WorkerKeeper {
     /// Starts to keep the worker.
     pub fn spawn(context: KeeperContext) -> Rc<Self> {
-        let KeeperContext { worker, clock, log, meters, lease_limit, messages } = context;
+        let KeeperContext { worker, clock, log, meters, lease_limit, cancel_bound, messages } =
+            context;
         let keeper = Rc::new(Self {
             worker,
             clock,
             log,
             meters,
             lease_limit,
+            start_limit: cancel_bound * START_PERCENT / 100,
             book: RefCell::default(),
             sample: Cell::default(),
             leased_until: Cell::default(),
@@ -295,7 +304,8 @@
                 if !book.wants_start(&order) {
                     return;
                 }
-                (self.deadline(&book), book.epoch)
+                let fresh = self.clock.now() <= book.answered_at.after(self.start_limit);
+                (self.deadline(&book).filter(|_| fresh), book.epoch)
             };
             let Some(deadline) = deadline else {
                 pause(RETRY_PAUSE).await;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -39,6 +39,12 @@
 const IDLE: Millis = 250;
 /// Time after which the loop looks again at tasks that wait for a retry.
 const RETRY_TICK: Millis = 50;
+/// An owner whose readings of the requests fail for so long, while it stores,
+/// resigns: two readings were lost.
+const BLIND_LIMIT: Millis = 3_000;
+/// Share of a bound that a reading may be old at a start, in percent; the agent's
+/// knowledge of the owner takes another share of the bound.
+const READING_PERCENT: Millis = 45;
 /// Agents that have not reported for so long are out of reach.
 const OUT_OF_REACH: Millis = 2_500;
 /// Least number of agents of which an owner that reaches fewer than half resigns.
@@ -59,6 +65,16 @@
     pub meters: OwnerMeters,
     /// Longest lease that the workers accept.
     pub lease_limit: Millis,
+    pub bounds: OwnerBounds,
+}
+
+/// Times within which what callers and operators say must be obeyed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnerBounds {
+    /// After it no task of a cancelled job starts.
+    pub cancel: Millis,
+    /// After it no task starts in a data centre that was taken out.
+    pub take_out: Millis,
 }
 
 /// Why a term ended.
@@ -66,6 +82,8 @@
 enum TermEnd {
     Fenced,
     Isolated,
+    /// It stores, but cannot read what callers ask for.
+    Blind,
     Stopped,
 }
 
@@ -74,6 +92,7 @@
         match self {
             Self::Fenced => "fenced",
             Self::Isolated => "isolated",
+            Self::Blind => "blind",
             Self::Stopped => "stopped",
         }
     }
@@ -92,6 +111,11 @@
     groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
     verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
     beacons: mpsc::UnboundedReceiver<LaneVerdict>,
+    /// Sending of the newest answered reading of the requests.
+    requests_read: Moment,
+    /// Whether nothing may be started, as what callers and operators say is not
+    /// known up to now.
+    outdated: bool,
     forgotten: mpsc::UnboundedSender<Vec<KeyedRecord>>,
     resignation: watch::Sender<bool>,
     entries: VecDeque<BookEntry>,
@@ -118,7 +142,7 @@
     pub fn open(
         context: OwnerContext,
         book: QueueBook,
-        requests_end: Offset,
+        (requests_end, requests_read): (Offset, Moment),
         confirmed: Moment,
         (tasks, beacons, beacon): (AppendLane, AppendLane, OwnerBeacon),
     ) -> Self {
@@ -136,6 +160,8 @@
             groups,
             verdicts,
             beacons,
+            requests_read,
+            outdated: false,
             forgotten,
             resignation,
             entries: VecDeque::new(),
@@ -223,16 +249,22 @@
         if self.is_isolated(now) {
             return Some(TermEnd::Isolated);
         }
-        let confirmed = self.context.views.borrow_and_update();
-        if confirmed.view != self.book.view {
-            self.book.view = confirmed.view.clone();
+        if self.is_blind(now) {
+            return Some(TermEnd::Blind);
         }
-        drop(confirmed);
+        let view_read = {
+            let confirmed = self.context.views.borrow_and_update();
+            if confirmed.view != self.book.view {
+                self.book.view = confirmed.view.clone();
+            }
+            confirmed.confirmed
+        };
+        self.check_readings(now, view_read);
         for (agent, silent) in self.book.expire(now, unix) {
             self.context.log.note(DecisionEvent::AgentSilent { agent, silent });
         }
         // Without a configuration nobody knows which workers serve a queue.
-        if self.book.view.config.is_some() {
+        if self.book.view.config.is_some() && !self.outdated {
             self.book.place(now, unix);
         }
         self.forget(now, unix);
@@ -243,6 +275,32 @@
         None
     }
 
+    /// Notes whether a cancel or a data centre that was taken out may be unknown here.
+    fn check_readings(&mut self, now: Moment, view_read: Moment) {
+        let OwnerBounds { cancel, take_out } = self.context.bounds;
+        let requests_until = self.requests_read.after(reading_limit(cancel));
+        let view_until = view_read.after(reading_limit(take_out));
+        let outdated = now > requests_until || now > view_until;
+        if outdated == self.outdated {
+            return;
+        }
+        self.outdated = outdated;
+        let epoch = self.book.epoch;
+        let requests_age = now.0.saturating_sub(self.requests_read.0);
+        let view_age = now.0.saturating_sub(view_read.0);
+        let event =
+            DecisionEvent::StartsWithheld { epoch, withheld: outdated, requests_age, view_age };
+        self.context.log.note(event);
+        if !outdated {
+            self.book.renew_orders();
+        }
+    }
+
+    /// Whether only the readings fail: another agent may reach the store whole.
+    fn is_blind(&self, now: Moment) -> bool {
+        now > self.requests_read.after(BLIND_LIMIT) && self.is_confirmed(now)
+    }
+
     /// Whether too few agents reach this owner.
     fn is_isolated(&self, now: Moment) -> bool {
         if now < self.began.after(2 * OUT_OF_REACH) {
@@ -364,7 +422,11 @@
                 let until = now.after(request.wait);
                 self.watches.push((request, reply, until));
             }
-            OwnerCall::Find(job, reply) => self.finds.push((job, reply, now)),
+            OwnerCall::Find(job, reply) => match self.shown.get(&job) {
+                Some(state) => send(reply, FindReply::Known(*state)),
+                // Only a reading sent after the call shows that there is no such job.
+                None => self.finds.push((job, reply, now)),
+            },
         }
     }
 
@@ -412,6 +474,7 @@
     }
 
     fn take_requests(&mut self, reading: TopicReading) {
+        self.requests_read = self.requests_read.max(reading.sent);
         for stored in &reading.records {
             self.take_request(stored);
         }
@@ -450,6 +513,11 @@
     }
 }
 
+/// Oldest reading that a start may rest on, under a bound.
+fn reading_limit(bound: Millis) -> Millis {
+    bound * READING_PERCENT / 100
+}
+
 /// Answers a call; the caller may have given up.
 fn send<T>(reply: oneshot::Sender<T>, answer: T) {
     if reply.send(answer).is_err() {
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -5,7 +5,7 @@
 use cactusdoor_queue::lease::{CONFIRM_LIMIT, GRANT};
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::pacing::PressFigures;
-use cactusdoor_queue::report::{AgentGrant, ReportReply};
+use cactusdoor_queue::report::{AgentGrant, AgentOrder, ReportReply};
 use tokio::sync::oneshot;
 
 use super::{OwnerTerm, send};
@@ -54,6 +54,10 @@
         let grant = until.0.saturating_sub(received.0);
         let confirmed = self.is_confirmed(now);
         let presses = self.press_figures(agent, now);
+        let outdated = self.outdated;
+        // Orders are received in their order, so what is behind a start waits too.
+        let may_go =
+            |(_, order): &&(u64, AgentOrder)| !outdated || matches!(order, AgentOrder::Stop { .. });
         let Some(seat) = self.book.seats.get_mut(agent) else {
             send(reply, ReportReply::NotOwner);
             return;
@@ -66,7 +70,7 @@
             confirmed,
             noted: seat.noted,
             settled: std::mem::take(&mut seat.settled),
-            orders: seat.orders.iter().cloned().collect(),
+            orders: seat.orders.iter().take_while(may_go).cloned().collect(),
             presses,
         };
         send(reply, ReportReply::Grant(granted));
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -7,6 +7,10 @@
 use cactusdoor_node::settings::{SettingsError, SettingsFile};
 use cactusdoor_queue::name::{AgentName, DataCentre};
 
+use crate::owner::OwnerBounds;
+
+/// Bounds that can be kept, ms: a message between data centres to ten minutes.
+const BOUND_RANGE: (u64, u64) = (100, 600_000);
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:7000";
 
 /// The `[process]` and `[logging]` sections, which all daemons have.
@@ -43,6 +47,7 @@
     pub worker_address: SocketAddr,
     /// Longest lease that a worker accepts.
     pub lease_limit: Millis,
+    pub bounds: OwnerBounds,
 }
 
 impl EntrySettings {
@@ -52,7 +57,8 @@
         let process = read_process(&mut file);
         let caller_address = file.required("callers", "address", ADDRESS);
         let ready_address = file.required("callers", "ready_address", ADDRESS);
-        let config_bound = file.integer("bounds", "config_ms", (100, 600_000), Some(2_000));
+        let config_bound = file.integer("bounds", "config_ms", BOUND_RANGE, Some(2_000));
+        skip(&mut file, "bounds", &["cancel_ms", "take_out_ms"]);
         skip(&mut file, "worker", &["address", "announce_address", "lease_limit_ms"]);
         let settings = (|| {
             Some(Self {
@@ -77,6 +83,8 @@
         let lease_limit = file.integer("worker", "lease_limit_ms", (1_000, 600_000), Some(10_000));
         skip(&mut file, "callers", &["address", "ready_address"]);
         skip(&mut file, "bounds", &["config_ms"]);
+        let cancel = file.integer("bounds", "cancel_ms", BOUND_RANGE, Some(3_000));
+        let take_out = file.integer("bounds", "take_out_ms", BOUND_RANGE, Some(5_000));
         let settings = (|| {
             Some(Self {
                 process: process?,
@@ -84,6 +92,7 @@
                 announce_address: announce_address?,
                 worker_address: worker_address?,
                 lease_limit: lease_limit?,
+                bounds: OwnerBounds { cancel: cancel?, take_out: take_out? },
             })
         })();
         file.finish(settings)
--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -6,6 +6,7 @@
 
 use cactusdoor_standin::platform_store::StoreMode;
 use rustix::process::Signal;
+use serde_json::{Value, json};
 use support::{Site, tasks};
 
 /// A store that takes its time, so that what candidates do overlaps.
@@ -224,3 +225,32 @@
     check_elections(&site);
     site.check();
 }
+
+/// An owner whose reads had no answer went on placing tasks of jobs that had been
+/// cancelled more than 3 s before.
+#[actix_web::test]
+async fn an_owner_that_cannot_read_places_nothing_of_a_cancelled_job() {
+    let site = Site::open(3).await;
+    let steps = json!([
+        {"count": 1, "cpu": 1000, "memMb": 100},
+        {"count": 3, "cpu": 1000, "memMb": 100, "after": [0]},
+    ]);
+    site.submit("m1", 2_000, steps).await;
+    site.await_that("the first task runs", |site| {
+        site.workers.iter().map(|worker| worker.running()).sum::<usize>() == 1
+    })
+    .await;
+    let owner = site.owner().unwrap();
+    site.blind_agent(owner, true);
+    let cancel = site.call("DELETE", 0, "/q/m1", Value::Null).await;
+    assert_eq!(cancel.0, 200, "{}", site.logs());
+    site.await_state("m1", "cancelled").await;
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    assert_eq!(site.history.lock().unwrap().starts, 1, "{}", site.logs());
+    assert_ne!(site.owner(), Some(owner), "an owner that cannot read gives up its right");
+    site.blind_agent(owner, false);
+    site.submit("m2", 100, tasks(3)).await;
+    site.await_state("m2", "completed").await;
+    check_elections(&site);
+    site.check();
+}
--- a/crates/fleet/tests/logging.rs
+++ b/crates/fleet/tests/logging.rs
@@ -49,7 +49,7 @@
     // More than the queue holds, from more seconds' budgets than one.
     while log.dropped() == 0 {
         let agent = "a".into();
-        log.note(DecisionEvent::AgentSilent { agent, silent: 1 });
+        log.note(DecisionEvent::AgentSilent { agent, silent: Some(1) });
         assert!(started.elapsed() < Duration::from_secs(60), "the queue is not bounded");
         std::thread::sleep(Duration::from_micros(200));
     }
@@ -63,7 +63,7 @@
     for _ in 0..1_000 {
         log.note(DecisionEvent::CancelAccepted { job: "j".into(), waited: 1 });
     }
-    log.note(DecisionEvent::AgentSilent { agent: "a".into(), silent: 1 });
+    log.note(DecisionEvent::AgentSilent { agent: "a".into(), silent: Some(1) });
     std::thread::sleep(Duration::from_millis(1_200));
     log.note(DecisionEvent::ProcessStopping);
     std::thread::sleep(Duration::from_millis(200));
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -154,6 +154,11 @@
         self.doors[index].set_closed(refused);
     }
 
+    /// Lets the store refuse the reads of one agent only.
+    pub fn blind_agent(&self, index: usize, blind: bool) {
+        self.doors[index].set_unreadable(blind);
+    }
+
     fn add_process(&mut self, role: &'static str, name: &str, text: &str) {
         let settings = self.directory.path().join(format!("{name}.ini"));
         std::fs::write(&settings, text).unwrap();
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -76,6 +76,8 @@
     pub noted: u64,
     /// The worker's tasks may be kept until then.
     pub granted_until: Moment,
+    /// Sending of the newest report that the owner has answered.
+    pub answered_at: Moment,
     ordered: IndexMap<TaskName, OrderedRun>,
     running: Vec<ListedRun>,
     ended: Vec<EndedRun>,
@@ -183,6 +185,7 @@
             return Vec::new();
         }
         self.adopt(grant.epoch);
+        self.answered_at = self.answered_at.max(sent);
         self.granted_until = self.granted_until.max(sent.after(grant.grant));
         if grant.life.as_ref() == self.life() {
             self.noted = self.noted.max(grant.noted);
--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -407,6 +407,13 @@
         seat.order(order);
     }
 
+    /// Tells the agents again of orders that were withheld.
+    pub fn renew_orders(&mut self) {
+        for seat in self.seats.values_mut() {
+            seat.news |= !seat.orders.is_empty();
+        }
+    }
+
     /// Accepted jobs of each queue of which no task has been started.
     #[must_use]
     pub fn pending(&self) -> IndexMap<QueueName, u64> {
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -224,13 +224,15 @@
     }
 
     /// Ends the runs of agents whose grant has surely passed; returns these
-    /// agents and how long they have been silent.
-    pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Millis)> {
+    /// agents and how long they have been silent, `None` if they never reported.
+    pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Option<Millis>)> {
         let mut silent = Vec::new();
         let mut over = Vec::new();
         for seat in self.seats.values() {
             if seat.granted_until < now && !seat.runs.is_empty() {
-                silent.push((seat.agent.clone(), now.0.saturating_sub(seat.heard.0)));
+                let heard = (seat.incarnation != 0).then_some(seat.heard);
+                let since = heard.map(|heard| now.0.saturating_sub(heard.0));
+                silent.push((seat.agent.clone(), since));
                 let runs = seat.runs.iter();
                 over.extend(
                     runs.map(|(task, run)| (seat.agent.clone(), task.clone(), run.start.run)),
--- a/crates/standin/src/platform_store.rs
+++ b/crates/standin/src/platform_store.rs
@@ -59,10 +59,17 @@
     topics: IndexMap<String, Topic>,
 }
 
+/// What one address of the store refuses, while others are served.
+#[derive(Default)]
+struct DoorRefusals {
+    appends: AtomicBool,
+    reads: AtomicBool,
+}
+
 /// An address of the store that can refuse its callers by itself.
 pub struct StoreDoor {
     server: RunningServer,
-    closed: Arc<AtomicBool>,
+    refusals: Arc<DoorRefusals>,
 }
 
 impl StoreDoor {
@@ -73,7 +80,13 @@
 
     /// Refuses all calls here while the store serves others.
     pub fn set_closed(&self, closed: bool) {
-        self.closed.store(closed, Ordering::Relaxed);
+        self.refusals.appends.store(closed, Ordering::Relaxed);
+        self.set_unreadable(closed);
+    }
+
+    /// Refuses the reads here, while appends are stored.
+    pub fn set_unreadable(&self, unreadable: bool) {
+        self.refusals.reads.store(unreadable, Ordering::Relaxed);
     }
 }
 
@@ -91,17 +104,17 @@
 
     /// Serves callers at one more address.
     pub fn open_door(&self, address: SocketAddr) -> io::Result<StoreDoor> {
-        let closed = Arc::new(AtomicBool::new(false));
-        let (shared, flag) = (Data::from(Arc::clone(&self.state)), Arc::clone(&closed));
+        let refusals = Arc::new(DoorRefusals::default());
+        let (shared, flags) = (Data::from(Arc::clone(&self.state)), Arc::clone(&refusals));
         let server = RunningServer::spawn(address, 1, move |config: &mut ServiceConfig| {
             config
                 .app_data(shared.clone())
-                .app_data(Data::from(Arc::clone(&flag)))
+                .app_data(Data::from(Arc::clone(&flags)))
                 .route("/log-append", post().to(append))
                 .route("/log-read", get().to(read))
                 .route("/log-newest", get().to(newest));
         })?;
-        Ok(StoreDoor { server, closed })
+        Ok(StoreDoor { server, refusals })
     }
 
     pub fn set_mode(&self, mode: StoreMode) {
@@ -164,7 +177,7 @@
 
 async fn append(
     state: Data<Mutex<StoreState>>,
-    closed: Data<AtomicBool>,
+    refusals: Data<DoorRefusals>,
     query: Query<AppendQuery>,
     body: Bytes,
     request: HttpRequest,
@@ -172,7 +185,7 @@
     wait_delay(&state).await;
     let answer = {
         let mut state = lock(&state);
-        if state.mode == StoreMode::Busy || closed.load(Ordering::Relaxed) {
+        if state.mode == StoreMode::Busy || refusals.appends.load(Ordering::Relaxed) {
             return HttpResponse::ServiceUnavailable().finish();
         }
         let loses = state.mode == StoreMode::LosingAnswers;
@@ -254,7 +267,7 @@
 
 async fn read(
     state: Data<Mutex<StoreState>>,
-    closed: Data<AtomicBool>,
+    refusals: Data<DoorRefusals>,
     query: Query<ReadQuery>,
 ) -> HttpResponse {
     wait_delay(&state).await;
@@ -262,7 +275,7 @@
     loop {
         {
             let mut state = lock(&state);
-            if state.mode == StoreMode::Busy || closed.load(Ordering::Relaxed) {
+            if state.mode == StoreMode::Busy || refusals.reads.load(Ordering::Relaxed) {
                 return HttpResponse::ServiceUnavailable().finish();
             }
             let topic = state.topics.entry(query.topic.clone()).or_default();
@@ -300,11 +313,11 @@
 
 async fn newest(
     state: Data<Mutex<StoreState>>,
-    closed: Data<AtomicBool>,
+    refusals: Data<DoorRefusals>,
     query: Query<NewestQuery>,
 ) -> HttpResponse {
     wait_delay(&state).await;
-    if closed.load(Ordering::Relaxed) {
+    if refusals.reads.load(Ordering::Relaxed) {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let page = newest_page(&mut lock(&state), &query);
