Learn presses per pair of images, from changes and without the figures' lag

Cause: batch work got a third of the processors that it asked for, as presses were learned per filling image from absolute latencies. Traces show that they belong to pairs (one image took 40 of 24 ms from one serving image and nothing from another), that the inverse of the latency falls linearly with load and use, and that the listed latency is a running average with a time constant of about 0.4 s, so that a controller that trusts it swings. The owner now learns pairs from the changes between two looks; agents remove the lag, look ahead along the trend of the load, and give the room to jobs that can still be in time first. The bound on harm is a setting.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -67,6 +67,7 @@
         meters: meters.clone(),
         lease_limit: settings.lease_limit,
         cancel_bound: settings.bounds.cancel,
+        harm_bound: settings.harm_bound,
         messages,
     });
     OwnerReporter::spawn(OwnerReporter {
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -151,7 +151,7 @@
         }
     }
 
-    fn find_queue(&self, request: &HttpRequest) -> Result<(QueueTerms, u64), Refusal> {
+    fn find_queue(&self, request: &HttpRequest) -> Result<(Arc<QueueTerms>, u64), Refusal> {
         let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
         let host = host.unwrap_or_default().split(':').next().unwrap_or_default();
         let view = self.views.borrow();
@@ -159,7 +159,7 @@
             return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration"));
         };
         if let Some(queue) = config.find(host, request.path()) {
-            return Ok((queue.clone(), config.version));
+            return Ok((Arc::clone(queue), config.version));
         }
         // A queue may have been added since the view was confirmed.
         if self.clock.now() > view.confirmed.after(self.config_bound) {
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cactusdoor_core::unit::{Millis, Moment};
-use cactusdoor_node::clock::MonotonicClock;
+use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_platform::announcement::WorkerAnnouncement;
 use cactusdoor_platform::worker::{HeldList, HoldRequest, WorkerClient, WorkerFault};
 use cactusdoor_queue::agent::{AgentBook, WorkerCall};
@@ -52,6 +52,8 @@
     pub lease_limit: Millis,
     /// After it no task of a cancelled job starts.
     pub cancel_bound: Millis,
+    /// A task that serves may miss its bound for so long.
+    pub harm_bound: Millis,
     pub messages: mpsc::UnboundedReceiver<WorkerMessage>,
 }
 
@@ -69,6 +71,7 @@
     log: DecisionLog,
     meters: AgentMeters,
     lease_limit: Millis,
+    harm_bound: Millis,
     /// Oldest answer of the owner that a start may rest on.
     start_limit: Millis,
     pub book: RefCell<AgentBook>,
@@ -91,14 +94,15 @@
 impl WorkerKeeper {
     /// Starts to keep the worker.
     pub fn spawn(context: KeeperContext) -> Rc<Self> {
-        let KeeperContext { worker, clock, log, meters, lease_limit, cancel_bound, messages } =
-            context;
+        let KeeperContext { worker, clock, log, meters, messages, .. } = context;
+        let KeeperContext { lease_limit, cancel_bound, harm_bound, .. } = context;
         let keeper = Rc::new(Self {
             worker,
             clock,
             log,
             meters,
             lease_limit,
+            harm_bound,
             start_limit: cancel_bound * START_PERCENT / 100,
             book: RefCell::default(),
             sample: Cell::default(),
@@ -249,7 +253,7 @@
     async fn set_pace(&self, life: &WorkerLife) {
         let (calls, epoch) = {
             let mut book = self.book.borrow_mut();
-            (book.pace(self.clock.now()), book.epoch)
+            (book.pace(self.harm_bound, self.clock.now(), unix_ms()), book.epoch)
         };
         for call in calls {
             match self.worker.pace(life, &call, epoch).await {
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -4,7 +4,7 @@
 use cactusdoor_peer::queue::{WatchReply, WatchRequest};
 use cactusdoor_queue::lease::{CONFIRM_LIMIT, GRANT};
 use cactusdoor_queue::name::AgentName;
-use cactusdoor_queue::pacing::PressFigures;
+use cactusdoor_queue::press::ServingFigures;
 use cactusdoor_queue::report::{AgentGrant, AgentOrder, ReportReply};
 use tokio::sync::oneshot;
 
@@ -77,7 +77,7 @@
     }
 
     /// The learned figures, once a second for each agent.
-    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<PressFigures> {
+    fn press_figures(&mut self, agent: &AgentName, now: Moment) -> Option<Vec<ServingFigures>> {
         let told = self.told.entry(agent.clone()).or_default();
         if now < told.after(PRESS_INTERVAL) {
             return None;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -48,6 +48,8 @@
     /// Longest lease that a worker accepts.
     pub lease_limit: Millis,
     pub bounds: OwnerBounds,
+    /// A task that serves may miss its bound for so long.
+    pub harm_bound: Millis,
 }
 
 impl EntrySettings {
@@ -58,7 +60,7 @@
         let caller_address = file.required("callers", "address", ADDRESS);
         let ready_address = file.required("callers", "ready_address", ADDRESS);
         let config_bound = file.integer("bounds", "config_ms", BOUND_RANGE, Some(2_000));
-        skip(&mut file, "bounds", &["cancel_ms", "take_out_ms"]);
+        skip(&mut file, "bounds", &["cancel_ms", "take_out_ms", "harm_ms"]);
         skip(&mut file, "worker", &["address", "announce_address", "lease_limit_ms"]);
         let settings = (|| {
             Some(Self {
@@ -84,6 +86,7 @@
         skip(&mut file, "callers", &["address", "ready_address"]);
         skip(&mut file, "bounds", &["config_ms"]);
         let cancel = file.integer("bounds", "cancel_ms", BOUND_RANGE, Some(3_000));
+        let harm = file.integer("bounds", "harm_ms", BOUND_RANGE, Some(4_000));
         let take_out = file.integer("bounds", "take_out_ms", BOUND_RANGE, Some(5_000));
         let settings = (|| {
             Some(Self {
@@ -93,6 +96,7 @@
                 worker_address: worker_address?,
                 lease_limit: lease_limit?,
                 bounds: OwnerBounds { cancel: cancel?, take_out: take_out? },
+                harm_bound: harm?,
             })
         })();
         file.finish(settings)
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -6,11 +6,12 @@
 
 use std::sync::Arc;
 
-use cactusdoor_core::unit::{Epoch, Moment};
+use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use indexmap::IndexMap;
 
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerLife};
-use crate::pacing::{FULL_PACE, FillPace, FillingRun, PaceCall, PressSample};
+use crate::pacing::{FULL_PACE, FillPace, FillingRun, PaceCall, ServingRun};
+use crate::press::PressSample;
 use crate::report::{
     AgentGrant, AgentOrder, AgentReport, EndedRun, HeldRun, RunEnd, StartOrder, WorkerState,
 };
@@ -18,6 +19,9 @@
 /// Most ends in one list of a worker; a full list may lack some.
 const MAX_LISTED_ENDS: usize = 500;
 
+/// Most samples that wait for a report: some seconds without an owner.
+const MAX_SAMPLES: usize = 40;
+
 /// How far an order has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -84,7 +88,7 @@
     unlisted: Vec<EndedRun>,
     pace: FillPace,
     paced: IndexMap<(TaskName, RunNumber), u8>,
-    sample: Option<PressSample>,
+    samples: Vec<PressSample>,
     reports: u64,
 }
 
@@ -289,17 +293,18 @@
         }
     }
 
-    /// The paces to set after a list.
-    pub fn pace(&mut self, now: Moment) -> Vec<PaceCall> {
+    /// The paces to set after a list. `harm_bound` is the time for which a serving
+    /// task may miss its bound.
+    pub fn pace(&mut self, harm_bound: Millis, now: Moment, unix: Millis) -> Vec<PaceCall> {
         let capacity = self.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
-        let mut ratio: Option<f64> = None;
-        let mut filling = Vec::new();
+        let (mut serving, mut filling) = (Vec::new(), Vec::new());
         for listed in &self.running {
             let ordered = self.ordered.get(&listed.task);
             let Some(shape) = ordered.and_then(|ordered| ordered.shape.as_ref()) else { continue };
             if shape.target > 0 && listed.percent >= FULL_PACE {
-                let tail = share(listed.figure, shape.target);
-                ratio = Some(ratio.unwrap_or_default().max(tail));
+                let (task, image) = (listed.task.clone(), shape.image.clone());
+                let headroom = share(shape.target, listed.figure.max(1));
+                serving.push(ServingRun { task, image, headroom });
             }
             if shape.fills {
                 let pace = self.paced.get(&(listed.task.clone(), listed.run)).copied();
@@ -308,14 +313,18 @@
                     run: listed.run,
                     image: shape.image.clone(),
                     share: share(shape.cpu, capacity),
+                    used: share(listed.figure, capacity),
                     pace: pace.unwrap_or(FULL_PACE),
                     percent: listed.percent,
+                    late: shape.due < unix,
                 });
             }
         }
-        let (calls, sample) = self.pace.follow(ratio, &filling, now);
-        self.sample = sample.or(self.sample.take());
-        calls
+        let step = self.pace.follow(&serving, &filling, harm_bound, now);
+        self.samples.extend(step.samples);
+        let surplus = self.samples.len().saturating_sub(MAX_SAMPLES);
+        self.samples.drain(..surplus);
+        step.calls
     }
 
     pub fn paced(&mut self, call: &PaceCall) {
@@ -348,7 +357,7 @@
             gone: self.gone.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
             held: shape.whole.then(|| self.held()),
-            sample: self.sample.take(),
+            samples: std::mem::take(&mut self.samples),
             wait: shape.wait,
         }
     }
--- a/crates/queue/src/book.rs
+++ b/crates/queue/src/book.rs
@@ -10,8 +10,8 @@
 
 use crate::job::{JobProgress, TaskPlace};
 use crate::name::{AgentName, Checkpoint, JobId, QueueName, RunNumber, TaskName, WorkerLife};
-use crate::pacing::PressModel;
 use crate::placing::{ChoiceContext, cost};
+use crate::press::PressModel;
 use crate::record::{JobEnding, PlacedAt, TaskRecord};
 use crate::report::{JobState, StartOrder};
 use crate::seat::{SeatRun, WorkerSeat};
@@ -141,13 +141,18 @@
             self.push(Some((name.to_string(), None)), None);
         }
         if let Some(placed) = &record.placed {
+            let due = self.jobs.get(&name.job).map(|job| self.due(&job.spec, name.occurrence));
             let unknown_until = self.unknown_until;
             let seat = self.seats.entry(placed.agent.clone());
             let seat =
                 seat.or_insert_with(|| WorkerSeat::open(placed.agent.clone(), unknown_until));
             let (step, payload) = shape;
             let (life, saved) = (placed.life.clone(), record.saved.clone());
-            let start = start_order(name, life, record.run, saved, &step, payload);
+            let start = StartOrder {
+                saved,
+                due: due.unwrap_or_default(),
+                ..start_order(name, life, record.run, &step, payload)
+            };
             let mut run = open_run(start, &step, now);
             run.stored = true;
             run.stopping = !known;
@@ -179,10 +184,16 @@
 
     /// The terms of a job's queue.
     #[must_use]
-    pub fn terms(&self, spec: &JobSpec) -> QueueTerms {
+    pub fn terms(&self, spec: &JobSpec) -> Arc<QueueTerms> {
         let config = self.view.config.as_ref();
         let terms = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
-        terms.unwrap_or_else(|| QueueTerms::of_removed(&spec.queue, &spec.service))
+        terms.unwrap_or_else(|| Arc::new(QueueTerms::of_removed(&spec.queue, &spec.service)))
+    }
+
+    /// Unix time by which an occurrence of a job is to be done.
+    fn due(&self, spec: &JobSpec, occurrence: u32) -> Millis {
+        let begins = spec.due(occurrence).unwrap_or(spec.accepted);
+        begins.saturating_add(self.terms(spec).patience(spec.chain()))
     }
 
     /// Ends a job: stops its runs and drops the records of its other tasks.
@@ -218,10 +229,14 @@
             job.open_due(unix);
         }
         for job in self.jobs.values() {
-            order.push((self.terms(&job.spec).priority, job.spec.accepted, job.id.clone()));
+            let newest = job.occurrences.keys().next_back().copied().unwrap_or_default();
+            // What can no longer be in time is worth less: it takes what is left.
+            let late = !job.spec.is_endless() && self.due(&job.spec, newest) < unix;
+            let priority = self.terms(&job.spec).priority;
+            order.push((priority, late, job.spec.accepted, job.id.clone()));
         }
         order.sort();
-        order.into_iter().map(|(_, _, id)| id).collect()
+        order.into_iter().map(|(_, _, _, id)| id).collect()
     }
 
     fn place_job(&mut self, id: &JobId, now: Moment, unix: Millis) {
@@ -346,9 +361,10 @@
         let Some(job) = self.jobs.get(&name.job) else { return };
         let saved = job.task(name).map(|task| task.saved.clone()).unwrap_or_else(|| Arc::from(""));
         let payload = job.payload.clone();
+        let due = self.due(&job.spec, name.occurrence);
         let Some(seat) = self.seats.get_mut(agent) else { return };
         let Some(life) = seat.worker.as_ref().map(|worker| worker.life.clone()) else { return };
-        let start = start_order(name, life, run, saved, step, payload);
+        let start = StartOrder { saved, due, ..start_order(name, life, run, step, payload) };
         seat.runs.insert(name.clone(), open_run(start, step, now));
     }
 
@@ -444,11 +460,11 @@
     }
 }
 
+/// A start from the beginning, due at once.
 fn start_order(
     task: &TaskName,
     life: WorkerLife,
     run: RunNumber,
-    saved: Checkpoint,
     step: &StepSpec,
     payload: Arc<str>,
 ) -> StartOrder {
@@ -456,12 +472,13 @@
         task: task.clone(),
         life,
         run,
-        saved,
+        saved: Checkpoint::from(""),
         payload,
         target: step.target,
         fills: step.fills,
         image: step.image.clone(),
         cpu: step.need.cpu,
+        due: 0,
     }
 }
 
--- a/crates/queue/src/ending.rs
+++ b/crates/queue/src/ending.rs
@@ -35,7 +35,7 @@
             return false;
         }
         seat.report = report.number;
-        if let Some(sample) = &report.sample {
+        for sample in &report.samples {
             self.presses.learn(sample);
         }
         seat.heard = now;
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod name;
 pub mod pacing;
 pub mod placing;
+pub mod press;
 pub mod record;
 pub mod report;
 pub mod seat;
--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -1,139 +1,55 @@
 //! How fast an agent lets tasks that fill idle processors run, so that the
 //! tasks that serve users beside them meet their bound.
 //!
-//! How much a task that fills disturbs depends on its image. The owner learns
-//! the press of each image from samples of all workers; each agent turns these
-//! figures into paces, lightest images first, and corrects them by the tail
-//! latencies that it sees.
+//! Each look gives the headroom of every serving task and the processors that
+//! every filling task used meanwhile. With the learned presses, that tells how
+//! much more or less the filling tasks may use. The room goes to jobs first that can
+//! still be done in time, then to the tasks that take the least of it, and among
+//! alike to those that are nearly done.
 
 use cactusdoor_core::unit::{Millis, Moment};
 use indexmap::IndexMap;
-use serde::{Deserialize, Serialize};
 
 use crate::name::{Label, RunNumber, TaskName};
+use crate::press::{FAR_OVER, PressModel, PressSample, ShareChange};
 
 /// Full speed, percent.
 pub const FULL_PACE: u8 = 100;
-/// Figures are of the last half second: a pace is kept until they show it.
-const PACE_INTERVAL: Millis = 500;
-/// Share of the bound that a tail latency may reach by the model.
-const GOAL: f64 = 0.75;
-/// Above this share of the bound the paces fall, below the other they rise.
-const HIGH: f64 = 0.9;
-const LOW: f64 = 0.65;
-/// Factors by which the correction of the model falls and rises.
-const FALL: f64 = 0.5;
-const RISE: f64 = 1.25;
-/// Range of the correction.
-const MIN_SCALE: f64 = 0.02;
-const MAX_SCALE: f64 = 4.0;
-/// Tasks that fill stand still after so long over a bound. A bound may be missed
-/// for 4 s; the figures come up to half a second late, a look 250 ms, and a pace
-/// is set up to 750 ms after the last one.
-const STANDSTILL: Millis = 1_400;
-/// Share of the bound without any press, before it is learned.
-const FIRST_BASE: f64 = 0.4;
-/// Range of the learned base.
-const BASE_RANGE: (f64, f64) = (0.1, 0.65);
-/// Weight of the base beside the shares of the images when an error is spread: a
-/// sample says little of an image that hardly works.
-const BASE_SHARE: f64 = 0.3;
-/// Press of an image that was never seen: in doubt it disturbs.
-const UNKNOWN_PRESS: f64 = 1.5;
-/// Least press, so that the correction reaches every image.
-const LEAST_PRESS: f64 = 0.05;
-const MOST_PRESS: f64 = 50.0;
-/// Ratios above this say no more than that the bound is far exceeded.
-const MOST_RATIO: f64 = 4.0;
-/// Share of an error that one sample corrects.
-const LEARNING_RATE: f64 = 0.2;
+/// Headroom that the paces leave: the load of a serving task may rise by a third
+/// until a look shows it.
+pub const GOAL: f64 = 1.1;
+/// A filling task whose press takes less headroom than this is not slowed for it.
+const NEGLIGIBLE: f64 = 0.05;
+/// Between two samples: figures are of the last half second.
+const SAMPLE_INTERVAL: Millis = 500;
+/// Between two figures of a worker.
+const FIGURE_INTERVAL: Millis = 230;
+/// Time constant of the worker's running averages, ms: what they say of the last
+/// half second, fitted to how they fall after all that fills was stopped.
+const FIGURE_TIME: f64 = 380.0;
+/// Least share of a listed latency that the latency of now can be.
+const LEAST_SETTLED: f64 = 0.15;
+/// Between two figures that a trend is taken from.
+const TREND_INTERVAL: Millis = 450;
+/// A pace works until it is corrected: the lag of the figures and a look.
+const TREND_AHEAD: Millis = 600;
+/// Samples further apart compare different loads.
+const SAMPLE_LIMIT: Millis = 1_600;
+/// Least change of a share that a sample is worth sending for.
+const SAMPLE_CHANGE: f32 = 0.01;
+/// Share of the time for which a bound may be missed, in percent, after which all
+/// that fills stands still: the figures come half a second late, a look 250 ms,
+/// and the pace works 100 ms later.
+const STANDSTILL_PERCENT: Millis = 35;
 /// A task ranks by its press times its rest; this much more than the rest keeps
 /// heavy images behind light ones to the end.
 const RANK_REST: f64 = 1.1;
+/// Share of a rise that one look allows where the room is not enough for full speed.
+const RISE: f64 = 0.6;
 /// Paces are set in steps, percent.
 const PACE_STEP: u8 = 5;
-
-/// Tail latency of a worker's serving tasks beside the tasks that fill there.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PressSample {
-    /// Highest tail latency as a share of its bound.
-    pub ratio: f64,
-    /// By image: processors at work as a share of the worker's.
-    pub shares: Vec<(Label, f64)>,
-}
-
-/// What the images of tasks that fill add to the tail latencies beside them.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PressModel {
-    presses: IndexMap<Label, f64>,
-    /// Share of the bound without any press.
-    base: f64,
-}
-
-/// The learned figures, for the agents.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct PressFigures {
-    pub base: f64,
-    pub presses: Vec<(Label, f64)>,
-}
-
-impl Default for PressModel {
-    fn default() -> Self {
-        Self { presses: IndexMap::new(), base: FIRST_BASE }
-    }
-}
-
-impl PressModel {
-    /// Press of an image for a whole worker's processors, as a share of the bound.
-    #[must_use]
-    pub fn press(&self, image: Option<&Label>) -> f64 {
-        let known = image.and_then(|image| self.presses.get(image)).copied();
-        known.unwrap_or(UNKNOWN_PRESS)
-    }
-
-    /// Corrects base and presses by the error of a sample (normalised least
-    /// mean squares).
-    pub fn learn(&mut self, sample: &PressSample) {
-        if !sample.ratio.is_finite() {
-            return;
-        }
-        let norm: f64 = sample.shares.iter().map(|(_, share)| share * share).sum();
-        let norm = norm + BASE_SHARE * BASE_SHARE;
-        let modelled = |(image, share): &(Label, f64)| self.press(Some(image)) * share;
-        let expected = self.base + sample.shares.iter().map(modelled).sum::<f64>();
-        let step = LEARNING_RATE * (sample.ratio.min(MOST_RATIO) - expected) / norm;
-        let (least, most) = BASE_RANGE;
-        self.base = (self.base + step * BASE_SHARE * BASE_SHARE).clamp(least, most);
-        for (image, share) in &sample.shares {
-            let press = self.press(Some(image)) + step * share;
-            self.presses.insert(image.clone(), press.clamp(LEAST_PRESS, MOST_PRESS));
-        }
-    }
-
-    #[must_use]
-    pub fn figures(&self) -> PressFigures {
-        let presses = self.presses.iter().map(|(image, press)| (image.clone(), *press));
-        PressFigures { base: self.base, presses: presses.collect() }
-    }
-
-    /// Takes up the owner's figures.
-    pub fn take(&mut self, figures: PressFigures) {
-        self.presses = figures.presses.into_iter().collect();
-        self.base = figures.base;
-    }
-
-    /// What the bound leaves for tasks that fill.
-    #[must_use]
-    pub fn room(&self) -> f64 {
-        GOAL - self.base
-    }
-
-    /// How much slower tasks with this press in sum have to run.
-    #[must_use]
-    pub fn slowdown(&self, press: f64) -> f64 {
-        press / self.room()
-    }
-}
+/// Smaller rises are not worth a call, percent.
+const LEAST_RISE: u8 = 10;
 
 /// A call to set the pace of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -143,93 +59,278 @@
     pub percent: u8,
 }
 
+/// What follows from one look.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PaceStep {
+    pub calls: Vec<PaceCall>,
+    pub samples: Vec<PressSample>,
+}
+
+/// A running task that serves users.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServingRun {
+    pub task: TaskName,
+    pub image: Option<Label>,
+    /// Bound over tail latency.
+    pub headroom: f64,
+}
+
 /// A running task that fills.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FillingRun {
     pub task: TaskName,
     pub run: RunNumber,
     pub image: Option<Label>,
-    /// Processors as a share of the worker's.
+    /// Processors at full speed as a share of the worker's.
     pub share: f64,
+    /// The same as it was used in the last half second.
+    pub used: f64,
     /// Percent.
     pub pace: u8,
     /// Progress, percent.
     pub percent: u8,
+    /// Whether its job can no longer be done in time.
+    pub late: bool,
 }
 
-/// The paces of the tasks that fill on one worker.
+/// A look that the next sample is compared with.
 #[derive(Clone, Debug)]
-pub struct FillPace {
-    pub model: PressModel,
-    /// Correction of the model on this worker.
-    scale: f64,
-    next: Moment,
-    over_since: Option<Moment>,
+struct LookBefore {
+    at: Moment,
+    headrooms: IndexMap<TaskName, f64>,
+    shares: IndexMap<Label, f64>,
+}
+
+/// Tail latencies without the lag of the worker's figures.
+///
+/// A figure is a running average, so it follows a change for a second and more.
+/// What the average has taken up since the last look is the latency of that time.
+#[derive(Clone, Debug, Default)]
+struct TailFigures {
+    at: Moment,
+    /// Tail latencies as shares of their bounds, as listed.
+    listed: IndexMap<TaskName, f64>,
 }
 
-impl Default for FillPace {
-    fn default() -> Self {
-        Self { model: PressModel::default(), scale: 1.0, next: Moment::default(), over_since: None }
+impl TailFigures {
+    /// The headrooms of now; `None` if the last look was just before.
+    #[expect(clippy::cast_precision_loss, reason = "milliseconds of a few looks")]
+    fn settle(&mut self, serving: &[ServingRun], now: Moment) -> Option<Vec<ServingRun>> {
+        let passed = now.0.saturating_sub(self.at.0);
+        if passed < FIGURE_INTERVAL {
+            return None;
+        }
+        let kept = (-(passed as f64) / FIGURE_TIME).exp();
+        let settle = |run: &ServingRun| {
+            let listed = 1.0 / run.headroom;
+            let before = self.listed.get(&run.task).copied().unwrap_or(listed);
+            let tail = (listed - kept * before) / (1.0 - kept);
+            ServingRun { headroom: 1.0 / tail.max(listed * LEAST_SETTLED), ..run.clone() }
+        };
+        let settled = serving.iter().map(settle).collect();
+        self.at = now;
+        self.listed = serving.iter().map(|run| (run.task.clone(), 1.0 / run.headroom)).collect();
+        Some(settled)
     }
 }
 
+/// How the calm headrooms, those without any press, change.
+#[derive(Clone, Debug, Default)]
+struct CalmTrend {
+    at: Moment,
+    calm: IndexMap<TaskName, f64>,
+    falls: IndexMap<TaskName, f64>,
+}
+
+impl CalmTrend {
+    /// By how much each calm headroom will have fallen until a look shows it.
+    #[expect(clippy::cast_precision_loss, reason = "milliseconds of a few looks")]
+    fn follow(&mut self, serving: &[ServingRun], calm: &[f64], now: Moment) -> Vec<f64> {
+        let passed = now.0.saturating_sub(self.at.0);
+        if passed >= TREND_INTERVAL {
+            let rate = |run: &ServingRun, calm: f64| {
+                let fallen = self.calm.get(&run.task).map_or(0.0, |before| before - calm);
+                let recent = if passed <= SAMPLE_LIMIT { fallen / passed as f64 } else { 0.0 };
+                (recent * TREND_AHEAD as f64).max(0.0)
+            };
+            let falls = serving.iter().zip(calm);
+            self.falls = falls.map(|(run, calm)| (run.task.clone(), rate(run, *calm))).collect();
+            self.calm =
+                serving.iter().zip(calm).map(|(run, calm)| (run.task.clone(), *calm)).collect();
+            self.at = now;
+        }
+        serving.iter().map(|run| self.falls.get(&run.task).copied().unwrap_or(0.0)).collect()
+    }
+}
+
+/// The paces of the tasks that fill on one worker.
+#[derive(Clone, Debug, Default)]
+pub struct FillPace {
+    pub model: PressModel,
+    before: Option<LookBefore>,
+    calm: CalmTrend,
+    tails: TailFigures,
+    over_since: Option<Moment>,
+}
+
 impl FillPace {
-    /// Follows the newest figures: `ratio` is the highest tail latency as a
-    /// share of its bound, `None` where no task serves. Returns the new paces
-    /// and, where the figures are of the old ones, a sample.
+    /// Follows the newest figures. `harm_bound` is the time for which a bound may be
+    /// missed.
     pub fn follow(
         &mut self,
-        ratio: Option<f64>,
+        serving: &[ServingRun],
         filling: &[FillingRun],
+        harm_bound: Millis,
         now: Moment,
-    ) -> (Vec<PaceCall>, Option<PressSample>) {
-        let Some(ratio) = ratio else {
-            self.over_since = None;
-            self.scale = 1.0;
-            return (changes(filling, |_| FULL_PACE), None);
-        };
-        if now < self.next {
-            return (Vec::new(), None);
-        }
-        self.next = now.after(PACE_INTERVAL);
-        self.correct(ratio, now);
-        let sample = sample(ratio, filling);
-        let still = self.over_since.is_some_and(|since| since.after(STANDSTILL) <= now);
-        let paces = if still { vec![0; filling.len()] } else { self.paces(filling) };
-        let mut paces = paces.into_iter();
-        (changes(filling, |_| paces.next().unwrap_or(FULL_PACE)), sample)
-    }
-
-    fn correct(&mut self, ratio: f64, now: Moment) {
-        if ratio > HIGH {
-            self.scale = (self.scale * FALL).max(MIN_SCALE);
-        } else if ratio < LOW {
-            self.scale = (self.scale * RISE).min(MAX_SCALE);
-        }
-        if ratio <= 1.0 {
+    ) -> PaceStep {
+        let Some(settled) = self.tails.settle(serving, now) else { return PaceStep::default() };
+        let samples = self.sample(&settled, filling, now);
+        if serving.iter().all(|run| run.headroom >= 1.0) {
             self.over_since = None;
         } else if self.over_since.is_none() {
             self.over_since = Some(now);
         }
+        let standstill = harm_bound * STANDSTILL_PERCENT / 100;
+        let still = self.over_since.is_some_and(|since| since.after(standstill) <= now);
+        let paces = if still { vec![0; filling.len()] } else { self.paces(&settled, filling, now) };
+        let changed = filling.iter().zip(paces).filter(|(run, pace)| is_change(run.pace, *pace));
+        let calls = changed
+            .map(|(run, percent)| PaceCall { task: run.task.clone(), run: run.run, percent })
+            .collect();
+        PaceStep { calls, samples }
     }
 
-    /// Gives the room that the bound leaves to the lightest images first, and
-    /// among alike to the tasks that are nearly done.
-    fn paces(&self, filling: &[FillingRun]) -> Vec<u8> {
-        let mut order: Vec<_> = filling.iter().enumerate().collect();
-        let press = |run: &FillingRun| self.model.press(run.image.as_ref());
-        let rank = |run: &FillingRun| press(run) * (RANK_REST - f64::from(run.percent) / 100.0);
-        order.sort_by(|(_, one), (_, other)| rank(one).total_cmp(&rank(other)));
-        let mut room = self.model.room() * self.scale;
+    fn paces(&mut self, serving: &[ServingRun], filling: &[FillingRun], now: Moment) -> Vec<u8> {
+        let presses: Vec<Vec<f64>> = filling.iter().map(|run| self.presses(serving, run)).collect();
+        let calm: Vec<f64> = serving
+            .iter()
+            .enumerate()
+            .map(|(index, run)| {
+                let pressed = filling.iter().zip(&presses).map(|(run, p)| p[index] * run.used);
+                run.headroom + pressed.sum::<f64>()
+            })
+            .collect();
+        let falls = self.calm.follow(serving, &calm, now);
+        let mut rooms: Vec<f64> = serving
+            .iter()
+            .zip(calm.iter().zip(falls))
+            .map(
+                |(run, (calm, fall))| {
+                    if run.headroom < FAR_OVER { 0.0 } else { calm - fall - GOAL }
+                },
+            )
+            .collect();
+        let weight = |index: usize| {
+            let taken = presses[index].iter().zip(&rooms);
+            taken.map(|(press, room)| press / room.max(NEGLIGIBLE)).fold(0.0, f64::max)
+        };
+        let mut order: Vec<_> = (0..filling.len())
+            .map(|index| {
+                let rest = RANK_REST - f64::from(filling[index].percent) / 100.0;
+                (filling[index].late, weight(index) * rest, index)
+            })
+            .collect();
+        order.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
         let mut paces = vec![0; filling.len()];
-        for (index, run) in order {
-            let wanted = press(run) * run.share;
-            let part = if wanted <= room { 1.0 } else { (room / wanted).max(0.0) };
-            room -= wanted * part;
+        for (_, _, index) in order {
+            let run = &filling[index];
+            let part = part(&presses[index], &rooms, run.share);
+            let old = f64::from(run.pace) / 100.0;
+            let part = if part < 1.0 && part > old { old + (part - old) * RISE } else { part };
+            for (room, press) in rooms.iter_mut().zip(&presses[index]) {
+                *room -= press * run.share * part;
+            }
             paces[index] = percent(part);
         }
         paces
     }
+
+    fn presses(&self, serving: &[ServingRun], run: &FillingRun) -> Vec<f64> {
+        let press = |task: &ServingRun| self.model.press(task.image.as_ref(), run.image.as_ref());
+        serving.iter().map(press).collect()
+    }
+
+    /// What has changed since the last samples, one for each serving image.
+    fn sample(
+        &mut self,
+        serving: &[ServingRun],
+        filling: &[FillingRun],
+        now: Moment,
+    ) -> Vec<PressSample> {
+        if self.before.as_ref().is_some_and(|before| now < before.at.after(SAMPLE_INTERVAL)) {
+            return Vec::new();
+        }
+        let look = LookBefore {
+            at: now,
+            headrooms: serving.iter().map(|run| (run.task.clone(), run.headroom)).collect(),
+            shares: shares(filling),
+        };
+        let before = self.before.replace(look.clone());
+        let Some(before) = before.filter(|before| now <= before.at.after(SAMPLE_LIMIT)) else {
+            return Vec::new();
+        };
+        let shares = share_changes(&before, &look);
+        if shares.iter().all(|share| (share.now - share.before).abs() < SAMPLE_CHANGE) {
+            return Vec::new();
+        }
+        let mut images: IndexMap<&Label, Vec<(f64, f64)>> = IndexMap::new();
+        for run in serving {
+            let (Some(image), Some(old)) = (&run.image, before.headrooms.get(&run.task)) else {
+                continue;
+            };
+            images.entry(image).or_default().push((*old, run.headroom));
+        }
+        let sample = |(image, headrooms): (&Label, Vec<(f64, f64)>)| PressSample {
+            serving: image.clone(),
+            before: mean(headrooms.iter().map(|(before, _)| *before)),
+            now: mean(headrooms.iter().map(|(_, now)| *now)),
+            shares: shares.clone(),
+        };
+        images.into_iter().map(sample).collect()
+    }
+}
+
+/// The largest part of full speed that every room allows.
+fn part(presses: &[f64], rooms: &[f64], share: f64) -> f64 {
+    let parts = presses.iter().zip(rooms).map(|(press, room)| {
+        let wanted = press * share;
+        if wanted <= NEGLIGIBLE || wanted <= *room { 1.0 } else { (room / wanted).max(0.0) }
+    });
+    parts.fold(1.0, f64::min)
+}
+
+fn shares(filling: &[FillingRun]) -> IndexMap<Label, f64> {
+    let mut shares = IndexMap::new();
+    for run in filling {
+        if let Some(image) = &run.image {
+            *shares.entry(image.clone()).or_insert(0.0) += run.used;
+        }
+    }
+    shares
+}
+
+fn share_changes(before: &LookBefore, now: &LookBefore) -> Vec<ShareChange> {
+    let new = now.shares.keys().filter(|image| !before.shares.contains_key(*image));
+    let images = before.shares.keys().chain(new);
+    let share = |shares: &IndexMap<Label, f64>, image| shares.get(image).copied().unwrap_or(0.0);
+    images
+        .map(|image| ShareChange {
+            image: image.clone(),
+            before: narrow(share(&before.shares, image)),
+            now: narrow(share(&now.shares, image)),
+        })
+        .collect()
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a handful of tasks")]
+fn mean(figures: impl ExactSizeIterator<Item = f64>) -> f32 {
+    let count = figures.len().max(1) as f64;
+    narrow(figures.sum::<f64>() / count)
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "rough figures")]
+fn narrow(figure: f64) -> f32 {
+    figure as f32
 }
 
 #[expect(
@@ -242,19 +343,7 @@
     percent / PACE_STEP * PACE_STEP
 }
 
-fn changes(filling: &[FillingRun], mut pace: impl FnMut(&FillingRun) -> u8) -> Vec<PaceCall> {
-    let paced = filling.iter().map(|run| (run, pace(run)));
-    let changed = paced.filter(|(run, percent)| run.pace != *percent);
-    changed
-        .map(|(run, percent)| PaceCall { task: run.task.clone(), run: run.run, percent })
-        .collect()
-}
-
-fn sample(ratio: f64, filling: &[FillingRun]) -> Option<PressSample> {
-    let mut shares: IndexMap<Label, f64> = IndexMap::new();
-    for run in filling.iter().filter(|run| run.pace > 0) {
-        let image = run.image.clone()?;
-        *shares.entry(image).or_insert(0.0) += run.share * f64::from(run.pace) / 100.0;
-    }
-    Some(PressSample { ratio, shares: shares.into_iter().collect() })
+/// Whether a new pace is worth a call.
+fn is_change(old: u8, new: u8) -> bool {
+    new < old || new >= old.saturating_add(LEAST_RISE) || (new > old && new == FULL_PACE)
 }
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::Moment;
 
 use crate::name::{DataCentre, ServiceName, TaskName};
-use crate::pacing::PressModel;
+use crate::press::PressModel;
 use crate::seat::{SILENCE, WorkerSeat};
 use crate::spec::StepSpec;
 
@@ -91,8 +91,7 @@
     if seat.serving() == 0 {
         return bearable(shared).then_some(shared);
     }
-    let press = context.presses.press(step.image.as_ref()) * seat.share(step.need.cpu);
-    let paced = context.presses.slowdown(seat.pressing(context.presses) + press);
+    let paced = seat.slowdown(context.presses, step.image.as_ref(), step.need.cpu);
     let slowed = shared.max(thousandths(paced));
     bearable(slowed).then(|| slowed.saturating_add(SERVING_PENALTY))
 }
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -8,7 +8,7 @@
 use crate::name::{
     AgentName, Checkpoint, DataCentre, Label, RunNumber, ServiceName, TaskName, WorkerLife,
 };
-use crate::pacing::{PressFigures, PressSample};
+use crate::press::{PressSample, ServingFigures};
 use crate::spec::TaskNeed;
 
 /// A worker as it describes itself.
@@ -82,8 +82,8 @@
     pub ended: Vec<EndedRun>,
     /// The worker's whole list, if this report carries it.
     pub held: Option<Vec<HeldRun>>,
-    /// Tail latencies since the last sample.
-    pub sample: Option<PressSample>,
+    /// What tasks that fill did to tasks that serve since the last report.
+    pub samples: Vec<PressSample>,
     /// Longest wait for orders.
     pub wait: Millis,
 }
@@ -102,6 +102,8 @@
     pub image: Option<Label>,
     /// Thousandths of a processor.
     pub cpu: u64,
+    /// Unix time by which the job is to be done; later it is worth less.
+    pub due: Millis,
 }
 
 /// What the owner tells an agent to do.
@@ -136,7 +138,7 @@
     /// Orders after `AgentReport::received`, numbered without gaps.
     pub orders: Vec<(u64, AgentOrder)>,
     /// What images add to the tail latencies beside them, now and then.
-    pub presses: Option<PressFigures>,
+    pub presses: Option<Vec<ServingFigures>>,
 }
 
 /// State of a job as callers see it.
--- a/crates/queue/src/seat.rs
+++ b/crates/queue/src/seat.rs
@@ -3,10 +3,11 @@
 use std::collections::VecDeque;
 
 use cactusdoor_core::unit::{Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
-use crate::pacing::PressModel;
+use crate::pacing::GOAL;
+use crate::press::PressModel;
 use crate::report::{AgentOrder, StartOrder, WorkerState};
 use crate::spec::TaskNeed;
 
@@ -202,11 +203,27 @@
         self.runs.values().filter(|run| run.start.fills).map(|run| run.start.cpu).sum()
     }
 
-    /// What the tasks that fill add to the tail latencies here at full speed.
+    /// How many times slower the tasks that fill have to run, with one more of
+    /// `image` and `cpu`, so that each task that serves keeps its headroom.
     #[must_use]
-    pub fn pressing(&self, presses: &PressModel) -> f64 {
-        let filling = self.runs.values().filter(|run| run.start.fills);
-        filling.map(|run| presses.press(run.start.image.as_ref()) * self.share(run.start.cpu)).sum()
+    pub fn slowdown(&self, presses: &PressModel, image: Option<&Label>, cpu: u64) -> f64 {
+        let mut images: IndexMap<Option<&Label>, u64> = IndexMap::new();
+        *images.entry(image).or_default() += cpu;
+        for run in self.runs.values().filter(|run| run.start.fills) {
+            *images.entry(run.start.image.as_ref()).or_default() += run.start.cpu;
+        }
+        let serving: IndexSet<_> = self
+            .runs
+            .values()
+            .filter(|run| run.start.target > 0)
+            .map(|run| run.start.image.as_ref())
+            .collect();
+        let slowed = serving.into_iter().map(|serving| {
+            let press =
+                images.iter().map(|(image, cpu)| presses.press(serving, *image) * self.share(*cpu));
+            press.sum::<f64>() / presses.room(serving, GOAL)
+        });
+        slowed.fold(0.0, f64::max)
     }
 
     /// Processors as a share of the worker's.
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -107,11 +107,28 @@
 }
 
 impl JobSpec {
+    /// Whether a step runs until the job is cancelled.
+    #[must_use]
+    pub fn is_endless(&self) -> bool {
+        self.steps.iter().any(|step| step.endless)
+    }
+
     #[must_use]
     pub fn occurrences(&self) -> u32 {
         self.times.max(1)
     }
 
+    /// Longest chain of work by the caller's estimates.
+    #[must_use]
+    pub fn chain(&self) -> Millis {
+        let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let before = step.after.iter().filter_map(|step| ends.get(usize::from(*step)));
+            ends.push(before.max().copied().unwrap_or_default().saturating_add(step.estimate));
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     /// Unix time at which an occurrence may start; `None` for at once.
     #[must_use]
     pub fn due(&self, occurrence: u32) -> Option<Millis> {
--- a/crates/queue/src/terms.rs
+++ b/crates/queue/src/terms.rs
@@ -1,6 +1,7 @@
 //! The configuration as the owner and the entries use it.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use cactusdoor_core::unit::Millis;
 use indexmap::IndexMap;
@@ -46,13 +47,26 @@
             timeout: 0,
         }
     }
+
+    /// Time that work of a length is worth waiting for.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        clippy::cast_precision_loss,
+        reason = "saturates, and is not negative"
+    )]
+    pub fn patience(&self, chain: Millis) -> Millis {
+        let stretched = chain as f64 * self.stretch.max(1.0);
+        (stretched as Millis).saturating_add(self.aim)
+    }
 }
 
 /// One version of the operators' list.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ConfigList {
     pub version: u64,
-    pub queues: IndexMap<QueueName, QueueTerms>,
+    pub queues: IndexMap<QueueName, Arc<QueueTerms>>,
     /// Largest body of a call; 0 for no bound.
     pub body_bytes: usize,
 }
@@ -60,7 +74,7 @@
 impl ConfigList {
     /// The queue with the longest prefix that `path` begins with.
     #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<&QueueTerms> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<QueueTerms>> {
         let matching = self.queues.values().filter(|queue| {
             queue.host.eq_ignore_ascii_case(host) && path.starts_with(&queue.prefix)
         });
--- a/crates/queue/tests/agent.rs
+++ b/crates/queue/tests/agent.rs
@@ -41,6 +41,7 @@
         fills: false,
         image: None,
         cpu: 100,
+        due: 0,
     })
 }
 
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use std::sync::Arc;
+
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::book::{BookEntry, QueueBook};
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerLife};
@@ -27,7 +29,7 @@
 }
 
 pub fn view() -> OperatorView {
-    let queues = IndexMap::from([("q".into(), queue())]);
+    let queues = IndexMap::from([("q".into(), Arc::new(queue()))]);
     let config = ConfigList { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
 }
@@ -78,7 +80,7 @@
         gone: None,
         ended: Vec::new(),
         held: None,
-        sample: None,
+        samples: Vec::new(),
         wait: 0,
     }
 }
