--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -18,8 +18,14 @@
 use crate::topic::{OWNER, OWNER_PRODUCER, TASKS};
 
 /// A beacon that has not moved for so long has no owner: two renewals were missed.
-const BEACON_SILENCE: Millis = 2_300;
-/// The same for an owner at whose address nobody owns the queues any more.
+const BEACON_SILENCE: Millis = 1_400;
+/// An election may have been won by a process that shows itself within this time:
+/// it reads all state first.
+const ELECTED_SILENCE: Millis = 2_300;
+/// The store has to have answered for so long: an owner that it has just begun to
+/// serve again renews its beacon meanwhile.
+const SERVED_TIME: Millis = 650;
+/// As `BEACON_SILENCE`, for an owner at whose address nobody owns the queues any more.
 const REFUSED_SILENCE: Millis = 400;
 /// Spread of the candidates, in ms: the time that an election takes.
 const CANDIDATE_SPREAD: (u64, u64) = (0, 300);
@@ -94,7 +100,8 @@
     let Some(beacon) = context.finder.owner() else { return false };
     let refused = contact == OwnerContact::Refused(beacon.epoch);
     let silence = if refused { REFUSED_SILENCE } else { BEACON_SILENCE };
-    beacon.resigned || context.finder.still() >= silence
+    let served = context.finder.served() >= SERVED_TIME.min(silence);
+    beacon.resigned || (served && context.finder.still() >= silence)
 }
 
 /// An owner that was elected and has not shown a beacon, and since when.
@@ -110,7 +117,7 @@
         if self.epoch != epoch {
             *self = Self { epoch, since: now };
         }
-        now >= self.since.after(BEACON_SILENCE)
+        now >= self.since.after(ELECTED_SILENCE)
     }
 }
 
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -20,6 +20,8 @@
 const BEACON_KEY: &str = "owner";
 /// Least time between two readings of the beacon.
 const READ_INTERVAL: Millis = 250;
+/// Readings further apart do not show that the store answered in between.
+const READ_GAP: Millis = 1_000;
 
 /// The owner as it shows itself once a second.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,7 +46,7 @@
 struct SeenBeacon {
     beacon: OwnerBeacon,
     offset: Offset,
-    /// When it was first seen at this offset.
+    /// By when it stood at this offset.
     since: Moment,
 }
 
@@ -55,6 +57,8 @@
     log: DecisionLog,
     seen: RefCell<Option<SeenBeacon>>,
     read_at: Cell<Moment>,
+    /// Since when the store has answered every reading, without a long gap.
+    served_since: Cell<Moment>,
     /// Whether the store has ever answered.
     answered: Cell<bool>,
 }
@@ -68,6 +72,7 @@
             log,
             seen: RefCell::default(),
             read_at: Cell::default(),
+            served_since: Cell::default(),
             answered: Cell::new(false),
         })
     }
@@ -84,13 +89,31 @@
         self.answered.get() && self.seen.borrow().is_none()
     }
 
-    /// Time for which the beacon has not moved while it was being read.
+    /// Time for which the beacon has not moved, as of the last reading.
     #[must_use]
     pub fn still(&self) -> Millis {
         let seen = self.seen.borrow();
         seen.as_ref().map_or(0, |seen| self.read_at.get().0.saturating_sub(seen.since.0))
     }
 
+    /// Time for which the store has answered this process: a beacon that does not
+    /// move while the store is down says nothing of the owner.
+    #[must_use]
+    pub fn served(&self) -> Millis {
+        self.read_at.get().0.saturating_sub(self.served_since.get().0)
+    }
+
+    /// Notes the beacon that the owner has just confirmed.
+    pub fn note(&self, epoch: Epoch, end: Offset) {
+        if let Some(seen) = self.seen.borrow_mut().as_mut()
+            && seen.beacon.epoch == epoch
+            && seen.offset + 1 < end
+        {
+            seen.offset = end - 1;
+            seen.since = self.clock.now();
+        }
+    }
+
     /// Reads the beacon unless that was done just now.
     pub async fn refresh(&self) -> Result<(), ReadFault> {
         let now = self.clock.now();
@@ -103,26 +126,33 @@
     /// Reads the beacon.
     pub async fn read(&self) -> Result<(), ReadFault> {
         let now = self.clock.now();
-        let (records, _) = read_newest(&self.store, OWNER).await?;
-        // A gap between two readings proves nothing about the time in between.
-        let gap = now.0.saturating_sub(self.read_at.get().0) > 4 * READ_INTERVAL;
+        let records = match read_newest(&self.store, OWNER).await {
+            Ok((records, _)) => records,
+            Err(fault) => {
+                self.served_since.set(self.clock.now());
+                return Err(fault);
+            }
+        };
+        if now.0.saturating_sub(self.read_at.get().0) > READ_GAP {
+            self.served_since.set(now);
+        }
         self.read_at.set(now);
         self.answered.set(true);
         let beacon = records.into_iter().find(|stored| stored.record.key == BEACON_KEY);
         let Some(stored) = beacon else { return Ok(()) };
         let value = stored.record.value.unwrap_or_default();
         let beacon = serde_json::from_slice(&value).map_err(|_| ReadFault::Malformed)?;
-        self.see(beacon, stored.offset, now, gap);
+        self.see(beacon, stored.offset, now);
         Ok(())
     }
 
-    fn see(&self, beacon: OwnerBeacon, offset: Offset, now: Moment, gap: bool) {
+    fn see(&self, beacon: OwnerBeacon, offset: Offset, now: Moment) {
         let mut seen = self.seen.borrow_mut();
         if let Some(known) = seen.as_mut() {
             if beacon.epoch < known.beacon.epoch {
                 return;
             }
-            if known.offset == offset && !gap {
+            if known.offset == offset {
                 return;
             }
         }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -111,6 +111,8 @@
     groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
     verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
     beacons: mpsc::UnboundedReceiver<LaneVerdict>,
+    /// Offset after the newest confirmed beacon.
+    beacon_end: Offset,
     /// Sending of the newest answered reading of the requests.
     requests_read: Moment,
     /// Whether nothing may be started, as what callers and operators say is not
@@ -160,6 +162,7 @@
             groups,
             verdicts,
             beacons,
+            beacon_end: 0,
             requests_read,
             outdated: false,
             forgotten,
@@ -364,6 +367,7 @@
     fn take_beacon(&mut self, verdict: LaneVerdict) -> Option<TermEnd> {
         match verdict {
             Ok(stored) => {
+                self.beacon_end = self.beacon_end.max(stored.end);
                 self.confirmed = self.confirmed.max(stored.sent);
                 None
             }
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -10,8 +10,9 @@
 
 use super::{OwnerTerm, send};
 
-/// An owner whose last confirmation is older asks its agents to look for another.
-const CONFIRM_DOUBT: Millis = 2_000;
+/// An owner whose last confirmation is older asks its agents to look for another:
+/// two beacons, and a slow answer.
+const CONFIRM_DOUBT: Millis = 1_200;
 /// Between two tellings of the learned figures to an agent.
 const PRESS_INTERVAL: Millis = 1_000;
 
@@ -68,6 +69,7 @@
             life: seat.worker.as_ref().map(|worker| worker.life.clone()),
             grant,
             confirmed,
+            beacon: self.beacon_end,
             noted: seat.noted,
             settled: std::mem::take(&mut seat.settled),
             orders: seat.orders.iter().take_while(may_go).cloned().collect(),
--- a/crates/fleet/src/owner/feeds.rs
+++ b/crates/fleet/src/owner/feeds.rs
@@ -13,7 +13,7 @@
 use crate::topic::REQUESTS;
 
 /// Between two renewals of the beacon.
-pub(super) const BEACON_INTERVAL: Duration = Duration::from_millis(1_000);
+pub(super) const BEACON_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait of a reading of requests; also bounds the answer to `find`.
 const REQUEST_WAIT: Duration = Duration::from_millis(500);
 /// Pause before a refused append is repeated, in ms.
--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -110,6 +110,7 @@
             Ok(ReportReply::Grant(grant)) => {
                 self.heard.set(reporter.clock.now());
                 self.epoch.set(grant.epoch);
+                reporter.finder.note(grant.epoch, grant.beacon);
                 let contact =
                     if grant.confirmed { OwnerContact::Good } else { OwnerContact::Doubtful };
                 self.contact(contact);
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use cactusdoor_core::unit::{Epoch, Millis};
+use cactusdoor_core::unit::{Epoch, Millis, Offset};
 use serde::{Deserialize, Serialize};
 
 use crate::name::{
@@ -131,6 +131,8 @@
     pub grant: Millis,
     /// Whether the owner's last append was confirmed recently.
     pub confirmed: bool,
+    /// Offset after the owner's newest confirmed beacon.
+    pub beacon: Offset,
     /// Highest end of the worker that is stored.
     pub noted: u64,
     /// Ends without a number that were accepted, by task and run.
--- a/crates/queue/tests/agent.rs
+++ b/crates/queue/tests/agent.rs
@@ -51,6 +51,7 @@
         life: Some(life(1)),
         grant: 1_000,
         confirmed: true,
+        beacon: 0,
         noted: 0,
         settled: Vec::new(),
         orders,
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -229,6 +229,7 @@
             life: seat.worker.as_ref().map(|worker| worker.life.clone()),
             grant: 1_000,
             confirmed: true,
+            beacon: 0,
             noted: seat.noted,
             settled: std::mem::take(&mut seat.settled),
             orders: seat.orders.iter().cloned().collect(),
