Have the owner store for an entry that the store turns away

Such an entry now relays its group to the owner, at once on a refusal and after 450 ms without an answer; requests are kept by key, so storing one twice does nothing. A lane that ends no longer answers 'not run' for a group that may have been stored.

Ruled out: forwarding to another entry (it may be turned away too, and the owner's address is known already). Test: failures::the_owner_stores_for_an_entry_that_the_store_turns_away.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -5,6 +5,16 @@
 use cactusdoor_queue::report::{JobState, RunEnd};
 use serde::Serialize;
 
+/// Who stored a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StoredVia {
+    /// The entry itself.
+    Store,
+    /// The owner, as the store turned the entry away.
+    Owner,
+}
+
 /// A decision that touches a request or changes what the process believes.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -41,6 +51,7 @@
         job: JobId,
         queue: QueueName,
         version: u64,
+        via: StoredVia,
         waited: Millis,
     },
     JobRefused {
@@ -54,6 +65,7 @@
     },
     CancelAccepted {
         job: JobId,
+        via: StoredVia,
         waited: Millis,
     },
     CallRefused {
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -1,6 +1,7 @@
 //! `cactusdoor-fleet entry`: the process that callers reach.
 
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use crate::journal::{DecisionLog, open_logger};
 use crate::meters::EntryMeters;
 use crate::settings::EntrySettings;
+use crate::submitter::SubmitContext;
 use crate::watcher::JobStates;
 use crate::{operators, signals, submitter, watcher};
 
@@ -58,8 +60,9 @@
     let finder = OwnerFinder::open(store.clone(), clock, log.clone());
     let states = JobStates::default();
     let (finds, found) = mpsc::unbounded_channel();
-    watcher::spawn(finder, states.clone(), found);
+    watcher::spawn(Rc::clone(&finder), states.clone(), found);
     let producer = format!("{}-{incarnation:016x}", process.name);
+    let meters = EntryMeters::open(&registry).context("could not register meters")?;
     let stopping = Arc::new(AtomicBool::new(false));
     let context = Data::new(FrontContext {
         ready_address: settings.ready_address,
@@ -67,11 +70,11 @@
         config_bound: settings.config_bound,
         clock,
         log: log.clone(),
-        meters: EntryMeters::open(&registry).context("could not register meters")?,
+        meters: meters.clone(),
         registry,
         views: operators::spawn(store.clone(), clock, log.clone()),
         states,
-        submits: submitter::spawn(store, clock, producer),
+        submits: submitter::spawn(SubmitContext { store, clock, producer, finder, meters }),
         finds,
         stopping: Arc::clone(&stopping),
     });
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -22,7 +22,7 @@
 use prometheus::Registry;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use crate::decision::DecisionEvent;
+use crate::decision::{DecisionEvent, StoredVia};
 use crate::journal::DecisionLog;
 use crate::meters::{self, EntryMeters};
 use crate::operators::ConfirmedView;
@@ -198,10 +198,10 @@
         let record = KeyedRecord { key, value: Some(value.into()) };
         let started = Instant::now();
         let refusal = match self.store(record, deadline).await {
-            Ok(()) => {
+            Ok(via) => {
                 self.states.accept(job);
                 let (job, queue, waited) = (job.clone(), queue.name.clone(), elapsed(started));
-                self.log.note(DecisionEvent::JobAccepted { job, queue, version, waited });
+                self.log.note(DecisionEvent::JobAccepted { job, queue, version, via, waited });
                 return HttpResponse::Ok().finish();
             }
             Err(refusal) => refusal,
@@ -230,7 +230,7 @@
     }
 
     /// Stores a request; a verdict that is not known in time is no refusal.
-    async fn store(&self, record: KeyedRecord, deadline: Instant) -> Result<(), Refusal> {
+    async fn store(&self, record: KeyedRecord, deadline: Instant) -> Result<StoredVia, Refusal> {
         let started = Instant::now();
         let (reply, verdict) = oneshot::channel();
         let call = SubmitCall { record, arrived: self.clock.now(), reply };
@@ -240,7 +240,8 @@
         let verdict = tokio::time::timeout_at(deadline.into(), verdict).await;
         self.meters.store_wait.observe(started.elapsed().as_secs_f64());
         match verdict {
-            Ok(Ok(SubmitVerdict::Stored)) => Ok(()),
+            Ok(Ok(SubmitVerdict::Stored)) => Ok(StoredVia::Store),
+            Ok(Ok(SubmitVerdict::Relayed)) => Ok(StoredVia::Owner),
             Ok(Ok(SubmitVerdict::Refused)) => {
                 Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "not stored"))
             }
@@ -291,9 +292,9 @@
         let key = RequestKey::Cancel(job.clone()).text();
         let record = KeyedRecord { key, value: Some(Bytes::from_static(b"{}")) };
         match self.store(record, deadline).await {
-            Ok(()) => {
+            Ok(via) => {
                 let (job, waited) = (job.clone(), elapsed(started));
-                self.log.note(DecisionEvent::CancelAccepted { job, waited });
+                self.log.note(DecisionEvent::CancelAccepted { job, via, waited });
                 HttpResponse::Ok().finish()
             }
             Err(refusal) => self.refuse_job("cancel", queue, job, &refusal, started),
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cactusdoor_peer::queue::{FindReply, QueueServiceClient, WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{
+    FindReply, QueueServiceClient, RelayedRequest, StoreReply, WatchReply, WatchRequest,
+};
 use cactusdoor_peer::wire;
 use cactusdoor_queue::name::JobId;
 use cactusdoor_queue::report::{AgentReport, ReportReply};
@@ -72,6 +74,20 @@
             .await
     }
 
+    pub async fn store(
+        &self,
+        address: SocketAddr,
+        requests: Vec<RelayedRequest>,
+        limit: Duration,
+    ) -> Result<StoreReply, LinkError> {
+        self.call(
+            address,
+            limit,
+            |client, context| async move { client.store(context, requests).await },
+        )
+        .await
+    }
+
     async fn call<T, F: Future<Output = Result<T, RpcError>>>(
         &self,
         address: SocketAddr,
--- a/crates/fleet/src/meters.rs
+++ b/crates/fleet/src/meters.rs
@@ -31,6 +31,8 @@
 pub struct EntryMeters {
     pub answers: IntCounterVec,
     pub store_wait: Histogram,
+    /// Requests that the owner stored for this entry.
+    pub relayed: IntCounter,
 }
 
 impl OwnerMeters {
@@ -74,7 +76,12 @@
         let meters = Self {
             answers: vector("cactusdoor_entry_answers_total", "Answers", &["call", "status"])?,
             store_wait: Histogram::with_opts(wait.buckets(LATENCY_BUCKETS.to_vec()))?,
+            relayed: IntCounter::new(
+                "cactusdoor_entry_relayed_total",
+                "Requests that the owner stored for this entry",
+            )?,
         };
+        registry.register(Box::new(meters.relayed.clone()))?;
         registry.register(Box::new(meters.answers.clone()))?;
         registry.register(Box::new(meters.store_wait.clone()))?;
         Ok(meters)
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
-use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{FindReply, StoreReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
 use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
@@ -118,7 +118,10 @@
     /// Whether nothing may be started, as what callers and operators say is not
     /// known up to now.
     outdated: bool,
-    forgotten: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    /// Appends to the requests, and who waits for each, in order.
+    request_groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    request_verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
+    relayed: VecDeque<Option<oneshot::Sender<StoreReply>>>,
     resignation: watch::Sender<bool>,
     entries: VecDeque<BookEntry>,
     in_flight: Option<Vec<BookEntry>>,
@@ -152,8 +155,8 @@
         let (resignation, resigned) = watch::channel(false);
         let beacons = spawn_beacons(beacons, beacon, resigned);
         let requests = spawn_requests(&context, requests_end);
-        let forgotten =
-            spawn_lane(open_lane(&context.store, context.clock, REQUESTS, book.epoch)).0;
+        let (request_groups, request_verdicts) =
+            spawn_lane(open_lane(&context.store, context.clock, REQUESTS, book.epoch));
         let now = context.clock.now();
         Self {
             calls: context.port.open(),
@@ -165,7 +168,9 @@
             beacon_end: 0,
             requests_read,
             outdated: false,
-            forgotten,
+            request_groups,
+            request_verdicts,
+            relayed: VecDeque::new(),
             resignation,
             entries: VecDeque::new(),
             in_flight: None,
@@ -202,6 +207,7 @@
                 Some(verdict) = self.beacons.recv() => {
                     if let Some(end) = self.take_beacon(verdict) { break end }
                 }
+                Some(verdict) = self.request_verdicts.recv() => self.take_stored(verdict),
                 _ = self.context.views.changed() => {}
                 _ = stopping.changed() => if *stopping.borrow() { break TermEnd::Stopped },
                 () = tokio::time::sleep_until(wake.into()) => {}
@@ -413,8 +419,27 @@
             [RequestKey::Job(job.clone()), RequestKey::Cancel(job)].map(|key| key.text())
         });
         let records: Vec<_> = keys.map(|key| KeyedRecord { key, value: None }).collect();
-        if !records.is_empty() && self.forgotten.send(records).is_err() {
-            log::warn!("lane of forgotten requests has ended");
+        if !records.is_empty() {
+            self.append_requests(records, None);
+        }
+    }
+
+    /// Appends to the requests; `reply` waits for the verdict.
+    fn append_requests(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        reply: Option<oneshot::Sender<StoreReply>>,
+    ) {
+        self.relayed.push_back(reply);
+        if self.request_groups.send(records).is_err() {
+            log::warn!("lane of the requests has ended");
+        }
+    }
+
+    fn take_stored(&mut self, verdict: LaneVerdict) {
+        if let Some(reply) = self.relayed.pop_front().flatten() {
+            let stored = verdict.map_or(StoreReply::Unknown, |_| StoreReply::Stored);
+            send(reply, stored);
         }
     }
 
@@ -426,6 +451,13 @@
                 let until = now.after(request.wait);
                 self.watches.push((request, reply, until));
             }
+            OwnerCall::Store(requests, reply) => {
+                let records = requests.into_iter().map(|request| KeyedRecord {
+                    key: request.key,
+                    value: Some(Bytes::from(request.value)),
+                });
+                self.append_requests(records.collect(), Some(reply));
+            }
             OwnerCall::Find(job, reply) => match self.shown.get(&job) {
                 Some(state) => send(reply, FindReply::Known(*state)),
                 // Only a reading sent after the call shows that there is no such job.
--- a/crates/fleet/src/port.rs
+++ b/crates/fleet/src/port.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-use cactusdoor_peer::queue::{FindReply, QueueService, WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{
+    FindReply, QueueService, RelayedRequest, StoreReply, WatchReply, WatchRequest,
+};
 use cactusdoor_peer::wire::{MAX_FRAME_BYTES, send_at_once};
 use cactusdoor_queue::name::JobId;
 use cactusdoor_queue::report::{AgentReport, ReportReply};
@@ -20,6 +22,7 @@
     Report(Box<AgentReport>, oneshot::Sender<ReportReply>),
     Watch(WatchRequest, oneshot::Sender<WatchReply>),
     Find(JobId, oneshot::Sender<FindReply>),
+    Store(Vec<RelayedRequest>, oneshot::Sender<StoreReply>),
 }
 
 /// Receives the calls while this process owns the queues.
@@ -69,10 +72,18 @@
     }
 
     async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> OwnerCall) -> Option<T> {
+        self.send(call)?.await.ok()
+    }
+
+    /// Hands a call to the owner; `None` if there is none here.
+    fn send<T>(
+        &self,
+        call: impl FnOnce(oneshot::Sender<T>) -> OwnerCall,
+    ) -> Option<oneshot::Receiver<T>> {
         let owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
         let (sender, receiver) = oneshot::channel();
         owner.send(call(sender)).ok()?;
-        receiver.await.ok()
+        Some(receiver)
     }
 }
 
@@ -90,4 +101,10 @@
         let reply = self.ask(|reply| OwnerCall::Find(job, reply)).await;
         reply.unwrap_or(FindReply::NotOwner)
     }
+    async fn store(self, _: Context, requests: Vec<RelayedRequest>) -> StoreReply {
+        match self.send(|reply| OwnerCall::Store(requests, reply)) {
+            Some(reply) => reply.await.unwrap_or(StoreReply::Unknown),
+            None => StoreReply::NotOwner,
+        }
+    }
 }
--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -254,3 +254,27 @@
     check_elections(&site);
     site.check();
 }
+
+/// Jobs handed in at an entry that the store turns away were refused, although the
+/// owner could store them.
+#[actix_web::test]
+async fn the_owner_stores_for_an_entry_that_the_store_turns_away() {
+    let site = Site::open(3).await;
+    site.submit("n1", 100, tasks(3)).await;
+    site.await_state("n1", "completed").await;
+    site.await_that("the entry knows the owner", |site| {
+        site.log_lines("entry-0", "owner_found") > 0
+    })
+    .await;
+    site.refuse_entry(0, true);
+    let body = json!({"spec": "100", "steps": tasks(3)});
+    for round in 0..3 {
+        let (status, _) = site.call("POST", 0, &format!("/q/n2{round}"), body.clone()).await;
+        assert_eq!(status, 200, "round {round}\n{}", site.logs());
+        site.await_state(&format!("n2{round}"), "completed").await;
+    }
+    site.refuse_entry(0, false);
+    assert_eq!(site.call("POST", 0, "/q/n3", body).await.0, 200);
+    site.await_state("n3", "completed").await;
+    site.check();
+}
--- a/crates/fleet/tests/logging.rs
+++ b/crates/fleet/tests/logging.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, mpsc};
 use std::time::{Duration, Instant};
 
-use cactusdoor_fleet::decision::DecisionEvent;
+use cactusdoor_fleet::decision::{DecisionEvent, StoredVia};
 use cactusdoor_fleet::journal::DecisionLog;
 
 /// A pipe whose reader has stopped: the first write waits for the test.
@@ -61,7 +61,11 @@
     let text = SharedText::default();
     let log = DecisionLog::open("p".into(), text.clone()).unwrap();
     for _ in 0..1_000 {
-        log.note(DecisionEvent::CancelAccepted { job: "j".into(), waited: 1 });
+        log.note(DecisionEvent::CancelAccepted {
+            job: "j".into(),
+            via: StoredVia::Store,
+            waited: 1,
+        });
     }
     log.note(DecisionEvent::AgentSilent { agent: "a".into(), silent: Some(1) });
     std::thread::sleep(Duration::from_millis(1_200));
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -154,6 +154,11 @@
         self.doors[index].set_closed(refused);
     }
 
+    /// Lets the store refuse one entry only.
+    pub fn refuse_entry(&self, index: usize, refused: bool) {
+        self.doors[self.agents + index].set_closed(refused);
+    }
+
     /// Lets the store refuse the reads of one agent only.
     pub fn blind_agent(&self, index: usize, blind: bool) {
         self.doors[index].set_unreadable(blind);
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -15,6 +15,25 @@
     /// From an entry that does not know a job; answers once all requests that
     /// were stored before the call have been read.
     async fn find(job: JobId) -> FindReply;
+    /// From an entry that the platform's store turns away.
+    async fn store(requests: Vec<RelayedRequest>) -> StoreReply;
+}
+
+/// A request to store, by key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedRequest {
+    pub key: String,
+    pub value: Vec<u8>,
+}
+
+/// What became of relayed requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreReply {
+    Stored,
+    /// Not stored by this call.
+    NotOwner,
+    /// Perhaps stored, or later.
+    Unknown,
 }
 
 /// Asks for the changes after a position.
