--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -18,6 +18,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use self::answers::CONFIRM_DOUBT;
 use self::feeds::{BEACON_INTERVAL, spawn_beacons, spawn_lane, spawn_requests};
 use crate::candidate::open_lane;
 use crate::decision::DecisionEvent;
@@ -127,6 +128,8 @@
     in_flight: Option<Vec<BookEntry>>,
     appended: Moment,
     confirmed: Moment,
+    /// Since when appends have been confirmed without a long gap.
+    confirmed_since: Moment,
     began: Moment,
     reports: IndexMap<AgentName, WaitingReport>,
     watches: Vec<WaitingWatch>,
@@ -176,6 +179,7 @@
             in_flight: None,
             appended: now,
             confirmed,
+            confirmed_since: confirmed,
             began: now,
             reports: IndexMap::new(),
             watches: Vec::new(),
@@ -305,9 +309,11 @@
         }
     }
 
-    /// Whether only the readings fail: another agent may reach the store whole.
+    /// Whether only the readings fail: another agent may reach the store whole. After
+    /// an outage for everybody the appends may be answered before the readings.
     fn is_blind(&self, now: Moment) -> bool {
-        now > self.requests_read.after(BLIND_LIMIT) && self.is_confirmed(now)
+        let stored = self.is_confirmed(now) && now > self.confirmed_since.after(BLIND_LIMIT);
+        stored && now > self.requests_read.after(BLIND_LIMIT)
     }
 
     /// Whether too few agents reach this owner.
@@ -359,7 +365,7 @@
     fn take_verdict(&mut self, verdict: LaneVerdict) -> Option<TermEnd> {
         match verdict {
             Ok(stored) => {
-                self.confirmed = self.confirmed.max(stored.sent);
+                self.confirm(stored.sent);
                 let group = self.in_flight.take().unwrap_or_default();
                 for effect in group.into_iter().filter_map(|entry| entry.effect) {
                     self.release(&effect);
@@ -370,11 +376,18 @@
         }
     }
 
+    fn confirm(&mut self, sent: Moment) {
+        if sent > self.confirmed.after(CONFIRM_DOUBT) {
+            self.confirmed_since = sent;
+        }
+        self.confirmed = self.confirmed.max(sent);
+    }
+
     fn take_beacon(&mut self, verdict: LaneVerdict) -> Option<TermEnd> {
         match verdict {
             Ok(stored) => {
                 self.beacon_end = self.beacon_end.max(stored.end);
-                self.confirmed = self.confirmed.max(stored.sent);
+                self.confirm(stored.sent);
                 None
             }
             Err(LaneFault::Fenced) => Some(TermEnd::Fenced),
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -12,7 +12,7 @@
 
 /// An owner whose last confirmation is older asks its agents to look for another:
 /// two beacons, and a slow answer.
-const CONFIRM_DOUBT: Millis = 1_200;
+pub(super) const CONFIRM_DOUBT: Millis = 1_200;
 /// Between two tellings of the learned figures to an agent.
 const PRESS_INTERVAL: Millis = 1_000;
 
--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -278,3 +278,23 @@
     site.await_state("n3", "completed").await;
     site.check();
 }
+
+/// An owner once took the end of an outage for everybody for a failure of its own
+/// reads, as its appends were answered first, and resigned.
+#[actix_web::test]
+async fn an_outage_for_everybody_changes_no_owner() {
+    let site = Site::open(3).await;
+    site.submit("o1", 100, tasks(3)).await;
+    site.await_state("o1", "completed").await;
+    let elected = site.elected();
+    for round in 0..3 {
+        site.store.set_mode(StoreMode::Busy);
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        site.store.set_mode(StoreMode::Serving);
+        let job = format!("o2{round}");
+        site.submit(&job, 100, tasks(3)).await;
+        site.await_state(&job, "completed").await;
+    }
+    assert_eq!(site.elected(), elected, "{}", site.logs());
+    site.check();
+}
