--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod feeds;
+mod readings;
+mod requests;
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -10,16 +12,16 @@
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_peer::queue::{FindReply, StoreReply, WatchReply, WatchRequest};
-use cactusdoor_platform::store::{KeyedRecord, StoreClient, StoredRecord};
+use cactusdoor_platform::store::{KeyedRecord, StoreClient};
 use cactusdoor_queue::book::{BookEffect, BookEntry, QueueBook};
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
-use cactusdoor_queue::record::RequestKey;
 use cactusdoor_queue::report::{AgentReport, JobState, ReportReply, RunEnd};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use self::answers::CONFIRM_DOUBT;
 use self::feeds::{BEACON_INTERVAL, spawn_beacons, spawn_lane, spawn_requests};
+use self::requests::FORGET_INTERVAL;
 use crate::candidate::open_lane;
 use crate::decision::DecisionEvent;
 use crate::finder::OwnerBeacon;
@@ -40,18 +42,10 @@
 const IDLE: Millis = 250;
 /// Time after which the loop looks again at tasks that wait for a retry.
 const RETRY_TICK: Millis = 50;
-/// An owner whose readings of the requests fail for so long, while it stores,
-/// resigns: two readings were lost.
-const BLIND_LIMIT: Millis = 3_000;
-/// Share of a bound that a reading may be old at a start, in percent; the agent's
-/// knowledge of the owner takes another share of the bound.
-const READING_PERCENT: Millis = 45;
 /// Agents that have not reported for so long are out of reach.
 const OUT_OF_REACH: Millis = 2_500;
 /// Least number of agents of which an owner that reaches fewer than half resigns.
 const QUORUM_AGENTS: usize = 3;
-/// Between two removals of the requests of ended jobs.
-const FORGET_INTERVAL: Millis = 2_000;
 
 /// What an owner needs.
 #[derive(Clone)]
@@ -288,34 +282,6 @@
         None
     }
 
-    /// Notes whether a cancel or a data centre that was taken out may be unknown here.
-    fn check_readings(&mut self, now: Moment, view_read: Moment) {
-        let OwnerBounds { cancel, take_out } = self.context.bounds;
-        let requests_until = self.requests_read.after(reading_limit(cancel));
-        let view_until = view_read.after(reading_limit(take_out));
-        let outdated = now > requests_until || now > view_until;
-        if outdated == self.outdated {
-            return;
-        }
-        self.outdated = outdated;
-        let epoch = self.book.epoch;
-        let requests_age = now.0.saturating_sub(self.requests_read.0);
-        let view_age = now.0.saturating_sub(view_read.0);
-        let event =
-            DecisionEvent::StartsWithheld { epoch, withheld: outdated, requests_age, view_age };
-        self.context.log.note(event);
-        if !outdated {
-            self.book.renew_orders();
-        }
-    }
-
-    /// Whether only the readings fail: another agent may reach the store whole. After
-    /// an outage for everybody the appends may be answered before the readings.
-    fn is_blind(&self, now: Moment) -> bool {
-        let stored = self.is_confirmed(now) && now > self.confirmed_since.after(BLIND_LIMIT);
-        stored && now > self.requests_read.after(BLIND_LIMIT)
-    }
-
     /// Whether too few agents reach this owner.
     fn is_isolated(&self, now: Moment) -> bool {
         if now < self.began.after(2 * OUT_OF_REACH) {
@@ -418,44 +384,6 @@
         }
     }
 
-    /// Drops the requests of ended jobs and endings that nobody may ask for.
-    fn forget(&mut self, now: Moment, unix: Millis) {
-        if now < self.forget_at {
-            return;
-        }
-        self.forget_at = now.after(FORGET_INTERVAL);
-        for job in self.book.forget(unix) {
-            self.shown.shift_remove(&job);
-        }
-        let ended = std::mem::take(&mut self.ended);
-        let keys = ended.into_iter().flat_map(|job| {
-            [RequestKey::Job(job.clone()), RequestKey::Cancel(job)].map(|key| key.text())
-        });
-        let records: Vec<_> = keys.map(|key| KeyedRecord { key, value: None }).collect();
-        if !records.is_empty() {
-            self.append_requests(records, None);
-        }
-    }
-
-    /// Appends to the requests; `reply` waits for the verdict.
-    fn append_requests(
-        &mut self,
-        records: Vec<KeyedRecord>,
-        reply: Option<oneshot::Sender<StoreReply>>,
-    ) {
-        self.relayed.push_back(reply);
-        if self.request_groups.send(records).is_err() {
-            log::warn!("lane of the requests has ended");
-        }
-    }
-
-    fn take_stored(&mut self, verdict: LaneVerdict) {
-        if let Some(reply) = self.relayed.pop_front().flatten() {
-            let stored = verdict.map_or(StoreReply::Unknown, |_| StoreReply::Stored);
-            send(reply, stored);
-        }
-    }
-
     fn take_call(&mut self, call: OwnerCall) {
         let now = self.context.clock.now();
         match call {
@@ -522,38 +450,6 @@
         self.book.seats.get(agent).map_or(0, |seat| seat.trust.bars())
     }
 
-    fn take_requests(&mut self, reading: TopicReading) {
-        self.requests_read = self.requests_read.max(reading.sent);
-        for stored in &reading.records {
-            self.take_request(stored);
-        }
-        let (answered, waiting) = std::mem::take(&mut self.finds)
-            .into_iter()
-            .partition(|(_, _, asked)| *asked < reading.sent);
-        self.finds = waiting;
-        let answered: Vec<_> = answered;
-        for (job, reply, _) in answered {
-            let state = self.book.jobs.get(&job).map(|job| job.state);
-            let state = state.or_else(|| self.book.ended.get(&job).map(|ending| ending.state));
-            send(reply, state.map_or(FindReply::Unknown, FindReply::Known));
-        }
-    }
-
-    fn take_request(&mut self, stored: &StoredRecord) {
-        let Some(value) = &stored.record.value else { return };
-        match RequestKey::parse(&stored.record.key) {
-            RequestKey::Cancel(job) => {
-                self.book.cancel(&job, unix_ms());
-            }
-            RequestKey::Job(job) => match serde_json::from_slice(value) {
-                Ok(spec) => {
-                    self.book.submit(&job, spec);
-                }
-                Err(error) => log::error!("job {job} is not used: {error}"),
-            },
-        }
-    }
-
     fn count_pending(&mut self) {
         let pending = self.book.pending();
         if pending != self.pending.1 {
@@ -562,11 +458,6 @@
     }
 }
 
-/// Oldest reading that a start may rest on, under a bound.
-fn reading_limit(bound: Millis) -> Millis {
-    bound * READING_PERCENT / 100
-}
-
 /// Answers a call; the caller may have given up.
 fn send<T>(reply: oneshot::Sender<T>, answer: T) {
     if reply.send(answer).is_err() {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod book;
 pub mod ending;
+mod figures;
 pub mod job;
 pub mod lease;
 pub mod name;
