--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -18,7 +18,7 @@
 pub const FULL_PACE: u8 = 100;
 /// Headroom that the paces leave: the load of a serving task may rise by a third
 /// until a look shows it.
-pub const GOAL: f64 = 1.2;
+pub const GOAL: f64 = 1.1;
 /// A filling task whose press takes less headroom than this is not slowed for it.
 const NEGLIGIBLE: f64 = 0.05;
 /// Between two samples: figures are of the last half second.
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -7,6 +7,7 @@
 use cactusdoor_queue::book::{BookEffect, QueueBook};
 use cactusdoor_queue::job::TaskPlace;
 use cactusdoor_queue::lease::{GRANT, clock_bound};
+use cactusdoor_queue::name::TaskName;
 use cactusdoor_queue::record::{JobEnding, PlacedAt, TaskRecord};
 use cactusdoor_queue::report::{HeldRun, JobState, RunEnd};
 use cactusdoor_queue::spec::StepSpec;
@@ -361,3 +362,47 @@
     book.expire(until.after(1), UNIX);
     assert!(!book.holds(&agent("a"), &task("j", 0, 0), 1));
 }
+
+/// A worker of another service, without the label, or with a task of the step is no
+/// place for a task.
+#[test]
+fn a_task_goes_only_where_its_step_and_queue_allow() {
+    let mut book = book();
+    let mut other = worker("other", 1);
+    other.service = "lending".into();
+    let mut unlabelled = worker("unlabelled", 1);
+    unlabelled.labels = vec!["b".into(), "r2".into()];
+    for state in [other, unlabelled, worker("fit", 1)] {
+        let name = state.life.id.strip_prefix("i-").unwrap().to_owned();
+        book.report(&report(&name, 1, Some(state)), NOW, UNIX);
+    }
+    let spread = StepSpec { label: Some("a".into()), per_worker: 1, ..step(3, 100) };
+    book.submit(&"j".into(), job(vec![spread]));
+    book.place(NOW, UNIX);
+    store(&mut book);
+    assert_eq!(starts(&book, "other"), vec![]);
+    assert_eq!(starts(&book, "unlabelled"), vec![]);
+    assert_eq!(starts(&book, "fit"), vec![(task("j", 0, 0), 1)]);
+}
+
+/// The first occurrence of a timed job is done while later ones are not due yet.
+#[test]
+fn a_timed_job_is_completed_only_with_its_last_occurrence() {
+    let mut book = book();
+    book.report(&report("a", 1, Some(worker("a", 1))), NOW, UNIX);
+    let mut timed = job(vec![step(1, 1_000)]);
+    (timed.times, timed.first_due, timed.interval) = (2, UNIX, 1_000);
+    book.submit(&"j".into(), timed);
+    for (number, unix) in [(1, UNIX), (2, UNIX + 1_000)] {
+        book.place(NOW, unix);
+        store(&mut book);
+        assert!(!book.ended.contains_key("j"), "not before occurrence {number} is done");
+        let occurrence = u32::try_from(number).unwrap() - 1;
+        let done = TaskName { occurrence, ..task("j", 0, 0) };
+        let mut end = report("a", number + 1, Some(worker("a", 1)));
+        end.ended = vec![ended(number, &done, 1, RunEnd::Done)];
+        book.report(&end, NOW, unix);
+        store(&mut book);
+    }
+    assert_eq!(book.ended["j"].state, JobState::Completed);
+}
