Give relayed requests up at once where the store refuses the owner too

While the store refused everybody, the owner kept relayed requests and repeated them, so the entry's refusal, which had been certain, became 'verdict not known' at the caller's deadline. An owner that is not confirmed now stores nothing for others, and a refusal of the store goes back to the entry at once. path::a_job_that_neither_entry_nor_owner_can_store_is_refused fails without both.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -20,7 +20,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use self::answers::CONFIRM_DOUBT;
-use self::feeds::{BEACON_INTERVAL, spawn_beacons, spawn_lane, spawn_requests};
+use self::feeds::{BEACON_INTERVAL, LaneGroup, spawn_beacons, spawn_lane, spawn_requests};
 use self::requests::FORGET_INTERVAL;
 use crate::candidate::open_lane;
 use crate::decision::DecisionEvent;
@@ -103,7 +103,7 @@
     book: QueueBook,
     calls: CallReceiver,
     requests: mpsc::UnboundedReceiver<TopicReading>,
-    groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    groups: mpsc::UnboundedSender<LaneGroup>,
     verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
     beacons: mpsc::UnboundedReceiver<LaneVerdict>,
     /// Offset after the newest confirmed beacon.
@@ -114,7 +114,7 @@
     /// known up to now.
     outdated: bool,
     /// Appends to the requests, and who waits for each, in order.
-    request_groups: mpsc::UnboundedSender<Vec<KeyedRecord>>,
+    request_groups: mpsc::UnboundedSender<LaneGroup>,
     request_verdicts: mpsc::UnboundedReceiver<LaneVerdict>,
     relayed: VecDeque<Option<oneshot::Sender<StoreReply>>>,
     resignation: watch::Sender<bool>,
@@ -322,7 +322,7 @@
         }
         self.appended = now;
         self.context.meters.appended_records.inc_by(records.len() as u64);
-        if self.groups.send(records).is_err() {
+        if self.groups.send(LaneGroup { records, insists: true }).is_err() {
             log::error!("lane of the owner has ended");
         }
         self.in_flight = Some(group);
@@ -393,11 +393,7 @@
                 self.watches.push((request, reply, until));
             }
             OwnerCall::Store(requests, reply) => {
-                let records = requests.into_iter().map(|request| KeyedRecord {
-                    key: request.key,
-                    value: Some(Bytes::from(request.value)),
-                });
-                self.append_requests(records.collect(), Some(reply));
+                self.relay(requests, reply, now);
             }
             OwnerCall::Find(job, reply) => match self.shown.get(&job) {
                 Some(state) => send(reply, FindReply::Known(*state)),
--- a/crates/fleet/src/owner/feeds.rs
+++ b/crates/fleet/src/owner/feeds.rs
@@ -19,17 +19,24 @@
 /// Pause before a refused append is repeated, in ms.
 const REFUSED_PAUSE: (u64, u64) = (60, 180);
 
-/// Appends groups in order; refusals are repeated.
+/// Records to append together.
+pub(super) struct LaneGroup {
+    pub records: Vec<KeyedRecord>,
+    /// Whether a refusal of the store is repeated until it takes them.
+    pub insists: bool,
+}
+
+/// Appends groups in order.
 pub(super) fn spawn_lane(
     mut lane: AppendLane,
-) -> (mpsc::UnboundedSender<Vec<KeyedRecord>>, mpsc::UnboundedReceiver<LaneVerdict>) {
-    let (groups, mut waiting) = mpsc::unbounded_channel::<Vec<KeyedRecord>>();
+) -> (mpsc::UnboundedSender<LaneGroup>, mpsc::UnboundedReceiver<LaneVerdict>) {
+    let (groups, mut waiting) = mpsc::unbounded_channel::<LaneGroup>();
     let (results, verdicts) = mpsc::unbounded_channel();
     actix_rt::spawn(async move {
         while let Some(group) = waiting.recv().await {
             let verdict = loop {
-                match lane.append(None, &group).await {
-                    Err(LaneFault::Refused(_)) if !waiting.is_closed() => {
+                match lane.append(None, &group.records).await {
+                    Err(LaneFault::Refused(_)) if group.insists && !waiting.is_closed() => {
                         pause(REFUSED_PAUSE).await;
                     }
                     verdict => break verdict,
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -1,14 +1,17 @@
 //! What callers ask for: their requests, and the requests that entries relay.
 
+use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_node::clock::unix_ms;
-use cactusdoor_peer::queue::{FindReply, StoreReply};
+use cactusdoor_peer::queue::{FindReply, RelayedRequest, StoreReply};
 use cactusdoor_platform::store::{KeyedRecord, StoredRecord};
 use cactusdoor_queue::record::RequestKey;
 use tokio::sync::oneshot;
 
+use super::feeds::LaneGroup;
 use super::{LaneVerdict, OwnerTerm, send};
 use crate::follower::TopicReading;
+use crate::lane::LaneFault;
 
 /// Between two removals of the requests of ended jobs.
 pub(super) const FORGET_INTERVAL: Millis = 2_000;
@@ -39,15 +42,40 @@
         records: Vec<KeyedRecord>,
         reply: Option<oneshot::Sender<StoreReply>>,
     ) {
+        // An entry whose relayed requests are refused can say so while the caller waits.
+        let insists = reply.is_none();
         self.relayed.push_back(reply);
-        if self.request_groups.send(records).is_err() {
+        if self.request_groups.send(LaneGroup { records, insists }).is_err() {
             log::warn!("lane of the requests has ended");
         }
     }
 
+    /// Stores requests of an entry that the store turns away, unless the store does
+    /// not answer here either.
+    pub(super) fn relay(
+        &mut self,
+        requests: Vec<RelayedRequest>,
+        reply: oneshot::Sender<StoreReply>,
+        now: Moment,
+    ) {
+        if !self.is_confirmed(now) {
+            send(reply, StoreReply::NotStored);
+            return;
+        }
+        let records = requests.into_iter().map(|request| KeyedRecord {
+            key: request.key,
+            value: Some(Bytes::from(request.value)),
+        });
+        self.append_requests(records.collect(), Some(reply));
+    }
+
     pub(super) fn take_stored(&mut self, verdict: LaneVerdict) {
         if let Some(reply) = self.relayed.pop_front().flatten() {
-            let stored = verdict.map_or(StoreReply::Unknown, |_| StoreReply::Stored);
+            let stored = match verdict {
+                Ok(_) => StoreReply::Stored,
+                Err(LaneFault::Refused(_)) => StoreReply::NotStored,
+                Err(_) => StoreReply::Unknown,
+            };
             send(reply, stored);
         }
     }
--- a/crates/fleet/src/port.rs
+++ b/crates/fleet/src/port.rs
@@ -104,7 +104,7 @@
     async fn store(self, _: Context, requests: Vec<RelayedRequest>) -> StoreReply {
         match self.send(|reply| OwnerCall::Store(requests, reply)) {
             Some(reply) => reply.await.unwrap_or(StoreReply::Unknown),
-            None => StoreReply::NotOwner,
+            None => StoreReply::NotStored,
         }
     }
 }
--- a/crates/fleet/src/submitter.rs
+++ b/crates/fleet/src/submitter.rs
@@ -192,7 +192,7 @@
             }
             match relayed {
                 Some(StoreReply::Stored) => return GroupVerdict::Relayed,
-                Some(StoreReply::NotOwner) if refused => return GroupVerdict::Refused,
+                Some(StoreReply::NotStored) if refused => return GroupVerdict::Refused,
                 Some(StoreReply::Unknown) if refused => return GroupVerdict::Unknown,
                 _ => {}
             }
@@ -210,14 +210,14 @@
 ) -> StoreReply {
     // Either way it is time.
     let _ = tokio::time::timeout(after, hurry.notified()).await;
-    let Some(beacon) = finder.owner() else { return StoreReply::NotOwner };
+    let Some(beacon) = finder.owner() else { return StoreReply::NotStored };
     let requests = records.iter().map(|record| RelayedRequest {
         key: record.key.clone(),
         value: record.value.clone().unwrap_or_default().into(),
     });
     match link.store(beacon.address, requests.collect(), RELAY_LIMIT).await {
         Ok(reply) => reply,
-        Err(LinkError::NotConnected) => StoreReply::NotOwner,
+        Err(LinkError::NotConnected) => StoreReply::NotStored,
         Err(LinkError::NoAnswer) => StoreReply::Unknown,
     }
 }
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -76,6 +76,29 @@
     site.check();
 }
 
+/// The owner once kept relayed requests while the store refused it too, so that
+/// the entry could only say that the verdict was not known.
+#[actix_web::test]
+async fn a_job_that_neither_entry_nor_owner_can_store_is_refused() {
+    let site = Site::open(2).await;
+    site.submit("l1", 50, tasks(1)).await;
+    site.await_state("l1", "completed").await;
+    site.await_that("the entry knows the owner", |site| {
+        site.log_lines("entry-0", "owner_found") > 0
+    })
+    .await;
+    site.store.set_mode(StoreMode::Busy);
+    let body = json!({"spec": "50", "steps": tasks(1)});
+    for round in 0..3 {
+        let (status, _) = site.call("POST", 0, &format!("/q/l2{round}"), body.clone()).await;
+        assert_eq!(status, 503, "round {round}\n{}", site.logs());
+    }
+    site.store.set_mode(StoreMode::Serving);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(site.state("l20").await, "unknown", "a refused job never runs");
+    site.check();
+}
+
 #[actix_web::test]
 async fn a_job_whose_append_lost_its_answer_is_stored_once() {
     let site = Site::open(2).await;
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -31,7 +31,7 @@
 pub enum StoreReply {
     Stored,
     /// Not stored by this call.
-    NotOwner,
+    NotStored,
     /// Perhaps stored, or later.
     Unknown,
 }
