--- a/crates/queue/src/pacing.rs
+++ b/crates/queue/src/pacing.rs
@@ -16,8 +16,8 @@
 
 /// Full speed, percent.
 pub const FULL_PACE: u8 = 100;
-/// Headroom that the paces leave: the load of a serving task may rise by a third
-/// until a look shows it.
+/// Headroom that the paces leave beyond the trend of the load: the error of the
+/// presses. Runs with 1.2 and 1.3 earned no more on the users' sites.
 pub const GOAL: f64 = 1.1;
 /// A filling task whose press takes less headroom than this is not slowed for it.
 const NEGLIGIBLE: f64 = 0.05;
