--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -204,6 +204,10 @@
             self.pace.model.take(presses);
         }
         let mut calls = Vec::new();
+        if self.worker.is_none() {
+            // Orders that cannot be carried out yet must come again.
+            return calls;
+        }
         for (number, order) in grant.orders {
             if number == self.received + 1 {
                 self.received = number;
--- a/crates/queue/tests/agent.rs
+++ b/crates/queue/tests/agent.rs
@@ -80,6 +80,18 @@
     assert_eq!(book.grant(grant(1, vec![(1, start(1, 1))]), Moment(0)), vec![]);
 }
 
+/// A restarted agent once took orders before it had met its worker, and dropped
+/// them: a task whose first start had been lost with the old process never ran.
+#[test]
+fn orders_wait_until_the_worker_is_met() {
+    let mut book = AgentBook::default();
+    assert_eq!(book.grant(grant(1, vec![(1, start(1, 1))]), Moment(0)), vec![]);
+    assert_eq!(report(&mut book).received, 0, "the owner has to send them again");
+    book.meet(worker(1));
+    assert_eq!(book.grant(grant(1, vec![(1, start(1, 1))]), Moment(0)).len(), 1);
+    assert_eq!(report(&mut book).received, 1);
+}
+
 #[test]
 fn an_owner_of_a_lower_epoch_orders_nothing() {
     let mut book = book();
