Give up a start on a worker that leaves

Such a start is stopped if it may have been carried out, and reported as not started otherwise. The new test states both.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -308,6 +308,11 @@
                 if !book.wants_start(&order) {
                     return;
                 }
+                if book.is_leaving() {
+                    drop(book);
+                    self.give_up(&order, uncertain, attempts);
+                    return;
+                }
                 let fresh = self.clock.now() <= book.answered_at.after(self.start_limit);
                 (self.deadline(&book).filter(|_| fresh), book.epoch)
             };
@@ -339,6 +344,14 @@
         }
     }
 
+    /// A worker that leaves gets nothing new, also not by a repeated call.
+    fn give_up(self: &Rc<Self>, order: &StartOrder, uncertain: bool, attempts: u32) {
+        let stop = self.book.borrow_mut().give_up(order, uncertain);
+        self.note_start(order, "worker leaves", attempts);
+        self.news.notify_one();
+        self.carry_out(stop.into_iter().collect());
+    }
+
     fn note_start(&self, order: &StartOrder, outcome: &str, attempts: u32) {
         let label = if outcome == "answered" { "answered" } else { "refused" };
         self.meters.starts.with_label_values(&[label]).inc();
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -274,6 +274,22 @@
             && ordered.is_some_and(|known| known.start.as_ref() == Some(start))
     }
 
+    /// Whether the worker has said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.worker.as_ref().is_some_and(|worker| worker.leaves_in.is_some())
+    }
+
+    /// Gives up a start on a worker that leaves. One that may have been carried out
+    /// has to be stopped; any other has done nothing.
+    pub fn give_up(&mut self, start: &StartOrder, uncertain: bool) -> Option<WorkerCall> {
+        if uncertain {
+            return self.order_stop(start.task.clone(), start.run);
+        }
+        self.refused(&start.task, start.run);
+        None
+    }
+
     /// Whether a stop is still wanted.
     #[must_use]
     pub fn wants_stop(&self, task: &TaskName, run: RunNumber) -> bool {
--- a/crates/queue/tests/agent.rs
+++ b/crates/queue/tests/agent.rs
@@ -199,3 +199,27 @@
     let held = report(&mut book).held.unwrap();
     assert_eq!((held[0].run, held[0].percent), (2, Some(30)));
 }
+
+/// A start without an answer was once repeated for seconds on a worker that had said
+/// that it leaves.
+#[test]
+fn a_start_on_a_worker_that_leaves_is_given_up() {
+    for uncertain in [false, true] {
+        let mut book = book();
+        let calls = book.grant(grant(1, vec![(1, start(1, 1))]), Moment(0));
+        let [WorkerCall::Start(order)] = &calls[..] else { panic!("no start: {calls:?}") };
+        assert!(!book.is_leaving());
+        book.meet(WorkerState { leaves_in: Some(3_000), ..worker(1) });
+        assert!(book.is_leaving());
+        let stop = book.give_up(order, uncertain);
+        assert!(!book.wants_start(order));
+        let ended = report(&mut book).ended;
+        if uncertain {
+            assert_matches!(stop, Some(WorkerCall::Stop { run: 1, .. }));
+            assert_eq!(ended, vec![], "it may run until the stop is answered");
+        } else {
+            assert_eq!(stop, None);
+            assert_matches!(&ended[..], [EndedRun { end: RunEnd::NotStarted, .. }]);
+        }
+    }
+}
