Move write types and the opening of a run out of the scheduler

CommitEffect and PendingWrite get a module of their own and stay re-exported from scheduler; new_run becomes AssignedRun::open. No change of behaviour.

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod spec;
 pub mod throttling;
 pub mod worker;
+pub mod write;
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -21,43 +21,11 @@
 use crate::report::{JobState, StartOrder};
 use crate::spec::{JobSpec, StepSpec};
 use crate::worker::{AssignedRun, TrackedWorker};
+pub use crate::write::{CommitEffect, PendingWrite};
 
 /// Time for which the state of an ended job is kept, ms: twice the time promised to callers.
 const ENDED_LIFETIME: Millis = 240_000;
 
-/// An effect that is released once its write is stored.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CommitEffect {
-    Started {
-        agent: AgentName,
-        task: TaskName,
-        run: RunNumber,
-    },
-    /// The worker may drop its ended runs up to this number.
-    Acknowledged {
-        agent: AgentName,
-        incarnation: WorkerIncarnation,
-        number: u64,
-    },
-    /// The agent may drop the end of a run that the worker did not list.
-    RunAcknowledged {
-        agent: AgentName,
-        task: TaskName,
-        run: RunNumber,
-    },
-    Published {
-        job: JobId,
-        state: JobState,
-    },
-}
-
-/// A record to store, as key and value (`None` deletes the key), and its effect.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PendingWrite {
-    pub record: Option<(String, Option<Vec<u8>>)>,
-    pub effect: Option<CommitEffect>,
-}
-
 /// State of one owner: jobs, workers, and writes that are not stored yet.
 #[derive(Debug)]
 pub struct QueueScheduler {
@@ -159,7 +127,7 @@
                 job_deadline: job_deadline.unwrap_or_default(),
                 ..start_order(name, incarnation, record.run, &step, payload)
             };
-            let mut run = new_run(start, &step, now);
+            let mut run = AssignedRun::open(start, &step, now);
             run.stored = true;
             run.stopping = !known;
             tracked.runs.insert(name.clone(), run);
@@ -380,7 +348,7 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(name.clone(), new_run(start, step, now));
+        tracked.runs.insert(name.clone(), AssignedRun::open(start, step, now));
     }
 
     fn start(&mut self, agent: &AgentName, name: &TaskName, run: RunNumber, now: Moment) {
@@ -504,20 +472,3 @@
         job_deadline: 0,
     }
 }
-
-/// A new run; its placement is not stored yet.
-fn new_run(start: StartOrder, step: &StepSpec, now: Moment) -> AssignedRun {
-    AssignedRun {
-        checkpoint: start.checkpoint.clone(),
-        start,
-        reserved: step.reserved(),
-        endless: step.endless,
-        checkpoints: step.checkpoints,
-        estimate: step.estimate,
-        stored: false,
-        stopping: false,
-        percent: None,
-        since: now,
-        progressed: now,
-    }
-}
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -12,7 +12,7 @@
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
 use crate::report::{AgentOrder, StartOrder, WorkerInfo};
-use crate::spec::TaskNeed;
+use crate::spec::{StepSpec, TaskNeed};
 use crate::throttling::TARGET_HEADROOM;
 
 /// Time without a report, ms, after which an agent gets no new tasks: two lost reports.
@@ -51,6 +51,24 @@
 }
 
 impl AssignedRun {
+    /// A new run; its placement is not stored yet.
+    #[must_use]
+    pub fn open(start: StartOrder, step: &StepSpec, now: Moment) -> Self {
+        Self {
+            checkpoint: start.checkpoint.clone(),
+            start,
+            reserved: step.reserved(),
+            endless: step.endless,
+            checkpoints: step.checkpoints,
+            estimate: step.estimate,
+            stored: false,
+            stopping: false,
+            percent: None,
+            since: now,
+            progressed: now,
+        }
+    }
+
     /// Order that the agent must execute for the run.
     #[must_use]
     pub fn order(&self) -> AgentOrder {
