Collect the runs that the owner ends itself and the runs it did not assign

The owner ends runs on its own authority in three cases: an agent reports the incarnation of its worker as ended, reports another incarnation, or its lease expires. None of these left a trace; neither did the stop of a run that a worker lists and the owner did not assign.

The scheduler now collects one observation for each such run, with its cause, for the owner process to take. Observations are not stored and no decision reads them.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -9,6 +9,7 @@
 use crate::job::TaskPlace;
 use crate::lease::{AGENT_LEASE, clock_bound};
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerIncarnation};
+use crate::observation::{LapseCause, RunObservation};
 use crate::report::{AgentOrder, AgentReport, EndedRun, JobState, ReportedRun, RunEnd, WorkerInfo};
 use crate::scheduler::{CommitEffect, QueueScheduler};
 use crate::worker::{AssignedRun, TrackedWorker};
@@ -79,15 +80,20 @@
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         // A restarted agent does not know its worker yet, so `None` ends nothing.
-        let has_ended = |incarnation: &WorkerIncarnation| {
-            ended == Some(incarnation)
-                || worker.is_some_and(|worker| worker.incarnation != *incarnation)
+        let lapse_cause = |incarnation: &WorkerIncarnation| {
+            let replaced = worker.is_some_and(|worker| worker.incarnation != *incarnation);
+            if ended == Some(incarnation) {
+                Some(LapseCause::WorkerEnded)
+            } else {
+                replaced.then_some(LapseCause::WorkerReplaced)
+            }
         };
         let expired: Vec<_> = tracked
             .runs
             .iter()
-            .filter(|(_, run)| has_ended(&run.start.incarnation))
-            .map(|(task, run)| (task.clone(), run.start.run))
+            .filter_map(|(task, run)| {
+                Some((task.clone(), run.start.run, lapse_cause(&run.start.incarnation)?))
+            })
             .collect();
         if tracked.worker.as_ref().map(|old| &old.incarnation) != worker.map(|new| &new.incarnation)
         {
@@ -96,8 +102,8 @@
         let leaves = worker.and_then(|worker| worker.leaves_in);
         tracked.leaves_at = leaves.map(|remaining| now.after(remaining));
         tracked.worker = worker.cloned();
-        for (task, run) in expired {
-            self.end_run(agent, &task, run, RunEnd::Lapsed, None, now, unix);
+        for (task, run, cause) in expired {
+            self.lapse_run(agent, &task, run, cause, now, unix);
         }
         if leaves.is_some() {
             self.drain(agent, now);
@@ -140,6 +146,23 @@
         }
     }
 
+    /// Ends a run whose end no agent has reported.
+    fn lapse_run(
+        &mut self,
+        agent: &AgentName,
+        task: &TaskName,
+        run: RunNumber,
+        cause: LapseCause,
+        now: Moment,
+        unix: Millis,
+    ) {
+        if self.is_assigned(agent, task, run) {
+            let (agent, task) = (agent.clone(), task.clone());
+            self.observations.push(RunObservation::Lapsed { agent, task, run, cause });
+        }
+        self.end_run(agent, task, run, RunEnd::Lapsed, None, now, unix);
+    }
+
     #[expect(clippy::too_many_arguments, reason = "the end of a run with its details")]
     fn end_run(
         &mut self,
@@ -242,9 +265,11 @@
                 }
                 None => {
                     let (task, run) = (listed.task.clone(), listed.run);
-                    let stop = AgentOrder::Stop { task, run };
+                    let stop = AgentOrder::Stop { task: task.clone(), run };
                     if !tracked.orders.iter().any(|(_, order)| *order == stop) {
                         tracked.order(stop);
+                        let agent = agent.clone();
+                        self.observations.push(RunObservation::Unassigned { agent, task, run });
                     }
                 }
             }
@@ -273,7 +298,7 @@
             }
         }
         for (agent, task, run) in expired {
-            self.end_run(&agent, &task, run, RunEnd::Lapsed, None, now, unix);
+            self.lapse_run(&agent, &task, run, LapseCause::LeaseExpired, now, unix);
         }
         silent
     }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -14,6 +14,7 @@
 mod latency;
 pub mod lease;
 pub mod name;
+pub mod observation;
 pub mod placement;
 pub mod record;
 pub mod report;
--- /dev/null
+++ b/crates/queue/src/observation.rs
@@ -0,0 +1,48 @@
+//! Observations about runs, for the owner's log and metrics.
+//!
+//! They tell what no write shows: ends that the owner decided itself, and runs that it
+//! did not assign. They are not stored and decide nothing.
+
+use serde::Serialize;
+
+use crate::name::{AgentName, RunNumber, TaskName};
+use crate::scheduler::QueueScheduler;
+
+/// Why the owner ended a run that no agent reported as ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LapseCause {
+    /// The agent reported that the worker's incarnation has ended.
+    WorkerEnded,
+    /// The agent reported another incarnation of the worker.
+    WorkerReplaced,
+    /// The agent's lease expired.
+    LeaseExpired,
+}
+
+impl LapseCause {
+    #[must_use]
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::WorkerEnded => "worker_ended",
+            Self::WorkerReplaced => "worker_replaced",
+            Self::LeaseExpired => "lease_expired",
+        }
+    }
+}
+
+/// An observation about one run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunObservation {
+    /// The owner ended the run itself.
+    Lapsed { agent: AgentName, task: TaskName, run: RunNumber, cause: LapseCause },
+    /// The worker lists a run that the owner has not assigned; its stop was ordered.
+    Unassigned { agent: AgentName, task: TaskName, run: RunNumber },
+}
+
+impl QueueScheduler {
+    /// Observations since the last call, in order.
+    pub fn take_observations(&mut self) -> Vec<RunObservation> {
+        std::mem::take(&mut self.observations)
+    }
+}
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, TaskName, WorkerIncarnation,
 };
+use crate::observation::RunObservation;
 use crate::placement::{ChoiceContext, cost};
 use crate::record::{JobEnding, PlacedAt, TaskRecord};
 use crate::report::{JobState, StartOrder};
@@ -37,6 +38,7 @@
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     writes: Vec<PendingWrite>,
+    pub(crate) observations: Vec<RunObservation>,
     /// Runs of agents that have not reported to this owner may continue until this time.
     unknown_until: Moment,
 }
@@ -52,6 +54,7 @@
             view: OperatorView::default(),
             interference: InterferenceModel::default(),
             writes: Vec::new(),
+            observations: Vec::new(),
             unknown_until,
         }
     }
