--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod background;
 mod freshness;
+mod reports;
 mod requests;
 
 use std::collections::VecDeque;
@@ -18,7 +19,7 @@
 use cactusdoor_peer::queue::{FindReply, StoreReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient};
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
-use cactusdoor_queue::report::{AgentReport, JobState, ReportReply, RunEnd};
+use cactusdoor_queue::report::{JobState, ReportReply};
 use cactusdoor_queue::scheduler::{CommitEffect, PendingWrite, QueueScheduler};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -427,49 +428,6 @@
         }
     }
 
-    fn handle_report(
-        &mut self,
-        report: &AgentReport,
-        reply: oneshot::Sender<ReportReply>,
-        now: Moment,
-    ) {
-        if report.epoch > self.scheduler.epoch {
-            // The agent follows an owner of a higher epoch.
-            send(reply, ReportReply::NotOwner);
-            self.superseded = true;
-            return;
-        }
-        let epoch = self.scheduler.epoch;
-        for ended in &report.ended {
-            if self.scheduler.is_assigned(&report.agent, &ended.task, ended.run) {
-                self.context.metrics.ended.with_label_values(&[end_label(ended.end)]).inc();
-                self.context.log.record(DecisionEvent::RunEnded {
-                    task: ended.task.clone(),
-                    run: ended.run,
-                    agent: report.agent.clone(),
-                    end: ended.end,
-                    epoch,
-                });
-            }
-        }
-        let quarantines = self.quarantines(&report.agent);
-        self.scheduler.report(report, now, unix_ms());
-        if self.quarantines(&report.agent) > quarantines {
-            let (agent, quarantines) = (report.agent.clone(), self.quarantines(&report.agent));
-            self.context.log.record(DecisionEvent::WorkerQuarantined { agent, quarantines, epoch });
-        }
-        let until = now.after(report.wait);
-        if let Some((older, _, received)) =
-            self.reports.insert(report.agent.clone(), (reply, until, now))
-        {
-            self.answer_report(&report.agent, older, received);
-        }
-    }
-
-    fn quarantines(&self, agent: &AgentName) -> u32 {
-        self.scheduler.workers.get(agent).map_or(0, |tracked| tracked.health.quarantines())
-    }
-
     fn count_pending(&mut self) {
         let pending = self.scheduler.pending();
         if pending != self.pending.1 {
@@ -484,15 +442,3 @@
         log::debug!("a peer closed its call before the answer");
     }
 }
-
-fn end_label(end: RunEnd) -> &'static str {
-    match end {
-        RunEnd::Done => "done",
-        RunEnd::Failed => "failed",
-        RunEnd::Stopped => "stopped",
-        RunEnd::Lapsed => "lapsed",
-        RunEnd::Broken => "broken",
-        RunEnd::Alone => "alone",
-        RunEnd::NotStarted => "not_started",
-    }
-}
--- /dev/null
+++ b/crates/fleet/src/owner/reports.rs
@@ -0,0 +1,67 @@
+//! Agents' reports, and what they mean for the decision log and the metrics.
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_node::clock::unix_ms;
+use cactusdoor_queue::name::AgentName;
+use cactusdoor_queue::report::{AgentReport, ReportReply, RunEnd};
+use tokio::sync::oneshot;
+
+use super::{OwnerTerm, send};
+use crate::decision::DecisionEvent;
+
+impl OwnerTerm {
+    pub(super) fn handle_report(
+        &mut self,
+        report: &AgentReport,
+        reply: oneshot::Sender<ReportReply>,
+        now: Moment,
+    ) {
+        if report.epoch > self.scheduler.epoch {
+            // The agent follows an owner of a higher epoch.
+            send(reply, ReportReply::NotOwner);
+            self.superseded = true;
+            return;
+        }
+        let epoch = self.scheduler.epoch;
+        for ended in &report.ended {
+            if self.scheduler.is_assigned(&report.agent, &ended.task, ended.run) {
+                self.context.metrics.ended.with_label_values(&[end_label(ended.end)]).inc();
+                self.context.log.record(DecisionEvent::RunEnded {
+                    task: ended.task.clone(),
+                    run: ended.run,
+                    agent: report.agent.clone(),
+                    end: ended.end,
+                    epoch,
+                });
+            }
+        }
+        let quarantines = self.quarantines(&report.agent);
+        self.scheduler.report(report, now, unix_ms());
+        if self.quarantines(&report.agent) > quarantines {
+            let (agent, quarantines) = (report.agent.clone(), self.quarantines(&report.agent));
+            self.context.log.record(DecisionEvent::WorkerQuarantined { agent, quarantines, epoch });
+        }
+        let until = now.after(report.wait);
+        if let Some((older, _, received)) =
+            self.reports.insert(report.agent.clone(), (reply, until, now))
+        {
+            self.answer_report(&report.agent, older, received);
+        }
+    }
+
+    fn quarantines(&self, agent: &AgentName) -> u32 {
+        self.scheduler.workers.get(agent).map_or(0, |tracked| tracked.health.quarantines())
+    }
+}
+
+fn end_label(end: RunEnd) -> &'static str {
+    match end {
+        RunEnd::Done => "done",
+        RunEnd::Failed => "failed",
+        RunEnd::Stopped => "stopped",
+        RunEnd::Lapsed => "lapsed",
+        RunEnd::Broken => "broken",
+        RunEnd::Alone => "alone",
+        RunEnd::NotStarted => "not_started",
+    }
+}
