Log and count lapsed and unassigned runs

The owner now writes run_lapsed, with worker_ended, worker_replaced or lease_expired as its cause, and run_unassigned, both within the budget of events about failures, and counts them in cactusdoor_owner_lapsed_runs_total{cause} and cactusdoor_owner_unassigned_runs_total. A lapse also counts as an end, unless the same report listed the end of the run, which was counted.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -6,6 +6,7 @@
 
 use cactusdoor_core::unit::{Epoch, Millis, Offset};
 use cactusdoor_queue::name::{AgentName, DataCentre, JobId, QueueName, RunNumber, TaskName};
+use cactusdoor_queue::observation::LapseCause;
 use cactusdoor_queue::report::{JobState, RunEnd};
 use serde::Serialize;
 
@@ -131,6 +132,21 @@
         end: RunEnd,
         epoch: Epoch,
     },
+    /// The owner ended a run whose end no agent has reported.
+    RunLapsed {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        cause: LapseCause,
+        epoch: Epoch,
+    },
+    /// The worker lists a run that the owner has not assigned; its stop was ordered.
+    RunUnassigned {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        epoch: Epoch,
+    },
     AgentSilent {
         agent: AgentName,
         /// Time since its last report; `None` if it has never reported to this owner.
@@ -212,6 +228,8 @@
             Self::JobPublished { .. } => ("job_shown", false),
             Self::TaskPlaced { .. } => ("task_placed", false),
             Self::RunEnded { end, .. } => ("run_ended", *end != RunEnd::Done),
+            Self::RunLapsed { .. } => ("run_lapsed", true),
+            Self::RunUnassigned { .. } => ("run_unassigned", true),
             Self::AgentSilent { .. } => ("agent_silent", true),
             Self::WorkerQuarantined { .. } => ("worker_barred", true),
             Self::StartAnswered { attempts, .. } => ("start_answered", *attempts > 1),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -14,6 +14,10 @@
     pub owns: IntGauge,
     pub started: IntCounter,
     pub ended: IntCounterVec,
+    /// Runs that the owner ended itself.
+    pub lapsed: IntCounterVec,
+    /// Stops ordered for runs that the owner had not assigned.
+    pub unassigned: IntCounter,
     pub appended_records: IntCounter,
 }
 
@@ -41,6 +45,15 @@
             owns: IntGauge::new("cactusdoor_owner_active", "1 while this process owns the queues")?,
             started: IntCounter::new("cactusdoor_owner_placements_total", "Stored placements")?,
             ended: vector("cactusdoor_owner_ends_total", "Runs that ended", &["end"])?,
+            lapsed: vector(
+                "cactusdoor_owner_lapsed_runs_total",
+                "Runs that the owner ended without a report of their end",
+                &["cause"],
+            )?,
+            unassigned: IntCounter::new(
+                "cactusdoor_owner_unassigned_runs_total",
+                "Stops ordered for listed runs that the owner had not assigned",
+            )?,
             appended_records: IntCounter::new(
                 "cactusdoor_owner_records_total",
                 "Records sent to the store",
@@ -49,6 +62,8 @@
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
+        registry.register(Box::new(metrics.lapsed.clone()))?;
+        registry.register(Box::new(metrics.unassigned.clone()))?;
         registry.register(Box::new(metrics.appended_records.clone()))?;
         Ok(metrics)
     }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -293,6 +293,7 @@
         for (agent, silent) in self.scheduler.expire(now, unix) {
             self.context.log.record(DecisionEvent::AgentSilent { agent, silent });
         }
+        self.record_observations(&[]);
         // Only the configuration says which workers serve a queue.
         if self.scheduler.view.config.is_some() && !self.outdated {
             self.scheduler.place(now, unix);
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -3,7 +3,8 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_node::clock::unix_ms;
 use cactusdoor_queue::name::AgentName;
-use cactusdoor_queue::report::{AgentReport, ReportReply, RunEnd};
+use cactusdoor_queue::observation::RunObservation;
+use cactusdoor_queue::report::{AgentReport, EndedRun, ReportReply, RunEnd};
 use tokio::sync::oneshot;
 
 use super::{OwnerTerm, send};
@@ -37,6 +38,7 @@
         }
         let quarantines = self.quarantines(&report.agent);
         self.scheduler.report(report, now, unix_ms());
+        self.record_observations(&report.ended);
         if self.quarantines(&report.agent) > quarantines {
             let (agent, quarantines) = (report.agent.clone(), self.quarantines(&report.agent));
             self.context.log.record(DecisionEvent::WorkerQuarantined { agent, quarantines, epoch });
@@ -49,6 +51,28 @@
         }
     }
 
+    /// Logs and counts the scheduler's observations; the ends in `counted` have been counted.
+    pub(super) fn record_observations(&mut self, counted: &[EndedRun]) {
+        let epoch = self.scheduler.epoch;
+        let metrics = &self.context.metrics;
+        for observation in self.scheduler.take_observations() {
+            let event = match observation {
+                RunObservation::Lapsed { agent, task, run, cause } => {
+                    metrics.lapsed.with_label_values(&[cause.label()]).inc();
+                    if !counted.iter().any(|ended| ended.task == task && ended.run == run) {
+                        metrics.ended.with_label_values(&[end_label(RunEnd::Lapsed)]).inc();
+                    }
+                    DecisionEvent::RunLapsed { task, run, agent, cause, epoch }
+                }
+                RunObservation::Unassigned { agent, task, run } => {
+                    metrics.unassigned.inc();
+                    DecisionEvent::RunUnassigned { task, run, agent, epoch }
+                }
+            };
+            self.context.log.record(event);
+        }
+    }
+
     fn quarantines(&self, agent: &AgentName) -> u32 {
         self.scheduler.workers.get(agent).map_or(0, |tracked| tracked.health.quarantines())
     }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -70,6 +70,8 @@
     processes: Vec<Process>,
     /// Addresses of the store, one for each process.
     endpoints: Vec<StoreEndpoint>,
+    /// Addresses of the workers and of their agents' metrics.
+    agent_addresses: Vec<(SocketAddr, SocketAddr)>,
     entries: Vec<(SocketAddr, SocketAddr)>,
     agents: usize,
     directory: TempDir,
@@ -86,6 +88,7 @@
             history: Arc::default(),
             processes: Vec::new(),
             endpoints: Vec::new(),
+            agent_addresses: Vec::new(),
             entries: Vec::new(),
             agents,
             directory: tempfile::tempdir().unwrap(),
@@ -118,12 +121,13 @@
     fn add_agent(&mut self, index: usize) {
         let name = format!("agent-{index}");
         let (announce, worker) = (free_address().unwrap(), free_address().unwrap());
+        let metrics = free_address().unwrap();
+        self.agent_addresses.push((worker, metrics));
         let text = format!(
             "[process]\nname = {name}\ndata_centre = north\npeer_address = {}\n\
-             metrics_address = {}\n[store]\naddress = {}\n[worker]\naddress = {worker}\n\
+             metrics_address = {metrics}\n[store]\naddress = {}\n[worker]\naddress = {worker}\n\
              announce_address = {announce}\nlease_limit_ms = 10000\n",
             free_address().unwrap(),
-            free_address().unwrap(),
             self.open_endpoint(),
         );
         self.add_process("agent", &name, &text);
@@ -225,6 +229,22 @@
         }
     }
 
+    /// Value of an agent's metric, by its name and labels; 0 if it is absent.
+    pub async fn metric(&self, agent: usize, metric: &str) -> u64 {
+        let address = self.agent_addresses[agent].1;
+        let mut answer = self.client.get(format!("http://{address}/metrics")).send().await.unwrap();
+        let text = String::from_utf8(answer.body().await.unwrap().to_vec()).unwrap();
+        let values = text.lines().filter_map(|line| line.strip_prefix(metric)?.strip_prefix(' '));
+        values.map(|value| value.parse::<u64>().unwrap()).next().unwrap_or_default()
+    }
+
+    /// Calls a worker as its agent does; returns the status.
+    pub async fn call_worker(&self, worker: usize, path: &str, body: Value) -> u16 {
+        let address = self.agent_addresses[worker].0;
+        let call = self.client.post(format!("http://{address}{path}"));
+        call.send_json(&body).await.unwrap().status().as_u16()
+    }
+
     pub async fn ready(&self, entry: usize) -> bool {
         let address = self.entries[entry].1;
         let answer = self.client.get(format!("http://{address}/readiness")).send().await;
@@ -311,6 +331,14 @@
         epochs
     }
 
+    /// Decisions of one kind in the log of a process.
+    pub fn decisions(&self, name: &str, event: &str) -> Vec<Value> {
+        let log = self.directory.path().join(format!("{name}.log"));
+        let log = std::fs::read_to_string(log).unwrap_or_default();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["event"] == event).collect()
+    }
+
     /// Number of log lines of one process that contain `text`.
     pub fn log_lines(&self, name: &str, text: &str) -> usize {
         let log = self.directory.path().join(format!("{name}.log"));
