Reserve the whole worker for restored runs of unknown size

Callers saw workers above their capacity (LIMIT) after a change of owner. The next owner restored the stored placements of jobs that had already ended, e.g. were cancelled while an agent was cut off, with an empty spec: the run was stopped, but counted as using nothing until then.

A run whose spec is gone now reserves more than any worker has, so its worker gets no task that needs any capacity until the worker lists the end, or its incarnation or lease has ended.

--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -83,7 +83,8 @@
 /// tasks interfere with no serving task.
 fn reserve_cost(tracked: &TrackedWorker, step: &StepSpec) -> u64 {
     let capacity = tracked.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
-    let reserved = (tracked.reserved().cpu + step.need.cpu) * 1_000 / capacity;
+    let reserved = tracked.reserved().cpu.saturating_add(step.need.cpu);
+    let reserved = reserved.saturating_mul(1_000) / capacity;
     if step.latency_bound > 0 { 1_000u64.saturating_sub(reserved) } else { reserved }
 }
 
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -20,7 +20,7 @@
 use crate::placement::{ChoiceContext, cost};
 use crate::record::{JobEnding, PlacedAt, TaskRecord};
 use crate::report::{JobState, StartOrder};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, StepSpec, TaskNeed};
 use crate::worker::{AssignedRun, TrackedWorker};
 pub use crate::write::{CommitEffect, PendingWrite};
 
@@ -107,11 +107,10 @@
     pub fn restore_task(&mut self, name: &TaskName, record: &TaskRecord, now: Moment) {
         let job = self.jobs.get_mut(&name.job);
         let known = job.is_some();
-        let mut input = (StepSpec::default(), Arc::from(""));
+        let mut input = (None, Arc::from(""));
         if let Some(job) = job {
             job.restore(name, record);
-            let step = job.step_spec(name).cloned().unwrap_or_default();
-            input = (step, job.payload.clone());
+            input = (job.step_spec(name).cloned(), job.payload.clone());
         }
         if !known && record.placed.is_none() {
             self.push(Some((name.to_string(), None)), None);
@@ -124,6 +123,9 @@
             let tracked =
                 tracked.or_insert_with(|| TrackedWorker::open(placed.agent.clone(), unknown_until));
             let (step, payload) = input;
+            // The spec of an ended job may be gone.
+            let reserved = step.as_ref().map_or(TaskNeed::UNBOUNDED, StepSpec::reserved);
+            let step = step.unwrap_or_default();
             let (incarnation, checkpoint) = (placed.incarnation.clone(), record.checkpoint.clone());
             let start = StartOrder {
                 checkpoint,
@@ -133,6 +135,7 @@
             let mut run = AssignedRun::open(start, &step, now);
             run.stored = true;
             run.stopping = !known;
+            run.reserved = reserved;
             tracked.runs.insert(name.clone(), run);
         }
     }
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -18,6 +18,9 @@
 }
 
 impl TaskNeed {
+    /// More than any worker has: stands for a need that is not known.
+    pub const UNBOUNDED: Self = Self { cpu: u64::MAX, memory: u64::MAX, accelerators: u64::MAX };
+
     #[must_use]
     pub fn fits(&self, free: &Self) -> bool {
         self.cpu <= free.cpu && self.memory <= free.memory && self.accelerators <= free.accelerators
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -220,9 +220,9 @@
         let capacity = self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu);
         let busy = |run: &AssignedRun| {
             let share = if run.start.latency_bound > 0 { SERVING_PERCENT } else { 100 };
-            run.reserved.cpu * share / 100
+            run.reserved.cpu.saturating_mul(share) / 100
         };
-        capacity.saturating_sub(self.runs.values().map(busy).sum())
+        self.runs.values().map(busy).fold(capacity, u64::saturating_sub)
     }
 
     /// Processors that the best-effort tasks use together at full speed, in thousandths.
