Count listed runs that are not assigned against the worker's capacity

A worker may list a run that the owner has not assigned to it, e.g. one that the owner gave up while the worker was silent. The owner ordered its stop, but placed tasks beside it as if it used nothing.

A worker with an unassigned run now counts as full until a list shows that the run has ended. So a list has to be complete: before its first poll, a restarted agent knew only the runs that it had ordered itself and reported these as the whole list; it now reports none.

--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -100,7 +100,8 @@
             return false;
         };
         let sent = reporter.clock.now();
-        let full_list = sent >= self.full_report_at.get() || self.epoch.get() != heartbeat.epoch;
+        let due = sent >= self.full_report_at.get() || self.epoch.get() != heartbeat.epoch;
+        let full_list = due && reporter.controller.state.borrow().has_list();
         if full_list {
             self.full_report_at.set(sent.after(FULL_REPORT_INTERVAL));
         }
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -85,6 +85,8 @@
     /// Time at which the newest answered report was sent.
     pub answered_at: Moment,
     ordered: IndexMap<TaskName, OrderedRun>,
+    /// Whether the worker's list is known.
+    has_list: bool,
     running: Vec<ListedRun>,
     ended: Vec<EndedRun>,
     /// Runs that did not start, reported as ended although the worker does not list them.
@@ -125,6 +127,7 @@
 
     fn clear_runs(&mut self) {
         self.ordered.clear();
+        self.has_list = false;
         self.running.clear();
         self.ended.clear();
         self.unlisted.clear();
@@ -144,6 +147,7 @@
         let newest = self.ended.last().map_or(self.acknowledged, |ended| ended.number);
         let has_new_ends = list.ended.iter().any(|ended| ended.number > newest);
         let is_complete = list.ended.len() < MAX_LISTED_ENDS;
+        self.has_list = true;
         self.running = list.running;
         self.ended = list.ended;
         let ended: Vec<_> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
@@ -374,6 +378,12 @@
         starts().any(|start| start.latency_bound > 0) && starts().any(|start| start.best_effort)
     }
 
+    /// Whether the worker's list is known: it has been read since the worker registered.
+    #[must_use]
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Whether any end is not acknowledged yet.
     #[must_use]
     pub fn has_ends(&self) -> bool {
@@ -392,7 +402,7 @@
             worker: self.worker.clone(),
             ended_incarnation: self.ended_incarnation.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
-            runs: content.full_list.then(|| self.reported_runs()),
+            runs: (content.full_list && self.has_list).then(|| self.reported_runs()),
             samples: std::mem::take(&mut self.samples),
             wait: content.wait,
         }
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -251,6 +251,7 @@
         now: Moment,
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
+        tracked.unassigned.clear();
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -265,6 +266,7 @@
                 }
                 None => {
                     let (task, run) = (listed.task.clone(), listed.run);
+                    tracked.unassigned.push((task.clone(), run));
                     let stop = AgentOrder::Stop { task: task.clone(), run };
                     if !tracked.orders.iter().any(|(_, order)| *order == stop) {
                         tracked.order(stop);
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -152,6 +152,8 @@
     pub lease_end: Moment,
     pub leaves_at: Option<Moment>,
     pub runs: IndexMap<TaskName, AssignedRun>,
+    /// Runs in the worker's newest list that are not assigned to it.
+    pub unassigned: Vec<(TaskName, RunNumber)>,
     pub orders: VecDeque<(u64, AgentOrder)>,
     /// Number of the newest order.
     pub last_order: u64,
@@ -176,6 +178,7 @@
             lease_end,
             leaves_at: None,
             runs: IndexMap::new(),
+            unassigned: Vec::new(),
             orders: VecDeque::new(),
             last_order: 0,
             acknowledged: 0,
@@ -202,9 +205,13 @@
         true
     }
 
-    /// Resources reserved by the runs, including runs that are being stopped.
+    /// Resources reserved by the runs, including runs that are being stopped. The need of
+    /// an unassigned run is not known.
     #[must_use]
     pub fn reserved(&self) -> TaskNeed {
+        if !self.unassigned.is_empty() {
+            return TaskNeed::UNBOUNDED;
+        }
         self.runs.values().fold(TaskNeed::default(), |sum, run| sum.plus(&run.reserved))
     }
 
--- a/crates/queue/tests/accounting.rs
+++ b/crates/queue/tests/accounting.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerList};
 use cactusdoor_queue::record::{JobEnding, PlacedAt, TaskRecord};
 use cactusdoor_queue::report::{AgentReport, JobState, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -67,3 +68,17 @@
     place(&mut scheduler);
     assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
 }
+
+/// Guards against a list that hides runs: before its first poll, a restarted agent knows only
+/// of the runs that it has ordered itself.
+#[test]
+fn an_agent_reports_no_list_before_its_first_poll() {
+    let mut agent = AgentState::default();
+    agent.register(worker("a", 1));
+    let content = || ReportContent { agent: "a".into(), incarnation: 1, full_list: true, wait: 0 };
+    assert_eq!(agent.report(content()).runs, None);
+    agent.apply_list(1, WorkerList { running: Vec::new(), ended: Vec::new() });
+    assert_eq!(agent.report(content()).runs, Some(Vec::new()));
+    agent.register(worker("a", 2));
+    assert_eq!(agent.report(content()).runs, None);
+}
