Withdraw the start order of a run that the owner ends itself

Callers saw tasks that ran twice (TWICE). The owner ends runs without an end listed by the worker: when an agent reports its worker as ended, or when the agent's lease has expired. It placed the task again, but left the start order in the agent's queue. If the worker was only silent until its lease had expired, it came back as the same incarnation, and its agent received the old order and started the run beside the new one.

The order is replaced by a stop under the same number, so the numbers have no gap and the worker also refuses a start of that run which is still on its way.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -179,6 +179,9 @@
             return;
         }
         let Some(run) = tracked.runs.shift_remove(task) else { return };
+        if listed.is_none() {
+            tracked.withdraw_start(task, number);
+        }
         match end {
             RunEnd::Done => tracked.health.succeed(),
             RunEnd::Failed if !run.endless => tracked.health.fail(&task.job, now),
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -194,6 +194,19 @@
         self.orders.push_back((self.last_order, order));
     }
 
+    /// Replaces the start order of an ended run by a stop: the agent may not have received
+    /// it yet, and orders are numbered without gaps.
+    pub fn withdraw_start(&mut self, task: &TaskName, run: RunNumber) {
+        for (_, order) in &mut self.orders {
+            if let AgentOrder::Start(start) = order
+                && start.task == *task
+                && start.run == run
+            {
+                *order = AgentOrder::Stop { task: task.clone(), run };
+            }
+        }
+    }
+
     /// Stops a run; returns `false` if it is unknown or is being stopped already.
     pub fn stop(&mut self, task: &TaskName) -> bool {
         let Some(run) = self.runs.get_mut(task).filter(|run| !run.stopping) else { return false };
