Stop an older run although a newer run of its task is ordered

The agent keeps one order for each task and dropped the stop of a run if a newer run of the task was ordered, so a run that had become an orphan was never stopped.

Stops of older runs are now kept beside the order of the newest run until the worker has answered them.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -393,7 +393,7 @@
                     continue;
                 }
             };
-            self.state.borrow_mut().record_answer(&task, run, self.polls.get());
+            self.state.borrow_mut().record_stop_answer(&task, run, self.polls.get());
             let outcome = outcome.to_owned();
             self.log.record(DecisionEvent::StopAnswered { task, run, outcome, attempts });
             return;
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::interference::InterferenceSample;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
@@ -85,6 +85,8 @@
     /// Time at which the newest answered report was sent.
     pub answered_at: Moment,
     ordered: IndexMap<TaskName, OrderedRun>,
+    /// Older runs to stop although a newer run of the task is ordered.
+    superseded: IndexSet<(TaskName, RunNumber)>,
     /// Whether the worker's list is known.
     has_list: bool,
     running: Vec<ListedRun>,
@@ -127,6 +129,7 @@
 
     fn clear_runs(&mut self) {
         self.ordered.clear();
+        self.superseded.clear();
         self.has_list = false;
         self.running.clear();
         self.ended.clear();
@@ -259,7 +262,12 @@
             start: Some(start.clone()),
             phase: RunPhase::Unanswered,
         };
-        self.ordered.insert(start.task.clone(), ordered);
+        if let Some(older) = self.ordered.insert(start.task.clone(), ordered)
+            && older.start.is_none()
+            && older.phase == RunPhase::Unanswered
+        {
+            self.superseded.insert((start.task.clone(), older.run));
+        }
         Some(WorkerCall::Start(start))
     }
 
@@ -269,7 +277,8 @@
             return None;
         }
         if self.ordered.get(&task).is_some_and(|known| known.run > run) {
-            return None;
+            let new = self.superseded.insert((task.clone(), run));
+            return new.then_some(WorkerCall::Stop { task, run });
         }
         let original = self.ordered.get(&task).and_then(|known| known.original.clone());
         let stopped = OrderedRun { run, start: None, original, phase: RunPhase::Unanswered };
@@ -306,6 +315,7 @@
     pub fn needs_stop(&self, task: &TaskName, run: RunNumber) -> bool {
         let ordered = self.ordered.get(task);
         ordered.is_some_and(|known| known.run == run && known.start.is_none())
+            || self.superseded.contains(&(task.clone(), run))
     }
 
     /// Records that the worker has answered the call about a run; `list`: number of lists
@@ -316,6 +326,12 @@
         }
     }
 
+    /// Records that the worker has answered the stop of a run.
+    pub fn record_stop_answer(&mut self, task: &TaskName, run: RunNumber, list: u64) {
+        self.superseded.shift_remove(&(task.clone(), run));
+        self.record_answer(task, run, list);
+    }
+
     /// Records that the worker has refused a start: the run ends as not started.
     pub fn record_refusal(&mut self, task: &TaskName, run: RunNumber) {
         if self.ordered.get(task).is_some_and(|known| known.run == run) {
--- a/crates/queue/tests/withdrawal.rs
+++ b/crates/queue/tests/withdrawal.rs
@@ -6,7 +6,7 @@
 use cactusdoor_queue::agent::{AgentState, ListedRun, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
 use cactusdoor_queue::record::{PlacedAt, TaskRecord};
-use cactusdoor_queue::report::{AgentLease, AgentReport};
+use cactusdoor_queue::report::{AgentLease, AgentOrder, AgentReport, ReportedRun, StartOrder};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use support::*;
 
@@ -130,6 +130,39 @@
     let stop = WorkerCall::Stop { task: task("j", 0, 0), run: 0 };
     assert_eq!(agent.apply_lease(answer(&scheduler), NOW), vec![stop]);
     assert!(agent.needs_stop(&task("j", 0, 0), 0), "the call is repeated until it is answered");
+    agent.record_answer(&task("j", 0, 0), 0, 1);
+    assert!(agent.needs_stop(&task("j", 0, 0), 0), "the answer to a start ends no stop");
+    agent.record_stop_answer(&task("j", 0, 0), 0, 1);
+    assert!(!agent.needs_stop(&task("j", 0, 0), 0));
+}
+
+/// Guards against a run that nobody stops (TWICE, LIMIT): a newer run of the task is ordered
+/// before the worker has answered the stop of the older one.
+#[test]
+fn the_stop_of_a_run_is_repeated_after_a_newer_run_is_ordered() {
+    let mut scheduler = ordered();
+    let mut agent = AgentState::default();
+    agent.register(worker("a", 1));
+    agent.apply_lease(answer(&scheduler), NOW);
+    scheduler.expire(clock_bound(NOW, AGENT_LEASE).after(1), UNIX);
+    let later = clock_bound(NOW, AGENT_LEASE).after(2);
+    let stray = ReportedRun {
+        task: task("j", 0, 0),
+        run: 1,
+        checkpoint: "".into(),
+        percent: Some(5),
+        speed: 100,
+    };
+    let worker = Some(worker("a", 1));
+    let listing = AgentReport { runs: Some(vec![stray]), received: 1, ..report("a", 2, worker) };
+    scheduler.report(&listing, later, UNIX);
+    let stop = WorkerCall::Stop { task: task("j", 0, 0), run: 1 };
+    assert_eq!(agent.apply_lease(answer(&scheduler), later), vec![stop]);
+    let mut newer = answer(&scheduler);
+    let AgentOrder::Start(first) = answer(&ordered()).orders[0].1.clone() else { unreachable!() };
+    newer.orders = vec![(3, AgentOrder::Start(StartOrder { run: 2, ..first }))];
+    assert_eq!(started(&agent.apply_lease(newer, later)), vec![2]);
+    assert!(agent.needs_stop(&task("j", 0, 0), 1));
 }
 
 /// Guards against a task that runs twice (TWICE): an announcement of an earlier incarnation
