End runs only for a later incarnation of their worker

A restarted agent takes the first announcement that arrives for its worker. If that one was delayed and comes from an earlier incarnation, the owner saw an incarnation other than that of the stored runs, ended them, and placed their tasks again while they went on (TWICE).

`withdrawal::an_earlier_incarnation_ends_no_run` failed before: the run was not assigned any more. Only an incarnation that started later shows that the other one has ended. An agent that finds out by itself still reports it as ended.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -81,7 +81,7 @@
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         // A restarted agent does not know its worker yet, so `None` ends nothing.
         let lapse_cause = |incarnation: &WorkerIncarnation| {
-            let replaced = worker.is_some_and(|worker| worker.incarnation != *incarnation);
+            let replaced = worker.is_some_and(|worker| worker.incarnation.succeeds(incarnation));
             if ended == Some(incarnation) {
                 Some(LapseCause::WorkerEnded)
             } else {
--- a/crates/queue/src/name.rs
+++ b/crates/queue/src/name.rs
@@ -28,6 +28,14 @@
     pub born: u64,
 }
 
+impl WorkerIncarnation {
+    /// Whether this is a later incarnation, which shows that the other one has ended.
+    #[must_use]
+    pub fn succeeds(&self, other: &Self) -> bool {
+        self != other && self.born >= other.born
+    }
+}
+
 /// A task: `JOB.OCCURRENCE.STEP.INDEX`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
