Take no orders from answers to reports sent before the worker registered

An agent has two reports under way, one that waits for orders and one that reports ends. If the answer to the older one is delayed until the worker has returned, its start orders are executed, although the owner has ended these runs with the newer report, which said that the worker was gone. Withdrawing the order at the owner comes too late for an answer that is already on its way.

`withdrawal::an_answer_from_before_the_worker_returned_starts_nothing` fails without the check (it got the start of run 1). Orders that still hold are not counted as received, so the owner repeats them in its next answer.

--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -108,6 +108,7 @@
         let (agent, incarnation) = (reporter.name.clone(), reporter.incarnation);
         let content = ReportContent { agent, incarnation, full_list, wait };
         let report = reporter.controller.state.borrow_mut().report(content);
+        let number = report.number;
         reporter.metrics.reports.inc();
         match self.client.report(heartbeat.address, report).await {
             Ok(ReportReply::Lease(lease)) => {
@@ -120,7 +121,8 @@
                     OwnerContact::Unconfirmed
                 };
                 self.set_contact(contact);
-                let calls = reporter.controller.state.borrow_mut().apply_lease(lease, sent);
+                let calls =
+                    reporter.controller.state.borrow_mut().apply_answer(lease, number, sent);
                 reporter.controller.execute(calls);
                 if contact == OwnerContact::Unconfirmed {
                     self.find_successor().await;
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -97,6 +97,8 @@
     speeds: IndexMap<(TaskName, RunNumber), u8>,
     samples: Vec<InterferenceSample>,
     reports: u64,
+    /// Number of reports before the worker registered.
+    earlier_reports: u64,
 }
 
 impl AgentState {
@@ -111,6 +113,7 @@
             Some(incarnation) if worker.incarnation.born < incarnation.born => false,
             known => {
                 self.clear_runs();
+                self.earlier_reports = self.reports;
                 self.ended_incarnation = known
                     .or(self.ended_incarnation.take())
                     .filter(|ended| *ended != worker.incarnation);
@@ -197,6 +200,21 @@
         absent
     }
 
+    /// Applies the owner's answer to the report with this number; returns the calls to the
+    /// worker. Once the worker has registered, earlier answers give no orders: the owner may
+    /// have ended their runs with a later report.
+    pub fn apply_answer(
+        &mut self,
+        mut lease: AgentLease,
+        number: u64,
+        sent: Moment,
+    ) -> Vec<WorkerCall> {
+        if number <= self.earlier_reports {
+            lease.orders.clear();
+        }
+        self.apply_lease(lease, sent)
+    }
+
     /// Applies the lease and orders of the owner's answer; returns the calls to the worker.
     pub fn apply_lease(&mut self, lease: AgentLease, sent: Moment) -> Vec<WorkerCall> {
         if lease.epoch < self.epoch {
--- a/crates/queue/tests/withdrawal.rs
+++ b/crates/queue/tests/withdrawal.rs
@@ -178,3 +178,24 @@
     scheduler.report(&delayed, NOW, UNIX);
     assert!(scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
 }
+
+/// Guards against a task that runs twice (TWICE): two reports may be under way at once, and the
+/// answer to the older one arrives after the owner has ended the run with the newer one.
+#[test]
+fn an_answer_from_before_the_worker_returned_starts_nothing() {
+    let mut scheduler = ordered();
+    let mut agent = AgentState::default();
+    agent.register(worker("a", 1));
+    let content = || ReportContent { agent: "a".into(), incarnation: 1, full_list: false, wait: 0 };
+    let delayed = agent.report(content()).number;
+    let orders = answer(&scheduler);
+    agent.remove();
+    let lost = agent.report(content());
+    agent.register(worker("a", 1));
+    scheduler.report(&lost_worker(lost.number), NOW, UNIX);
+    assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+    assert_eq!(agent.apply_answer(orders.clone(), delayed, NOW), vec![]);
+    assert_eq!(agent.report(content()).received, 0, "the owner repeats orders that still hold");
+    let next = agent.report(content()).number;
+    assert_eq!(started(&agent.apply_answer(orders, next, NOW)), vec![1]);
+}
