Grant no lease in the answer to a report without a worker

No caller has seen this; it was found by reading the leases after the incident. The owner extends its bound on an agent's lease only with reports that name a worker, but its answers granted a lease of up to 7 s to any report. A restarted agent reports before its worker has registered, then extends the worker's lease by that answer. If it is cut off before its next report arrives, the owner ends the runs by the bound of the last report of the former process, which may be up to the time of the restart earlier, and places their tasks again (TWICE).

The grant is now a method of the tracked worker, next to the bound, and is nothing without a worker. `book::the_answer_to_a_report_without_a_worker_grants_ no_lease` checks it; the sequence with real processes was not played.

--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -71,7 +71,7 @@
         let lease = AgentLease {
             epoch: self.scheduler.epoch,
             incarnation: tracked.worker.as_ref().map(|worker| worker.incarnation.clone()),
-            duration,
+            duration: tracked.lease_duration(duration),
             confirmed,
             heartbeat: self.heartbeat_end,
             acknowledged: tracked.acknowledged,
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -194,6 +194,13 @@
         self.orders.push_back((self.last_order, order));
     }
 
+    /// Duration of the lease that an answer grants, at most `limit`, ms. A report without a
+    /// worker does not extend `lease_end`, so its answer grants nothing.
+    #[must_use]
+    pub fn lease_duration(&self, limit: Millis) -> Millis {
+        if self.worker.is_some() { limit } else { 0 }
+    }
+
     /// Replaces the start order of an ended run by a stop: the agent may not have received
     /// it yet, and orders are numbered without gaps.
     pub fn withdraw_start(&mut self, task: &TaskName, run: RunNumber) {
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -8,7 +8,7 @@
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
 use cactusdoor_queue::name::TaskName;
 use cactusdoor_queue::record::{JobEnding, PlacedAt, TaskRecord};
-use cactusdoor_queue::report::{JobState, ReportedRun, RunEnd};
+use cactusdoor_queue::report::{AgentReport, JobState, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
 use cactusdoor_queue::spec::StepSpec;
 use support::*;
@@ -376,6 +376,17 @@
     assert!(!scheduler.is_assigned(&agent("a"), &task("j", 0, 0), 1));
 }
 
+/// Guards against a task that runs twice (TWICE): a restarted agent that is granted a lease
+/// before its worker has registered extends its runs beyond the time known to the owner.
+#[test]
+fn the_answer_to_a_report_without_a_worker_grants_no_lease() {
+    let mut scheduler = running(vec![step(1, 1_000)]);
+    assert_eq!(scheduler.workers["a"].lease_duration(AGENT_LEASE), AGENT_LEASE);
+    let fresh = AgentReport { incarnation: 2, ..report("a", 1, None) };
+    scheduler.report(&fresh, NOW, UNIX);
+    assert_eq!(scheduler.workers["a"].lease_duration(AGENT_LEASE), 0);
+}
+
 /// A worker of another service, without the label, or already at the step's limit of tasks
 /// per worker gets no task.
 #[test]
