Log what is reserved on a worker when a task is placed

The log could not tell whether the owner had counted wrongly or did not know of the capacity in use. task_placed now has reserved_cpu: the processors of the worker that the owner holds reserved at the placement, the task's own included, in thousandths. The figure is taken when the task is placed, not when the line is written, since other placements and ends come between.

Evidence: a_placement_tells_what_is_reserved_on_its_worker (scheduler) and a_placement_is_logged_with_what_is_reserved_on_its_worker (cluster).

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -123,6 +123,9 @@
         task: TaskName,
         run: RunNumber,
         agent: AgentName,
+        /// Processors of the worker that the owner has reserved, this task's included,
+        /// thousandths.
+        reserved_cpu: u64,
         epoch: Epoch,
     },
     RunEnded {
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -391,10 +391,15 @@
         self.scheduler.release(effect);
         let epoch = self.scheduler.epoch;
         match effect {
-            CommitEffect::Started { agent, task, run } => {
-                let (task, run, agent) = (task.clone(), *run, agent.clone());
+            CommitEffect::Started { agent, task, run, reserved_cpu } => {
                 self.context.metrics.started.inc();
-                self.context.log.record(DecisionEvent::TaskPlaced { task, run, agent, epoch });
+                self.context.log.record(DecisionEvent::TaskPlaced {
+                    task: task.clone(),
+                    run: *run,
+                    agent: agent.clone(),
+                    reserved_cpu: *reserved_cpu,
+                    epoch,
+                });
             }
             CommitEffect::Published { job, state } => {
                 if self.published.insert(job.clone(), *state) != Some(*state) {
--- a/crates/fleet/tests/observation.rs
+++ b/crates/fleet/tests/observation.rs
@@ -94,3 +94,15 @@
     assert_eq!(cluster.metric(owner, UNASSIGNED).await, events.len() as u64);
     assert_eq!(cluster.metric(owner, LAPSED_ENDS).await, 0);
 }
+
+#[actix_web::test]
+async fn a_placement_is_logged_with_what_is_reserved_on_its_worker() {
+    let cluster = TestCluster::open(3).await;
+    let (owner, other) = run_tasks(&cluster).await;
+    let placed = cluster.decisions(&format!("agent-{owner}"), "task_placed");
+    let agent = format!("agent-{other}");
+    let reserved = placed.iter().filter(|event| event["agent"] == agent);
+    let reserved: Vec<_> = reserved.map(|event| event["reserved_cpu"].as_u64()).collect();
+    let expected: Vec<_> = (1..=reserved.len() as u64).map(|tasks| Some(tasks * 1_000)).collect();
+    assert_eq!(reserved, expected, "{placed:?}");
+}
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -364,6 +364,7 @@
             return;
         };
         self.assign_run(agent, name, &step, run, now);
+        let reserved_cpu = self.workers.get(agent).map_or(0, |tracked| tracked.reserved().cpu);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let first = job.state == JobState::Queued;
         job.state = JobState::Running;
@@ -371,7 +372,8 @@
         task.run = run;
         task.place = TaskPlace::Placed(agent.clone());
         let record = task.record(Some(PlacedAt { agent: agent.clone(), incarnation }));
-        let started = CommitEffect::Started { agent: agent.clone(), task: name.clone(), run };
+        let started =
+            CommitEffect::Started { agent: agent.clone(), task: name.clone(), run, reserved_cpu };
         self.push_task(name, &record, Some(started));
         if first {
             let published =
@@ -383,7 +385,7 @@
     /// Applies the effect of a stored write to the state of its worker.
     pub fn release(&mut self, effect: &CommitEffect) {
         match effect {
-            CommitEffect::Started { agent, task, run } => self.send_start(agent, task, *run),
+            CommitEffect::Started { agent, task, run, .. } => self.send_start(agent, task, *run),
             CommitEffect::Acknowledged { agent, incarnation, number } => {
                 if let Some(tracked) = self.workers.get_mut(agent)
                     && tracked
--- a/crates/queue/src/write.rs
+++ b/crates/queue/src/write.rs
@@ -10,6 +10,8 @@
         agent: AgentName,
         task: TaskName,
         run: RunNumber,
+        /// Reserved processors of the worker after the placement, thousandths.
+        reserved_cpu: u64,
     },
     /// The worker may drop its ended runs up to this number.
     Acknowledged {
--- a/crates/queue/tests/observation.rs
+++ b/crates/queue/tests/observation.rs
@@ -6,7 +6,7 @@
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
 use cactusdoor_queue::observation::{LapseCause, RunObservation};
 use cactusdoor_queue::report::{ReportedRun, RunEnd};
-use cactusdoor_queue::scheduler::QueueScheduler;
+use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
 use support::*;
 
 const NOW: Moment = Moment(10_000);
@@ -109,3 +109,18 @@
     assert_eq!(scheduler.take_observations(), unassigned, "a second stop was ordered");
     assert_eq!(stops(&scheduler, "a"), [(task("j", 0, 1), 7)]);
 }
+
+#[test]
+fn a_placement_tells_what_is_reserved_on_its_worker() {
+    let mut scheduler = running();
+    scheduler.submit(&"k".into(), job(vec![step(1, 500)]));
+    scheduler.place(NOW, UNIX);
+    let reserved: Vec<_> = store(&mut scheduler)
+        .into_iter()
+        .filter_map(|write| match write.effect? {
+            CommitEffect::Started { task, reserved_cpu, .. } => Some((task, reserved_cpu)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(reserved, [(task("k", 0, 0), 2_500)]);
+}
