Set cactusdoor_owner_active while a term is open

It is now 1 from the opening of a term.

Evidence: the_gauge_of_the_owner_is_1_only_at_the_owner failed before, with 0 at the owner, and passes now, also after a change of the owner.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -177,6 +177,7 @@
         let (request_groups, request_results) =
             spawn_appender(open_appender(&context.store, context.clock, REQUESTS, scheduler.epoch));
         let now = context.clock.now();
+        context.metrics.owns.set(1);
         Self {
             calls: context.queue_server.open(),
             scheduler,
--- a/crates/fleet/tests/observation.rs
+++ b/crates/fleet/tests/observation.rs
@@ -5,6 +5,7 @@
 use serde_json::json;
 use support::{TestCluster, tasks};
 
+const OWNER_ACTIVE: &str = "cactusdoor_owner_active";
 const LAPSED_ENDS: &str = r#"cactusdoor_owner_ends_total{end="lapsed"}"#;
 const UNASSIGNED: &str = "cactusdoor_owner_unassigned_runs_total";
 
@@ -106,3 +107,20 @@
     let expected: Vec<_> = (1..=reserved.len() as u64).map(|tasks| Some(tasks * 1_000)).collect();
     assert_eq!(reserved, expected, "{placed:?}");
 }
+
+/// The gauge was only ever set to 0, so it did not show the owner.
+#[actix_web::test]
+async fn the_gauge_of_the_owner_is_1_only_at_the_owner() {
+    let mut cluster = TestCluster::open(3).await;
+    let (owner, _) = run_tasks(&cluster).await;
+    for agent in 0..3 {
+        let expected = u64::from(agent == owner);
+        assert_eq!(cluster.metric(agent, OWNER_ACTIVE).await, expected, "agent-{agent}");
+    }
+    cluster.stop_agent(owner);
+    let elected = |cluster: &TestCluster| cluster.owner().filter(|agent| *agent != owner);
+    cluster.await_that("another owner", |cluster| elected(cluster).is_some()).await;
+    let successor = elected(&cluster).unwrap();
+    cluster.await_state("a1", "completed").await;
+    assert_eq!(cluster.metric(successor, OWNER_ACTIVE).await, 1);
+}
