Report every kind of event that exceeded its own budget

Operators missed lines of routine kinds with 61 to 200 events a second without any note, so an absent task_placed could mean that nothing was placed. Kinds were reported only above the budget of failures (200), whatever their own budget was.

The log now remembers for each kind whether a line was suppressed in the second and reports exactly these kinds. lines_left_out keeps its name and form: kind and number of its events in that second.

Evidence: a_routine_kind_above_its_own_budget_is_reported failed before (no note of suppressed lines) and passes now.

--- a/crates/fleet/src/decision_log.rs
+++ b/crates/fleet/src/decision_log.rs
@@ -2,8 +2,8 @@
 //!
 //! Lines pass through a bounded queue to a writing thread, which writes all waiting lines in
 //! one call. A full queue drops lines and counts them. Each kind of event has a budget of
-//! lines per second; lines above it are suppressed. Kinds that have used more than the
-//! failure budget are reported with the first event of a later second.
+//! lines per second; lines above it are suppressed. Kinds with suppressed lines are
+//! reported with the first event of a later second.
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -45,10 +45,18 @@
     event: &'a DecisionEvent,
 }
 
+/// Use of the budget of one kind in one second.
+#[derive(Default)]
+struct KindUsage {
+    events: u64,
+    /// Whether lines were suppressed.
+    exceeded: bool,
+}
+
 #[derive(Default)]
 struct LineBudget {
     second: Millis,
-    used: IndexMap<&'static str, u64>,
+    used: IndexMap<&'static str, KindUsage>,
 }
 
 /// Message to the writing thread.
@@ -98,12 +106,14 @@
         if budget.second != now / 1_000 {
             budget.second = now / 1_000;
             let used = std::mem::take(&mut budget.used);
-            suppressed.extend(used.into_iter().filter(|(_, used)| *used > FAILURE_BUDGET));
+            let exceeded = used.into_iter().filter(|(_, usage)| usage.exceeded);
+            suppressed.extend(exceeded.map(|(kind, usage)| (kind, usage.events)));
         }
         let (kind, failure) = event.kind();
-        let used = budget.used.entry(kind).or_insert(0);
-        *used += 1;
-        let allowed = *used <= if failure { FAILURE_BUDGET } else { ROUTINE_BUDGET };
+        let usage = budget.used.entry(kind).or_default();
+        usage.events += 1;
+        let allowed = usage.events <= if failure { FAILURE_BUDGET } else { ROUTINE_BUDGET };
+        usage.exceeded |= !allowed;
         drop(budget);
         if !suppressed.is_empty() {
             self.send(&DecisionEvent::LinesSuppressed { kinds: suppressed }, now);
--- a/crates/fleet/tests/logging.rs
+++ b/crates/fleet/tests/logging.rs
@@ -78,6 +78,35 @@
     assert!(text.contains("lines_left_out"), "{text}");
 }
 
+/// Lines of a routine kind were lost without a note unless the kind had more than the budget
+/// of failures.
+#[test]
+fn a_routine_kind_above_its_own_budget_is_reported() {
+    let text = SharedText::default();
+    let log = DecisionLog::open("p".into(), text.clone()).unwrap();
+    // More than twice the budget: one second has too many, even if another begins meanwhile.
+    for _ in 0..150 {
+        let (job, via) = ("j".into(), StoredVia::Store);
+        log.record(DecisionEvent::CancelAccepted { job, via, waited: 1 });
+        log.record(DecisionEvent::AgentSilent { agent: "a".into(), silent: Some(1) });
+    }
+    std::thread::sleep(Duration::from_millis(1_100));
+    log.record(DecisionEvent::ProcessStopping);
+    std::thread::sleep(Duration::from_millis(200));
+    let text = text.text();
+    let lines = text.lines().map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap());
+    let notes: Vec<_> = lines.filter(|line| line["event"] == "lines_left_out").collect();
+    assert!(!notes.is_empty(), "no note of suppressed lines");
+    let kinds: Vec<_> =
+        notes.iter().flat_map(|note| note["kinds"].as_array().unwrap().clone()).collect();
+    for kind in &kinds {
+        assert_eq!(kind[0], "cancel_accepted", "only this kind exceeded its budget");
+        assert!((61..=150).contains(&kind[1].as_u64().unwrap()), "{kind}");
+    }
+    let written = text.lines().filter(|line| line.contains("\"event\":\"agent_silent\"")).count();
+    assert_eq!(written, 150, "failures have the larger budget");
+}
+
 #[test]
 fn a_line_is_json_with_the_name_of_the_event() {
     let text = SharedText::default();
