Keep a refused start open while an earlier call may still start the run

Callers saw tasks that ran twice. An agent kept the knowledge that a start call had no answer in the loop of that start only. After a restart of the agent the owner repeats its orders; if the first repeated call was refused (503, 429, no room), or the worker was leaving, the new process reported the run as not started, and the owner placed the task elsewhere. The call of the previous process could still be carried out: it is bounded only by its deadline, a higher fencing token or an answered stop. The same report was made about tasks that were running: the worker's first list arrives after the first refusal.

Now the agent keeps the latest deadline of a start call without an answer; a new process assumes the longest lease from its own start. Until that deadline has certainly passed, a refusal or a leaving worker ends nothing by itself: the agent waits for a list that was requested afterwards, keeps a run that it names, and stops any other. After an answered stop the worker rejects the run, so "not started" is then true. After the deadline a late call is refused as late.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -82,12 +82,17 @@
     sample: Cell<ClockSample>,
     /// End of the longest lease that the worker may have been sent.
     leased_until: Cell<Moment>,
+    /// Latest deadline of a start call without an answer, including those of an earlier
+    /// process of this agent.
+    unanswered_until: Cell<Moment>,
     /// Whether the last poll had no answer.
     unresponsive: Cell<bool>,
     /// Number of the newest announcement of the worker's incarnation.
     announced: Cell<u64>,
     /// Number of polls sent to the worker.
     polls: Cell<u64>,
+    /// Number of the newest poll that was answered with a list.
+    listed: Cell<u64>,
     calls: Semaphore,
     /// Wakes the poll loop: a new worker, or acknowledged ends.
     wake: Notify,
@@ -100,6 +105,7 @@
     pub fn spawn(context: ControllerContext) -> Rc<Self> {
         let ControllerContext { worker, clock, log, metrics, messages, .. } = context;
         let ControllerContext { lease_limit, cancel_bound, harm_bound, .. } = context;
+        let unanswered_until = Cell::new(clock.now().after(lease_limit));
         let controller = Rc::new(Self {
             worker,
             clock,
@@ -111,9 +117,11 @@
             state: RefCell::default(),
             sample: Cell::default(),
             leased_until: Cell::default(),
+            unanswered_until,
             unresponsive: Cell::new(false),
             announced: Cell::new(0),
             polls: Cell::new(0),
+            listed: Cell::new(0),
             calls: Semaphore::new(MAX_CALLS),
             wake: Notify::new(),
             report_due: Notify::new(),
@@ -256,6 +264,7 @@
         }
         self.sample.set(ClockSample { clock: polled.clock, at: self.clock.now() });
         self.metrics.listings.inc();
+        self.listed.set(number);
         if state.apply_list(number, polled.list) {
             self.report_due.notify_one();
         }
@@ -313,55 +322,84 @@
     /// Starts a task; repeats the call until the worker has answered.
     async fn start(self: Rc<Self>, order: StartOrder) {
         let Ok(_permit) = self.calls.acquire().await else { return };
-        let (mut attempts, mut uncertain) = (0, false);
+        let (mut attempts, mut refused_at) = (0, None);
         loop {
-            let (deadline, epoch) = {
+            let (deadline, epoch, leaving) = {
                 let state = self.state.borrow();
                 if !state.needs_start(&order) {
                     return;
                 }
-                if state.is_leaving() {
-                    drop(state);
-                    self.abandon_start(&order, uncertain, attempts);
-                    return;
-                }
                 let is_fresh = self.clock.now() <= state.answered_at.after(self.answer_age_limit);
-                (self.deadline(&state).filter(|_| is_fresh), state.epoch)
+                let deadline = self.deadline(&state).filter(|_| is_fresh);
+                (deadline, state.epoch, state.is_leaving())
             };
+            if leaving {
+                // A leaving worker gets no new task, not even by a repeated call.
+                if self.abandon_start(&order, "worker leaves", attempts, &mut refused_at) {
+                    return;
+                }
+                pause(RETRY_PAUSE).await;
+                continue;
+            }
             let Some(deadline) = deadline else {
                 pause(RETRY_PAUSE).await;
                 continue;
             };
             attempts += 1;
-            let error = match self.worker.start(&order, deadline, epoch).await {
+            match self.worker.start(&order, deadline, epoch).await {
                 Ok(_) | Err(WorkerError::AlreadyEnded) => {
                     self.state.borrow_mut().record_answer(&order.task, order.run, self.polls.get());
                     self.log_start(&order, "answered", attempts);
                     return;
                 }
-                Err(error) => error,
-            };
-            uncertain |= matches!(error, WorkerError::NoAnswer | WorkerError::Malformed);
-            let refused = matches!(
-                error,
-                WorkerError::NoCapacity | WorkerError::NoTicket | WorkerError::Refused(_)
-            );
-            if refused && !uncertain {
-                self.state.borrow_mut().record_refusal(&order.task, order.run);
-                self.log_start(&order, &error.to_string(), attempts);
-                self.report_due.notify_one();
-                return;
+                Err(WorkerError::NoAnswer | WorkerError::Malformed) => {
+                    let until = self.unanswered_until.get().max(self.leased_until.get());
+                    self.unanswered_until.set(until);
+                }
+                Err(
+                    error @ (WorkerError::NoCapacity
+                    | WorkerError::NoTicket
+                    | WorkerError::Refused(_)),
+                ) => {
+                    if self.abandon_start(&order, &error.to_string(), attempts, &mut refused_at) {
+                        return;
+                    }
+                }
+                Err(_) => {}
             }
             pause(RETRY_PAUSE).await;
         }
     }
 
-    /// Abandons a start: a leaving worker gets no new task, not even by a repeated call.
-    fn abandon_start(self: &Rc<Self>, order: &StartOrder, uncertain: bool, attempts: u32) {
-        let stop = self.state.borrow_mut().abandon_start(order, uncertain);
-        self.log_start(order, "worker leaves", attempts);
+    /// Ends a start that the worker refuses or must not get; returns `false` if it is to be
+    /// repeated. `refused_at`: polls sent before the first refusal.
+    ///
+    /// An earlier call without an answer may have started the run, or may still do so. The
+    /// next list shows a run that has started; any other run is stopped before it ends as not
+    /// started.
+    fn abandon_start(
+        self: &Rc<Self>,
+        order: &StartOrder,
+        outcome: &str,
+        attempts: u32,
+        refused_at: &mut Option<u64>,
+    ) -> bool {
+        let uncertain = self.clock.now() < clock_bound(self.unanswered_until.get(), 0);
+        let refused_at = *refused_at.get_or_insert(self.polls.get());
+        if uncertain && self.listed.get() <= refused_at {
+            return false;
+        }
+        let stop = {
+            let mut state = self.state.borrow_mut();
+            if !state.needs_start(order) || state.is_running(&order.task, order.run) {
+                return true;
+            }
+            state.abandon_start(order, uncertain)
+        };
+        self.log_start(order, outcome, attempts);
         self.report_due.notify_one();
         self.execute(stop.into_iter().collect());
+        true
     }
 
     fn log_start(&self, order: &StartOrder, outcome: &str, attempts: u32) {
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -1,7 +1,7 @@
 //! An agent's state: the runs of its worker and the orders of the owner.
 //!
 //! Decides which calls are sent to the worker and which ends are reported. Except for a
-//! refused start, a run counts as ended only by the worker's own list: the list
+//! start whose every call was refused, a run counts as ended only by the worker's own list: the list
 //! names its end, or the list was requested after the worker had answered a call
 //! about the run and names it neither as running nor as ended.
 
@@ -281,13 +281,19 @@
             && ordered.is_some_and(|known| known.start.as_ref() == Some(start))
     }
 
+    /// Whether the worker's newest list names the run as running.
+    #[must_use]
+    pub fn is_running(&self, task: &TaskName, run: RunNumber) -> bool {
+        self.running.iter().any(|listed| listed.task == *task && listed.run == run)
+    }
+
     /// Whether the worker has announced that it leaves.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
         self.worker.as_ref().is_some_and(|worker| worker.leaves_in.is_some())
     }
 
-    /// Abandons a start on a worker that leaves. If the start may have been executed
+    /// Abandons a start that was refused or must not be sent. If it may have been executed
     /// (`uncertain`), returns the stop call; otherwise the run ends as not started.
     pub fn abandon_start(&mut self, start: &StartOrder, uncertain: bool) -> Option<WorkerCall> {
         if uncertain {
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -1,8 +1,8 @@
 //! Stand-in for the platform's worker: it runs simulated tasks under a lease,
 //! checks fencing tokens, and announces itself to an agent.
 //!
-//! Tests can make it ignore calls, start runs late, drain, or restart as a new
-//! incarnation under the same id. All workers of a test share one
+//! Tests can make it ignore calls, start runs late, refuse starts, drain, or restart as a
+//! new incarnation under the same id. All workers of a test share one
 //! [`RunHistory`], which reports a task that runs in two places at once or
 //! starts again after it was done.
 
@@ -96,6 +96,8 @@
     unresponsive: bool,
     /// Delay of start calls, which then get no answer.
     start_delay: Option<Duration>,
+    /// Whether starts are refused with 503 and have no effect.
+    refuses_starts: bool,
     /// Start calls that are carried out at the given time.
     delayed_starts: Vec<(Instant, StartBody)>,
 }
@@ -198,6 +200,7 @@
             draining: false,
             unresponsive: false,
             start_delay: None,
+            refuses_starts: false,
             delayed_starts: Vec::new(),
         }));
         let shared = Data::from(Arc::clone(&state));
@@ -267,6 +270,17 @@
         lock(&self.state).start_delay = delay;
     }
 
+    /// Makes the worker refuse new start calls; delayed ones are still carried out.
+    pub fn set_starts_refused(&self, refused: bool) {
+        lock(&self.state).refuses_starts = refused;
+    }
+
+    /// Number of start calls that are still to be carried out.
+    #[must_use]
+    pub fn delayed_starts(&self) -> usize {
+        lock(&self.state).delayed_starts.len()
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -327,6 +341,9 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    if state.refuses_starts {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let refusal = state.start_run(&body);
     answer(&state, refusal)
 }
