Grant no lease to an agent with expired runs before it has reported its list

When an agent's lease expires, the owner ends its runs and places the tasks again. The agent may hold start orders that it has received and not executed yet, e.g. if it was frozen or cut off, or its worker refused calls. It gets the stops of these runs only in the answer to a report with a list, but any answer renewed its lease. Two loops send reports, attempts that fail use up the list's turn, and a report without a list may arrive first; then the agent starts the expired runs beside the new ones.

`returning::an_agent_with_expired_runs_gets_no_lease_before_it_has_reported_its_ list` failed before: the lease was renewed without a stop. Withdrawing the order does not help here, as the order has been received.

The owner now grants no lease from the expiry until a list has arrived; the answer to that report orders the stops together with the lease. Nothing runs under the expired lease, so no task is ended by the delay, which is one list interval at most once the worker has answered a poll.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -255,6 +255,7 @@
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         tracked.unassigned.clear();
+        tracked.awaits_list = false;
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -291,8 +292,9 @@
     pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Option<Millis>)> {
         let mut silent = Vec::new();
         let mut expired = Vec::new();
-        for tracked in self.workers.values() {
+        for tracked in self.workers.values_mut() {
             if tracked.lease_end < now && !tracked.runs.is_empty() {
+                tracked.awaits_list = true;
                 let reported_at = (tracked.incarnation != 0).then_some(tracked.reported_at);
                 let since = reported_at.map(|reported_at| now.0.saturating_sub(reported_at.0));
                 silent.push((tracked.agent.clone(), since));
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -154,6 +154,8 @@
     pub runs: IndexMap<TaskName, AssignedRun>,
     /// Runs in the worker's newest list that are not assigned to it.
     pub unassigned: Vec<(TaskName, RunNumber)>,
+    /// Whether runs have expired since the newest list: the agent may still start them.
+    pub awaits_list: bool,
     pub orders: VecDeque<(u64, AgentOrder)>,
     /// Number of the newest order.
     pub last_order: u64,
@@ -179,6 +181,7 @@
             leaves_at: None,
             runs: IndexMap::new(),
             unassigned: Vec::new(),
+            awaits_list: false,
             orders: VecDeque::new(),
             last_order: 0,
             acknowledged: 0,
@@ -195,10 +198,11 @@
     }
 
     /// Duration of the lease that an answer grants, at most `limit`, ms. A report without a
-    /// worker does not extend `lease_end`, so its answer grants nothing.
+    /// worker does not extend `lease_end`, so its answer grants nothing. Nor does an answer
+    /// that does not order the stop of every expired run that the agent may still start.
     #[must_use]
     pub fn lease_duration(&self, limit: Millis) -> Millis {
-        if self.worker.is_some() { limit } else { 0 }
+        if self.worker.is_some() && !self.awaits_list { limit } else { 0 }
     }
 
     /// Replaces the start order of an ended run by a stop: the agent may not have received
--- /dev/null
+++ b/crates/queue/tests/returning.rs
@@ -0,0 +1,62 @@
+//! Agents and workers that return: what the owner may grant before it knows their runs.
+
+mod support;
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerCall, WorkerList};
+use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
+use cactusdoor_queue::report::AgentLease;
+use cactusdoor_queue::scheduler::QueueScheduler;
+use support::*;
+
+const NOW: Moment = Moment(10_000);
+
+/// The owner's answer to a report, with all outstanding orders.
+fn answer(scheduler: &QueueScheduler) -> AgentLease {
+    let tracked = &scheduler.workers["a"];
+    AgentLease {
+        epoch: scheduler.epoch,
+        incarnation: tracked.worker.as_ref().map(|worker| worker.incarnation.clone()),
+        duration: tracked.lease_duration(AGENT_LEASE),
+        confirmed: true,
+        heartbeat: 0,
+        acknowledged: 0,
+        acknowledged_runs: Vec::new(),
+        orders: tracked.orders.iter().cloned().collect(),
+        interference: None,
+    }
+}
+
+fn content(full_list: bool) -> ReportContent {
+    ReportContent { agent: "a".into(), incarnation: 1, full_list, wait: 0 }
+}
+
+/// An agent that has received the start of run 1 and not called its worker yet.
+fn received() -> (QueueScheduler, AgentState) {
+    let (mut scheduler, mut agent) = (scheduler(), AgentState::default());
+    agent.register(worker("a", 1));
+    agent.apply_list(1, WorkerList { running: Vec::new(), ended: Vec::new() });
+    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    scheduler.submit(&"j".into(), job(vec![step(1, 1_000)]));
+    scheduler.place(NOW, UNIX);
+    store(&mut scheduler);
+    assert_eq!(agent.apply_lease(answer(&scheduler), NOW).len(), 1);
+    (scheduler, agent)
+}
+
+/// Guards against a task that runs twice (TWICE): an agent that was frozen with a start order
+/// returns, and its first report that arrives carries no list.
+#[test]
+fn an_agent_with_expired_runs_gets_no_lease_before_it_has_reported_its_list() {
+    let (mut scheduler, mut agent) = received();
+    let later = clock_bound(NOW, AGENT_LEASE).after(1);
+    scheduler.expire(later, UNIX);
+    assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+    scheduler.report(&agent.report(content(false)), later, UNIX);
+    agent.apply_lease(answer(&scheduler), later);
+    assert!(agent.lease_end <= later, "the agent may start the run that has expired");
+    scheduler.report(&agent.report(content(true)), later, UNIX);
+    let calls = agent.apply_lease(answer(&scheduler), later);
+    assert_eq!(calls, vec![WorkerCall::Stop { task: task("j", 0, 0), run: 1 }]);
+    assert!(agent.lease_end > later);
+}
