End the runs of an earlier incarnation once its successor has been polled

Since runs end only for an incarnation that started later, a worker whose wall clock had jumped back before it restarted, with a restarted agent beside it, did not end the runs of the incarnation before. They stayed assigned while the agent reported, so their tasks did not run again, and their capacity stayed reserved; if one of them belonged to an ended job, the worker got no task at all.

`returning::a_listed_worker_replaces_an_incarnation_with_a_later_start` failed before: the run was still assigned.

The time of the start guards only against delayed announcements. A report with a list shows more: the worker itself has answered a poll as this incarnation, and an agent has one worker.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -53,6 +53,7 @@
         self.register_worker(
             agent,
             (report.worker.as_ref(), report.ended_incarnation.as_ref()),
+            report.runs.is_some(),
             now,
             unix,
         );
@@ -71,17 +72,22 @@
     }
 
     /// Registers the reported worker and ends the runs of an incarnation that has ended.
+    /// `listed`: whether the worker has answered a poll; an announcement may be an old one.
     fn register_worker(
         &mut self,
         agent: &AgentName,
         (worker, ended): (Option<&WorkerInfo>, Option<&WorkerIncarnation>),
+        listed: bool,
         now: Moment,
         unix: Millis,
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         // A restarted agent does not know its worker yet, so `None` ends nothing.
         let lapse_cause = |incarnation: &WorkerIncarnation| {
-            let replaced = worker.is_some_and(|worker| worker.incarnation.succeeds(incarnation));
+            let replaced = worker.is_some_and(|worker| {
+                worker.incarnation.succeeds(incarnation)
+                    || (listed && worker.incarnation != *incarnation)
+            });
             if ended == Some(incarnation) {
                 Some(LapseCause::WorkerEnded)
             } else {
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
-use cactusdoor_queue::report::AgentLease;
+use cactusdoor_queue::report::{AgentLease, AgentReport};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use support::*;
 
@@ -60,3 +60,20 @@
     assert_eq!(calls, vec![WorkerCall::Stop { task: task("j", 0, 0), run: 1 }]);
     assert!(agent.lease_end > later);
 }
+
+/// Guards against runs that never end (LOST): after a restart of the machine, the worker may
+/// have started at an earlier wall-clock time than the incarnation before.
+#[test]
+fn a_listed_worker_replaces_an_incarnation_with_a_later_start() {
+    let mut scheduler = scheduler();
+    scheduler.report(&report("a", 1, Some(worker("a", 2))), NOW, UNIX);
+    scheduler.submit(&"j".into(), job(vec![step(1, 1_000)]));
+    scheduler.place(NOW, UNIX);
+    store(&mut scheduler);
+    let restarted = AgentReport { incarnation: 2, ..report("a", 1, Some(worker("a", 1))) };
+    scheduler.report(&restarted, NOW, UNIX);
+    assert!(scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+    let listed = AgentReport { number: 2, runs: Some(Vec::new()), ..restarted };
+    scheduler.report(&listed, NOW, UNIX);
+    assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+}
