--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -53,6 +53,7 @@
         self.register_worker(
             agent,
             (report.worker.as_ref(), report.ended_incarnation.as_ref()),
+            report.runs.is_some(),
             now,
             unix,
         );
@@ -71,17 +72,22 @@
     }
 
     /// Registers the reported worker and ends the runs of an incarnation that has ended.
+    /// `listed`: whether the worker has answered a poll; an announcement may be an old one.
     fn register_worker(
         &mut self,
         agent: &AgentName,
         (worker, ended): (Option<&WorkerInfo>, Option<&WorkerIncarnation>),
+        listed: bool,
         now: Moment,
         unix: Millis,
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         // A restarted agent does not know its worker yet, so `None` ends nothing.
         let lapse_cause = |incarnation: &WorkerIncarnation| {
-            let replaced = worker.is_some_and(|worker| worker.incarnation.succeeds(incarnation));
+            let replaced = worker.is_some_and(|worker| {
+                worker.incarnation.succeeds(incarnation)
+                    || (listed && worker.incarnation != *incarnation)
+            });
             if ended == Some(incarnation) {
                 Some(LapseCause::WorkerEnded)
             } else {
@@ -255,6 +261,7 @@
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         tracked.unassigned.clear();
+        tracked.awaits_list = false;
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -291,8 +298,9 @@
     pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Option<Millis>)> {
         let mut silent = Vec::new();
         let mut expired = Vec::new();
-        for tracked in self.workers.values() {
+        for tracked in self.workers.values_mut() {
             if tracked.lease_end < now && !tracked.runs.is_empty() {
+                tracked.awaits_list = true;
                 let reported_at = (tracked.incarnation != 0).then_some(tracked.reported_at);
                 let since = reported_at.map(|reported_at| now.0.saturating_sub(reported_at.0));
                 silent.push((tracked.agent.clone(), since));
