Count a job as pending until one of its tasks is known to have started

Callers read "0 pending" while jobs had waited for more than five seconds: an owner counted a job as started when its first task was placed, and the next owner when any record of a task was stored. An agent that is frozen, cut off or restarting carries out such a start seconds later, or never.

A job is now queued until a worker lists one of its tasks as running, or lists the end of one: a worker lists no end of a run that has not started. Of a stored record, only done, a failure or a checkpoint shows a start; a placement or a run number does not. The state that callers see follows the same fact. Formats are unchanged.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -252,6 +252,12 @@
         }
     }
 
+    /// Pending jobs as an entry counts them; `None` if it gives no count.
+    pub async fn pending(&self, entry: usize) -> Option<u64> {
+        let (status, body) = self.call("GET", entry, "/q/", Value::Null).await;
+        if status == 200 { body["pending"].as_u64() } else { None }
+    }
+
     pub async fn state(&self, id: &str) -> String {
         let (_, body) = self.call("GET", 0, &format!("/q/{id}"), Value::Null).await;
         body["state"].as_str().unwrap_or("unknown").to_owned()
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -64,6 +64,10 @@
             tracked.lease_end = tracked.lease_end.max(clock_bound(now, AGENT_LEASE));
         }
         if let Some(reported) = &report.runs {
+            // Without a percentage, the start is still under way.
+            for listed in reported.iter().filter(|listed| listed.percent.is_some()) {
+                self.record_start(&listed.task.job);
+            }
             self.reconcile(agent, reported, received, now);
         }
         true
@@ -120,6 +124,10 @@
 
     fn apply_ends(&mut self, agent: &AgentName, ended: &[EndedRun], now: Moment, unix: Millis) {
         for ended in ended {
+            // The worker lists the ends of those runs only that have started.
+            if ended.number > 0 {
+                self.record_start(&ended.task.job);
+            }
             self.end_run(agent, &ended.task, ended.run, ended.end, Some(ended), now, unix);
         }
         let incarnation = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
@@ -219,6 +227,15 @@
         }
     }
 
+    /// Publishes a job as running, as one of its tasks is known to have started.
+    fn record_start(&mut self, id: &JobId) {
+        let queued = self.jobs.get_mut(id).filter(|job| job.state == JobState::Queued);
+        let Some(job) = queued else { return };
+        job.state = JobState::Running;
+        let state = job.state;
+        self.push(None, Some(CommitEffect::Published { job: id.clone(), state }));
+    }
+
     /// Compares the worker's list with the assigned runs and stops unknown ones.
     fn reconcile(
         &mut self,
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -1,6 +1,7 @@
 //! Progress of a job: its occurrences, steps and tasks.
 //!
-//! Decides which tasks are ready and when a job is completed or has failed. Refers to
+//! Decides which tasks are ready, from when on a job counts as running, and when it is
+//! completed or has failed. Refers to
 //! workers only by the names of their agents.
 
 use std::collections::BTreeMap;
@@ -90,6 +91,7 @@
     pub id: JobId,
     pub spec: Arc<JobSpec>,
     pub payload: Arc<str>,
+    /// `Queued` until a task is known to have started.
     pub state: JobState,
     /// Time since which no task is placed; `None` while one is.
     pub idle_since: Option<Moment>,
@@ -146,7 +148,7 @@
         self.spec.steps.get(usize::from(name.step))
     }
 
-    /// Restores a stored task.
+    /// Restores a stored task. Neither a placement nor a run number shows that it has started.
     pub fn restore(&mut self, name: &TaskName, record: &TaskRecord) {
         if !self.occurrences.contains_key(&name.occurrence) {
             self.open_occurrence(name.occurrence);
@@ -160,7 +162,9 @@
             (Some(placed), false) => TaskPlace::Placed(placed.agent.clone()),
             (None, false) => TaskPlace::Waiting(Moment::default()),
         };
-        self.state = JobState::Running;
+        if record.done || record.failures > 0 || !record.checkpoint.is_empty() {
+            self.state = JobState::Running;
+        }
     }
 
     /// Whether a task waits, or an occurrence has not been opened yet.
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -394,19 +394,12 @@
         };
         self.assign_run(agent, name, &step, run, now);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let first = job.state == JobState::Queued;
-        job.state = JobState::Running;
         let Some(task) = job.task_mut(name) else { return };
         task.run = run;
         task.place = TaskPlace::Placed(agent.clone());
         let record = task.record(Some(PlacedAt { agent: agent.clone(), incarnation }));
         let started = CommitEffect::Started { agent: agent.clone(), task: name.clone(), run };
         self.push_task(name, &record, Some(started));
-        if first {
-            let published =
-                CommitEffect::Published { job: name.job.clone(), state: JobState::Running };
-            self.push(None, Some(published));
-        }
     }
 
     /// Applies the effect of a stored write to the state of its worker.
@@ -451,7 +444,7 @@
         }
     }
 
-    /// Number of queued jobs, without any started task, by queue.
+    /// Number of jobs of which no task is known to have started, by queue.
     #[must_use]
     pub fn pending(&self) -> IndexMap<QueueName, u64> {
         let mut pending = IndexMap::new();
