Repeat orders that an agent has forgotten

An agent that removes its worker, e.g. because the lease has expired without an answer, forgets the orders that it has received. If the same incarnation registers again before a report says that it was gone, the owner keeps the runs, counts their orders as received and never sends them again. The tasks neither start nor end, and their capacity stays reserved, until the agent or the owner is replaced.

The list of a report names every order that the agent still has. The owner now repeats the order of a run of the present incarnation that is neither listed nor in the queue and has never been listed with progress. Start and stop are idempotent by run number, for the agent and for the worker.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -286,6 +286,7 @@
                 }
             }
         }
+        tracked.repeat_orders(reported);
         // The agent has received an order only if its number is at most `received`; later
         // ones are in transit, so the worker is not checked for a stall yet.
         if tracked.orders.is_empty() && received == tracked.last_order {
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -129,6 +129,17 @@
     Stop { task: TaskName, run: RunNumber },
 }
 
+impl AgentOrder {
+    /// The run that the order is about.
+    #[must_use]
+    pub fn run(&self) -> (&TaskName, RunNumber) {
+        match self {
+            Self::Start(start) => (&start.task, start.run),
+            Self::Stop { task, run } => (task, *run),
+        }
+    }
+}
+
 /// The owner's answer to a report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ReportReply {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -11,7 +11,7 @@
 
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
-use crate::report::{AgentOrder, StartOrder, WorkerInfo};
+use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
 use crate::spec::{StepSpec, TaskNeed};
 use crate::throttling::TARGET_HEADROOM;
 
@@ -218,6 +218,22 @@
         }
     }
 
+    /// Orders runs again that the agent has received but never listed: it forgets its orders
+    /// when it removes its worker, and the same incarnation may register again.
+    pub fn repeat_orders(&mut self, reported: &[ReportedRun]) {
+        let Some(worker) = &self.worker else { return };
+        let ordered = self.orders.iter().map(|(_, order)| order.run());
+        let listed = reported.iter().map(|listed| (&listed.task, listed.run));
+        let known: IndexSet<_> = ordered.chain(listed).collect();
+        let forgotten = self.runs.values().filter(|run| {
+            let current = run.stored && run.start.incarnation == worker.incarnation;
+            current && run.percent.is_none() && !known.contains(&(&run.start.task, run.start.run))
+        });
+        for order in forgotten.map(AssignedRun::order).collect::<Vec<_>>() {
+            self.order(order);
+        }
+    }
+
     /// Stops a run; returns `false` if it is unknown or is being stopped already.
     pub fn stop(&mut self, task: &TaskName) -> bool {
         let Some(run) = self.runs.get_mut(task).filter(|run| !run.stopping) else { return false };
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -61,6 +61,24 @@
     assert!(agent.lease_end > later);
 }
 
+/// Guards against a task that never starts (LOST): an agent that removes its worker forgets
+/// its orders, and the same incarnation registers before a report says so.
+#[test]
+fn an_order_that_the_agent_has_forgotten_is_repeated() {
+    let (mut scheduler, mut agent) = received();
+    scheduler.report(&agent.report(content(false)), NOW, UNIX);
+    assert!(scheduler.workers["a"].orders.is_empty());
+    agent.remove();
+    agent.register(worker("a", 1));
+    agent.apply_list(2, WorkerList { running: Vec::new(), ended: Vec::new() });
+    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    assert!(scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+    let calls = agent.apply_lease(answer(&scheduler), NOW);
+    assert!(matches!(&calls[..], [WorkerCall::Start(start)] if start.run == 1), "{calls:?}");
+    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    assert!(scheduler.workers["a"].orders.is_empty(), "a listed run needs no further order");
+}
+
 /// Guards against runs that never end (LOST): after a restart of the machine, the worker may
 /// have started at an earlier wall-clock time than the incarnation before.
 #[test]
