Ignore reports of former processes of an agent

A report that a killed agent had sent may arrive after the first report of its next process. The owner took it for another restart: it numbered the orders anew and dropped those that the former process had received, and then did the same again for the next report of the living process. Both counted numbers of another series, so starts and stops were dropped that nobody had received.

`returning::a_delayed_report_of_a_former_process_takes_no_order` failed before: the delayed report was applied, and the start order was gone.

Incarnations are random and have no order, so the owner remembers the last few.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -27,16 +27,22 @@
 const STALL_SPEED: u8 = 50;
 /// Progress, percent, at which an endless task is operational.
 const OPERATIONAL: u8 = 100;
+/// Most former processes of an agent whose reports are recognized.
+const MAX_FORMER: usize = 8;
 /// Time needed to move a task away from a leaving worker, ms: a stop and a report.
 const LEAVE_MARGIN: Millis = 600;
 
 impl QueueScheduler {
-    /// Applies a report; returns `false` if it is not newer than the last one.
+    /// Applies a report; returns `false` if it is not newer than the last one, or
+    /// comes from a former process of the agent.
     pub fn report(&mut self, report: &AgentReport, now: Moment, unix: Millis) -> bool {
         let agent = &report.agent;
         let tracked = self.workers.entry(agent.clone());
         let tracked = tracked.or_insert_with(|| TrackedWorker::open(agent.clone(), now));
-        if tracked.incarnation == report.incarnation && report.number <= tracked.last_report {
+        let same = tracked.incarnation == report.incarnation;
+        if tracked.former.contains(&report.incarnation)
+            || (same && report.number <= tracked.last_report)
+        {
             return false;
         }
         tracked.last_report = report.number;
@@ -44,7 +50,7 @@
             self.interference.learn(sample);
         }
         tracked.reported_at = now;
-        if tracked.incarnation != report.incarnation {
+        if !same {
             requeue_orders(tracked, report.incarnation);
         }
         // Each owner numbers its orders from the start.
@@ -320,7 +326,9 @@
 
 /// Queues all orders again for a restarted agent.
 fn requeue_orders(tracked: &mut TrackedWorker, incarnation: u64) {
-    tracked.incarnation = incarnation;
+    tracked.former.push_back(std::mem::replace(&mut tracked.incarnation, incarnation));
+    let excess = tracked.former.len().saturating_sub(MAX_FORMER);
+    tracked.former.drain(..excess);
     tracked.orders.clear();
     tracked.last_order = 0;
     tracked.acknowledged_runs.clear();
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -143,6 +143,8 @@
     pub agent: AgentName,
     /// Incarnation of the agent's process; 0 before its first report.
     pub incarnation: u64,
+    /// Incarnations of former processes, whose reports may be delayed.
+    pub former: VecDeque<u64>,
     /// Number of the newest applied report.
     pub last_report: u64,
     pub worker: Option<WorkerInfo>,
@@ -174,6 +176,7 @@
         Self {
             agent,
             incarnation: 0,
+            former: VecDeque::new(),
             last_report: 0,
             worker: None,
             reported_at: Moment::default(),
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -95,3 +95,17 @@
     scheduler.report(&listed, NOW, UNIX);
     assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
 }
+
+/// Guards against lost orders (LOST): a report of a former process of the agent, delayed by the
+/// network, counts orders that the present process has not received.
+#[test]
+fn a_delayed_report_of_a_former_process_takes_no_order() {
+    let (mut scheduler, mut agent) = received();
+    let delayed = agent.report(content(false));
+    assert_eq!(delayed.received, 1);
+    let restarted = AgentReport { incarnation: 2, ..report("a", 1, Some(worker("a", 1))) };
+    scheduler.report(&restarted, NOW, UNIX);
+    assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
+    assert!(!scheduler.report(&delayed, NOW, UNIX));
+    assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
+}
