Free a worker with the end of an unassigned run

A worker with an unassigned run counts as full until its next list, up to a second after the end of that run was reported, so its tasks wait longer than needed.

`returning::the_end_of_an_unassigned_run_frees_its_worker` failed before. An end is as good a proof as a list without the run: the worker has listed it, or the agent knows that the run never started.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -140,10 +140,13 @@
         for ended in ended {
             self.end_run(agent, &ended.task, ended.run, ended.end, Some(ended), now, unix);
         }
-        let incarnation = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
-        let Some(incarnation) = incarnation.map(|worker| worker.incarnation.clone()) else {
-            return;
+        let Some(tracked) = self.workers.get_mut(agent) else { return };
+        let has_ended = |task: &TaskName, run| {
+            ended.iter().any(|ended| ended.task == *task && ended.run == run)
         };
+        tracked.unassigned.retain(|(task, run)| !has_ended(task, *run));
+        let incarnation = tracked.worker.as_ref().map(|worker| worker.incarnation.clone());
+        let Some(incarnation) = incarnation else { return };
         if let Some(number) = ended.iter().map(|ended| ended.number).max().filter(|n| *n > 0) {
             let acknowledged =
                 CommitEffect::Acknowledged { agent: agent.clone(), incarnation, number };
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
-use cactusdoor_queue::report::{AgentLease, AgentReport};
+use cactusdoor_queue::report::{AgentLease, AgentReport, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use support::*;
 
@@ -109,3 +109,24 @@
     assert!(!scheduler.report(&delayed, NOW, UNIX));
     assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
 }
+
+/// Guards against a worker that stays closed: the end of an unassigned run frees its worker
+/// without waiting for the next list.
+#[test]
+fn the_end_of_an_unassigned_run_frees_its_worker() {
+    let (mut scheduler, _) = received();
+    let stray = ReportedRun {
+        task: task("old", 0, 0),
+        run: 1,
+        checkpoint: "".into(),
+        percent: Some(5),
+        speed: 100,
+    };
+    let listing = AgentReport { runs: Some(vec![stray]), ..report("a", 2, Some(worker("a", 1))) };
+    scheduler.report(&listing, NOW, UNIX);
+    assert!(!scheduler.workers["a"].unassigned.is_empty());
+    let ended = vec![ended(1, &task("old", 0, 0), 1, RunEnd::Stopped)];
+    let ending = AgentReport { ended, ..report("a", 3, Some(worker("a", 1))) };
+    scheduler.report(&ending, NOW, UNIX);
+    assert!(scheduler.workers["a"].unassigned.is_empty());
+}
