--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -27,16 +27,22 @@
 const STALL_SPEED: u8 = 50;
 /// Progress, percent, at which an endless task is operational.
 const OPERATIONAL: u8 = 100;
+/// Most former processes of an agent whose reports are recognized.
+const MAX_FORMER: usize = 8;
 /// Time needed to move a task away from a leaving worker, ms: a stop and a report.
 const LEAVE_MARGIN: Millis = 600;
 
 impl QueueScheduler {
-    /// Applies a report; returns `false` if it is not newer than the last one.
+    /// Applies a report; returns `false` if it is not newer than the last one, or
+    /// comes from a former process of the agent.
     pub fn report(&mut self, report: &AgentReport, now: Moment, unix: Millis) -> bool {
         let agent = &report.agent;
         let tracked = self.workers.entry(agent.clone());
         let tracked = tracked.or_insert_with(|| TrackedWorker::open(agent.clone(), now));
-        if tracked.incarnation == report.incarnation && report.number <= tracked.last_report {
+        let same = tracked.incarnation == report.incarnation;
+        if tracked.former.contains(&report.incarnation)
+            || (same && report.number <= tracked.last_report)
+        {
             return false;
         }
         tracked.last_report = report.number;
@@ -44,7 +50,7 @@
             self.interference.learn(sample);
         }
         tracked.reported_at = now;
-        if tracked.incarnation != report.incarnation {
+        if !same {
             requeue_orders(tracked, report.incarnation);
         }
         // Each owner numbers its orders from the start.
@@ -142,10 +148,13 @@
             }
             self.end_run(agent, &ended.task, ended.run, ended.end, Some(ended), now, unix);
         }
-        let incarnation = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
-        let Some(incarnation) = incarnation.map(|worker| worker.incarnation.clone()) else {
-            return;
+        let Some(tracked) = self.workers.get_mut(agent) else { return };
+        let has_ended = |task: &TaskName, run| {
+            ended.iter().any(|ended| ended.task == *task && ended.run == run)
         };
+        tracked.unassigned.retain(|(task, run)| !has_ended(task, *run));
+        let incarnation = tracked.worker.as_ref().map(|worker| worker.incarnation.clone());
+        let Some(incarnation) = incarnation else { return };
         if let Some(number) = ended.iter().map(|ended| ended.number).max().filter(|n| *n > 0) {
             let acknowledged =
                 CommitEffect::Acknowledged { agent: agent.clone(), incarnation, number };
@@ -303,6 +312,7 @@
                 }
             }
         }
+        tracked.repeat_orders(reported);
         // The agent has received an order only if its number is at most `received`; later
         // ones are in transit, so the worker is not checked for a stall yet.
         if tracked.orders.is_empty() && received == tracked.last_order {
@@ -336,7 +346,9 @@
 
 /// Queues all orders again for a restarted agent.
 fn requeue_orders(tracked: &mut TrackedWorker, incarnation: u64) {
-    tracked.incarnation = incarnation;
+    tracked.former.push_back(std::mem::replace(&mut tracked.incarnation, incarnation));
+    let excess = tracked.former.len().saturating_sub(MAX_FORMER);
+    tracked.former.drain(..excess);
     tracked.orders.clear();
     tracked.last_order = 0;
     tracked.acknowledged_runs.clear();
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
-use cactusdoor_queue::report::{AgentLease, AgentReport};
+use cactusdoor_queue::report::{AgentLease, AgentReport, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use support::*;
 
@@ -61,6 +61,24 @@
     assert!(agent.lease_end > later);
 }
 
+/// Guards against a task that never starts (LOST): an agent that removes its worker forgets
+/// its orders, and the same incarnation registers before a report says so.
+#[test]
+fn an_order_that_the_agent_has_forgotten_is_repeated() {
+    let (mut scheduler, mut agent) = received();
+    scheduler.report(&agent.report(content(false)), NOW, UNIX);
+    assert!(scheduler.workers["a"].orders.is_empty());
+    agent.remove();
+    agent.register(worker("a", 1));
+    agent.apply_list(2, WorkerList { running: Vec::new(), ended: Vec::new() });
+    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    assert!(scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
+    let calls = agent.apply_lease(answer(&scheduler), NOW);
+    assert!(matches!(&calls[..], [WorkerCall::Start(start)] if start.run == 1), "{calls:?}");
+    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    assert!(scheduler.workers["a"].orders.is_empty(), "a listed run needs no further order");
+}
+
 /// Guards against runs that never end (LOST): after a restart of the machine, the worker may
 /// have started at an earlier wall-clock time than the incarnation before.
 #[test]
@@ -77,3 +95,38 @@
     scheduler.report(&listed, NOW, UNIX);
     assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
 }
+
+/// Guards against lost orders (LOST): a report of a former process of the agent, delayed by the
+/// network, counts orders that the present process has not received.
+#[test]
+fn a_delayed_report_of_a_former_process_takes_no_order() {
+    let (mut scheduler, mut agent) = received();
+    let delayed = agent.report(content(false));
+    assert_eq!(delayed.received, 1);
+    let restarted = AgentReport { incarnation: 2, ..report("a", 1, Some(worker("a", 1))) };
+    scheduler.report(&restarted, NOW, UNIX);
+    assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
+    assert!(!scheduler.report(&delayed, NOW, UNIX));
+    assert_eq!(starts(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
+}
+
+/// Guards against a worker that stays closed: the end of an unassigned run frees its worker
+/// without waiting for the next list.
+#[test]
+fn the_end_of_an_unassigned_run_frees_its_worker() {
+    let (mut scheduler, _) = received();
+    let stray = ReportedRun {
+        task: task("old", 0, 0),
+        run: 1,
+        checkpoint: "".into(),
+        percent: Some(5),
+        speed: 100,
+    };
+    let listing = AgentReport { runs: Some(vec![stray]), ..report("a", 2, Some(worker("a", 1))) };
+    scheduler.report(&listing, NOW, UNIX);
+    assert!(!scheduler.workers["a"].unassigned.is_empty());
+    let ended = vec![ended(1, &task("old", 0, 0), 1, RunEnd::Stopped)];
+    let ending = AgentReport { ended, ..report("a", 3, Some(worker("a", 1))) };
+    scheduler.report(&ending, NOW, UNIX);
+    assert!(scheduler.workers["a"].unassigned.is_empty());
+}
