Register another worker only once the worker itself confirms it

Seen by callers: a task started a second time on the worker where its first run went on (TWICE), and tasks were sent to a worker that had said that it drains.

Cause: any announcement that parsed was believed. One under another id, or with a later birth, replaced the living worker, and the owner ended its runs; so did a delayed announcement of an earlier incarnation that reached a restarted agent first. A sequence number at the end of its range hid all later announcements. The address was not read, so one with a port out of range named a worker to use.

Why it works: an announced incarnation other than the known one is a candidate. The agent polls the worker under the candidate's id, without a lease, and registers it only if the worker answers with this id and birth; so the clock of a lease comes from the worker's own answer too. An announcement of the known incarnation counts if its number or its clock is higher, and not if its clock is ahead of the worker's; a changed description counts the second time. The address must parse and have a port.

Warnings about odd entries have a bounded rate and length.

--- a/crates/fleet/src/announcements.rs
+++ b/crates/fleet/src/announcements.rs
@@ -13,7 +13,7 @@
 use prometheus::Registry;
 use tokio::sync::mpsc;
 
-use crate::metrics;
+use crate::{metrics, odd_entry};
 
 /// An announcement or a departure of a worker.
 #[derive(Debug)]
@@ -58,7 +58,7 @@
     let announced = match announcement::read(&id, &body) {
         Ok(announced) => announced,
         Err(error) => {
-            log::warn!("announcement of worker {id} is ignored: {error}");
+            odd_entry::warn("the worker's announcements", error);
             return HttpResponse::BadRequest().finish();
         }
     };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod follower;
 pub mod loading;
 pub mod metrics;
+pub mod odd_entry;
 pub mod operators;
 pub mod owner;
 pub mod owner_client;
--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -4,6 +4,8 @@
 //! without a valid lease and a recent answer of the owner, and removes a worker that does not
 //! answer only after every lease sent to it has certainly expired.
 
+mod registration;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +20,7 @@
 use cactusdoor_queue::report::StartOrder;
 use tokio::sync::{Notify, Semaphore, mpsc};
 
+pub use self::registration::{AnnouncementFilter, AnnouncementUse};
 use crate::announcements::WorkerMessage;
 use crate::appender::pause;
 use crate::decision::DecisionEvent;
@@ -84,8 +87,11 @@
     leased_until: Cell<Moment>,
     /// Whether the last poll had no answer.
     unresponsive: Cell<bool>,
-    /// Number of the newest announcement of the worker's incarnation.
-    announced: Cell<u64>,
+    filter: RefCell<AnnouncementFilter>,
+    /// An announced incarnation that the worker has not confirmed yet.
+    candidate: RefCell<Option<WorkerAnnouncement>>,
+    /// Wakes the confirmation: a new candidate, or an answer of the owner.
+    candidate_due: Notify,
     /// Number of polls sent to the worker.
     polls: Cell<u64>,
     calls: Semaphore,
@@ -112,13 +118,16 @@
             sample: Cell::default(),
             leased_until: Cell::default(),
             unresponsive: Cell::new(false),
-            announced: Cell::new(0),
+            filter: RefCell::default(),
+            candidate: RefCell::default(),
+            candidate_due: Notify::new(),
             polls: Cell::new(0),
             calls: Semaphore::new(MAX_CALLS),
             wake: Notify::new(),
             report_due: Notify::new(),
         });
         actix_rt::spawn(Rc::clone(&controller).handle_messages(messages));
+        actix_rt::spawn(Rc::clone(&controller).confirm_candidates());
         actix_rt::spawn(Rc::clone(&controller).poll());
         controller
     }
@@ -132,39 +141,6 @@
         }
     }
 
-    fn register(&self, announced: WorkerAnnouncement) {
-        let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        let same = state.incarnation() == Some(&announced.worker.incarnation);
-        // A delayed announcement is older than the newest known one.
-        if same && announced.number <= self.announced.get() {
-            return;
-        }
-        let (incarnation, leaves_in) =
-            (announced.worker.incarnation.clone(), announced.worker.leaves_in);
-        let leaving = state.worker.as_ref().is_some_and(|worker| worker.leaves_in.is_some());
-        if state.register(announced.worker) {
-            self.sample.set(ClockSample { clock: announced.clock, at: now });
-            // An earlier process of this agent may have extended the lease just before it ended.
-            self.leased_until.set(now.after(self.lease_limit));
-            let (worker, born) = (incarnation.id.to_string(), incarnation.born);
-            self.log.record(DecisionEvent::WorkerRegistered { worker, born });
-            self.wake.notify_one();
-        } else if state.incarnation() != Some(&incarnation) {
-            return;
-        }
-        self.announced.set(announced.number);
-        if let Some(remaining) = leaves_in.filter(|_| !leaving) {
-            self.log.record(DecisionEvent::WorkerLeaving {
-                worker: incarnation.id.to_string(),
-                remaining,
-            });
-        }
-        if !same || leaves_in.is_some() != leaving {
-            self.report_due.notify_one();
-        }
-    }
-
     fn handle_leave(&self, worker: &str) {
         let mut state = self.state.borrow_mut();
         if let Some(known) = state.worker.as_mut().filter(|known| *known.incarnation.id == *worker)
@@ -241,7 +217,7 @@
         }
         self.leased_until.set(self.leased_until.get().max(state.lease_end));
         let remaining = state.lease_end.0.saturating_sub(sample.at.0);
-        Some(sample.clock + remaining * CLOCK_PERCENT / 100)
+        Some(sample.clock.saturating_add(remaining * CLOCK_PERCENT / 100))
     }
 
     fn apply_list(&self, incarnation: &WorkerIncarnation, number: u64, polled: PolledList) {
@@ -301,6 +277,7 @@
     /// Makes the worker calls that follow from an answer of the owner.
     pub fn execute(self: &Rc<Self>, calls: Vec<WorkerCall>) {
         self.wake.notify_one();
+        self.candidate_due.notify_one();
         for call in calls {
             let controller = Rc::clone(self);
             match call {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -71,6 +71,8 @@
     /// Addresses of the store, one for each process.
     endpoints: Vec<StoreEndpoint>,
     entries: Vec<(SocketAddr, SocketAddr)>,
+    /// Addresses to which the workers announce themselves.
+    announce_addresses: Vec<SocketAddr>,
     agents: usize,
     directory: TempDir,
     client: awc::Client,
@@ -87,6 +89,7 @@
             processes: Vec::new(),
             endpoints: Vec::new(),
             entries: Vec::new(),
+            announce_addresses: Vec::new(),
             agents,
             directory: tempfile::tempdir().unwrap(),
             client: awc::Client::builder().timeout(Duration::from_secs(5)).finish(),
@@ -127,6 +130,7 @@
             self.open_endpoint(),
         );
         self.add_process("agent", &name, &text);
+        self.announce_addresses.push(announce);
         let history = Arc::clone(&self.history);
         let id = format!("i-{index}");
         self.workers.push(PlatformWorker::spawn(&id, worker, announce, "north", history).unwrap());
@@ -225,6 +229,23 @@
         }
     }
 
+    /// Sends an announcement to an agent as an unrelated writer does; returns the status.
+    pub async fn announce(&self, agent: usize, id: &str, body: impl Into<Vec<u8>>) -> u16 {
+        let address = self.announce_addresses[agent];
+        let call = self.client.post(format!("http://{address}/instances/{id}/heartbeat"));
+        let call = call.content_type("application/json");
+        let answer = call.send_body(body.into()).await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Queries a job at an entry with a deadline header; `None` without an answer in time.
+    pub async fn query_within(&self, entry: usize, job: &str, deadline: &str) -> Option<u16> {
+        let url = format!("http://{}/q/{job}", self.entries[entry].0);
+        let call = self.client.get(url).insert_header(("Host", HOST));
+        let call = call.insert_header(("X-Deadline-Ms", deadline));
+        call.send().await.ok().map(|answer| answer.status().as_u16())
+    }
+
     pub async fn ready(&self, entry: usize) -> bool {
         let address = self.entries[entry].1;
         let answer = self.client.get(format!("http://{address}/readiness")).send().await;
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the platform's worker: it runs simulated tasks under a lease,
-//! checks fencing tokens, and announces itself to an agent.
+//! checks fencing tokens, and announces itself to an agent. It refuses calls that name
+//! another worker.
 //!
 //! Tests can make it ignore calls, start runs late, drain, or restart as a new
 //! incarnation under the same id. All workers of a test share one
@@ -267,6 +268,12 @@
         lock(&self.state).start_delay = delay;
     }
 
+    /// Id of the worker and the body that it announces.
+    #[must_use]
+    pub fn announcement(&self) -> (String, Value) {
+        announcement(&lock(&self.state), self.server.address(), "north", 1)
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -322,6 +329,9 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    if is_misdirected(&state, &request) {
+        return HttpResponse::MisdirectedRequest().finish();
+    }
     if let Some(delay) = state.start_delay {
         state.delayed_starts.push((Instant::now() + delay, body.into_inner()));
         cut_connection(&request);
@@ -331,6 +341,12 @@
     answer(&state, refusal)
 }
 
+/// Whether the call names another worker than this one.
+fn is_misdirected(state: &WorkerState, request: &HttpRequest) -> bool {
+    let expected = request.headers().get("X-Expect-Instance");
+    expected.is_some_and(|id| id.as_bytes() != state.id.as_bytes())
+}
+
 fn answer(state: &WorkerState, refusal: Option<&'static str>) -> HttpResponse {
     let clock = state.clock();
     match refusal {
@@ -358,6 +374,9 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    if is_misdirected(&state, &request) {
+        return HttpResponse::MisdirectedRequest().finish();
+    }
     if body.fencing_token < state.fence {
         return answer(&state, Some("fence"));
     }
@@ -399,6 +418,9 @@
             cut_connection(&request);
             return HttpResponse::Ok().finish();
         }
+        if is_misdirected(&state, &request) {
+            return HttpResponse::MisdirectedRequest().finish();
+        }
         if body.fencing_token < state.fence {
             return answer(&state, Some("fence"));
         }
