Skip rows of a worker's list that do not decode

Seen by callers: jobs that never ended (LOST). The agent saw no end of any run of its worker as long as one row of the list was odd.

Cause: one row that did not decode made the whole list Malformed. An end with the number, once acknowledged, would have hidden all later ends.

Why it works: rows are kept as raw text, which any nesting and any number passes, and decoded one by one, and their fields too. A row that is skipped although it names a task makes the list incomplete: no run counts as ended for being absent from it.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -26,6 +26,7 @@
 use crate::decision::DecisionEvent;
 use crate::decision_log::DecisionLog;
 use crate::metrics::AgentMetrics;
+use crate::odd_entry;
 
 /// Longest wait of a poll of the worker: half of the time between two throttle changes,
 /// which only follow a poll.
@@ -169,8 +170,14 @@
                 Ok(polled) => {
                     refused_polls = 0;
                     self.unresponsive.set(false);
+                    let skipped = polled.skipped;
                     self.apply_list(&incarnation, number, polled);
                     self.set_throttles(&incarnation).await;
+                    if skipped > 0 {
+                        odd_entry::warn("the worker's list", format!("{skipped} rows"));
+                        // An end that is not acknowledged is listed at once with every poll.
+                        tokio::time::sleep(ACKNOWLEDGE_WAIT).await;
+                    }
                 }
                 Err(WorkerError::OtherIncarnation) => {
                     self.remove(&incarnation, "another incarnation answers")
@@ -232,6 +239,8 @@
         }
         self.sample.set(ClockSample { clock: polled.clock, at: self.clock.now() });
         self.metrics.listings.inc();
+        // Number 0: no run has ended for the reason that the list does not show it.
+        let number = if polled.complete { number } else { 0 };
         if state.apply_list(number, polled.list) {
             self.report_due.notify_one();
         }
--- a/crates/queue/src/name.rs
+++ b/crates/queue/src/name.rs
@@ -18,6 +18,9 @@
 pub type ServiceName = Arc<str>;
 /// Opaque progress of a task; empty for none.
 pub type Checkpoint = Arc<str>;
+/// Longest name of a task, bytes: the store's keys are not longer.
+const MAX_TASK_NAME_BYTES: usize = 255;
+
 /// Number of a run of a task, from 1.
 pub type RunNumber = u32;
 
@@ -72,6 +75,9 @@
 }
 
 fn parse(text: &str) -> Option<TaskName> {
+    if text.len() > MAX_TASK_NAME_BYTES {
+        return None;
+    }
     let mut parts = text.rsplitn(4, '.');
     let index = parts.next()?.parse().ok()?;
     let step = parts.next()?.parse().ok()?;
