Skip records of a page that do not decode

Seen by callers: none yet; nobody but the system has written to these topics so far. A follower or a candidate would have stopped at the page for good.

Cause: one item that did not decode made a page of the newest records Malformed, and so did a page of the log that ended within a record.

--- a/crates/fleet/src/follower.rs
+++ b/crates/fleet/src/follower.rs
@@ -10,6 +10,7 @@
 use cactusdoor_platform::store::{NewestPage, ReadError, StoreClient, StoredRecord};
 
 use crate::appender::pause;
+use crate::odd_entry;
 
 /// Pause after a failed read, in ms.
 const RETRY_PAUSE: (u64, u64) = (80, 240);
@@ -29,15 +30,24 @@
     store: &StoreClient,
     topic: &str,
 ) -> Result<(Vec<StoredRecord>, Offset), ReadError> {
-    let NewestPage { mut records, mut after, end } = store.newest(topic, None).await?;
+    let NewestPage { mut records, mut after, end, mut skipped } = store.newest(topic, None).await?;
     while let Some(key) = after {
         let page = store.newest(topic, Some(&key)).await?;
         records.extend(page.records);
+        skipped += page.skipped;
         after = page.after;
     }
+    warn_skipped(topic, skipped);
     Ok((records, end))
 }
 
+/// Logs that records of a topic did not decode.
+pub fn warn_skipped(topic: &str, skipped: usize) {
+    if skipped > 0 {
+        odd_entry::warn("the store", format!("{skipped} records of {topic}"));
+    }
+}
+
 /// Follows one topic.
 pub struct TopicFollower {
     store: StoreClient,
@@ -74,6 +84,7 @@
         };
         match self.store.read(self.topic, from, wait).await {
             Ok(page) => {
+                warn_skipped(self.topic, page.skipped);
                 self.next = Some(page.next);
                 Ok(TopicUpdate { is_snapshot: false, records: page.records, sent })
             }
--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -15,7 +15,7 @@
 use cactusdoor_queue::spec::JobSpec;
 use indexmap::IndexMap;
 
-use crate::follower::read_newest;
+use crate::follower::{read_newest, warn_skipped};
 use crate::topic::{REQUESTS, TASKS};
 
 /// Stored records, as of an offset of each topic.
@@ -61,6 +61,7 @@
     pub async fn catch_up(&mut self, store: &StoreClient) -> Result<(), ReadError> {
         loop {
             let page = store.read(TASKS, self.tasks_end, Duration::ZERO).await?;
+            warn_skipped(TASKS, page.skipped);
             for stored in page.records {
                 let known = self.newest.get(&stored.record.key).map(|known| known.offset);
                 if known.is_none_or(|known| known < stored.offset) {
