Elect an owner despite an odd heartbeat or election record

Cause: a heartbeat that did not decode, such as one with a port out of range, was a failed read, and a candidate waits for a read. The heartbeat with the highest epoch was kept for ever. An election record with epoch u64::MAX made the next epoch overflow; an unreadable one counted as epoch 0, whose successor may already have had an owner.

Why it works: the store refuses a heartbeat once a higher epoch has appended, so the newest record is the newest owner's, whatever its epoch, and the next genuine heartbeat replaces an odd one. An unreadable one counts as missing. A heartbeat read before the tasks cannot be ahead of the last election unless one of the two is odd; the new epoch is above both. If the election is unreadable, epochs go on from the Unix time, which is above all that were counted from 1: two owners with one epoch would share a producer and take each other's appends for repetitions.

--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -18,7 +18,7 @@
 use crate::appender::{AppenderError, StoredAppend, TopicAppender, pause};
 use crate::decision::DecisionEvent;
 use crate::finder::{OwnerFinder, OwnerHeartbeat};
-use crate::loading::StoredState;
+use crate::loading::{MAX_EPOCH, StoredState};
 use crate::owner::{OwnerContext, OwnerTerm};
 use crate::topic::{OWNER, OWNER_PRODUCER, TASKS};
 
@@ -156,16 +156,19 @@
     started: Moment,
 ) -> Result<OwnerTerm, ElectionError> {
     let owner = &context.owner;
+    let seen_before = context.finder.owner();
     let mut state = StoredState::load(&owner.store).await?;
-    let seen_epoch = context.finder.owner().map_or(0, |heartbeat| heartbeat.epoch);
-    if seen_epoch > state.epoch() {
-        return Err(ElectionError::Outdated);
-    }
-    if seen_epoch < state.epoch() && !pending_owner.has_timed_out(state.epoch(), owner.clock.now())
-    {
-        return Err(ElectionError::NoHeartbeat);
+    let seen = context.finder.owner();
+    let seen_epoch = seen.as_ref().map_or(0, |heartbeat| heartbeat.epoch);
+    if let Some(elected) = state.epoch() {
+        if seen_epoch > elected && seen != seen_before {
+            return Err(ElectionError::Outdated);
+        }
+        if seen_epoch < elected && !pending_owner.has_timed_out(elected, owner.clock.now()) {
+            return Err(ElectionError::NoHeartbeat);
+        }
     }
-    let epoch = state.epoch() + 1;
+    let epoch = next_epoch(state.epoch(), seen_epoch, unix_ms());
     let record = election_record(epoch, owner);
     let producer = format!("candidate-{}-{:016x}", owner.name, rand::random::<u64>());
     let (store, clock) = (&owner.store, owner.clock);
@@ -207,6 +210,16 @@
     ))
 }
 
+/// Epoch of a new election, above that of every owner so far.
+///
+/// A heartbeat follows the election of its epoch, so a heartbeat with a higher epoch shows that
+/// another writer has written one of the two records. If the record of the election is
+/// unreadable, the time is above all epochs that were counted from 1.
+fn next_epoch(elected: Option<Epoch>, seen: Epoch, unix: Millis) -> Epoch {
+    let seen = if seen <= MAX_EPOCH { seen } else { 0 };
+    elected.unwrap_or(unix).max(seen) + 1
+}
+
 /// Appends until the store accepts the record or a higher epoch fences this one.
 async fn append_until_stored(
     appender: &mut TopicAppender,
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -17,6 +17,7 @@
 use crate::decision::DecisionEvent;
 use crate::decision_log::DecisionLog;
 use crate::follower::read_newest;
+use crate::odd_entry;
 use crate::topic::OWNER;
 
 /// Key of the heartbeat's record.
@@ -110,7 +111,7 @@
     pub fn confirm(&self, epoch: Epoch, end: Offset) {
         if let Some(seen) = self.seen.borrow_mut().as_mut()
             && seen.heartbeat.epoch == epoch
-            && seen.offset + 1 < end
+            && seen.offset.saturating_add(1) < end
         {
             seen.offset = end - 1;
             seen.since = self.clock.now();
@@ -144,18 +145,19 @@
         let heartbeat = records.into_iter().find(|stored| stored.record.key == HEARTBEAT_KEY);
         let Some(stored) = heartbeat else { return Ok(()) };
         let value = stored.record.value.unwrap_or_default();
-        let heartbeat = serde_json::from_slice(&value).map_err(|_| ReadError::Malformed)?;
-        self.apply(heartbeat, stored.offset, now);
+        match serde_json::from_slice(&value) {
+            Ok(heartbeat) => self.apply(heartbeat, stored.offset, now),
+            Err(error) => odd_entry::warn("the owner's heartbeats", error),
+        }
         Ok(())
     }
 
     fn apply(&self, heartbeat: OwnerHeartbeat, offset: Offset, now: Moment) {
         let mut seen = self.seen.borrow_mut();
-        if let Some(known) = seen.as_mut() {
-            if heartbeat.epoch < known.heartbeat.epoch {
-                return;
-            }
-            if known.offset == offset {
+        if let Some(known) = seen.as_ref() {
+            // The store refuses heartbeats of an owner once a higher epoch has appended, so the
+            // newest record is that of the newest owner.
+            if offset <= known.offset {
                 return;
             }
         }
--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -16,8 +16,13 @@
 use indexmap::IndexMap;
 
 use crate::follower::{read_newest, warn_skipped};
+use crate::odd_entry;
 use crate::topic::{REQUESTS, TASKS};
 
+/// Highest epoch that a record may name: far above the Unix time, and half of what JSON carries
+/// exactly, so that epochs can be counted on.
+pub const MAX_EPOCH: Epoch = 1 << 52;
+
 /// Stored records, as of an offset of each topic.
 #[derive(Debug, Default)]
 pub struct StoredState {
@@ -75,19 +80,23 @@
         }
     }
 
-    /// Epoch of the last election; 0 if there was none.
+    /// Epoch of the last election, 0 if there was none; `None` if its record is unreadable.
     #[must_use]
-    pub fn epoch(&self) -> Epoch {
+    pub fn epoch(&self) -> Option<Epoch> {
         let stored = self.newest.get(ELECTION_KEY);
-        let value = stored.and_then(|stored| stored.record.value.as_ref());
-        let elected = value.map(|value| serde_json::from_slice::<OwnerElected>(value));
-        match elected {
-            Some(Ok(elected)) => elected.epoch,
-            Some(Err(error)) => {
-                log::error!("record of the election is ignored: {error}");
-                0
+        let Some(value) = stored.and_then(|stored| stored.record.value.as_ref()) else {
+            return Some(0);
+        };
+        match serde_json::from_slice::<OwnerElected>(value) {
+            Ok(elected) if elected.epoch <= MAX_EPOCH => Some(elected.epoch),
+            Ok(elected) => {
+                odd_entry::warn("the elections", format!("epoch {}", elected.epoch));
+                None
+            }
+            Err(error) => {
+                odd_entry::warn("the elections", error);
+                None
             }
-            None => 0,
         }
     }
 
--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -152,3 +152,46 @@
     cluster.await_state("e1", "completed").await;
     cluster.check();
 }
+
+/// No owner was elected any more once the heartbeat's record could not be read or named a
+/// higher epoch than the last election.
+#[actix_web::test]
+async fn an_owner_is_elected_despite_an_odd_heartbeat_record() {
+    let mut cluster = TestCluster::open(3).await;
+    cluster.submit("f0", 100, tasks(3)).await;
+    cluster.await_state("f0", "completed").await;
+    let heartbeat = |address: &str, epoch: u64| {
+        json!({"epoch": epoch, "owner": "odd", "address": address, "resigned": false}).to_string()
+    };
+    let odd = [heartbeat("127.0.0.1:70000", 1), heartbeat("127.0.0.1:1", u64::MAX)];
+    for (number, value) in odd.iter().enumerate() {
+        let owner = cluster.owner().unwrap();
+        cluster.kill_agent(owner);
+        cluster.store.write("keyed.owner", "owner", value.as_bytes());
+        let job = format!("f{}", number + 1);
+        cluster.submit(&job, 100, tasks(3)).await;
+        cluster.await_state(&job, "completed").await;
+        cluster.start_agent(owner);
+    }
+    cluster.check();
+}
+
+/// An election record that could not be read, or with the highest possible epoch, once
+/// ended all elections.
+#[actix_web::test]
+async fn an_owner_is_elected_despite_an_odd_election_record() {
+    let mut cluster = TestCluster::open(3).await;
+    cluster.submit("g0", 100, tasks(3)).await;
+    cluster.await_state("g0", "completed").await;
+    let odd = [json!({"epoch": "x"}), json!({"epoch": u64::MAX, "owner": "odd"})];
+    for (number, value) in odd.iter().enumerate() {
+        let owner = cluster.owner().unwrap();
+        cluster.kill_agent(owner);
+        cluster.store.write("keyed.tasks", "@owner", value.to_string().as_bytes());
+        let job = format!("g{}", number + 1);
+        cluster.submit(&job, 100, tasks(3)).await;
+        cluster.await_state(&job, "completed").await;
+        cluster.start_agent(owner);
+    }
+    cluster.check();
+}
