--- a/crates/fleet/src/operators.rs
+++ b/crates/fleet/src/operators.rs
@@ -17,6 +17,7 @@
 use crate::decision::DecisionEvent;
 use crate::decision_log::DecisionLog;
 use crate::follower::{TopicFollower, TopicUpdate};
+use crate::odd_entry;
 
 /// Longest wait of one read: half of the time in which a change must take effect, so that
 /// one lost read does not make the view stale.
@@ -88,7 +89,8 @@
         let config = match config::read(stored.record.value.as_deref()?) {
             Ok(config) => config,
             Err(error) => {
-                log::error!("configuration at offset {} is ignored: {error}", stored.offset);
+                let cause = format!("configuration at offset {}: {error}", stored.offset);
+                odd_entry::warn("the operators' records", cause);
                 return None;
             }
         };
