Bound the deadline of a call

Seen by callers: no answer to a query, and old states from this entry for everybody, while a caller with a deadline above two years waited.

Cause: the deadline of a query to the owner is that of the caller. The timer queue of the RPC library panics beyond 2^36 ms, in the task that serves the entry's connection to the owner; the watch of job states shares it. The query was repeated every 120 ms until the caller left.

Evidence, before: a_query_with_a_huge_deadline_is_answered failed: no answer to a query with X-Deadline-Ms.

Why it works: a deadline is at most ten minutes.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -34,6 +34,8 @@
 
 /// Deadline of a call without a deadline header.
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
+/// Longest deadline of a call: timers do not count beyond a few years.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
 /// Part of a caller's deadline that is reserved for sending the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(120);
 /// Pause between two queries to the owner.
@@ -313,7 +315,7 @@
     let header = request.headers().get(calls::DEADLINE_HEADER);
     let millis = header.and_then(|header| header.to_str().ok()?.parse().ok());
     let deadline = millis.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    deadline.saturating_sub(ANSWER_MARGIN)
+    deadline.min(MAX_DEADLINE).saturating_sub(ANSWER_MARGIN)
 }
 
 fn is_job_id(id: &str) -> bool {
--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -195,3 +195,17 @@
     }
     cluster.check();
 }
+
+/// A query with a deadline of years once ended the entry's connection to the owner, again
+/// and again until the caller left.
+#[actix_web::test]
+async fn a_query_with_a_huge_deadline_is_answered() {
+    let cluster = TestCluster::open(2).await;
+    cluster.submit("h1", 100, tasks(1)).await;
+    cluster.await_state("h1", "completed").await;
+    for deadline in ["100000000000", "18446744073709551615", "-1", "1e400"] {
+        let status = cluster.query_within(0, "unknown", deadline).await;
+        assert_eq!(status, Some(410), "{deadline}\n{}", cluster.logs());
+    }
+    assert_eq!(cluster.log_lines("entry-0", "panicked"), 0, "{}", cluster.logs());
+}
