Check jobs on every way to the scheduler

Payloads of megabytes would have made the owner's answers longer than a frame, and a job longer than a record would have been refused with all jobs in its append.

Cause: the limit counted tasks, not steps and occurrences without any; and only entries checked it, not an owner that reads what another writer stored.

Why it works: JobSpec::validate counts at least one task for each step and occurrence and bounds the payload (16 KiB, callers may send 4,000 bytes) and the labels; entries, the owner and a candidate that loads the state all use it. Due times saturate. A job longer than a record gets 400.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -16,7 +16,7 @@
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_peer::queue::FindReply;
 use cactusdoor_platform::status::{ErrorBody, PendingBody, StateBody};
-use cactusdoor_platform::store::KeyedRecord;
+use cactusdoor_platform::store::{KeyedRecord, MAX_RECORD_BYTES};
 use cactusdoor_platform::{calls, submission};
 use cactusdoor_queue::config::QueueConfig;
 use cactusdoor_queue::name::JobId;
@@ -197,6 +197,11 @@
         let value = serde_json::to_vec(&spec).unwrap_or_default();
         let key = RequestKey::Job(job.clone()).text();
         let record = KeyedRecord { key, value: Some(value.into()) };
+        if record.size() > MAX_RECORD_BYTES {
+            // The store would refuse it together with the jobs that share its append.
+            let error = "job is too large".to_owned();
+            return HttpResponse::BadRequest().json(ErrorBody { error });
+        }
         let started = Instant::now();
         let refusal = match self.store(record, deadline).await {
             Ok(via) => {
--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -104,9 +104,9 @@
         let Some(value) = &stored.record.value else { return };
         match RequestKey::parse(&stored.record.key) {
             RequestKey::Cancel(job) => self.cancels.push(job),
-            RequestKey::Job(job) => match serde_json::from_slice(value) {
+            RequestKey::Job(job) => match JobSpec::decode(value) {
                 Ok(spec) => self.jobs.push((job, spec)),
-                Err(error) => log::error!("job {job} is ignored: {error}"),
+                Err(error) => odd_entry::warn("the requests", format!("{job}: {error}")),
             },
         }
     }
@@ -123,7 +123,7 @@
             }
         };
         if let Err(error) = parsed {
-            log::error!("record {} is ignored: {error}", stored.record.key);
+            odd_entry::warn("the tasks", format!("{}: {error}", stored.record.key));
         }
     }
 
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -9,12 +9,14 @@
 use cactusdoor_peer::queue::{FindReply, RelayedRequest, StoreReply};
 use cactusdoor_platform::store::{KeyedRecord, StoredRecord};
 use cactusdoor_queue::record::RequestKey;
+use cactusdoor_queue::spec::JobSpec;
 use tokio::sync::oneshot;
 
 use super::background::AppendGroup;
 use super::{AppendResult, OwnerTerm, send};
 use crate::appender::AppenderError;
 use crate::follower::TopicUpdate;
+use crate::odd_entry;
 
 /// Time between two removals of the requests of ended jobs, ms.
 pub(super) const REMOVAL_INTERVAL: Millis = 2_000;
@@ -106,11 +108,11 @@
             RequestKey::Cancel(job) => {
                 self.scheduler.cancel(&job, unix_ms());
             }
-            RequestKey::Job(job) => match serde_json::from_slice(value) {
+            RequestKey::Job(job) => match JobSpec::decode(value) {
                 Ok(spec) => {
                     self.scheduler.submit(&job, spec);
                 }
-                Err(error) => log::error!("job {job} is ignored: {error}"),
+                Err(error) => odd_entry::warn("the requests", format!("{job}: {error}")),
             },
         }
     }
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -4,9 +4,32 @@
 
 use cactusdoor_core::unit::Millis;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::name::{Label, QueueName, ServiceName};
 
+/// Most tasks of a job, over all occurrences: a larger job could exhaust the owner's memory.
+const MAX_TASKS: u64 = 20_000;
+/// Longest payload, bytes, a few times what callers may send: every start order carries it.
+const MAX_PAYLOAD_BYTES: usize = 16 * 1024;
+/// Longest label, rack or image, bytes: start orders carry the image.
+const MAX_LABEL_BYTES: usize = 256;
+
+/// Why a job must not reach the scheduler.
+#[derive(Debug, Error)]
+pub enum JobSpecError {
+    #[error("job does not parse")]
+    Malformed(#[from] serde_json::Error),
+    #[error("job has no step")]
+    NoStep,
+    #[error("step {0} waits for a step that does not come before it")]
+    Order(usize),
+    #[error("job has {0} tasks, more than {MAX_TASKS}")]
+    TooLarge(u64),
+    #[error("payload or a label is too long")]
+    TooLong,
+}
+
 /// Resources of a task or a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TaskNeed {
@@ -112,6 +135,36 @@
 }
 
 impl JobSpec {
+    /// Decodes and checks a stored job.
+    pub fn decode(value: &[u8]) -> Result<Self, JobSpecError> {
+        let spec: Self = serde_json::from_slice(value)?;
+        spec.validate()?;
+        Ok(spec)
+    }
+
+    /// Checks that the job fits into an owner, and that each step can start.
+    pub fn validate(&self) -> Result<(), JobSpecError> {
+        if self.steps.is_empty() {
+            return Err(JobSpecError::NoStep);
+        }
+        for (index, step) in self.steps.iter().enumerate() {
+            if step.after.iter().any(|before| usize::from(*before) >= index) {
+                return Err(JobSpecError::Order(index));
+            }
+            let labels = [&step.label, &step.rack, &step.image];
+            if labels.into_iter().flatten().any(|label| label.len() > MAX_LABEL_BYTES) {
+                return Err(JobSpecError::TooLong);
+            }
+        }
+        if self.payload.len() > MAX_PAYLOAD_BYTES {
+            return Err(JobSpecError::TooLong);
+        }
+        // Steps and occurrences without a task need memory too.
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.tasks.max(1))).sum();
+        let tasks = tasks.saturating_mul(u64::from(self.occurrences()));
+        if tasks > MAX_TASKS { Err(JobSpecError::TooLarge(tasks)) } else { Ok(()) }
+    }
+
     /// Whether a step runs until the job is cancelled.
     #[must_use]
     pub fn is_endless(&self) -> bool {
@@ -137,6 +190,7 @@
     /// Unix time at which an occurrence may start; `None` for at once.
     #[must_use]
     pub fn due(&self, occurrence: u32) -> Option<Millis> {
-        (self.times > 0).then(|| self.first_due + u64::from(occurrence) * self.interval)
+        let elapsed = u64::from(occurrence).saturating_mul(self.interval);
+        (self.times > 0).then(|| self.first_due.saturating_add(elapsed))
     }
 }
