Saturate the scheduler's sums, and ignore records of tasks that do not exist

Seen by callers: none yet. A best-effort task that needs u64::MAX processors ended the owner's loop in a debug build, and had a low cost in a release build; a record of an occurrence that the job does not have kept it from being completed (LOST), or opened an occurrence before its time (ORDER).

Cause: sums and products of needs, estimates, run numbers and failures overflowed. The needs of best-effort tasks are not compared with the capacity before.

Why it works: all of them saturate, and a record is restored only if its task is within the job.

--- a/crates/fleet/tests/odd_entries.rs
+++ b/crates/fleet/tests/odd_entries.rs
@@ -209,3 +209,50 @@
     }
     assert_eq!(cluster.log_lines("entry-0", "panicked"), 0, "{}", cluster.logs());
 }
+
+/// Records of another writer in the owner's topics: the jobs beside them are carried out,
+/// by the owner that reads them as they come and by one that loads them.
+#[actix_web::test]
+async fn odd_records_do_not_stop_the_jobs_beside_them() {
+    let mut cluster = TestCluster::open(3).await;
+    cluster.submit("i0", 100, tasks(3)).await;
+    cluster.await_state("i0", "completed").await;
+    let job = |tasks: u32, times: u32| {
+        json!({"queue": "q", "service": "minutes", "payload": "100", "accepted": 1, "times": times,
+            "first_due": u64::MAX, "interval": u64::MAX,
+            "steps": [{"tasks": tasks, "need": {"cpu": u64::MAX, "memory": 1, "accelerators": 0},
+                "estimate": u64::MAX, "fills": true}]})
+    };
+    for (key, value) in [
+        ("many", job(30_000, 0)),
+        ("often", job(0, 30_000)),
+        ("late", job(1, 2)),
+        ("wide", job(1, 0)),
+        ("odd", json!({"steps": 7})),
+        ("nested", json!("[".repeat(5_000))),
+    ] {
+        cluster.store.write("keyed.requests", key, value.to_string().as_bytes());
+    }
+    cluster.store.write("keyed.requests", "nested", "[".repeat(50_000).as_bytes());
+    let placed = json!({"a": "agent-0", "l": {"id": "i-0", "born": u64::MAX}});
+    for (key, value) in [
+        ("i1.0.0.0", json!({"r": u32::MAX, "f": u32::MAX})),
+        ("i1.4294967295.0.0", json!({"r": 1})),
+        ("i1.0.65535.0", json!({"r": 1, "p": placed})),
+        ("x.0.0.0", json!({"r": u32::MAX, "p": placed})),
+        ("y", json!({"state": "Odd", "at": -1})),
+    ] {
+        cluster.store.write("keyed.tasks", key, value.to_string().as_bytes());
+    }
+    cluster.submit("i2", 100, tasks(3)).await;
+    cluster.await_state("i2", "completed").await;
+    let owner = cluster.owner().unwrap();
+    cluster.kill_agent(owner);
+    cluster.submit("i3", 100, tasks(3)).await;
+    cluster.await_state("i3", "completed").await;
+    for agent in ["agent-0", "agent-1", "agent-2"] {
+        assert_eq!(cluster.log_lines(agent, "panicked"), 0, "{}", cluster.logs());
+    }
+    assert_eq!(cluster.state("many").await, "unknown");
+    cluster.check();
+}
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -202,7 +202,7 @@
             return;
         };
         task.checkpoint = checkpoint.clone();
-        task.failures += u32::from(failed);
+        task.failures = task.failures.saturating_add(u32::from(failed));
         let doublings = task.failures.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
         let retry = if failed { RETRY_DELAY << doublings } else { 0 };
         task.place = if done { TaskPlace::Done } else { TaskPlace::Waiting(now.after(retry)) };
@@ -298,7 +298,7 @@
     let runs = working.filter_map(|listed| tracked.runs.get(&listed.task));
     let finite: Vec<_> = runs.filter(|run| !run.stopping && !run.endless).collect();
     let stalled = |run: &&AssignedRun| {
-        let limit = STALL_LIMIT.max(run.estimate * STALL_PERCENT / 100);
+        let limit = STALL_LIMIT.max(run.estimate.saturating_mul(STALL_PERCENT) / 100);
         run.progressed.after(limit) < now
     };
     if finite.is_empty() || !finite.iter().all(stalled) {
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -75,7 +75,11 @@
     /// Most failures of one task; for a gang, the sum over its tasks.
     fn failures(&self, spec: &StepSpec) -> u32 {
         let failures = self.tasks.iter().map(|task| task.failures);
-        if spec.gang { failures.sum() } else { failures.max().unwrap_or_default() }
+        if spec.gang {
+            failures.fold(0, u32::saturating_add)
+        } else {
+            failures.max().unwrap_or_default()
+        }
     }
 
     #[must_use]
@@ -146,8 +150,18 @@
         self.spec.steps.get(usize::from(name.step))
     }
 
-    /// Restores a stored task.
+    /// Whether the job has such a task.
+    fn has_task(&self, name: &TaskName) -> bool {
+        let step = self.spec.steps.get(usize::from(name.step));
+        name.occurrence < self.spec.occurrences()
+            && step.is_some_and(|step| name.index < step.tasks)
+    }
+
+    /// Restores a stored task; a record of a task that the job does not have is ignored.
     pub fn restore(&mut self, name: &TaskName, record: &TaskRecord) {
+        if !self.has_task(name) {
+            return;
+        }
         if !self.occurrences.contains_key(&name.occurrence) {
             self.open_occurrence(name.occurrence);
         }
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -83,7 +83,8 @@
 /// tasks interfere with no serving task.
 fn reserve_cost(tracked: &TrackedWorker, step: &StepSpec) -> u64 {
     let capacity = tracked.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
-    let reserved = (tracked.reserved().cpu + step.need.cpu) * 1_000 / capacity;
+    let reserved = tracked.reserved().cpu.saturating_add(step.need.cpu);
+    let reserved = reserved.saturating_mul(1_000) / capacity;
     if step.latency_bound > 0 { 1_000u64.saturating_sub(reserved) } else { reserved }
 }
 
@@ -92,8 +93,8 @@
 fn best_effort_cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
     let step = context.step;
     let idle = tracked.idle_cpu().max(1);
-    let demand = tracked.best_effort_cpu() + step.need.cpu;
-    let shared = demand * 1_000 / idle;
+    let demand = tracked.best_effort_cpu().saturating_add(step.need.cpu);
+    let shared = demand.saturating_mul(1_000) / idle;
     let is_acceptable = |slowed: u64| slowed <= SLOWDOWN_LIMIT || !context.may_wait;
     if tracked.serving_tasks() == 0 {
         return is_acceptable(shared).then_some(shared);
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -284,7 +284,7 @@
             let name = TaskName { index, ..first.clone() };
             let task = self.jobs.get(&first.job).and_then(|job| job.task(&name));
             let Some(task) = task.filter(|task| task.is_waiting(now)) else { continue };
-            let run = task.run + 1;
+            let run = task.run.saturating_add(1);
             let Some(agent) = self.choose(&name, step, config, now) else { return };
             self.start(&agent, &name, run, now);
             if let Some(job) = self.jobs.get_mut(&first.job) {
@@ -302,7 +302,8 @@
         if !members.iter().all(|member| member.is_waiting(now)) {
             return;
         }
-        let run = members.iter().map(|member| member.run).max().unwrap_or_default() + 1;
+        let run = members.iter().map(|member| member.run).max().unwrap_or_default();
+        let run = run.saturating_add(1);
         let Some(agents) = self.choose_gang(&names, step, config, now) else { return };
         for (name, agent) in names.iter().zip(agents) {
             self.start(&agent, name, run, now);
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -202,15 +202,16 @@
         let capacity = self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu);
         let busy = |run: &AssignedRun| {
             let share = if run.start.latency_bound > 0 { SERVING_PERCENT } else { 100 };
-            run.reserved.cpu * share / 100
+            run.reserved.cpu.saturating_mul(share) / 100
         };
-        capacity.saturating_sub(self.runs.values().map(busy).sum())
+        capacity.saturating_sub(self.runs.values().map(busy).fold(0, u64::saturating_add))
     }
 
     /// Processors that the best-effort tasks use together at full speed, in thousandths.
     #[must_use]
     pub fn best_effort_cpu(&self) -> u64 {
-        self.runs.values().filter(|run| run.start.best_effort).map(|run| run.start.cpu).sum()
+        let best_effort = self.runs.values().filter(|run| run.start.best_effort);
+        best_effort.map(|run| run.start.cpu).fold(0, u64::saturating_add)
     }
 
     /// Factor by which best-effort tasks must be slowed down for every serving task to
@@ -218,9 +219,10 @@
     #[must_use]
     pub fn slowdown(&self, model: &InterferenceModel, image: Option<&Label>, cpu: u64) -> f64 {
         let mut images: IndexMap<Option<&Label>, u64> = IndexMap::new();
-        *images.entry(image).or_default() += cpu;
+        images.insert(image, cpu);
         for run in self.runs.values().filter(|run| run.start.best_effort) {
-            *images.entry(run.start.image.as_ref()).or_default() += run.start.cpu;
+            let used = images.entry(run.start.image.as_ref()).or_default();
+            *used = used.saturating_add(run.start.cpu);
         }
         let serving: IndexSet<_> = self
             .runs
