--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -16,7 +16,7 @@
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_peer::queue::FindReply;
 use cactusdoor_platform::status::{ErrorBody, PendingBody, StateBody};
-use cactusdoor_platform::store::KeyedRecord;
+use cactusdoor_platform::store::{KeyedRecord, MAX_RECORD_BYTES};
 use cactusdoor_platform::{calls, submission};
 use cactusdoor_queue::config::QueueConfig;
 use cactusdoor_queue::name::JobId;
@@ -34,6 +34,8 @@
 
 /// Deadline of a call without a deadline header.
 const DEFAULT_DEADLINE: Duration = Duration::from_millis(3_000);
+/// Longest deadline of a call: timers do not count beyond a few years.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
 /// Part of a caller's deadline that is reserved for sending the answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(120);
 /// Pause between two queries to the owner.
@@ -195,6 +197,11 @@
         let value = serde_json::to_vec(&spec).unwrap_or_default();
         let key = RequestKey::Job(job.clone()).text();
         let record = KeyedRecord { key, value: Some(value.into()) };
+        if record.size() > MAX_RECORD_BYTES {
+            // The store would refuse it together with the jobs that share its append.
+            let error = "job is too large".to_owned();
+            return HttpResponse::BadRequest().json(ErrorBody { error });
+        }
         let started = Instant::now();
         let refusal = match self.store(record, deadline).await {
             Ok(via) => {
@@ -313,7 +320,7 @@
     let header = request.headers().get(calls::DEADLINE_HEADER);
     let millis = header.and_then(|header| header.to_str().ok()?.parse().ok());
     let deadline = millis.map_or(DEFAULT_DEADLINE, Duration::from_millis);
-    deadline.saturating_sub(ANSWER_MARGIN)
+    deadline.min(MAX_DEADLINE).saturating_sub(ANSWER_MARGIN)
 }
 
 fn is_job_id(id: &str) -> bool {
--- a/crates/fleet/src/loading.rs
+++ b/crates/fleet/src/loading.rs
@@ -15,9 +15,14 @@
 use cactusdoor_queue::spec::JobSpec;
 use indexmap::IndexMap;
 
-use crate::follower::read_newest;
+use crate::follower::{read_newest, warn_skipped};
+use crate::odd_entry;
 use crate::topic::{REQUESTS, TASKS};
 
+/// Highest epoch that a record may name: far above the Unix time, and half of what JSON carries
+/// exactly, so that epochs can be counted on.
+pub const MAX_EPOCH: Epoch = 1 << 52;
+
 /// Stored records, as of an offset of each topic.
 #[derive(Debug, Default)]
 pub struct StoredState {
@@ -61,6 +66,7 @@
     pub async fn catch_up(&mut self, store: &StoreClient) -> Result<(), ReadError> {
         loop {
             let page = store.read(TASKS, self.tasks_end, Duration::ZERO).await?;
+            warn_skipped(TASKS, page.skipped);
             for stored in page.records {
                 let known = self.newest.get(&stored.record.key).map(|known| known.offset);
                 if known.is_none_or(|known| known < stored.offset) {
@@ -74,19 +80,23 @@
         }
     }
 
-    /// Epoch of the last election; 0 if there was none.
+    /// Epoch of the last election, 0 if there was none; `None` if its record is unreadable.
     #[must_use]
-    pub fn epoch(&self) -> Epoch {
+    pub fn epoch(&self) -> Option<Epoch> {
         let stored = self.newest.get(ELECTION_KEY);
-        let value = stored.and_then(|stored| stored.record.value.as_ref());
-        let elected = value.map(|value| serde_json::from_slice::<OwnerElected>(value));
-        match elected {
-            Some(Ok(elected)) => elected.epoch,
-            Some(Err(error)) => {
-                log::error!("record of the election is ignored: {error}");
-                0
+        let Some(value) = stored.and_then(|stored| stored.record.value.as_ref()) else {
+            return Some(0);
+        };
+        match serde_json::from_slice::<OwnerElected>(value) {
+            Ok(elected) if elected.epoch <= MAX_EPOCH => Some(elected.epoch),
+            Ok(elected) => {
+                odd_entry::warn("the elections", format!("epoch {}", elected.epoch));
+                None
+            }
+            Err(error) => {
+                odd_entry::warn("the elections", error);
+                None
             }
-            None => 0,
         }
     }
 
@@ -94,9 +104,9 @@
         let Some(value) = &stored.record.value else { return };
         match RequestKey::parse(&stored.record.key) {
             RequestKey::Cancel(job) => self.cancels.push(job),
-            RequestKey::Job(job) => match serde_json::from_slice(value) {
+            RequestKey::Job(job) => match JobSpec::decode(value) {
                 Ok(spec) => self.jobs.push((job, spec)),
-                Err(error) => log::error!("job {job} is ignored: {error}"),
+                Err(error) => odd_entry::warn("the requests", format!("{job}: {error}")),
             },
         }
     }
@@ -113,7 +123,7 @@
             }
         };
         if let Err(error) = parsed {
-            log::error!("record {} is ignored: {error}", stored.record.key);
+            odd_entry::warn("the tasks", format!("{}: {error}", stored.record.key));
         }
     }
 
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -1,5 +1,6 @@
 //! Stand-in for the platform's worker: it runs simulated tasks under a lease,
-//! checks fencing tokens, and announces itself to an agent.
+//! checks fencing tokens, and announces itself to an agent. It refuses calls that name
+//! another worker.
 //!
 //! Tests can make it ignore calls, start runs late, refuse starts, drain, or restart as a
 //! new incarnation under the same id. All workers of a test share one
@@ -281,6 +282,12 @@
         lock(&self.state).delayed_starts.len()
     }
 
+    /// Id of the worker and the body that it announces.
+    #[must_use]
+    pub fn announcement(&self) -> (String, Value) {
+        announcement(&lock(&self.state), self.server.address(), "north", 1)
+    }
+
     /// Number of running tasks.
     #[must_use]
     pub fn running(&self) -> usize {
@@ -336,6 +343,9 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    if is_misdirected(&state, &request) {
+        return HttpResponse::MisdirectedRequest().finish();
+    }
     if let Some(delay) = state.start_delay {
         state.delayed_starts.push((Instant::now() + delay, body.into_inner()));
         cut_connection(&request);
@@ -348,6 +358,12 @@
     answer(&state, refusal)
 }
 
+/// Whether the call names another worker than this one.
+fn is_misdirected(state: &WorkerState, request: &HttpRequest) -> bool {
+    let expected = request.headers().get("X-Expect-Instance");
+    expected.is_some_and(|id| id.as_bytes() != state.id.as_bytes())
+}
+
 fn answer(state: &WorkerState, refusal: Option<&'static str>) -> HttpResponse {
     let clock = state.clock();
     match refusal {
@@ -375,6 +391,9 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    if is_misdirected(&state, &request) {
+        return HttpResponse::MisdirectedRequest().finish();
+    }
     if body.fencing_token < state.fence {
         return answer(&state, Some("fence"));
     }
@@ -416,6 +435,9 @@
             cut_connection(&request);
             return HttpResponse::Ok().finish();
         }
+        if is_misdirected(&state, &request) {
+            return HttpResponse::MisdirectedRequest().finish();
+        }
         if body.fencing_token < state.fence {
             return answer(&state, Some("fence"));
         }
