Drop a stop that crossed the end of its run

An answer may acknowledge the end of a run and still carry an older order to stop it. The agent dropped the end first, took the stop for that of an unknown run and listed the run until two polls later. The owner has counted a worker that lists an unassigned run as full since that issue, so a normal sequence closed the worker.

`returning::a_stop_that_arrives_with_the_acknowledgement_of_the_end_is_dropped` failed before: the agent called the worker, and its list named the run.

Orders are now applied while the agent still knows the end.

--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -226,26 +226,25 @@
         if lease.incarnation.as_ref() == self.incarnation() {
             self.acknowledged = self.acknowledged.max(lease.acknowledged);
         }
-        let acknowledged = self.acknowledged;
-        self.ended.retain(|ended| ended.number > acknowledged);
-        let acknowledged_runs = lease.acknowledged_runs;
-        self.unlisted.retain(|ended| {
-            !acknowledged_runs.iter().any(|(task, run)| *task == ended.task && *run == ended.run)
-        });
         if let Some(interference) = lease.interference {
             self.throttle.model.set_estimates(interference);
         }
         let mut calls = Vec::new();
-        if self.worker.is_none() {
-            // Without a worker, orders are not counted as received, so the owner repeats them.
-            return calls;
-        }
-        for (number, order) in lease.orders {
+        // Without a worker, orders are not counted as received, so the owner repeats them.
+        let has_worker = self.worker.is_some();
+        for (number, order) in lease.orders.into_iter().filter(|_| has_worker) {
             if number == self.received + 1 {
                 self.received = number;
                 calls.extend(self.apply_order(order));
             }
         }
+        // Ends are dropped last: a stop may have crossed the end of its run.
+        let acknowledged = self.acknowledged;
+        self.ended.retain(|ended| ended.number > acknowledged);
+        let acknowledged_runs = lease.acknowledged_runs;
+        self.unlisted.retain(|ended| {
+            !acknowledged_runs.iter().any(|(task, run)| *task == ended.task && *run == ended.run)
+        });
         calls
     }
 
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
-use cactusdoor_queue::report::{AgentLease, AgentReport, ReportedRun, RunEnd};
+use cactusdoor_queue::report::{AgentLease, AgentOrder, AgentReport, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use support::*;
 
@@ -130,3 +130,17 @@
     scheduler.report(&ending, NOW, UNIX);
     assert!(scheduler.workers["a"].unassigned.is_empty());
 }
+
+/// Guards against a worker that is closed by a stop that crossed the end of its run: the agent
+/// would list the run, which the owner no longer knows.
+#[test]
+fn a_stop_that_arrives_with_the_acknowledgement_of_the_end_is_dropped() {
+    let (scheduler, mut agent) = received();
+    let ended = vec![ended(1, &task("j", 0, 0), 1, RunEnd::Done)];
+    agent.apply_list(2, WorkerList { running: Vec::new(), ended });
+    let stop = AgentOrder::Stop { task: task("j", 0, 0), run: 1 };
+    let lease = AgentLease { acknowledged: 1, orders: vec![(2, stop)], ..answer(&scheduler) };
+    assert_eq!(agent.apply_lease(lease, NOW), vec![]);
+    assert!(!agent.has_ends());
+    assert_eq!(agent.report(content(true)).runs, Some(Vec::new()));
+}
