Wait for the effect of a stop only once

The owner orders the stop of an unassigned run with each list that names it. The agent called the worker again each time and listed the run until two polls after the newest answer, which may take longer than the time between two lists. So the order and the list could keep each other alive, and the worker stayed closed.

`returning::a_repeated_stop_causes_no_further_call` got two calls before. The call is repeated until it is answered anyway, and the worker refuses the run from then on.

--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -297,6 +297,9 @@
             let new = self.superseded.insert((task.clone(), run));
             return new.then_some(WorkerCall::Stop { task, run });
         }
+        if self.needs_stop(&task, run) {
+            return None;
+        }
         let original = self.ordered.get(&task).and_then(|known| known.original.clone());
         let stopped = OrderedRun { run, start: None, original, phase: RunPhase::Unanswered };
         self.ordered.insert(task.clone(), stopped);
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -144,3 +144,15 @@
     assert!(!agent.has_ends());
     assert_eq!(agent.report(content(true)).runs, Some(Vec::new()));
 }
+
+/// Guards against a worker that stays closed: while a stop is under way, each list leads to
+/// another order of it, which must not begin the wait for its effect anew.
+#[test]
+fn a_repeated_stop_causes_no_further_call() {
+    let (scheduler, mut agent) = received();
+    let stop = AgentOrder::Stop { task: task("j", 0, 0), run: 1 };
+    let orders = vec![(2, stop.clone()), (3, stop)];
+    let calls = agent.apply_lease(AgentLease { orders, ..answer(&scheduler) }, NOW);
+    assert_eq!(calls, vec![WorkerCall::Stop { task: task("j", 0, 0), run: 1 }]);
+    assert!(agent.needs_stop(&task("j", 0, 0), 1), "the call is repeated until it is answered");
+}
