Remove the request of an ended job when it is stored again

The owner removes the request of an ended job once. An append without an answer that is carried out later, or the same request at another entry, stores it anew. The owner ignores it while it keeps the job's state, 240 s, but nobody removes it, so the first owner elected after that takes it for a new job and runs it again.

A request that is read for a job that has ended is removed with the next removal.

--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -104,16 +104,24 @@
 
     pub(super) fn apply_request(&mut self, stored: &StoredRecord) {
         let Some(value) = &stored.record.value else { return };
-        match RequestKey::parse(&stored.record.key) {
+        let job = match RequestKey::parse(&stored.record.key) {
             RequestKey::Cancel(job) => {
                 self.scheduler.cancel(&job, unix_ms());
+                job
             }
-            RequestKey::Job(job) => match JobSpec::decode(value) {
-                Ok(spec) => {
-                    self.scheduler.submit(&job, spec);
+            RequestKey::Job(job) => {
+                match JobSpec::decode(value) {
+                    Ok(spec) => {
+                        self.scheduler.submit(&job, spec);
+                    }
+                    Err(error) => odd_entry::warn("the requests", format!("{job}: {error}")),
                 }
-                Err(error) => odd_entry::warn("the requests", format!("{job}: {error}")),
-            },
+                job
+            }
+        };
+        // The request may have been stored again after its removal.
+        if self.published.get(&job).is_some_and(|state| state.has_ended()) {
+            self.ended.push(job);
         }
     }
 }
