Give no pending count that is older than promised

Callers may be given a count that is 2 s old. An entry kept giving the count of the last answer for as long as no owner answered: a failed watch left the count and the mark of a confirmed owner in place. Between the end of an owner and the first answer of its successor, jobs that were accepted meanwhile were missing from it.

The entry now keeps the arrival of the last answer of a confirmed owner, and answers 503 once it is more than 2 s old, as it does without a confirmed owner. An owner that answers does so at least every 700 ms.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -170,7 +170,7 @@
     }
 
     fn answer_pending(&self, queue: &QueueConfig) -> HttpResponse {
-        match self.states.pending(&queue.name) {
+        match self.states.pending(&queue.name, self.clock.now()) {
             Some(pending) => HttpResponse::Ok().json(PendingBody { pending }),
             None => refuse(&Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no owner yet")),
         }
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -63,7 +63,7 @@
     let finder = OwnerFinder::open(store.clone(), clock, log.clone());
     let states = JobStates::default();
     let (finds, find_calls) = mpsc::unbounded_channel();
-    watcher::spawn(Rc::clone(&finder), states.clone(), find_calls);
+    watcher::spawn(Rc::clone(&finder), clock, states.clone(), find_calls);
     let producer = format!("{}-{incarnation:016x}", process.name);
     let metrics = EntryMetrics::open(&registry).context("could not register metrics")?;
     let stopping = Arc::new(AtomicBool::new(false));
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -2,14 +2,15 @@
 //!
 //! Decides which states an entry returns without a query to the owner. A job that has ended
 //! keeps its state. Pending counts are returned only while the store confirms the owner's
-//! appends.
+//! appends, and only for a short time after the owner's last answer.
 
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use cactusdoor_core::unit::Epoch;
+use cactusdoor_core::unit::{Epoch, Millis, Moment};
+use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::JobState;
@@ -20,8 +21,11 @@
 use crate::finder::OwnerFinder;
 use crate::owner_client::OwnerClient;
 
-/// Longest wait for a change, in ms; pending counts are at most this old.
-const WATCH_WAIT: u64 = 700;
+/// Longest wait for a change, in ms; the pending counts of an owner that answers are hardly
+/// older.
+const WATCH_WAIT: Millis = 700;
+/// Greatest age of a pending count, ms: the bound that is promised to callers.
+const MAX_PENDING_AGE: Millis = 2_000;
 /// Pause after a call without an answer, in ms.
 const RETRY_PAUSE: (u64, u64) = (100, 250);
 /// Most jobs whose state an entry keeps: those of a few minutes at high load.
@@ -31,8 +35,8 @@
 struct WatchedJobs {
     states: IndexMap<JobId, JobState>,
     pending: IndexMap<QueueName, u64>,
-    /// Whether the last answer came from an owner that the store had recently confirmed.
-    confirmed: bool,
+    /// Arrival of the last answer; `None` if the store had not recently confirmed its owner.
+    confirmed: Option<Moment>,
 }
 
 /// States of jobs; shared with the threads that answer callers.
@@ -56,15 +60,17 @@
         self.lock().states.entry(job.clone()).or_insert(JobState::Queued);
     }
 
-    /// Accepted jobs of which no task has been started; `None` without a confirmed owner.
+    /// Accepted jobs of which no task has been started; `None` without a recent answer of a
+    /// confirmed owner.
     #[must_use]
-    pub fn pending(&self, queue: &str) -> Option<u64> {
+    pub fn pending(&self, queue: &str, now: Moment) -> Option<u64> {
         let jobs = self.lock();
-        jobs.confirmed.then(|| jobs.pending.get(queue).copied().unwrap_or_default())
+        let is_recent = jobs.confirmed.is_some_and(|at| now <= at.after(MAX_PENDING_AGE));
+        is_recent.then(|| jobs.pending.get(queue).copied().unwrap_or_default())
     }
 
     /// Applies the owner's answer; the state of a job never returns to an earlier one.
-    pub fn apply(&self, reply: WatchReply) {
+    pub fn apply(&self, reply: WatchReply, now: Moment) {
         let mut jobs = self.lock();
         for (job, state) in reply.states {
             let known = jobs.states.entry(job).or_insert(state);
@@ -78,7 +84,7 @@
         if let (_, Some(pending)) = reply.pending {
             jobs.pending = pending.into_iter().collect();
         }
-        jobs.confirmed = reply.confirmed;
+        jobs.confirmed = reply.confirmed.then_some(now);
     }
 }
 
@@ -93,6 +99,7 @@
 /// Starts the watch of job states and the queries to the owner.
 pub fn spawn(
     finder: Rc<OwnerFinder>,
+    clock: MonotonicClock,
     states: JobStates,
     mut finds: mpsc::UnboundedReceiver<FindCall>,
 ) {
@@ -100,6 +107,7 @@
     let watching = JobWatch {
         finder: Rc::clone(&finder),
         client: Rc::clone(&client),
+        clock,
         states,
         position: Cell::default(),
     };
@@ -124,6 +132,7 @@
 struct JobWatch {
     finder: Rc<OwnerFinder>,
     client: Rc<OwnerClient>,
+    clock: MonotonicClock,
     states: JobStates,
     /// Epoch, index of the next change and number of the pending counts.
     position: Cell<(Epoch, u64, u64)>,
@@ -151,7 +160,7 @@
                 self.position.set((reply.epoch, reply.next, reply.pending.0));
                 // An owner that cannot reach the store may have been replaced.
                 let confirmed = reply.confirmed;
-                self.states.apply(reply);
+                self.states.apply(reply, self.clock.now());
                 confirmed
             }
             _ => false,
