Send a start by one loop even if it is ordered again

A task could be reported as not started while it ran. When an agent removes its worker and meets the same worker again, the owner's orders are executed again, while the loop of an earlier order of the same run may be in a call or a pause. Both loops then hold a valid order: if the worker refuses the call of one (503), that loop reports the run as not started although the call of the other starts it.

No log shows the fault.

The controller now keeps the starts whose loops live, and starts no second loop for the same order; the living loop carries it out.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -101,6 +101,8 @@
     /// Number of the newest poll that was answered with a list.
     listed: Cell<u64>,
     calls: Semaphore,
+    /// Starts whose calls are under way or about to be repeated.
+    starting: RefCell<Vec<StartOrder>>,
     /// Wakes the poll loop: a new worker, or acknowledged ends.
     wake: Notify,
     /// Wakes the reporter: ended runs, or a change of the worker.
@@ -132,6 +134,7 @@
             polls: Cell::new(0),
             listed: Cell::new(0),
             calls: Semaphore::new(MAX_CALLS),
+            starting: RefCell::default(),
             wake: Notify::new(),
             report_due: Notify::new(),
         });
@@ -299,20 +302,33 @@
         for call in calls {
             let controller = Rc::clone(self);
             match call {
-                WorkerCall::Start(order) => actix_rt::spawn(controller.start(order)),
-                WorkerCall::Stop { task, run } => actix_rt::spawn(controller.stop(task, run)),
-            };
+                WorkerCall::Start(order) => {
+                    // A start may be ordered again while its earlier calls go on.
+                    if !self.starting.borrow().contains(&order) {
+                        self.starting.borrow_mut().push(order.clone());
+                        actix_rt::spawn(controller.start(order));
+                    }
+                }
+                WorkerCall::Stop { task, run } => {
+                    actix_rt::spawn(controller.stop(task, run));
+                }
+            }
         }
     }
 
-    /// Starts a task; repeats the call until the worker has answered.
     async fn start(self: Rc<Self>, order: StartOrder) {
+        self.repeat_start(&order).await;
+        self.starting.borrow_mut().retain(|starting| *starting != order);
+    }
+
+    /// Starts a task; repeats the call until the worker has answered.
+    async fn repeat_start(self: &Rc<Self>, order: &StartOrder) {
         let Ok(_permit) = self.calls.acquire().await else { return };
         let (mut attempts, mut refused_at) = (0, None);
         loop {
             let (deadline, epoch, leaving) = {
                 let state = self.state.borrow();
-                if !state.needs_start(&order) {
+                if !state.needs_start(order) {
                     return;
                 }
                 let is_fresh = self.clock.now() <= state.answered_at.after(self.answer_age_limit);
@@ -321,7 +337,7 @@
             };
             if leaving {
                 // A leaving worker gets no new task, not even by a repeated call.
-                if self.abandon_start(&order, "worker leaves", attempts, &mut refused_at) {
+                if self.abandon_start(order, "worker leaves", attempts, &mut refused_at) {
                     return;
                 }
                 pause(RETRY_PAUSE).await;
@@ -332,10 +348,10 @@
                 continue;
             };
             attempts += 1;
-            match self.worker.start(&order, deadline, epoch).await {
+            match self.worker.start(order, deadline, epoch).await {
                 Ok(_) | Err(WorkerError::AlreadyEnded) => {
                     self.state.borrow_mut().record_answer(&order.task, order.run, self.polls.get());
-                    self.log_start(&order, "answered", attempts);
+                    self.log_start(order, "answered", attempts);
                     return;
                 }
                 Err(WorkerError::NoAnswer | WorkerError::Malformed) => {
@@ -347,7 +363,7 @@
                     | WorkerError::NoTicket
                     | WorkerError::Refused(_)),
                 ) => {
-                    if self.abandon_start(&order, &error.to_string(), attempts, &mut refused_at) {
+                    if self.abandon_start(order, &error.to_string(), attempts, &mut refused_at) {
                         return;
                     }
                 }
--- a/crates/standin/src/platform_worker.rs
+++ b/crates/standin/src/platform_worker.rs
@@ -97,6 +97,8 @@
     unresponsive: bool,
     /// Delay of start calls, which then get no answer.
     start_delay: Option<Duration>,
+    /// Number of answered start calls.
+    start_calls: u64,
     /// Whether starts are refused with 503 and have no effect.
     refuses_starts: bool,
     /// Start calls that are carried out at the given time.
@@ -201,6 +203,7 @@
             draining: false,
             unresponsive: false,
             start_delay: None,
+            start_calls: 0,
             refuses_starts: false,
             delayed_starts: Vec::new(),
         }));
@@ -276,6 +279,12 @@
         lock(&self.state).refuses_starts = refused;
     }
 
+    /// Number of start calls that were answered.
+    #[must_use]
+    pub fn start_calls(&self) -> u64 {
+        lock(&self.state).start_calls
+    }
+
     /// Number of start calls that are still to be carried out.
     #[must_use]
     pub fn delayed_starts(&self) -> usize {
@@ -351,6 +360,7 @@
         cut_connection(&request);
         return HttpResponse::Ok().finish();
     }
+    state.start_calls += 1;
     if state.refuses_starts {
         return HttpResponse::ServiceUnavailable().finish();
     }
