Call an entry in two path tests only once it is ready

Beside load, submissions_are_refused_while_the_store_refuses_appends saw status 0 for 503, and a_job_submitted_twice_runs_once saw 0 or 503 for 200.

The tests are wrong, not the entry. TestCluster::submit returns once any entry has accepted the job. Both tests then called a fixed entry, which might not listen yet (0) or not have read the configuration (503 "no configuration", as the protocol asks of such an entry).

They now wait until that entry reports itself ready. That is stricter for the first test: a 503 of an entry without a configuration passed before without any append having been refused, and so did the check that the entry is not ready.

--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -24,6 +24,7 @@
 async fn a_job_submitted_twice_runs_once() {
     let cluster = TestCluster::open(2).await;
     cluster.submit("b1", 100, tasks(3)).await;
+    cluster.await_ready(1).await;
     let body = json!({"spec": "100", "steps": tasks(3)});
     assert_eq!(cluster.call("POST", 1, "/q/b1", body.clone()).await.0, 200);
     cluster.await_state("b1", "completed").await;
@@ -65,9 +66,10 @@
 async fn submissions_are_refused_while_the_store_refuses_appends() {
     let cluster = TestCluster::open(2).await;
     cluster.submit("e1", 50, tasks(1)).await;
+    cluster.await_ready(0).await;
     cluster.store.set_mode(StoreMode::Busy);
     let body = json!({"spec": "50", "steps": tasks(1)});
-    assert_eq!(cluster.call("POST", 0, "/q/e2", body.clone()).await.0, 503);
+    assert_eq!(cluster.call("POST", 0, "/q/e2", body.clone()).await.0, 503, "{}", cluster.logs());
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     assert!(!cluster.ready(0).await);
     cluster.store.set_mode(StoreMode::Serving);
