Report a worker only once its list is known

Callers may see a worker above its capacity (LIMIT). A restarted agent named its worker as soon as it had registered, up to a second before it had read and reported the worker's list. The owner placed tasks there beside runs that it had not assigned and did not know of yet; counting such runs works only from the first list on. The case arises when all processes restart while the workers live on.

`returning::an_agent_lists_its_runs_until_the_owner_has_answered` guards against the loss of the first list.

A report names no worker before the first list, and carries the list until the owner has answered it. The first poll does not wait for an end, and its list is reported at once, so a worker is known a call and a report later than before.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -221,6 +221,8 @@
     fn request(&self) -> PollRequest {
         let state = self.state.borrow();
         let wait = if state.is_shared() { SHARED_POLL_WAIT } else { UNSHARED_POLL_WAIT };
+        // The owner gets no report of the worker before its first list.
+        let wait = if state.has_list() { wait } else { 0 };
         let deadline = self.deadline(&state);
         PollRequest { deadline, epoch: state.epoch, acknowledged: state.acknowledged, wait }
     }
@@ -253,7 +255,8 @@
         // Number 0: no run has ended for the reason that the list does not show it.
         let number = if polled.complete { number } else { 0 };
         self.listed.set(self.listed.get().max(number));
-        if state.apply_list(number, polled.list) {
+        let is_first = !state.has_list();
+        if state.apply_list(number, polled.list) || is_first {
             self.report_due.notify_one();
         }
     }
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -19,7 +19,6 @@
 
 /// Most ends in one list of a worker; a list of this length may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
-
 /// Most samples kept for the next report: a few seconds without an owner.
 const MAX_SAMPLES: usize = 40;
 
@@ -89,6 +88,8 @@
     superseded: IndexSet<(TaskName, RunNumber)>,
     /// Whether the worker's list is known.
     has_list: bool,
+    /// Number of the first report with a list, and whether one was answered.
+    first_listed: (Option<u64>, bool),
     running: Vec<ListedRun>,
     ended: Vec<EndedRun>,
     /// Runs that did not start, reported as ended although the worker does not list them.
@@ -134,6 +135,7 @@
         self.ordered.clear();
         self.superseded.clear();
         self.has_list = false;
+        self.first_listed = (None, false);
         self.running.clear();
         self.ended.clear();
         self.unlisted.clear();
@@ -212,6 +214,7 @@
         if number <= self.earlier_reports {
             lease.orders.clear();
         }
+        self.first_listed.1 |= self.first_listed.0.is_some_and(|first| number >= first);
         self.apply_lease(lease, sent)
     }
 
@@ -432,19 +435,22 @@
         !self.ended.is_empty() || !self.unlisted.is_empty()
     }
 
-    /// The next report.
+    /// The next report. It names no worker without a known list, which it carries until the
+    /// owner has answered.
     pub fn report(&mut self, content: ReportContent) -> AgentReport {
         self.reports += 1;
+        let lists_runs = self.has_list && (content.full_list || !self.first_listed.1);
+        self.first_listed.0 = self.first_listed.0.or(lists_runs.then_some(self.reports));
         AgentReport {
             agent: content.agent,
             incarnation: content.incarnation,
             number: self.reports,
             epoch: self.epoch,
             received: self.received,
-            worker: self.worker.clone(),
+            worker: self.worker.clone().filter(|_| self.has_list),
             ended_incarnation: self.ended_incarnation.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
-            runs: (content.full_list && self.has_list).then(|| self.reported_runs()),
+            runs: lists_runs.then(|| self.reported_runs()),
             samples: std::mem::take(&mut self.samples),
             wait: content.wait,
         }
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -36,11 +36,12 @@
     let (mut scheduler, mut agent) = (scheduler(), AgentState::default());
     agent.register(worker("a", 1));
     agent.apply_list(1, WorkerList { running: Vec::new(), ended: Vec::new() });
-    scheduler.report(&agent.report(content(true)), NOW, UNIX);
+    let listing = agent.report(content(true));
+    scheduler.report(&listing, NOW, UNIX);
     scheduler.submit(&"j".into(), job(vec![step(1, 1_000)]));
     scheduler.place(NOW, UNIX);
     store(&mut scheduler);
-    assert_eq!(agent.apply_lease(answer(&scheduler), NOW).len(), 1);
+    assert_eq!(agent.apply_answer(answer(&scheduler), listing.number, NOW).len(), 1);
     (scheduler, agent)
 }
 
@@ -156,3 +157,19 @@
     assert_eq!(calls, vec![WorkerCall::Stop { task: task("j", 0, 0), run: 1 }]);
     assert!(agent.needs_stop(&task("j", 0, 0), 1), "the call is repeated until it is answered");
 }
+
+/// Guards against a worker above its capacity (LIMIT): the first report with a list may be lost,
+/// and the next one must not name the worker without it.
+#[test]
+fn an_agent_lists_its_runs_until_the_owner_has_answered() {
+    let mut agent = AgentState::default();
+    agent.register(worker("a", 1));
+    assert_eq!(agent.report(content(true)).worker, None, "the list is not known");
+    agent.apply_list(1, WorkerList { running: Vec::new(), ended: Vec::new() });
+    let unanswered = agent.report(content(false)).number;
+    assert_eq!(agent.report(content(false)).runs, Some(Vec::new()));
+    let (scheduler, _) = received();
+    agent.apply_answer(answer(&scheduler), unanswered, NOW);
+    assert_eq!(agent.report(content(false)).runs, None);
+    assert!(agent.report(content(false)).worker.is_some());
+}
