Let the controller test know an owner before its worker registers

An agent now registers a worker only once the worker itself has answered, and calls it only once it knows an owner. The test had no owner and waited for ever. Its checks are unchanged.

--- a/crates/fleet/tests/controller.rs
+++ b/crates/fleet/tests/controller.rs
@@ -73,6 +73,9 @@
 #[actix_web::test]
 async fn a_start_ordered_again_after_its_worker_was_removed_is_sent_once() {
     let (controller, worker, clock) = open();
+    // An agent calls its worker only once it knows an owner.
+    controller.state.borrow_mut().adopt(1);
+    controller.execute(Vec::new());
     let known = || -> Option<WorkerInfo> { controller.state.borrow().worker.clone() };
     while known().is_none() {
         tokio::time::sleep(CHECK_PAUSE).await;
