Renew no recorded lease for a start that is not sent

While a start on a leaving worker waited for a list, each check recorded the agent's lease as sent to the worker although no call followed, so a worker that had gone silent was removed later than necessary. Introduced with the rule for refused starts; no caller saw it and no test shows it. The deadline is now computed only directly before a start call. All tests of the crate pass as before.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -240,6 +240,13 @@
         Some(sample.clock.saturating_add(remaining * CLOCK_PERCENT / 100))
     }
 
+    /// The deadline of a start call; `None` also if the owner's last answer is too old.
+    fn start_deadline(&self) -> Option<Millis> {
+        let state = self.state.borrow();
+        let is_fresh = self.clock.now() <= state.answered_at.after(self.answer_age_limit);
+        if is_fresh { self.deadline(&state) } else { None }
+    }
+
     fn apply_list(&self, incarnation: &WorkerIncarnation, number: u64, polled: PolledList) {
         let mut state = self.state.borrow_mut();
         if state.incarnation() != Some(incarnation) {
@@ -329,27 +336,20 @@
         let Ok(_permit) = self.calls.acquire().await else { return };
         let (mut attempts, mut refused_at) = (0, None);
         loop {
-            let (deadline, epoch, leaving) = {
-                let state = self.state.borrow();
-                if !state.needs_start(order) {
-                    return;
-                }
-                let is_fresh = self.clock.now() <= state.answered_at.after(self.answer_age_limit);
-                let deadline = self.deadline(&state).filter(|_| is_fresh);
-                (deadline, state.epoch, state.is_leaving())
-            };
-            if leaving {
-                // A leaving worker gets no new task, not even by a repeated call.
-                if self.abandon_start(order, "worker leaves", attempts, &mut refused_at) {
-                    return;
-                }
-                pause(RETRY_PAUSE).await;
-                continue;
+            if !self.state.borrow().needs_start(order) {
+                return;
+            }
+            // A leaving worker gets no new task, not even by a repeated call.
+            let leaving = self.state.borrow().is_leaving();
+            if leaving && self.abandon_start(order, "worker leaves", attempts, &mut refused_at) {
+                return;
             }
+            let deadline = if leaving { None } else { self.start_deadline() };
             let Some(deadline) = deadline else {
                 pause(RETRY_PAUSE).await;
                 continue;
             };
+            let epoch = self.state.borrow().epoch;
             attempts += 1;
             match self.worker.start(order, deadline, epoch).await {
                 Ok(_) | Err(WorkerError::AlreadyEnded) => {
