Ignore interference samples with shares that no worker can have

Seen by callers: none; such a sample can only come from an odd measurement or an odd report. The owner sends the estimates to all agents, and an infinite one never recovers: best-effort tasks would have been paused, or let through, for good.

Cause: the shares of a sample were not checked, only its headrooms.

Evidence, before: no_number_makes_the_scheduler_panic found it once in its third run ("baseline: -inf"), as its cases are drawn anew; the new test samples_with_shares_beyond_a_worker_are_ignored failed with ("x", NaN). After: 25 runs of the property test, 400 cases each, without a failure.

Why it works: a sample counts only if every share is between 0 and 4 times the worker.

--- a/crates/queue/src/interference.rs
+++ b/crates/queue/src/interference.rs
@@ -32,6 +32,8 @@
 const CHANGE_NOISE: f64 = 0.06;
 /// Weight of one sample in the baseline headroom.
 const BASELINE_WEIGHT: f64 = 0.05;
+/// Largest share of a worker's processors in a sample: measurements may exceed the whole.
+const MAX_SHARE: f32 = 4.0;
 /// Least spare headroom that a placement assumes.
 const MIN_SPARE_HEADROOM: f64 = 0.1;
 
@@ -103,7 +105,9 @@
     /// Corrects the coefficients by a sample's error (normalised least mean squares).
     pub fn learn(&mut self, sample: &InterferenceSample) {
         let (before, now) = (headroom(sample.before), headroom(sample.now));
-        if !before.is_finite() || !now.is_finite() {
+        let is_share = |share: f32| (0.0..=MAX_SHARE).contains(&share);
+        let is_usable = |share: &ShareChange| is_share(share.before) && is_share(share.now);
+        if !before.is_finite() || !now.is_finite() || !sample.shares.iter().all(is_usable) {
             return;
         }
         let serving = Some(&sample.serving);
--- a/crates/queue/tests/odd_numbers.rs
+++ b/crates/queue/tests/odd_numbers.rs
@@ -134,6 +134,21 @@
     assert!(scheduler.ended.contains_key("a"), "all attempts are used");
 }
 
+/// One sample with an infinite share once made the estimates of its image infinite for good.
+#[test]
+fn samples_with_shares_beyond_a_worker_are_ignored() {
+    for odd in [f32::NAN, f32::INFINITY, f32::NEG_INFINITY, -0.5, 1e15, f32::MAX] {
+        for (before, now) in [(odd, 0.5), (0.5, odd)] {
+            let shares = vec![ShareChange { image: "x".into(), before, now }];
+            let sample = InterferenceSample { serving: "y".into(), before: 2.0, now: 1.0, shares };
+            let mut scheduler = scheduler_with(4_000);
+            let report = report("a", 2, Some(worker("a", 1)));
+            scheduler.report(&AgentReport { samples: vec![sample], ..report }, NOW, UNIX);
+            assert_eq!(scheduler.interference.estimates(), [], "{before} {now}");
+        }
+    }
+}
+
 /// The store holds keys of up to 255 bytes.
 #[test]
 fn a_text_longer_than_a_key_names_no_task() {
