--- /dev/null
+++ b/crates/queue/tests/outages.rs
@@ -0,0 +1,112 @@
+//! Randomised test of the scheduler and the agents under outages of every part.
+//!
+//! Random sequences of submissions and faults: calls to workers that are lost, unanswered or
+//! executed late, crashes, leases that expire, delayed reports and announcements, outages of
+//! the store and changes of owner. The model checks that no task runs twice, that no worker
+//! is above its capacity, that every job completes, and that no run is forgotten.
+
+mod model;
+mod support;
+
+use model::{AGENTS, Action, CallFault, CallScope, Simulation, StepShape};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Cases of a run without `PROPTEST_CASES`.
+const CASES: u32 = 100;
+/// Number of jobs, most of which compete for the workers.
+const JOBS: u8 = 10;
+/// Seed of a run without `PROPTEST_RNG_SEED`.
+const SEED: u64 = 18;
+
+fn config() -> ProptestConfig {
+    let defaults = ProptestConfig::default();
+    let cases = if std::env::var_os("PROPTEST_CASES").is_some() { defaults.cases } else { CASES };
+    let rng_seed = match defaults.rng_seed {
+        RngSeed::Random => RngSeed::Fixed(SEED),
+        fixed => fixed,
+    };
+    ProptestConfig {
+        cases,
+        rng_seed,
+        max_shrink_iters: 20_000,
+        failure_persistence: None,
+        ..defaults
+    }
+}
+
+fn index() -> impl Strategy<Value = u8> {
+    0..u8::try_from(AGENTS.len()).unwrap()
+}
+
+fn step_shape() -> impl Strategy<Value = StepShape> {
+    (1..5u8, 0..4u8, 0..4u8).prop_map(|(tasks, size, duration)| StepShape { tasks, size, duration })
+}
+
+fn call_scope() -> impl Strategy<Value = CallScope> {
+    prop_oneof![Just(CallScope::All), Just(CallScope::Polls), Just(CallScope::Orders)]
+}
+
+fn call_fault() -> impl Strategy<Value = CallFault> {
+    prop_oneof![
+        2 => Just(CallFault::Lost),
+        2 => Just(CallFault::Unanswered),
+        2 => (2_000..12_000u16).prop_map(CallFault::Late),
+        1 => Just(CallFault::Refused),
+    ]
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let submit = (0..JOBS, prop::collection::vec(step_shape(), 1..4), prop::bool::weighted(0.35));
+    let disturbance = (index(), call_scope(), call_fault(), 200..12_000u16);
+    let crash = (index(), any::<bool>(), 0..2_000u16);
+    let cut = (index(), any::<bool>(), any::<bool>(), 200..12_000u16);
+    let delay = (index(), 100..900u16, 500..6_000u16);
+    let change = (prop_oneof![Just(0u16), 1..15_000u16], any::<bool>(), 300..4_000u16, 0..1_000u16);
+    prop_oneof![
+        10 => submit.prop_map(|(job, steps, endless)| Action::Submit { job, steps, endless }),
+        3 => (0..JOBS).prop_map(|job| Action::Cancel { job }),
+        1 => index().prop_map(|worker| Action::Fail { worker }),
+        4 => disturbance.prop_map(|(worker, scope, fault, millis)| {
+            Action::DisturbCalls { worker, scope, fault, millis }
+        }),
+        1 => crash.prop_map(|(worker, same_id, millis)| {
+            Action::CrashWorker { worker, same_id, millis }
+        }),
+        1 => index().prop_map(|worker| Action::DelayedAnnouncement { worker }),
+        3 => cut.prop_map(|(agent, requests, answers, millis)| {
+            Action::CutAgent { agent, requests, answers, millis }
+        }),
+        2 => delay.prop_map(|(agent, delay, millis)| {
+            Action::DelayReports { agent, delay, millis }
+        }),
+        2 => (index(), 100..3_000u16).prop_map(|(agent, millis)| {
+            Action::RestartAgent { agent, millis }
+        }),
+        2 => (index(), 100..15_000u16).prop_map(|(agent, millis)| {
+            Action::FreezeAgent { agent, millis }
+        }),
+        1 => (100..12_000u16).prop_map(|millis| Action::StopStore { millis }),
+        2 => change.prop_map(|(lives, stored, millis, loading)| {
+            Action::ChangeOwner { lives, stored, millis, loading }
+        }),
+        1 => (100..1_500u16).prop_map(|millis| Action::RestartAll { millis }),
+    ]
+}
+
+fn actions() -> impl Strategy<Value = Vec<(u16, Action)>> {
+    prop::collection::vec((prop_oneof![0..300u16, 0..4_000u16], action()), 1..40)
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against double runs, overcommitment, lost jobs and forgotten runs under
+    /// outages of workers, agents, owners and the store.
+    #[test]
+    fn runs_survive_outages(seed in any::<u64>(), actions in actions()) {
+        if let Err(violation) = Simulation::open(seed).run(&actions) {
+            prop_assert!(false, "{}", violation);
+        }
+    }
+}
