--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::interference::InterferenceSample;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
@@ -85,6 +85,10 @@
     /// Time at which the newest answered report was sent.
     pub answered_at: Moment,
     ordered: IndexMap<TaskName, OrderedRun>,
+    /// Older runs to stop although a newer run of the task is ordered.
+    superseded: IndexSet<(TaskName, RunNumber)>,
+    /// Whether the worker's list is known.
+    has_list: bool,
     running: Vec<ListedRun>,
     ended: Vec<EndedRun>,
     /// Runs that did not start, reported as ended although the worker does not list them.
@@ -93,6 +97,8 @@
     speeds: IndexMap<(TaskName, RunNumber), u8>,
     samples: Vec<InterferenceSample>,
     reports: u64,
+    /// Number of reports before the worker registered.
+    earlier_reports: u64,
 }
 
 impl AgentState {
@@ -107,6 +113,7 @@
             Some(incarnation) if worker.incarnation.born < incarnation.born => false,
             known => {
                 self.clear_runs();
+                self.earlier_reports = self.reports;
                 self.ended_incarnation = known
                     .or(self.ended_incarnation.take())
                     .filter(|ended| *ended != worker.incarnation);
@@ -125,6 +132,8 @@
 
     fn clear_runs(&mut self) {
         self.ordered.clear();
+        self.superseded.clear();
+        self.has_list = false;
         self.running.clear();
         self.ended.clear();
         self.unlisted.clear();
@@ -144,6 +153,7 @@
         let newest = self.ended.last().map_or(self.acknowledged, |ended| ended.number);
         let has_new_ends = list.ended.iter().any(|ended| ended.number > newest);
         let is_complete = list.ended.len() < MAX_LISTED_ENDS;
+        self.has_list = true;
         self.running = list.running;
         self.ended = list.ended;
         let ended: Vec<_> = self.ended.iter().map(|end| (end.task.clone(), end.run)).collect();
@@ -190,6 +200,21 @@
         absent
     }
 
+    /// Applies the owner's answer to the report with this number; returns the calls to the
+    /// worker. Once the worker has registered, earlier answers give no orders: the owner may
+    /// have ended their runs with a later report.
+    pub fn apply_answer(
+        &mut self,
+        mut lease: AgentLease,
+        number: u64,
+        sent: Moment,
+    ) -> Vec<WorkerCall> {
+        if number <= self.earlier_reports {
+            lease.orders.clear();
+        }
+        self.apply_lease(lease, sent)
+    }
+
     /// Applies the lease and orders of the owner's answer; returns the calls to the worker.
     pub fn apply_lease(&mut self, lease: AgentLease, sent: Moment) -> Vec<WorkerCall> {
         if lease.epoch < self.epoch {
@@ -255,7 +280,12 @@
             start: Some(start.clone()),
             phase: RunPhase::Unanswered,
         };
-        self.ordered.insert(start.task.clone(), ordered);
+        if let Some(older) = self.ordered.insert(start.task.clone(), ordered)
+            && older.start.is_none()
+            && older.phase == RunPhase::Unanswered
+        {
+            self.superseded.insert((start.task.clone(), older.run));
+        }
         Some(WorkerCall::Start(start))
     }
 
@@ -265,7 +295,8 @@
             return None;
         }
         if self.ordered.get(&task).is_some_and(|known| known.run > run) {
-            return None;
+            let new = self.superseded.insert((task.clone(), run));
+            return new.then_some(WorkerCall::Stop { task, run });
         }
         let original = self.ordered.get(&task).and_then(|known| known.original.clone());
         let stopped = OrderedRun { run, start: None, original, phase: RunPhase::Unanswered };
@@ -302,6 +333,7 @@
     pub fn needs_stop(&self, task: &TaskName, run: RunNumber) -> bool {
         let ordered = self.ordered.get(task);
         ordered.is_some_and(|known| known.run == run && known.start.is_none())
+            || self.superseded.contains(&(task.clone(), run))
     }
 
     /// Records that the worker has answered the call about a run; `list`: number of lists
@@ -312,6 +344,12 @@
         }
     }
 
+    /// Records that the worker has answered the stop of a run.
+    pub fn record_stop_answer(&mut self, task: &TaskName, run: RunNumber, list: u64) {
+        self.superseded.shift_remove(&(task.clone(), run));
+        self.record_answer(task, run, list);
+    }
+
     /// Records that the worker has refused a start: the run ends as not started.
     pub fn record_refusal(&mut self, task: &TaskName, run: RunNumber) {
         if self.ordered.get(task).is_some_and(|known| known.run == run) {
@@ -374,6 +412,12 @@
         starts().any(|start| start.latency_bound > 0) && starts().any(|start| start.best_effort)
     }
 
+    /// Whether the worker's list is known: it has been read since the worker registered.
+    #[must_use]
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Whether any end is not acknowledged yet.
     #[must_use]
     pub fn has_ends(&self) -> bool {
@@ -392,7 +436,7 @@
             worker: self.worker.clone(),
             ended_incarnation: self.ended_incarnation.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
-            runs: content.full_list.then(|| self.reported_runs()),
+            runs: (content.full_list && self.has_list).then(|| self.reported_runs()),
             samples: std::mem::take(&mut self.samples),
             wait: content.wait,
         }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -16,48 +16,17 @@
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, TaskName, WorkerIncarnation,
 };
+use crate::observation::RunObservation;
 use crate::placement::{ChoiceContext, cost};
 use crate::record::{JobEnding, PlacedAt, TaskRecord};
 use crate::report::{JobState, StartOrder};
-use crate::spec::{JobSpec, StepSpec};
+use crate::spec::{JobSpec, StepSpec, TaskNeed};
 use crate::worker::{AssignedRun, TrackedWorker};
+pub use crate::write::{CommitEffect, PendingWrite};
 
 /// Time for which the state of an ended job is kept, ms: twice the time promised to callers.
 const ENDED_LIFETIME: Millis = 240_000;
 
-/// An effect that is released once its write is stored.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CommitEffect {
-    Started {
-        agent: AgentName,
-        task: TaskName,
-        run: RunNumber,
-    },
-    /// The worker may drop its ended runs up to this number.
-    Acknowledged {
-        agent: AgentName,
-        incarnation: WorkerIncarnation,
-        number: u64,
-    },
-    /// The agent may drop the end of a run that the worker did not list.
-    RunAcknowledged {
-        agent: AgentName,
-        task: TaskName,
-        run: RunNumber,
-    },
-    Published {
-        job: JobId,
-        state: JobState,
-    },
-}
-
-/// A record to store, as key and value (`None` deletes the key), and its effect.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PendingWrite {
-    pub record: Option<(String, Option<Vec<u8>>)>,
-    pub effect: Option<CommitEffect>,
-}
-
 /// State of one owner: jobs, workers, and writes that are not stored yet.
 #[derive(Debug)]
 pub struct QueueScheduler {
@@ -69,6 +38,7 @@
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     writes: Vec<PendingWrite>,
+    pub(crate) observations: Vec<RunObservation>,
     /// Runs of agents that have not reported to this owner may continue until this time.
     unknown_until: Moment,
 }
@@ -84,6 +54,7 @@
             view: OperatorView::default(),
             interference: InterferenceModel::default(),
             writes: Vec::new(),
+            observations: Vec::new(),
             unknown_until,
         }
     }
@@ -136,11 +107,10 @@
     pub fn restore_task(&mut self, name: &TaskName, record: &TaskRecord, now: Moment) {
         let job = self.jobs.get_mut(&name.job);
         let known = job.is_some();
-        let mut input = (StepSpec::default(), Arc::from(""));
+        let mut input = (None, Arc::from(""));
         if let Some(job) = job {
             job.restore(name, record);
-            let step = job.step_spec(name).cloned().unwrap_or_default();
-            input = (step, job.payload.clone());
+            input = (job.step_spec(name).cloned(), job.payload.clone());
         }
         if !known && record.placed.is_none() {
             self.push(Some((name.to_string(), None)), None);
@@ -153,15 +123,19 @@
             let tracked =
                 tracked.or_insert_with(|| TrackedWorker::open(placed.agent.clone(), unknown_until));
             let (step, payload) = input;
+            // The spec of an ended job may be gone.
+            let reserved = step.as_ref().map_or(TaskNeed::UNBOUNDED, StepSpec::reserved);
+            let step = step.unwrap_or_default();
             let (incarnation, checkpoint) = (placed.incarnation.clone(), record.checkpoint.clone());
             let start = StartOrder {
                 checkpoint,
                 job_deadline: job_deadline.unwrap_or_default(),
                 ..start_order(name, incarnation, record.run, &step, payload)
             };
-            let mut run = new_run(start, &step, now);
+            let mut run = AssignedRun::open(start, &step, now);
             run.stored = true;
             run.stopping = !known;
+            run.reserved = reserved;
             tracked.runs.insert(name.clone(), run);
         }
     }
@@ -380,7 +354,7 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(name.clone(), new_run(start, step, now));
+        tracked.runs.insert(name.clone(), AssignedRun::open(start, step, now));
     }
 
     fn start(&mut self, agent: &AgentName, name: &TaskName, run: RunNumber, now: Moment) {
@@ -393,6 +367,7 @@
             return;
         };
         self.assign_run(agent, name, &step, run, now);
+        let reserved_cpu = self.workers.get(agent).map_or(0, |tracked| tracked.reserved().cpu);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         let first = job.state == JobState::Queued;
         job.state = JobState::Running;
@@ -400,7 +375,8 @@
         task.run = run;
         task.place = TaskPlace::Placed(agent.clone());
         let record = task.record(Some(PlacedAt { agent: agent.clone(), incarnation }));
-        let started = CommitEffect::Started { agent: agent.clone(), task: name.clone(), run };
+        let started =
+            CommitEffect::Started { agent: agent.clone(), task: name.clone(), run, reserved_cpu };
         self.push_task(name, &record, Some(started));
         if first {
             let published =
@@ -412,7 +388,7 @@
     /// Applies the effect of a stored write to the state of its worker.
     pub fn release(&mut self, effect: &CommitEffect) {
         match effect {
-            CommitEffect::Started { agent, task, run } => self.send_start(agent, task, *run),
+            CommitEffect::Started { agent, task, run, .. } => self.send_start(agent, task, *run),
             CommitEffect::Acknowledged { agent, incarnation, number } => {
                 if let Some(tracked) = self.workers.get_mut(agent)
                     && tracked
@@ -504,20 +480,3 @@
         job_deadline: 0,
     }
 }
-
-/// A new run; its placement is not stored yet.
-fn new_run(start: StartOrder, step: &StepSpec, now: Moment) -> AssignedRun {
-    AssignedRun {
-        checkpoint: start.checkpoint.clone(),
-        start,
-        reserved: step.reserved(),
-        endless: step.endless,
-        checkpoints: step.checkpoints,
-        estimate: step.estimate,
-        stored: false,
-        stopping: false,
-        percent: None,
-        since: now,
-        progressed: now,
-    }
-}
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -12,7 +12,7 @@
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
 use crate::report::{AgentOrder, StartOrder, WorkerInfo};
-use crate::spec::TaskNeed;
+use crate::spec::{StepSpec, TaskNeed};
 use crate::throttling::TARGET_HEADROOM;
 
 /// Time without a report, ms, after which an agent gets no new tasks: two lost reports.
@@ -51,6 +51,24 @@
 }
 
 impl AssignedRun {
+    /// A new run; its placement is not stored yet.
+    #[must_use]
+    pub fn open(start: StartOrder, step: &StepSpec, now: Moment) -> Self {
+        Self {
+            checkpoint: start.checkpoint.clone(),
+            start,
+            reserved: step.reserved(),
+            endless: step.endless,
+            checkpoints: step.checkpoints,
+            estimate: step.estimate,
+            stored: false,
+            stopping: false,
+            percent: None,
+            since: now,
+            progressed: now,
+        }
+    }
+
     /// Order that the agent must execute for the run.
     #[must_use]
     pub fn order(&self) -> AgentOrder {
@@ -134,6 +152,8 @@
     pub lease_end: Moment,
     pub leaves_at: Option<Moment>,
     pub runs: IndexMap<TaskName, AssignedRun>,
+    /// Runs in the worker's newest list that are not assigned to it.
+    pub unassigned: Vec<(TaskName, RunNumber)>,
     pub orders: VecDeque<(u64, AgentOrder)>,
     /// Number of the newest order.
     pub last_order: u64,
@@ -158,6 +178,7 @@
             lease_end,
             leaves_at: None,
             runs: IndexMap::new(),
+            unassigned: Vec::new(),
             orders: VecDeque::new(),
             last_order: 0,
             acknowledged: 0,
@@ -173,6 +194,26 @@
         self.orders.push_back((self.last_order, order));
     }
 
+    /// Duration of the lease that an answer grants, at most `limit`, ms. A report without a
+    /// worker does not extend `lease_end`, so its answer grants nothing.
+    #[must_use]
+    pub fn lease_duration(&self, limit: Millis) -> Millis {
+        if self.worker.is_some() { limit } else { 0 }
+    }
+
+    /// Replaces the start order of an ended run by a stop: the agent may not have received
+    /// it yet, and orders are numbered without gaps.
+    pub fn withdraw_start(&mut self, task: &TaskName, run: RunNumber) {
+        for (_, order) in &mut self.orders {
+            if let AgentOrder::Start(start) = order
+                && start.task == *task
+                && start.run == run
+            {
+                *order = AgentOrder::Stop { task: task.clone(), run };
+            }
+        }
+    }
+
     /// Stops a run; returns `false` if it is unknown or is being stopped already.
     pub fn stop(&mut self, task: &TaskName) -> bool {
         let Some(run) = self.runs.get_mut(task).filter(|run| !run.stopping) else { return false };
@@ -184,9 +225,13 @@
         true
     }
 
-    /// Resources reserved by the runs, including runs that are being stopped.
+    /// Resources reserved by the runs, including runs that are being stopped. The need of
+    /// an unassigned run is not known.
     #[must_use]
     pub fn reserved(&self) -> TaskNeed {
+        if !self.unassigned.is_empty() {
+            return TaskNeed::UNBOUNDED;
+        }
         self.runs.values().fold(TaskNeed::default(), |sum, run| sum.plus(&run.reserved))
     }
 
@@ -202,9 +247,9 @@
         let capacity = self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu);
         let busy = |run: &AssignedRun| {
             let share = if run.start.latency_bound > 0 { SERVING_PERCENT } else { 100 };
-            run.reserved.cpu * share / 100
+            run.reserved.cpu.saturating_mul(share) / 100
         };
-        capacity.saturating_sub(self.runs.values().map(busy).sum())
+        self.runs.values().map(busy).fold(capacity, u64::saturating_sub)
     }
 
     /// Processors that the best-effort tasks use together at full speed, in thousandths.
