Follow the answers, stops and leases of the agents in the outage model

The model calls what the reporter and the worker controller call: answers carry the number of their report, stops are answered on their own, and a report without a worker gets no lease.

--- a/crates/queue/tests/model/order.rs
+++ b/crates/queue/tests/model/order.rs
@@ -108,8 +108,13 @@
             }
         };
         if answered {
-            agent.orders.remove(&key);
-            agent.state.record_answer(&task, run, agent.polls);
+            let known = agent.orders.remove(&key);
+            let is_stop = known.is_some_and(|known| matches!(known.order, WorkerCall::Stop { .. }));
+            if is_stop {
+                agent.state.record_stop_answer(&task, run, agent.polls);
+            } else {
+                agent.state.record_answer(&task, run, agent.polls);
+            }
         } else if refused {
             agent.orders.remove(&key);
             agent.state.record_refusal(&task, run);
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -247,7 +247,7 @@
         let owner = &mut self.owners[index];
         owner.scheduler.release(effect);
         match effect {
-            CommitEffect::Started { agent, task, run } => {
+            CommitEffect::Started { agent, task, run, .. } => {
                 let epoch = owner.epoch;
                 self.note(format!("owner {epoch}: {task} run {run} placed on {agent}"));
             }
@@ -367,7 +367,7 @@
         let lease = AgentLease {
             epoch: owner.epoch,
             incarnation: tracked.worker.as_ref().map(|worker| worker.incarnation.clone()),
-            duration: until.saturating_sub(report.received),
+            duration: tracked.lease_duration(until.saturating_sub(report.received)),
             confirmed: now <= owner.confirmed + MAX_CONFIRM_AGE,
             heartbeat: 0,
             acknowledged: tracked.acknowledged,
--- a/crates/queue/tests/model/report.rs
+++ b/crates/queue/tests/model/report.rs
@@ -25,6 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SentReport {
     owner: ReportLoop,
+    /// Number of the report in the agent's process.
+    number: u64,
     sent: u64,
 }
 
@@ -70,7 +72,8 @@
             return;
         };
         let agent = &mut self.agents[index];
-        let full_list = now >= agent.full_report_at || agent.lease_epoch != epoch;
+        let due = now >= agent.full_report_at || agent.lease_epoch != epoch;
+        let full_list = due && agent.state.has_list();
         if full_list {
             agent.full_report_at = now + FULL_REPORT_INTERVAL;
         }
@@ -81,7 +84,7 @@
             wait,
         };
         let report = Box::new(agent.state.report(content));
-        agent.reports.insert(number, SentReport { owner, sent: now });
+        agent.reports.insert(number, SentReport { owner, number: report.number, sent: now });
         if now >= self.faults[index].requests_lost_until {
             let delay = self.report_delay(index);
             self.schedule(now + delay, Event::Report { epoch, from: to, number, report });
@@ -111,7 +114,7 @@
         agent.lease_epoch = lease.epoch;
         let confirmed = lease.confirmed;
         agent.confirmed = confirmed;
-        let calls = agent.state.apply_lease(lease, Moment(sent.sent));
+        let calls = agent.state.apply_answer(lease, sent.number, Moment(sent.sent));
         self.execute_orders(index, calls);
         if confirmed {
             self.continue_reports(index, sent.owner, true);
