--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -27,16 +27,22 @@
 const STALL_SPEED: u8 = 50;
 /// Progress, percent, at which an endless task is operational.
 const OPERATIONAL: u8 = 100;
+/// Most former processes of an agent whose reports are recognized.
+const MAX_FORMER: usize = 8;
 /// Time needed to move a task away from a leaving worker, ms: a stop and a report.
 const LEAVE_MARGIN: Millis = 600;
 
 impl QueueScheduler {
-    /// Applies a report; returns `false` if it is not newer than the last one.
+    /// Applies a report; returns `false` if it is not newer than the last one, or
+    /// comes from a former process of the agent.
     pub fn report(&mut self, report: &AgentReport, now: Moment, unix: Millis) -> bool {
         let agent = &report.agent;
         let tracked = self.workers.entry(agent.clone());
         let tracked = tracked.or_insert_with(|| TrackedWorker::open(agent.clone(), now));
-        if tracked.incarnation == report.incarnation && report.number <= tracked.last_report {
+        let same = tracked.incarnation == report.incarnation;
+        if tracked.former.contains(&report.incarnation)
+            || (same && report.number <= tracked.last_report)
+        {
             return false;
         }
         tracked.last_report = report.number;
@@ -44,7 +50,7 @@
             self.interference.learn(sample);
         }
         tracked.reported_at = now;
-        if tracked.incarnation != report.incarnation {
+        if !same {
             requeue_orders(tracked, report.incarnation);
         }
         // Each owner numbers its orders from the start.
@@ -53,6 +59,7 @@
         self.register_worker(
             agent,
             (report.worker.as_ref(), report.ended_incarnation.as_ref()),
+            report.runs.is_some(),
             now,
             unix,
         );
@@ -65,23 +72,32 @@
             tracked.lease_end = tracked.lease_end.max(clock_bound(now, AGENT_LEASE));
         }
         if let Some(reported) = &report.runs {
+            // Without a percentage, the start is still under way.
+            for listed in reported.iter().filter(|listed| listed.percent.is_some()) {
+                self.record_start(&listed.task.job);
+            }
             self.reconcile(agent, reported, received, now);
         }
         true
     }
 
     /// Registers the reported worker and ends the runs of an incarnation that has ended.
+    /// `listed`: whether the worker has answered a poll; an announcement may be an old one.
     fn register_worker(
         &mut self,
         agent: &AgentName,
         (worker, ended): (Option<&WorkerInfo>, Option<&WorkerIncarnation>),
+        listed: bool,
         now: Moment,
         unix: Millis,
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         // A restarted agent does not know its worker yet, so `None` ends nothing.
         let lapse_cause = |incarnation: &WorkerIncarnation| {
-            let replaced = worker.is_some_and(|worker| worker.incarnation.succeeds(incarnation));
+            let replaced = worker.is_some_and(|worker| {
+                worker.incarnation.succeeds(incarnation)
+                    || (listed && worker.incarnation != *incarnation)
+            });
             if ended == Some(incarnation) {
                 Some(LapseCause::WorkerEnded)
             } else {
@@ -126,12 +142,19 @@
 
     fn apply_ends(&mut self, agent: &AgentName, ended: &[EndedRun], now: Moment, unix: Millis) {
         for ended in ended {
+            // The worker lists the ends of those runs only that have started.
+            if ended.number > 0 {
+                self.record_start(&ended.task.job);
+            }
             self.end_run(agent, &ended.task, ended.run, ended.end, Some(ended), now, unix);
         }
-        let incarnation = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
-        let Some(incarnation) = incarnation.map(|worker| worker.incarnation.clone()) else {
-            return;
+        let Some(tracked) = self.workers.get_mut(agent) else { return };
+        let has_ended = |task: &TaskName, run| {
+            ended.iter().any(|ended| ended.task == *task && ended.run == run)
         };
+        tracked.unassigned.retain(|(task, run)| !has_ended(task, *run));
+        let incarnation = tracked.worker.as_ref().map(|worker| worker.incarnation.clone());
+        let Some(incarnation) = incarnation else { return };
         if let Some(number) = ended.iter().map(|ended| ended.number).max().filter(|n| *n > 0) {
             let acknowledged =
                 CommitEffect::Acknowledged { agent: agent.clone(), incarnation, number };
@@ -245,6 +268,15 @@
         }
     }
 
+    /// Publishes a job as running, as one of its tasks is known to have started.
+    fn record_start(&mut self, id: &JobId) {
+        let queued = self.jobs.get_mut(id).filter(|job| job.state == JobState::Queued);
+        let Some(job) = queued else { return };
+        job.state = JobState::Running;
+        let state = job.state;
+        self.push(None, Some(CommitEffect::Published { job: id.clone(), state }));
+    }
+
     /// Compares the worker's list with the assigned runs and stops unknown ones.
     fn reconcile(
         &mut self,
@@ -255,6 +287,7 @@
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
         tracked.unassigned.clear();
+        tracked.awaits_list = false;
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -279,6 +312,7 @@
                 }
             }
         }
+        tracked.repeat_orders(reported);
         // The agent has received an order only if its number is at most `received`; later
         // ones are in transit, so the worker is not checked for a stall yet.
         if tracked.orders.is_empty() && received == tracked.last_order {
@@ -291,8 +325,9 @@
     pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Option<Millis>)> {
         let mut silent = Vec::new();
         let mut expired = Vec::new();
-        for tracked in self.workers.values() {
+        for tracked in self.workers.values_mut() {
             if tracked.lease_end < now && !tracked.runs.is_empty() {
+                tracked.awaits_list = true;
                 let reported_at = (tracked.incarnation != 0).then_some(tracked.reported_at);
                 let since = reported_at.map(|reported_at| now.0.saturating_sub(reported_at.0));
                 silent.push((tracked.agent.clone(), since));
@@ -311,7 +346,9 @@
 
 /// Queues all orders again for a restarted agent.
 fn requeue_orders(tracked: &mut TrackedWorker, incarnation: u64) {
-    tracked.incarnation = incarnation;
+    tracked.former.push_back(std::mem::replace(&mut tracked.incarnation, incarnation));
+    let excess = tracked.former.len().saturating_sub(MAX_FORMER);
+    tracked.former.drain(..excess);
     tracked.orders.clear();
     tracked.last_order = 0;
     tracked.acknowledged_runs.clear();
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -369,8 +369,6 @@
         self.assign_run(agent, name, &step, run, now);
         let reserved_cpu = self.workers.get(agent).map_or(0, |tracked| tracked.reserved().cpu);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let first = job.state == JobState::Queued;
-        job.state = JobState::Running;
         let Some(task) = job.task_mut(name) else { return };
         task.run = run;
         task.place = TaskPlace::Placed(agent.clone());
@@ -378,11 +376,6 @@
         let started =
             CommitEffect::Started { agent: agent.clone(), task: name.clone(), run, reserved_cpu };
         self.push_task(name, &record, Some(started));
-        if first {
-            let published =
-                CommitEffect::Published { job: name.job.clone(), state: JobState::Running };
-            self.push(None, Some(published));
-        }
     }
 
     /// Applies the effect of a stored write to the state of its worker.
@@ -427,7 +420,7 @@
         }
     }
 
-    /// Number of queued jobs, without any started task, by queue.
+    /// Number of jobs of which no task is known to have started, by queue.
     #[must_use]
     pub fn pending(&self) -> IndexMap<QueueName, u64> {
         let mut pending = IndexMap::new();
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -11,7 +11,7 @@
 
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
-use crate::report::{AgentOrder, StartOrder, WorkerInfo};
+use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
 use crate::spec::{StepSpec, TaskNeed};
 use crate::throttling::TARGET_HEADROOM;
 
@@ -143,6 +143,8 @@
     pub agent: AgentName,
     /// Incarnation of the agent's process; 0 before its first report.
     pub incarnation: u64,
+    /// Incarnations of former processes, whose reports may be delayed.
+    pub former: VecDeque<u64>,
     /// Number of the newest applied report.
     pub last_report: u64,
     pub worker: Option<WorkerInfo>,
@@ -154,6 +156,8 @@
     pub runs: IndexMap<TaskName, AssignedRun>,
     /// Runs in the worker's newest list that are not assigned to it.
     pub unassigned: Vec<(TaskName, RunNumber)>,
+    /// Whether runs have expired since the newest list: the agent may still start them.
+    pub awaits_list: bool,
     pub orders: VecDeque<(u64, AgentOrder)>,
     /// Number of the newest order.
     pub last_order: u64,
@@ -172,6 +176,7 @@
         Self {
             agent,
             incarnation: 0,
+            former: VecDeque::new(),
             last_report: 0,
             worker: None,
             reported_at: Moment::default(),
@@ -179,6 +184,7 @@
             leaves_at: None,
             runs: IndexMap::new(),
             unassigned: Vec::new(),
+            awaits_list: false,
             orders: VecDeque::new(),
             last_order: 0,
             acknowledged: 0,
@@ -195,10 +201,11 @@
     }
 
     /// Duration of the lease that an answer grants, at most `limit`, ms. A report without a
-    /// worker does not extend `lease_end`, so its answer grants nothing.
+    /// worker does not extend `lease_end`, so its answer grants nothing. Nor does an answer
+    /// that does not order the stop of every expired run that the agent may still start.
     #[must_use]
     pub fn lease_duration(&self, limit: Millis) -> Millis {
-        if self.worker.is_some() { limit } else { 0 }
+        if self.worker.is_some() && !self.awaits_list { limit } else { 0 }
     }
 
     /// Replaces the start order of an ended run by a stop: the agent may not have received
@@ -214,6 +221,22 @@
         }
     }
 
+    /// Orders runs again that the agent has received but never listed: it forgets its orders
+    /// when it removes its worker, and the same incarnation may register again.
+    pub fn repeat_orders(&mut self, reported: &[ReportedRun]) {
+        let Some(worker) = &self.worker else { return };
+        let ordered = self.orders.iter().map(|(_, order)| order.run());
+        let listed = reported.iter().map(|listed| (&listed.task, listed.run));
+        let known: IndexSet<_> = ordered.chain(listed).collect();
+        let forgotten = self.runs.values().filter(|run| {
+            let current = run.stored && run.start.incarnation == worker.incarnation;
+            current && run.percent.is_none() && !known.contains(&(&run.start.task, run.start.run))
+        });
+        for order in forgotten.map(AssignedRun::order).collect::<Vec<_>>() {
+            self.order(order);
+        }
+    }
+
     /// Stops a run; returns `false` if it is unknown or is being stopped already.
     pub fn stop(&mut self, task: &TaskName) -> bool {
         let Some(run) = self.runs.get_mut(task).filter(|run| !run.stopping) else { return false };
