--- a/crates/queue/tests/model/agent.rs
+++ b/crates/queue/tests/model/agent.rs
@@ -48,11 +48,16 @@
     pub state: AgentState,
     /// The worker's clock at a moment of the agent's clock.
     sample: (u64, u64),
-    leased_until: Moment,
+    /// End of the longest lease that the worker may have been sent.
+    pub leased_until: Moment,
+    /// Latest deadline of a start call without an answer, including those of earlier processes.
+    pub unanswered_until: Moment,
     unresponsive: bool,
     announced: u64,
     /// Number of polls sent to the worker.
     pub polls: u64,
+    /// Number of the newest poll that was answered with a list.
+    pub listed: u64,
     refused_polls: u32,
     poll: PollPhase,
     /// Number of the newest wait of the poll loop.
@@ -81,9 +86,11 @@
             state: AgentState::default(),
             sample: (0, 0),
             leased_until: Moment::default(),
+            unanswered_until: Moment::default(),
             unresponsive: false,
             announced: 0,
             polls: 0,
+            listed: 0,
             refused_polls: 0,
             poll: PollPhase::default(),
             poll_wait: 0,
@@ -122,6 +129,7 @@
     pub(super) fn spawn_agent(&mut self, index: usize) {
         let agent = &mut self.agents[index];
         agent.up = true;
+        agent.unanswered_until = Moment(self.now + LEASE_LIMIT);
         let to = agent.process(index);
         self.note(format!("agent {} starts", AGENTS[index]));
         self.schedule(self.now, Event::Wake { to, wake: Wake::Orders });
@@ -372,6 +380,7 @@
                     if born == incarnation.born {
                         agent.sample = (clock, now.0);
                         let number = agent.polls;
+                        agent.listed = number;
                         if agent.state.apply_list(number, list) {
                             self.notify_report(index);
                         }
--- a/crates/queue/tests/model/order.rs
+++ b/crates/queue/tests/model/order.rs
@@ -1,6 +1,7 @@
 //! Model of an agent's execution of the owner's orders.
 
 use cactusdoor_queue::agent::WorkerCall;
+use cactusdoor_queue::lease::clock_bound;
 use cactusdoor_queue::name::{RunNumber, TaskName};
 use cactusdoor_queue::report::StartOrder;
 
@@ -15,8 +16,8 @@
 #[derive(Clone, Debug)]
 pub struct OrderLoop {
     order: WorkerCall,
-    /// Whether an earlier call may have been executed.
-    uncertain: bool,
+    /// Number of polls before the first refusal of a start.
+    refused_at: Option<u64>,
     /// Number of the call under way.
     pub call: Option<u64>,
 }
@@ -28,7 +29,7 @@
         for order in calls {
             let agent = &mut self.agents[index];
             let key = agent.next_number();
-            agent.orders.insert(key, OrderLoop { order, uncertain: false, call: None });
+            agent.orders.insert(key, OrderLoop { order, refused_at: None, call: None });
             self.continue_order(index, key);
         }
     }
@@ -92,36 +93,67 @@
     pub(super) fn handle_order(&mut self, index: usize, key: u64, outcome: Outcome) {
         let agent = &mut self.agents[index];
         let Some(known) = agent.orders.get_mut(&key) else { return };
-        known.uncertain |= matches!(outcome, Outcome::NoAnswer);
-        let answered = matches!(outcome, Outcome::Done | Outcome::Ended);
-        let (task, run, refused) = match &known.order {
-            WorkerCall::Start(start) => {
-                let refused = matches!(outcome, Outcome::NoCapacity | Outcome::Refused);
-                (start.task.clone(), start.run, refused && !known.uncertain)
-            }
-            WorkerCall::Stop { task, run } => {
-                if matches!(outcome, Outcome::OtherIncarnation) {
-                    agent.orders.remove(&key);
-                    return;
+        known.call = None;
+        let ends = match known.order.clone() {
+            WorkerCall::Start(start) => self.handle_start(index, key, &start, &outcome),
+            WorkerCall::Stop { task, run } => match outcome {
+                Outcome::Done | Outcome::Ended => {
+                    agent.state.record_stop_answer(&task, run, agent.polls);
+                    true
                 }
-                (task.clone(), *run, false)
-            }
+                Outcome::OtherIncarnation => true,
+                _ => false,
+            },
         };
-        if answered {
-            let known = agent.orders.remove(&key);
-            let is_stop = known.is_some_and(|known| matches!(known.order, WorkerCall::Stop { .. }));
-            if is_stop {
-                agent.state.record_stop_answer(&task, run, agent.polls);
-            } else {
-                agent.state.record_answer(&task, run, agent.polls);
-            }
-        } else if refused {
-            agent.orders.remove(&key);
-            agent.state.record_refusal(&task, run);
-            self.note(format!("agent {}: start of {task} run {run} refused", AGENTS[index]));
-            self.notify_report(index);
+        if ends {
+            self.agents[index].orders.remove(&key);
         } else {
             self.pause_order(index, key);
         }
     }
+
+    /// Handles the answer to a start; returns whether the order is done.
+    fn handle_start(
+        &mut self,
+        index: usize,
+        key: u64,
+        start: &StartOrder,
+        outcome: &Outcome,
+    ) -> bool {
+        let agent = &mut self.agents[index];
+        match outcome {
+            Outcome::Done | Outcome::Ended => {
+                agent.state.record_answer(&start.task, start.run, agent.polls);
+                true
+            }
+            Outcome::NoAnswer => {
+                agent.unanswered_until = agent.unanswered_until.max(agent.leased_until);
+                false
+            }
+            Outcome::NoCapacity | Outcome::Refused => self.abandon_start(index, key, start),
+            _ => false,
+        }
+    }
+
+    /// Ends a refused start; returns `false` if it is to be repeated.
+    fn abandon_start(&mut self, index: usize, key: u64, start: &StartOrder) -> bool {
+        let now = self.moment();
+        let agent = &mut self.agents[index];
+        let uncertain = now < clock_bound(agent.unanswered_until, 0);
+        let polls = agent.polls;
+        let Some(order) = agent.orders.get_mut(&key) else { return true };
+        let refused_at = *order.refused_at.get_or_insert(polls);
+        if uncertain && agent.listed <= refused_at {
+            return false;
+        }
+        if !agent.state.needs_start(start) || agent.state.is_running(&start.task, start.run) {
+            return true;
+        }
+        let stop = agent.state.abandon_start(start, uncertain);
+        let (name, task, run) = (AGENTS[index], &start.task, start.run);
+        self.note(format!("agent {name}: start of {task} run {run} refused"));
+        self.notify_report(index);
+        self.execute_orders(index, stop.into_iter().collect());
+        true
+    }
 }
