Crash machines, drain workers and set clocks back in the outage model

- A worker restarts under its id, and a start that the agent sends before it knows is executed: the call names the id only.
- A worker restarts with its clock set back; a delayed announcement of the earlier incarnation seems newer and ends the runs of the living one.
- The first report to a new owner carries no list.
The new owner does not know of runs that its predecessor ended, grants a lease, and the agent, frozen meanwhile, starts the order that it had received.

--- a/crates/queue/tests/model/order.rs
+++ b/crates/queue/tests/model/order.rs
@@ -53,6 +53,14 @@
             agent.orders.remove(&key);
             return;
         }
+        if agent.state.is_leaving() {
+            if self.abandon_start(index, key, start) {
+                self.agents[index].orders.remove(&key);
+            } else {
+                self.pause_order(index, key);
+            }
+            return;
+        }
         let is_fresh = now <= agent.state.answered_at.0 + ANSWER_AGE_LIMIT;
         let deadline = self.deadline(index).filter(|_| is_fresh);
         let Some(deadline) = deadline else {
