--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -93,8 +93,8 @@
 fn best_effort_cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
     let step = context.step;
     let idle = tracked.idle_cpu().max(1);
-    let demand = tracked.best_effort_cpu() + step.need.cpu;
-    let shared = demand * 1_000 / idle;
+    let demand = tracked.best_effort_cpu().saturating_add(step.need.cpu);
+    let shared = demand.saturating_mul(1_000) / idle;
     let is_acceptable = |slowed: u64| slowed <= SLOWDOWN_LIMIT || !context.may_wait;
     if tracked.serving_tasks() == 0 {
         return is_acceptable(shared).then_some(shared);
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -278,7 +278,8 @@
     /// Processors that the best-effort tasks use together at full speed, in thousandths.
     #[must_use]
     pub fn best_effort_cpu(&self) -> u64 {
-        self.runs.values().filter(|run| run.start.best_effort).map(|run| run.start.cpu).sum()
+        let best_effort = self.runs.values().filter(|run| run.start.best_effort);
+        best_effort.map(|run| run.start.cpu).fold(0, u64::saturating_add)
     }
 
     /// Factor by which best-effort tasks must be slowed down for every serving task to
@@ -286,9 +287,10 @@
     #[must_use]
     pub fn slowdown(&self, model: &InterferenceModel, image: Option<&Label>, cpu: u64) -> f64 {
         let mut images: IndexMap<Option<&Label>, u64> = IndexMap::new();
-        *images.entry(image).or_default() += cpu;
+        images.insert(image, cpu);
         for run in self.runs.values().filter(|run| run.start.best_effort) {
-            *images.entry(run.start.image.as_ref()).or_default() += run.start.cpu;
+            let used = images.entry(run.start.image.as_ref()).or_default();
+            *used = used.saturating_add(run.start.cpu);
         }
         let serving: IndexSet<_> = self
             .runs
