Confirm announcements in the outage model, as agents do

The sequence of the model that showed it (a worker removed and registered again, polls lost, then a freeze over a change of owner) needed a registration without an answer of the worker, which has become rare; the agent's order of the former owner is the same.

--- a/crates/queue/tests/model/event.rs
+++ b/crates/queue/tests/model/event.rs
@@ -57,6 +57,7 @@
 pub enum Wake {
     Poll(u64),
     Order(u64),
+    Candidate,
     Orders,
     Ends,
     EndsPause,
--- a/crates/queue/tests/model/mod.rs
+++ b/crates/queue/tests/model/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod order;
 mod owner;
+mod registration;
 mod report;
 mod worker;
 
--- a/crates/queue/tests/model/order.rs
+++ b/crates/queue/tests/model/order.rs
@@ -26,6 +26,7 @@
     /// Makes the calls that follow from an answer of the owner.
     pub(super) fn execute_orders(&mut self, index: usize, calls: Vec<WorkerCall>) {
         self.wake_poll(index);
+        self.notify_candidate(index);
         for order in calls {
             let agent = &mut self.agents[index];
             let key = agent.next_number();
