Grant no lease before a new owner has had the list of an agent

No caller has seen this; the randomised model found it (TWICE). A new owner does not know which runs its predecessor has ended. An agent that was frozen over the change of owner could get a lease in the answer to a report without a list, and start a run that the predecessor had ordered and ended since.

The rule for expired runs, no lease until a list has shown what the agent still holds, now holds from the start of a term. The lease test in `book` reports a list first, as agents do; its check is unchanged.

--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -156,7 +156,8 @@
     pub runs: IndexMap<TaskName, AssignedRun>,
     /// Runs in the worker's newest list that are not assigned to it.
     pub unassigned: Vec<(TaskName, RunNumber)>,
-    /// Whether runs have expired since the newest list: the agent may still start them.
+    /// Whether the agent may still start runs that have ended: this owner has had no list yet,
+    /// or runs have expired since the newest one.
     pub awaits_list: bool,
     pub orders: VecDeque<(u64, AgentOrder)>,
     /// Number of the newest order.
@@ -184,7 +185,7 @@
             leaves_at: None,
             runs: IndexMap::new(),
             unassigned: Vec::new(),
-            awaits_list: false,
+            awaits_list: true,
             orders: VecDeque::new(),
             last_order: 0,
             acknowledged: 0,
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -381,6 +381,8 @@
 #[test]
 fn the_answer_to_a_report_without_a_worker_grants_no_lease() {
     let mut scheduler = running(vec![step(1, 1_000)]);
+    let list = AgentReport { runs: Some(Vec::new()), ..report("a", 2, Some(worker("a", 1))) };
+    scheduler.report(&list, NOW, UNIX);
     assert_eq!(scheduler.workers["a"].lease_duration(AGENT_LEASE), AGENT_LEASE);
     let fresh = AgentReport { incarnation: 2, ..report("a", 1, None) };
     scheduler.report(&fresh, NOW, UNIX);
