--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -17,6 +17,8 @@
 };
 use crate::throttling::{BestEffortRun, FULL_SPEED, ServingRun, ThrottleCall, ThrottleController};
 
+pub use crate::worker_call::{ListedRun, WorkerCall, WorkerList};
+
 /// Most ends in one list of a worker; a list of this length may be incomplete.
 const MAX_LISTED_ENDS: usize = 500;
 /// Most samples kept for the next report: a few seconds without an owner.
@@ -42,32 +44,6 @@
     pub phase: RunPhase,
 }
 
-/// A run as the worker lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ListedRun {
-    pub task: TaskName,
-    pub run: RunNumber,
-    pub checkpoint: Checkpoint,
-    /// Progress, percent.
-    pub percent: u8,
-    /// Tail latency, ms, of a serving task; otherwise processors in use, in thousandths.
-    pub measurement: u64,
-}
-
-/// The runs that a worker lists as running and as ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerList {
-    pub running: Vec<ListedRun>,
-    pub ended: Vec<EndedRun>,
-}
-
-/// A call to the worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WorkerCall {
-    Start(StartOrder),
-    Stop { task: TaskName, run: RunNumber },
-}
-
 /// State of one agent.
 #[derive(Debug, Default)]
 pub struct AgentState {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod spec;
 pub mod throttling;
 pub mod worker;
+pub mod worker_call;
 pub mod write;
