--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -259,7 +259,7 @@
         }
         self.sample.set(ClockSample { clock: polled.clock, at: self.clock.now() });
         self.metrics.listings.inc();
-        // Number 0: no run has ended for the reason that the list does not show it.
+        // The runs that an incomplete list lacks may still go on: number 0 ends none of them.
         let number = if polled.complete { number } else { 0 };
         self.listed.set(self.listed.get().max(number));
         let is_first = !state.has_list();
@@ -326,6 +326,7 @@
         }
     }
 
+    /// Executes a start order and then allows it to be executed again.
     async fn start(self: Rc<Self>, order: StartOrder) {
         self.repeat_start(&order).await;
         self.starting.borrow_mut().retain(|starting| *starting != order);
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -64,8 +64,10 @@
     superseded: IndexSet<(TaskName, RunNumber)>,
     /// Whether the worker's list is known.
     has_list: bool,
-    /// Number of the first report with a list, and whether one was answered.
-    first_listed: (Option<u64>, bool),
+    /// Number of the first report with a list.
+    listed_since: Option<u64>,
+    /// Whether the owner has answered a report with a list.
+    list_answered: bool,
     running: Vec<ListedRun>,
     ended: Vec<EndedRun>,
     /// Runs that did not start, reported as ended although the worker does not list them.
@@ -111,7 +113,8 @@
         self.ordered.clear();
         self.superseded.clear();
         self.has_list = false;
-        self.first_listed = (None, false);
+        self.listed_since = None;
+        self.list_answered = false;
         self.running.clear();
         self.ended.clear();
         self.unlisted.clear();
@@ -190,7 +193,7 @@
         if number <= self.earlier_reports {
             lease.orders.clear();
         }
-        self.first_listed.1 |= self.first_listed.0.is_some_and(|first| number >= first);
+        self.list_answered |= self.listed_since.is_some_and(|first| number >= first);
         self.apply_lease(lease, sent)
     }
 
@@ -415,8 +418,8 @@
     /// owner has answered.
     pub fn report(&mut self, content: ReportContent) -> AgentReport {
         self.reports += 1;
-        let lists_runs = self.has_list && (content.full_list || !self.first_listed.1);
-        self.first_listed.0 = self.first_listed.0.or(lists_runs.then_some(self.reports));
+        let lists_runs = self.has_list && (content.full_list || !self.list_answered);
+        self.listed_since = self.listed_since.or(lists_runs.then_some(self.reports));
         AgentReport {
             agent: content.agent,
             incarnation: content.incarnation,
