--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod background;
 mod freshness;
+mod report_queue;
 mod reports;
 mod requests;
 
@@ -19,7 +20,7 @@
 use cactusdoor_peer::queue::{FindReply, StoreReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient};
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
-use cactusdoor_queue::report::{JobState, ReportReply};
+use cactusdoor_queue::report::JobState;
 use cactusdoor_queue::scheduler::{CommitEffect, PendingWrite, QueueScheduler};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -28,6 +29,7 @@
 use self::background::{
     AppendGroup, HEARTBEAT_INTERVAL, spawn_appender, spawn_heartbeats, spawn_request_reader,
 };
+use self::report_queue::ReportQueue;
 use self::requests::REMOVAL_INTERVAL;
 use crate::appender::{AppenderError, StoredAppend, TopicAppender};
 use crate::candidate::open_appender;
@@ -48,8 +50,8 @@
 const APPEND_BYTES: usize = 400_000;
 /// Longest sleep of the loop without an event.
 const IDLE_TICK: Millis = 250;
-/// Longest sleep of the loop while tasks wait for a retry.
-const RETRY_TICK: Millis = 50;
+/// Longest wait of an acknowledgement for orders that it can go with, ms.
+const ACKNOWLEDGE_DELAY: Millis = 60;
 /// Time without a report after which an agent is unreachable, ms.
 const UNREACHABLE_AFTER: Millis = 2_500;
 /// An owner that knows at least this many agents resigns when fewer than half reach it.
@@ -104,8 +106,6 @@
 }
 
 type AppendResult = Result<StoredAppend, AppenderError>;
-/// Reply channel of a report, latest time of the answer and time of arrival.
-type WaitingReport = (oneshot::Sender<ReportReply>, Moment, Moment);
 /// Request, reply channel and latest time of the answer.
 type WaitingWatch = (WatchRequest, oneshot::Sender<WatchReply>, Moment);
 
@@ -129,6 +129,8 @@
     request_groups: mpsc::UnboundedSender<AppendGroup>,
     request_results: mpsc::UnboundedReceiver<AppendResult>,
     relayed: VecDeque<Option<oneshot::Sender<StoreReply>>>,
+    /// Whether the operators' records may have changed since they were last adopted.
+    view_changed: bool,
     resignation: watch::Sender<bool>,
     writes: VecDeque<PendingWrite>,
     /// Writes of the append that is under way.
@@ -140,8 +142,10 @@
     /// Since when appends have been confirmed without a long gap.
     confirmed_since: Moment,
     began: Moment,
-    reports: IndexMap<AgentName, WaitingReport>,
+    reports: ReportQueue,
     watches: Vec<WaitingWatch>,
+    /// When watches were last answered with changes.
+    watches_answered: Moment,
     finds: Vec<(JobId, oneshot::Sender<FindReply>, Moment)>,
     /// Published job states of this term, in order.
     changes: Vec<(JobId, JobState)>,
@@ -191,6 +195,7 @@
             request_groups,
             request_results,
             relayed: VecDeque::new(),
+            view_changed: true,
             resignation,
             writes: VecDeque::new(),
             in_flight: None,
@@ -198,8 +203,9 @@
             confirmed,
             confirmed_since: confirmed,
             began: now,
-            reports: IndexMap::new(),
+            reports: ReportQueue::default(),
             watches: Vec::new(),
+            watches_answered: now,
             finds: Vec::new(),
             changes: Vec::new(),
             published: IndexMap::new(),
@@ -229,7 +235,7 @@
                     if let Some(end) = self.handle_heartbeat_result(result) { break end }
                 }
                 Some(result) = self.request_results.recv() => self.handle_request_result(result),
-                _ = self.context.views.changed() => {}
+                _ = self.context.views.changed() => self.view_changed = true,
                 _ = stopping.changed() => if *stopping.borrow() { break TermEnd::Stopped },
                 () = tokio::time::sleep_until(wake.into()) => {}
             }
@@ -258,17 +264,22 @@
 
     fn next_wake(&self) -> Moment {
         let now = self.context.clock.now();
-        let waiting = self.scheduler.jobs.values().any(|job| job.has_waiting());
-        let mut wake = now.after(if waiting { RETRY_TICK } else { IDLE_TICK });
-        let deadlines = self.reports.values().map(|(_, until, _)| *until);
-        let deadlines = deadlines.chain(self.watches.iter().map(|(_, _, until)| *until));
-        if let Some(first) = deadlines.min() {
-            wake = wake.min(first);
-        }
-        if self.in_flight.is_none() && !self.writes.is_empty() {
-            wake = wake.min(self.appended.after(APPEND_GAP));
-        }
-        wake
+        let append_at = self.in_flight.is_none().then(|| self.appended.after(APPEND_GAP));
+        let placing = self.scheduler.next_wake(now, unix_ms()).filter(|_| self.may_place());
+        let placing = append_at.and_then(|at| placing.map(|next| next.max(at)));
+        let flush = append_at.filter(|_| !self.writes.is_empty());
+        let events = [placing, flush, self.reports.next_due(), self.next_watch()];
+        events.into_iter().flatten().fold(now.after(IDLE_TICK), Moment::min)
+    }
+
+    /// Whether tasks may be placed. Only the configuration says which workers serve a queue.
+    fn may_place(&self) -> bool {
+        self.scheduler.view().config.is_some() && !self.outdated
+    }
+
+    /// Whether the next append may be sent.
+    fn may_append(&self, now: Moment) -> bool {
+        self.in_flight.is_none() && now >= self.appended.after(APPEND_GAP)
     }
 
     /// Places tasks, starts the next append and answers calls; returns why the term ends.
@@ -283,23 +294,17 @@
         if self.reads_failed(now) {
             return Some(TermEnd::ReadsFailed);
         }
-        let view_read = {
-            let confirmed = self.context.views.borrow_and_update();
-            if confirmed.view != self.scheduler.view {
-                self.scheduler.view = confirmed.view.clone();
-            }
-            confirmed.confirmed
-        };
+        let view_read = self.read_view();
         self.check_freshness(now, view_read);
         for (agent, silent) in self.scheduler.expire(now, unix) {
             self.context.log.record(DecisionEvent::AgentSilent { agent, silent });
         }
         self.record_observations(&[]);
-        // Only the configuration says which workers serve a queue.
-        if self.scheduler.view.config.is_some() && !self.outdated {
+        self.remove_ended(now, unix);
+        // A placement leaves with the next append; until then, more room may be reported.
+        if self.may_place() && self.may_append(now) {
             self.scheduler.place(now, unix);
         }
-        self.remove_ended(now, unix);
         self.writes.extend(self.scheduler.take_writes());
         self.flush(now);
         self.count_pending();
@@ -307,6 +312,16 @@
         None
     }
 
+    /// Adopts the operators' records; returns when they were read.
+    fn read_view(&mut self) -> Moment {
+        let changed = std::mem::take(&mut self.view_changed);
+        let confirmed = self.context.views.borrow();
+        if changed && confirmed.view != *self.scheduler.view() {
+            self.scheduler.set_view(confirmed.view.clone());
+        }
+        confirmed.confirmed
+    }
+
     /// Whether fewer than half of the known agents reach this owner.
     fn is_isolated(&self, now: Moment) -> bool {
         if now < self.began.after(2 * UNREACHABLE_AFTER) {
@@ -330,10 +345,7 @@
                 self.apply_effect(&effect);
             }
         }
-        if self.in_flight.is_some() || self.writes.is_empty() {
-            return;
-        }
-        if now < self.appended.after(APPEND_GAP) {
+        if !self.may_append(now) || self.writes.is_empty() {
             return;
         }
         let (mut group, mut records, mut bytes) = (Vec::new(), Vec::new(), 0);
@@ -412,7 +424,10 @@
                     self.ended.push(job.clone());
                 }
             }
-            CommitEffect::Acknowledged { .. } | CommitEffect::RunAcknowledged { .. } => {}
+            CommitEffect::Acknowledged { agent, .. }
+            | CommitEffect::RunAcknowledged { agent, .. } => {
+                self.reports.hasten(agent, self.context.clock.now().after(ACKNOWLEDGE_DELAY));
+            }
         }
     }
 
@@ -436,9 +451,8 @@
     }
 
     fn count_pending(&mut self) {
-        let pending = self.scheduler.pending();
-        if pending != self.pending.1 {
-            self.pending = (self.pending.0 + 1, pending);
+        if *self.scheduler.pending() != self.pending.1 {
+            self.pending = (self.pending.0 + 1, self.scheduler.pending().clone());
         }
     }
 }
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -11,32 +11,35 @@
 use cactusdoor_queue::report::{AgentLease, AgentOrder, ReportReply};
 use tokio::sync::oneshot;
 
-use super::{OwnerTerm, send};
+use super::{OwnerTerm, WaitingWatch, send};
 
 /// An owner whose newest confirmed append is older reports itself as unconfirmed, and its
 /// agents search for a successor: two heartbeat intervals and a slow answer.
 pub(super) const MAX_CONFIRM_AGE: Millis = 1_200;
+/// Least time between two answers to watches, ms for each waiting entry.
+const WATCH_GAP: Millis = 3;
+/// Longest time for which a change waits for others, ms.
+const MAX_WATCH_GAP: Millis = 150;
 /// Least time between two transmissions of the interference estimates to an agent.
 const ESTIMATE_INTERVAL: Millis = 1_000;
 
 impl OwnerTerm {
     /// Answers reports and watches that have updates or whose wait has elapsed.
     pub(super) fn answer(&mut self, now: Moment) {
-        let scheduler = &self.scheduler;
-        let ready = |agent: &AgentName, until: Moment| {
-            until <= now || scheduler.workers.get(agent).is_some_and(|tracked| tracked.has_updates)
-        };
-        let due: Vec<_> = self
-            .reports
-            .iter()
-            .filter(|(agent, (_, until, _))| ready(agent, *until))
-            .map(|(agent, _)| agent.clone())
-            .collect();
-        for agent in due {
-            if let Some((reply, _, received)) = self.reports.swap_remove(&agent) {
-                self.answer_report(&agent, reply, received);
+        for agent in self.scheduler.take_updated() {
+            if let Some(report) = self.reports.take(&agent) {
+                self.answer_report(&agent, report.reply, report.received);
+            }
+        }
+        while let Some(agent) = self.reports.first_due(now) {
+            if let Some(report) = self.reports.take(&agent) {
+                self.answer_report(&agent, report.reply, report.received);
             }
         }
+        if self.next_watch().is_none_or(|next| now < next) {
+            return;
+        }
+        self.watches_answered = now;
         for (request, reply, until) in std::mem::take(&mut self.watches) {
             let from = self.watched_from(&request);
             if self.changes.len() > from || until <= now {
@@ -47,6 +50,19 @@
         }
     }
 
+    /// When the next watch is answered. Changes are sent together: each of them concerns
+    /// every entry, so the time between two answers grows with the number of entries.
+    pub(super) fn next_watch(&self) -> Option<Moment> {
+        let due = self.watches.iter().map(|(_, _, until)| *until).min()?;
+        let behind =
+            |(request, _, _): &WaitingWatch| self.changes.len() > self.watched_from(request);
+        if !self.watches.iter().any(behind) {
+            return Some(due);
+        }
+        let gap = (self.watches.len() as Millis * WATCH_GAP).min(MAX_WATCH_GAP);
+        Some(due.min(self.watches_answered.after(gap)))
+    }
+
     pub(super) fn answer_report(
         &mut self,
         agent: &AgentName,
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -44,10 +44,8 @@
             self.context.log.record(DecisionEvent::WorkerQuarantined { agent, quarantines, epoch });
         }
         let until = now.after(report.wait);
-        if let Some((older, _, received)) =
-            self.reports.insert(report.agent.clone(), (reply, until, now))
-        {
-            self.answer_report(&report.agent, older, received);
+        if let Some(older) = self.reports.insert(&report.agent, reply, until, now) {
+            self.answer_report(&report.agent, older.reply, older.received);
         }
     }
 
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -29,7 +29,7 @@
         }
         self.removal_at = now.after(REMOVAL_INTERVAL);
         for job in self.scheduler.drop_ended(unix) {
-            self.published.shift_remove(&job);
+            self.published.swap_remove(&job);
         }
         let ended = std::mem::take(&mut self.ended);
         let keys = ended.into_iter().flat_map(|job| {
--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -50,10 +50,13 @@
     full_report_at: Cell<Moment>,
     last_answer: Cell<Moment>,
     epoch: Cell<Epoch>,
+    /// Number of reports that wait for an answer.
+    waiting: Cell<u32>,
 }
 
 impl OwnerReporter {
-    /// Starts two loops: one waits for orders, the other reports ended runs at once.
+    /// Starts two loops: while the report of one waits for orders, the other reports ended runs.
+    /// The owner answers an older report when a newer one arrives, so one report waits.
     pub fn spawn(reporter: Self) {
         let last_answer = Cell::new(reporter.clock.now());
         let reports = Rc::new(ReportLoop {
@@ -62,18 +65,26 @@
             full_report_at: Cell::default(),
             last_answer,
             epoch: Cell::new(0),
+            waiting: Cell::new(0),
         });
-        actix_rt::spawn(Rc::clone(&reports).wait_for_orders());
-        actix_rt::spawn(reports.send_ends());
+        actix_rt::spawn(Rc::clone(&reports).exchange());
+        actix_rt::spawn(reports.exchange());
     }
 }
 
 impl ReportLoop {
-    async fn wait_for_orders(self: Rc<Self>) {
+    async fn exchange(self: Rc<Self>) {
         loop {
+            if self.waiting.get() > 0 {
+                self.reporter.controller.report_due.notified().await;
+                tokio::time::sleep(END_DELAY).await;
+            }
             // An unconfirmed owner must answer at once, with or without orders.
             let confirmed = *self.reporter.contact.borrow() == OwnerContact::Confirmed;
-            if self.report(if confirmed { ORDER_WAIT } else { 0 }).await {
+            self.waiting.set(self.waiting.get() + 1);
+            let answered = self.report(if confirmed { ORDER_WAIT } else { 0 }).await;
+            self.waiting.set(self.waiting.get() - 1);
+            if answered {
                 continue;
             }
             if let Err(error) = self.reporter.finder.refresh().await {
@@ -83,16 +94,6 @@
         }
     }
 
-    async fn send_ends(self: Rc<Self>) {
-        loop {
-            self.reporter.controller.report_due.notified().await;
-            tokio::time::sleep(END_DELAY).await;
-            if !self.report(0).await {
-                pause(RETRY_PAUSE).await;
-            }
-        }
-    }
-
     /// Sends one report and applies the answer; returns whether the owner has answered.
     async fn report(&self, wait: Millis) -> bool {
         let reporter = &self.reporter;
--- a/crates/fleet/tests/odd_bytes.rs
+++ b/crates/fleet/tests/odd_bytes.rs
@@ -15,7 +15,7 @@
 use cactusdoor_platform::store::{KeyedRecord, LogPage, NewestPage, StoreClient, StoredRecord};
 use cactusdoor_platform::{announcement, config, submission, worker};
 use cactusdoor_queue::agent::{AgentState, ReportContent};
-use cactusdoor_queue::config::QueueConfig;
+use cactusdoor_queue::config::{OperatorView, QueueConfig};
 use cactusdoor_queue::name::WorkerIncarnation;
 use cactusdoor_queue::report::{AgentLease, AgentOrder, StartOrder};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -72,7 +72,7 @@
 fn scheduler() -> QueueScheduler {
     let mut scheduler = QueueScheduler::open(1, NOW);
     let config = config::read(config_document().to_string().as_bytes()).unwrap();
-    scheduler.view.config = Some(config);
+    scheduler.set_view(OperatorView { config: Some(config), ..OperatorView::default() });
     scheduler
 }
 
@@ -182,7 +182,7 @@
             let record = KeyedRecord { key: "config".into(), value: Some(Bytes::from(body.clone())) };
             fold.apply(update(vec![StoredRecord { offset, record }]));
             if let Ok(config) = config::read(&body) {
-                scheduler.view.config = Some(config);
+                scheduler.set_view(OperatorView { config: Some(config), ..OperatorView::default() });
                 scheduler.place(NOW, UNIX);
             }
         }
@@ -254,7 +254,7 @@
             client.read("keyed.tasks", 0, Duration::ZERO).await.unwrap();
             let epoch = state.epoch().unwrap_or(3);
             let mut scheduler = state.into_scheduler(epoch + 1, NOW, NOW, UNIX);
-            scheduler.view = self::scheduler().view;
+            scheduler.set_view(self::scheduler().view().clone());
             let mut agent = agent();
             for number in 1..4 {
                 exchange(&mut agent, &mut scheduler, number);
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -12,7 +12,8 @@
 use crate::observation::{LapseCause, RunObservation};
 use crate::report::{AgentOrder, AgentReport, EndedRun, JobState, ReportedRun, RunEnd, WorkerInfo};
 use crate::scheduler::{CommitEffect, QueueScheduler};
-use crate::worker::{AssignedRun, TrackedWorker};
+use crate::timers::SteadyTimer;
+use crate::worker::{AssignedRun, REPORT_TIMEOUT, TrackedWorker};
 
 /// Delay before a failed task is retried, ms; doubled with each failure.
 const RETRY_DELAY: Millis = 100;
@@ -49,6 +50,10 @@
         for sample in &report.samples {
             self.interference.learn(sample);
         }
+        self.interference_changed |= !report.samples.is_empty();
+        if tracked.reported_at.after(REPORT_TIMEOUT) < now {
+            self.rooms.gain(agent);
+        }
         tracked.reported_at = now;
         if !same {
             requeue_orders(tracked, report.incarnation);
@@ -78,6 +83,7 @@
             }
             self.reconcile(agent, reported, received, now);
         }
+        self.note_updates(agent);
         true
     }
 
@@ -117,6 +123,9 @@
         }
         let leaves = worker.and_then(|worker| worker.leaves_in);
         tracked.leaves_at = leaves.map(|remaining| now.after(remaining));
+        if tracked.worker.as_ref() != worker {
+            self.rooms.gain(agent);
+        }
         tracked.worker = worker.cloned();
         for (task, run, cause) in expired {
             self.lapse_run(agent, &task, run, cause, now, unix);
@@ -152,7 +161,11 @@
         let has_ended = |task: &TaskName, run| {
             ended.iter().any(|ended| ended.task == *task && ended.run == run)
         };
+        let was_open = tracked.unassigned.is_empty();
         tracked.unassigned.retain(|(task, run)| !has_ended(task, *run));
+        if !was_open && tracked.unassigned.is_empty() {
+            self.rooms.gain(agent);
+        }
         let incarnation = tracked.worker.as_ref().map(|worker| worker.incarnation.clone());
         let Some(incarnation) = incarnation else { return };
         if let Some(number) = ended.iter().map(|ended| ended.number).max().filter(|n| *n > 0) {
@@ -201,7 +214,8 @@
         if tracked.runs.get(task).is_none_or(|run| run.start.run != number) {
             return;
         }
-        let Some(run) = tracked.runs.shift_remove(task) else { return };
+        let Some(run) = tracked.runs.remove(task) else { return };
+        self.rooms.gain(agent);
         if listed.is_none() {
             tracked.withdraw_start(task, number);
         }
@@ -211,6 +225,10 @@
             RunEnd::NotStarted if !run.stopping => tracked.health.fail(&task.job, now),
             _ => {}
         }
+        if tracked.health.is_quarantined(now) {
+            let until = tracked.health.quarantined_until().0;
+            self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
+        }
         if !self.jobs.contains_key(&task.job) {
             self.push(Some((task.to_string(), None)), None);
             return;
@@ -247,16 +265,20 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let Some(task) = job.task_mut(name).filter(|task| task.place != TaskPlace::Done) else {
+        if job.task(name).is_none_or(|task| task.place == TaskPlace::Done) {
             return;
-        };
-        task.checkpoint = checkpoint.clone();
-        task.failures = task.failures.saturating_add(u32::from(failed));
-        let doublings = task.failures.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
-        let retry = if failed { RETRY_DELAY << doublings } else { 0 };
-        task.place = if done { TaskPlace::Done } else { TaskPlace::Waiting(now.after(retry)) };
-        let record = task.record(None);
+        }
+        job.change_task(name, |task| {
+            task.checkpoint = checkpoint.clone();
+            task.failures = task.failures.saturating_add(u32::from(failed));
+            let doublings = task.failures.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
+            let retry = if failed { RETRY_DELAY << doublings } else { 0 };
+            task.place = if done { TaskPlace::Done } else { TaskPlace::Waiting(now.after(retry)) };
+        });
+        let Some(record) = job.task(name).map(|task| task.record(None)) else { return };
         self.push_task(name, &record, None);
+        self.changed.insert((name.job.clone(), name.occurrence));
+        self.update_idle(&name.job, now);
     }
 
     fn check_job(&mut self, id: &JobId, unix: Millis) {
@@ -273,7 +295,8 @@
         let queued = self.jobs.get_mut(id).filter(|job| job.state == JobState::Queued);
         let Some(job) = queued else { return };
         job.state = JobState::Running;
-        let state = job.state;
+        let (state, queue) = (job.state, job.spec.queue.clone());
+        self.discount_pending(&queue);
         self.push(None, Some(CommitEffect::Published { job: id.clone(), state }));
     }
 
@@ -286,6 +309,7 @@
         now: Moment,
     ) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
+        let was_open = tracked.unassigned.is_empty();
         tracked.unassigned.clear();
         tracked.awaits_list = false;
         for listed in reported {
@@ -312,19 +336,32 @@
                 }
             }
         }
+        if !was_open && tracked.unassigned.is_empty() {
+            self.rooms.gain(agent);
+        }
         tracked.repeat_orders(reported);
         // The agent has received an order only if its number is at most `received`; later
         // ones are in transit, so the worker is not checked for a stall yet.
         if tracked.orders.is_empty() && received == tracked.last_order {
             check_stall(tracked, reported, now);
+            if tracked.health.is_quarantined(now) {
+                let until = tracked.health.quarantined_until().0;
+                self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
+            }
         }
     }
 
     /// Ends the runs of agents whose lease has certainly expired; returns these agents
     /// and how long they have been silent, ms, or `None` if they never reported.
     pub fn expire(&mut self, now: Moment, unix: Millis) -> Vec<(AgentName, Option<Millis>)> {
+        if self.next_expiry.is_none_or(|first| now <= first) {
+            return Vec::new();
+        }
         let mut silent = Vec::new();
         let mut expired = Vec::new();
+        let with_runs = self.workers.values().filter(|tracked| !tracked.runs.is_empty());
+        let alive = with_runs.filter(|tracked| tracked.lease_end >= now);
+        self.next_expiry = alive.map(|tracked| tracked.lease_end).min();
         for tracked in self.workers.values_mut() {
             if tracked.lease_end < now && !tracked.runs.is_empty() {
                 tracked.awaits_list = true;
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -9,7 +9,7 @@
 
 use cactusdoor_core::unit::{Millis, Moment};
 
-use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName};
+use crate::name::{AgentName, Checkpoint, JobId, RunNumber, StepName, TaskName};
 use crate::record::{PlacedAt, TaskRecord};
 use crate::report::JobState;
 use crate::spec::{JobSpec, StepSpec};
@@ -36,12 +36,14 @@
     /// Checkpoint from which the next run resumes.
     pub checkpoint: Checkpoint,
     pub place: TaskPlace,
+    /// Agent whose worker got the newest run.
+    pub agent: Option<AgentName>,
 }
 
 impl TaskProgress {
     fn open() -> Self {
         let place = TaskPlace::Waiting(Moment::default());
-        Self { run: 0, failures: 0, checkpoint: Checkpoint::from(""), place }
+        Self { run: 0, failures: 0, checkpoint: Checkpoint::from(""), place, agent: None }
     }
 
     /// The task's record to store; `placed`: its worker, if it is placed.
@@ -62,30 +64,81 @@
     }
 }
 
+/// Numbers of a step's tasks by their place.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlaceCount {
+    pub waiting: u32,
+    pub placed: u32,
+    pub done: u32,
+}
+
+impl PlaceCount {
+    fn of(&mut self, place: &TaskPlace) -> &mut u32 {
+        match place {
+            TaskPlace::Waiting(_) => &mut self.waiting,
+            TaskPlace::Placed(_) => &mut self.placed,
+            TaskPlace::Done => &mut self.done,
+        }
+    }
+}
+
 /// Progress of the tasks of one step in one occurrence.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StepProgress {
     pub tasks: Vec<TaskProgress>,
+    pub count: PlaceCount,
+    /// Most failures of one task; for a gang, the sum over its tasks.
+    failures: u32,
 }
 
 impl StepProgress {
     fn open(spec: &StepSpec) -> Self {
-        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize] }
+        let count = PlaceCount { waiting: spec.tasks, ..PlaceCount::default() };
+        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize], count, failures: 0 }
     }
 
-    /// Most failures of one task; for a gang, the sum over its tasks.
-    fn failures(&self, spec: &StepSpec) -> u32 {
-        let failures = self.tasks.iter().map(|task| task.failures);
-        if spec.gang {
-            failures.fold(0, u32::saturating_add)
+    /// Changes a task, and the counts with it.
+    fn change(&mut self, index: u32, gang: bool, change: impl FnOnce(&mut TaskProgress)) {
+        let Some(task) = self.tasks.get_mut(index as usize) else { return };
+        let failures = task.failures;
+        *self.count.of(&task.place) -= 1;
+        change(task);
+        *self.count.of(&task.place) += 1;
+        let added = task.failures.saturating_sub(failures);
+        self.failures = if gang {
+            self.failures.saturating_add(added)
         } else {
-            failures.max().unwrap_or_default()
+            self.failures.max(task.failures)
+        };
+    }
+
+    fn waiting_since(&self) -> impl Iterator<Item = Moment> {
+        let tasks = if self.count.waiting > 0 { self.tasks.as_slice() } else { &[] };
+        tasks.iter().filter_map(|task| match task.place {
+            TaskPlace::Waiting(since) => Some(since),
+            _ => None,
+        })
+    }
+
+    /// When a waiting task may start, for a gang when all tasks may; `None` if none waits.
+    #[must_use]
+    pub fn startable_at(&self, spec: &StepSpec) -> Option<Moment> {
+        if !spec.gang {
+            return self.waiting_since().min();
         }
+        let all_wait = self.count.waiting as usize == self.tasks.len();
+        self.waiting_since().max().filter(|_| all_wait)
+    }
+
+    /// When the next retry delay of a waiting task ends.
+    #[must_use]
+    pub fn next_retry(&self, now: Moment) -> Option<Moment> {
+        self.waiting_since().filter(|since| *since > now).min()
     }
 
     #[must_use]
     pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.place == TaskPlace::Done)
+        self.count.done as usize == self.tasks.len()
     }
 }
 
@@ -100,40 +153,61 @@
     /// Time since which no task is placed; `None` while one is.
     pub idle_since: Option<Moment>,
     pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
+    /// Length of the critical path by the caller's estimates, ms.
+    pub critical_path: Millis,
+    /// Occurrences before this one have been opened.
+    next_occurrence: u32,
+    /// Steps that are not done, in the opened occurrences.
+    unfinished: usize,
+    /// Number of placed tasks.
+    placed: u32,
 }
 
 impl JobProgress {
     #[must_use]
     pub fn open(id: JobId, spec: JobSpec) -> Self {
         let payload = spec.payload.as_str().into();
-        let (spec, occurrences) = (Arc::new(spec), BTreeMap::new());
-        let (state, idle_since) = (JobState::Queued, None);
-        Self { id, spec, payload, state, idle_since, occurrences }
+        let critical_path = spec.critical_path();
+        Self {
+            id,
+            spec: Arc::new(spec),
+            payload,
+            state: JobState::Queued,
+            idle_since: None,
+            occurrences: BTreeMap::new(),
+            critical_path,
+            next_occurrence: 0,
+            unfinished: 0,
+            placed: 0,
+        }
     }
 
     /// Opens the occurrences that are due; returns whether any was opened.
     pub fn open_due(&mut self, unix: Millis) -> bool {
         let mut opened = false;
-        for occurrence in 0..self.spec.occurrences() {
-            let due = self.spec.due(occurrence).is_none_or(|due| due <= unix);
-            if due && !self.occurrences.contains_key(&occurrence) {
-                self.open_occurrence(occurrence);
-                opened = true;
-            }
+        while self.next_due().is_some_and(|due| due <= unix) {
+            opened |= self.open_occurrence(self.next_occurrence);
+            self.next_occurrence += 1;
         }
         opened
     }
 
-    fn open_occurrence(&mut self, occurrence: u32) {
-        let steps = self.spec.steps.iter().map(StepProgress::open).collect();
+    /// Opens an occurrence; returns `false` if it is open.
+    fn open_occurrence(&mut self, occurrence: u32) -> bool {
+        if self.occurrences.contains_key(&occurrence) {
+            return false;
+        }
+        let steps: Vec<_> = self.spec.steps.iter().map(StepProgress::open).collect();
+        self.unfinished += steps.iter().filter(|step| !step.is_done()).count();
         self.occurrences.insert(occurrence, steps);
+        true
     }
 
-    /// Unix time of the next occurrence that has not been opened.
+    /// Unix time of the next occurrence that may not have been opened, 0 if it may start at once.
     #[must_use]
     pub fn next_due(&self) -> Option<Millis> {
-        let next = (0..self.spec.occurrences()).find(|k| !self.occurrences.contains_key(k))?;
-        self.spec.due(next)
+        let next = self.next_occurrence;
+        (next < self.spec.occurrences()).then(|| self.spec.due(next).unwrap_or_default())
     }
 
     #[must_use]
@@ -142,9 +216,17 @@
         steps.get(usize::from(name.step))?.tasks.get(name.index as usize)
     }
 
-    pub fn task_mut(&mut self, name: &TaskName) -> Option<&mut TaskProgress> {
-        let steps = self.occurrences.get_mut(&name.occurrence)?;
-        steps.get_mut(usize::from(name.step))?.tasks.get_mut(name.index as usize)
+    /// Changes a task, and the counts of its step and of the job with it.
+    pub fn change_task(&mut self, name: &TaskName, change: impl FnOnce(&mut TaskProgress)) {
+        let gang = self.step_spec(name).is_some_and(|step| step.gang);
+        let steps = self.occurrences.get_mut(&name.occurrence);
+        let Some(step) = steps.and_then(|steps| steps.get_mut(usize::from(name.step))) else {
+            return;
+        };
+        let (placed, done) = (step.count.placed, step.is_done());
+        step.change(name.index, gang, change);
+        self.placed = self.placed - placed + step.count.placed;
+        self.unfinished = self.unfinished + usize::from(done) - usize::from(step.is_done());
     }
 
     #[must_use]
@@ -165,45 +247,42 @@
         if !self.has_task(name) {
             return;
         }
-        if !self.occurrences.contains_key(&name.occurrence) {
-            self.open_occurrence(name.occurrence);
-        }
-        let Some(task) = self.task_mut(name) else { return };
-        task.run = record.run;
-        task.failures = record.failures;
-        task.checkpoint = record.checkpoint.clone();
-        task.place = match (&record.placed, record.done) {
-            (_, true) => TaskPlace::Done,
-            (Some(placed), false) => TaskPlace::Placed(placed.agent.clone()),
-            (None, false) => TaskPlace::Waiting(Moment::default()),
-        };
+        self.open_occurrence(name.occurrence);
+        self.change_task(name, |task| {
+            task.run = record.run;
+            task.failures = record.failures;
+            task.checkpoint = record.checkpoint.clone();
+            task.agent = record.placed.as_ref().map(|placed| placed.agent.clone());
+            task.place = match (&record.placed, record.done) {
+                (_, true) => TaskPlace::Done,
+                (Some(placed), false) => TaskPlace::Placed(placed.agent.clone()),
+                (None, false) => TaskPlace::Waiting(Moment::default()),
+            };
+        });
         if record.done || record.failures > 0 || !record.checkpoint.is_empty() {
             self.state = JobState::Running;
         }
     }
 
-    /// Whether a task waits, or an occurrence has not been opened yet.
-    #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        let waiting = |task: &TaskProgress| matches!(task.place, TaskPlace::Waiting(_));
-        self.occurrences.len() < self.spec.occurrences() as usize
-            || self.occurrences.values().flatten().any(|step| step.tasks.iter().any(waiting))
-    }
-
     /// Updates `idle_since` from whether a task is placed on a worker.
     pub fn update_idle(&mut self, now: Moment) {
-        let placed = |task: &TaskProgress| matches!(task.place, TaskPlace::Placed(_));
-        if self.occurrences.values().flatten().any(|step| step.tasks.iter().any(placed)) {
+        if self.placed > 0 {
             self.idle_since = None;
         } else if self.idle_since.is_none() {
             self.idle_since = Some(now);
         }
     }
 
+    /// When the tasks cease to wait for less busy workers, unless one is placed before.
+    #[must_use]
+    pub fn waits_until(&self) -> Option<Moment> {
+        self.idle_since.map(|since| since.after(IDLE_LIMIT))
+    }
+
     /// Whether the tasks may wait for a less busy worker.
     #[must_use]
     pub fn may_wait(&self, now: Moment) -> bool {
-        self.idle_since.is_none_or(|since| now < since.after(IDLE_LIMIT))
+        self.waits_until().is_none_or(|until| now < until)
     }
 
     /// Whether all steps before this one are done.
@@ -219,8 +298,7 @@
     /// Whether every task of every occurrence is done.
     #[must_use]
     pub fn is_completed(&self) -> bool {
-        let all = self.occurrences.len() == self.spec.occurrences() as usize;
-        all && self.occurrences.values().flatten().all(StepProgress::is_done)
+        self.unfinished == 0 && self.occurrences.len() == self.spec.occurrences() as usize
     }
 
     /// Whether a task or a gang has used all its attempts; 0 for no limit.
@@ -229,26 +307,20 @@
         if attempts == 0 {
             return false;
         }
-        self.occurrences.values().any(|steps| {
-            steps.iter().zip(&self.spec.steps).any(|(step, spec)| step.failures(spec) >= attempts)
-        })
+        self.occurrences.values().flatten().any(|step| step.failures >= attempts)
     }
 
-    /// Names of all tasks that were started at least once.
+    /// Names of all tasks that were started at least once, with the agents of their newest runs.
     #[must_use]
-    pub fn started(&self) -> Vec<TaskName> {
-        let mut names = Vec::new();
+    pub fn started(&self) -> Vec<(TaskName, Option<AgentName>)> {
+        let mut started = Vec::new();
         for (&occurrence, steps) in &self.occurrences {
             for (step, progress) in (0u16..).zip(steps) {
-                let started = (0u32..).zip(&progress.tasks).filter(|(_, task)| task.run > 0);
-                names.extend(started.map(|(index, _)| TaskName {
-                    job: self.id.clone(),
-                    occurrence,
-                    step,
-                    index,
-                }));
+                let step = StepName { job: self.id.clone(), occurrence, step };
+                let tasks = (0u32..).zip(&progress.tasks).filter(|(_, task)| task.run > 0);
+                started.extend(tasks.map(|(index, task)| (step.task(index), task.agent.clone())));
             }
         }
-        names
+        started
     }
 }
--- a/crates/queue/src/name.rs
+++ b/crates/queue/src/name.rs
@@ -49,6 +49,29 @@
     pub index: u32,
 }
 
+/// A step of one occurrence of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StepName {
+    pub job: JobId,
+    pub occurrence: u32,
+    pub step: u16,
+}
+
+impl StepName {
+    /// Name of the step's task with this index.
+    #[must_use]
+    pub fn task(&self, index: u32) -> TaskName {
+        TaskName { job: self.job.clone(), occurrence: self.occurrence, step: self.step, index }
+    }
+}
+
+impl TaskName {
+    #[must_use]
+    pub fn step_name(&self) -> StepName {
+        StepName { job: self.job.clone(), occurrence: self.occurrence, step: self.step }
+    }
+}
+
 /// A text that is not the name of a task.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{0:?} does not name a task")]
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -8,7 +8,7 @@
 use cactusdoor_core::unit::Moment;
 
 use crate::interference::InterferenceModel;
-use crate::name::{DataCentre, ServiceName, TaskName};
+use crate::name::{DataCentre, Label, ServiceName, StepName};
 use crate::spec::StepSpec;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
@@ -22,11 +22,13 @@
 /// Inputs of a choice apart from the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceContext<'a> {
-    pub task: &'a TaskName,
+    pub name: &'a StepName,
     pub step: &'a StepSpec,
     pub service: &'a ServiceName,
     pub taken_out: &'a BTreeSet<DataCentre>,
     pub interference: &'a InterferenceModel,
+    /// Rack within which all tasks of the step must run.
+    pub within: Option<&'a Label>,
     /// Whether the task may wait for a less busy worker: its job is not idle for too long.
     pub may_wait: bool,
     pub now: Moment,
@@ -62,18 +64,11 @@
 
 fn fits(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
     let step = context.step;
-    let labelled = step.label.as_ref().is_none_or(|label| tracked.has_label(label));
+    let labels = [step.label.as_ref(), context.within];
+    let labelled = labels.into_iter().flatten().all(|label| tracked.has_label(label));
     labelled
-        && !tracked.runs.contains_key(context.task)
         && step.reserved().fits(&tracked.free())
-        && (step.per_worker == 0 || siblings(tracked, context.task) < step.per_worker)
-}
-
-fn siblings(tracked: &TrackedWorker, task: &TaskName) -> u32 {
-    let same = |other: &&TaskName| {
-        other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
-    };
-    u32::try_from(tracked.runs.keys().filter(same).count()).unwrap_or(u32::MAX)
+        && (step.per_worker == 0 || tracked.runs.of_step(context.name) < step.per_worker)
 }
 
 /// Reserved share of the capacity after the placement, in thousandths; for serving
@@ -93,10 +88,10 @@
 fn best_effort_cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
     let step = context.step;
     let idle = tracked.idle_cpu().max(1);
-    let demand = tracked.best_effort_cpu().saturating_add(step.need.cpu);
+    let demand = tracked.runs.best_effort_cpu().saturating_add(step.need.cpu);
     let shared = demand.saturating_mul(1_000) / idle;
     let is_acceptable = |slowed: u64| slowed <= SLOWDOWN_LIMIT || !context.may_wait;
-    if tracked.serving_tasks() == 0 {
+    if tracked.runs.serving() == 0 {
         return is_acceptable(shared).then_some(shared);
     }
     let throttled = tracked.slowdown(context.interference, step.image.as_ref(), step.need.cpu);
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -8,19 +8,20 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::config::{OperatorView, QueueConfig};
 use crate::interference::InterferenceModel;
-use crate::job::{JobProgress, TaskPlace};
+use crate::job::JobProgress;
 use crate::name::{
-    AgentName, Checkpoint, JobId, QueueName, RunNumber, TaskName, WorkerIncarnation,
+    AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
 use crate::observation::RunObservation;
-use crate::placement::{ChoiceContext, cost};
-use crate::record::{JobEnding, PlacedAt, TaskRecord};
+use crate::record::{JobEnding, TaskRecord};
 use crate::report::{JobState, StartOrder};
 use crate::spec::{JobSpec, StepSpec, TaskNeed};
+use crate::timers::{DayTimer, SteadyTimer, TimerQueue};
+use crate::waiting::{RoomChanges, WaitingSteps};
 use crate::worker::{AssignedRun, TrackedWorker};
 pub use crate::write::{CommitEffect, PendingWrite};
 
@@ -34,13 +35,30 @@
     pub jobs: IndexMap<JobId, JobProgress>,
     pub ended: IndexMap<JobId, JobEnding>,
     pub workers: IndexMap<AgentName, TrackedWorker>,
-    pub view: OperatorView,
+    pub(crate) view: OperatorView,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
+    /// Whether samples have arrived since refused best-effort steps were last tried.
+    pub(crate) interference_changed: bool,
+    pub(crate) best_effort_tried: Moment,
     writes: Vec<PendingWrite>,
     pub(crate) observations: Vec<RunObservation>,
     /// Runs of agents that have not reported to this owner may continue until this time.
     unknown_until: Moment,
+    pub(crate) waiting: WaitingSteps,
+    pub(crate) rooms: RoomChanges,
+    /// Jobs whose first occurrences have not been opened.
+    pub(crate) opened: Vec<JobId>,
+    /// Occurrences whose waiting steps must be determined again.
+    pub(crate) changed: IndexSet<(JobId, u32)>,
+    pub(crate) steady_timers: TimerQueue<SteadyTimer>,
+    pub(crate) day_timers: TimerQueue<DayTimer>,
+    /// No lease of a worker with runs ends before this time; `None` if no worker has runs.
+    pub(crate) next_expiry: Option<Moment>,
+    /// Jobs of which no task is known to have started, by queue.
+    pending: IndexMap<QueueName, u64>,
+    /// Agents to which orders wait to be sent.
+    updated: IndexSet<AgentName>,
 }
 
 impl QueueScheduler {
@@ -53,17 +71,54 @@
             workers: IndexMap::new(),
             view: OperatorView::default(),
             interference: InterferenceModel::default(),
+            interference_changed: false,
+            best_effort_tried: Moment::default(),
             writes: Vec::new(),
             observations: Vec::new(),
             unknown_until,
+            waiting: WaitingSteps::default(),
+            rooms: RoomChanges::default(),
+            opened: Vec::new(),
+            changed: IndexSet::new(),
+            steady_timers: TimerQueue::default(),
+            day_timers: TimerQueue::default(),
+            next_expiry: None,
+            pending: IndexMap::new(),
+            updated: IndexSet::new(),
         }
     }
 
+    /// The operators' configuration and the data centres taken out.
+    #[must_use]
+    pub fn view(&self) -> &OperatorView {
+        &self.view
+    }
+
+    /// Replaces the operators' view; all waiting steps are looked at again.
+    pub fn set_view(&mut self, view: OperatorView) {
+        self.view = view;
+        self.waiting.clear();
+        self.day_timers.clear();
+        self.opened = self.jobs.keys().cloned().collect();
+    }
+
     /// Writes since the last call, in the order in which they must be stored.
     pub fn take_writes(&mut self) -> Vec<PendingWrite> {
         std::mem::take(&mut self.writes)
     }
 
+    /// Agents to which orders have waited to be sent since the last call.
+    pub fn take_updated(&mut self) -> IndexSet<AgentName> {
+        std::mem::take(&mut self.updated)
+    }
+
+    /// Names the agent among the updated ones if orders wait for it.
+    pub(crate) fn note_updates(&mut self, agent: &AgentName) {
+        if self.workers.get(agent).is_some_and(|tracked| tracked.has_updates) {
+            self.updated.insert(agent.clone());
+        }
+    }
+
     pub(crate) fn push(
         &mut self,
         record: Option<(String, Option<Vec<u8>>)>,
@@ -87,6 +142,8 @@
         if self.jobs.contains_key(id) || self.ended.contains_key(id) {
             return false;
         }
+        *self.pending.entry(spec.queue.clone()).or_default() += 1;
+        self.opened.push(id.clone());
         self.jobs.insert(id.clone(), JobProgress::open(id.clone(), spec));
         self.push(None, Some(CommitEffect::Published { job: id.clone(), state: JobState::Queued }));
         true
@@ -99,25 +156,62 @@
 
     /// Restores the stored final state of a job.
     pub fn restore_ending(&mut self, id: &JobId, ending: JobEnding) {
-        self.jobs.shift_remove(id);
+        self.remove_job(id);
         self.ended.insert(id.clone(), ending);
     }
 
+    /// Removes a job with its waiting steps and timers.
+    fn remove_job(&mut self, id: &JobId) -> Option<JobProgress> {
+        let job = self.jobs.swap_remove(id)?;
+        if job.state == JobState::Queued {
+            self.discount_pending(&job.spec.queue);
+        }
+        for (&occurrence, steps) in &job.occurrences {
+            for (step, progress) in (0u16..).zip(steps) {
+                if progress.count.waiting > 0 {
+                    self.waiting.remove(&StepName { job: id.clone(), occurrence, step });
+                }
+            }
+        }
+        if let Some(due) = job.next_due() {
+            self.day_timers.cancel(due, DayTimer::Due(id.clone()));
+        }
+        if let Some(late_at) = Self::late_at(&self.view, &job) {
+            self.day_timers.cancel(late_at, DayTimer::Late(id.clone()));
+        }
+        Some(job)
+    }
+
+    /// Records that a job no longer counts as pending.
+    pub(crate) fn discount_pending(&mut self, queue: &QueueName) {
+        let Some(number) = self.pending.get_mut(queue) else { return };
+        *number = number.saturating_sub(1);
+        if *number == 0 {
+            self.pending.swap_remove(queue);
+        }
+    }
+
     /// Restores a stored task; call it only after all jobs have been submitted.
     pub fn restore_task(&mut self, name: &TaskName, record: &TaskRecord, now: Moment) {
         let job = self.jobs.get_mut(&name.job);
         let known = job.is_some();
         let mut input = (None, Arc::from(""));
+        let mut started = None;
         if let Some(job) = job {
+            let queued = job.state == JobState::Queued;
             job.restore(name, record);
+            started = (queued && job.state != JobState::Queued).then(|| job.spec.queue.clone());
             input = (job.step_spec(name).cloned(), job.payload.clone());
         }
+        if let Some(queue) = started {
+            self.discount_pending(&queue);
+        }
         if !known && record.placed.is_none() {
             self.push(Some((name.to_string(), None)), None);
         }
         if let Some(placed) = &record.placed {
-            let job_deadline =
-                self.jobs.get(&name.job).map(|job| self.deadline(&job.spec, name.occurrence));
+            let job = self.jobs.get(&name.job);
+            let job_deadline = job.map(|job| Self::deadline(&self.view, job, name.occurrence));
             let unknown_until = self.unknown_until;
             let tracked = self.workers.entry(placed.agent.clone());
             let tracked =
@@ -136,10 +230,17 @@
             run.stored = true;
             run.stopping = !known;
             run.reserved = reserved;
-            tracked.runs.insert(name.clone(), run);
+            tracked.runs.insert(run);
+            let lease_end = tracked.lease_end;
+            self.expire_from(lease_end);
         }
     }
 
+    /// Has the leases checked after `lease_end`, at the latest.
+    pub(crate) fn expire_from(&mut self, lease_end: Moment) {
+        self.next_expiry = Some(self.next_expiry.map_or(lease_end, |known| known.min(lease_end)));
+    }
+
     /// Finishes loading: ends jobs whose last task is done and publishes the state
     /// of every job.
     pub fn finish_loading(&mut self, unix: Millis) {
@@ -165,30 +266,39 @@
     /// Configuration of a job's queue; defaults if the queue is no longer configured.
     #[must_use]
     pub fn queue_config(&self, spec: &JobSpec) -> Arc<QueueConfig> {
-        let config = self.view.config.as_ref();
+        Self::configured(&self.view, spec)
+    }
+
+    fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
+        let config = view.config.as_ref();
         let config = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
         config.unwrap_or_else(|| Arc::new(QueueConfig::of_removed(&spec.queue, &spec.service)))
     }
 
     /// Unix time by which an occurrence of a job should be done.
-    fn deadline(&self, spec: &JobSpec, occurrence: u32) -> Millis {
-        let begins = spec.due(occurrence).unwrap_or(spec.accepted);
-        begins.saturating_add(self.queue_config(spec).time_budget(spec.critical_path()))
+    pub(crate) fn deadline(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Millis {
+        let begins = job.spec.due(occurrence).unwrap_or(job.spec.accepted);
+        let budget = Self::configured(view, &job.spec).time_budget(job.critical_path);
+        begins.saturating_add(budget)
     }
 
     /// Ends a job: stops its runs and deletes the records of tasks that are not placed.
     pub(crate) fn end_job(&mut self, id: &JobId, state: JobState, unix: Millis) -> bool {
-        let Some(job) = self.jobs.shift_remove(id) else { return false };
+        let Some(job) = self.remove_job(id) else { return false };
         let ending = JobEnding { state, at: unix };
         self.ended.insert(id.clone(), ending);
         let value = serde_json::to_vec(&ending).unwrap_or_default();
         let published = CommitEffect::Published { job: id.clone(), state };
         self.push(Some((id.to_string(), Some(value))), Some(published));
-        for name in job.started() {
-            let placed = self.workers.values_mut().any(|tracked| {
+        for (name, agent) in job.started() {
+            let tracked = agent.as_ref().and_then(|agent| self.workers.get_mut(agent));
+            let placed = tracked.is_some_and(|tracked| {
                 tracked.stop(&name);
                 tracked.runs.contains_key(&name)
             });
+            if let Some(agent) = agent.filter(|_| placed) {
+                self.note_updates(&agent);
+            }
             if !placed {
                 self.push(Some((name.to_string(), None)), None);
             }
@@ -196,189 +306,6 @@
         true
     }
 
-    /// Opens due occurrences and places every ready task that fits on a worker.
-    pub fn place(&mut self, now: Moment, unix: Millis) {
-        for id in self.placement_order(unix) {
-            self.place_job(&id, now, unix);
-        }
-    }
-
-    fn placement_order(&mut self, unix: Millis) -> Vec<JobId> {
-        let mut order = Vec::with_capacity(self.jobs.len());
-        for job in self.jobs.values_mut() {
-            job.open_due(unix);
-        }
-        for job in self.jobs.values() {
-            let newest = job.occurrences.keys().next_back().copied().unwrap_or_default();
-            // At equal priority, jobs that can no longer meet their deadline come last.
-            let late = !job.spec.is_endless() && self.deadline(&job.spec, newest) < unix;
-            let priority = self.queue_config(&job.spec).priority;
-            order.push((priority, late, job.spec.accepted, job.id.clone()));
-        }
-        order.sort();
-        order.into_iter().map(|(_, _, _, id)| id).collect()
-    }
-
-    fn place_job(&mut self, id: &JobId, now: Moment, unix: Millis) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.update_idle(now);
-        }
-        let Some(job) = self.jobs.get(id) else { return };
-        let mut ready = Vec::new();
-        for (&occurrence, steps) in &job.occurrences {
-            for (step, progress) in (0u16..).zip(steps) {
-                let waiting = progress.tasks.iter().any(|task| task.is_waiting(now));
-                if waiting && job.is_ready(occurrence, step) {
-                    ready.push((occurrence, step));
-                }
-            }
-        }
-        if ready.is_empty() {
-            return;
-        }
-        let spec = job.spec.clone();
-        let config = self.queue_config(&spec);
-        if job.has_failed(config.attempts) {
-            self.end_job(id, JobState::Failed, unix);
-            return;
-        }
-        for (occurrence, step) in ready {
-            let Some(step_spec) = spec.steps.get(usize::from(step)) else { continue };
-            let first = TaskName { job: id.clone(), occurrence, step, index: 0 };
-            if step_spec.gang {
-                self.place_gang(&first, step_spec, &config, now);
-            } else {
-                self.place_step(&first, step_spec, &config, now);
-            }
-        }
-    }
-
-    fn place_step(&mut self, first: &TaskName, step: &StepSpec, config: &QueueConfig, now: Moment) {
-        for index in 0..step.tasks {
-            let name = TaskName { index, ..first.clone() };
-            let task = self.jobs.get(&first.job).and_then(|job| job.task(&name));
-            let Some(task) = task.filter(|task| task.is_waiting(now)) else { continue };
-            let run = task.run.saturating_add(1);
-            let Some(agent) = self.choose(&name, step, config, now) else { return };
-            self.start(&agent, &name, run, now);
-            if let Some(job) = self.jobs.get_mut(&first.job) {
-                job.update_idle(now);
-            }
-        }
-    }
-
-    /// Places all tasks of a gang or none.
-    fn place_gang(&mut self, first: &TaskName, step: &StepSpec, config: &QueueConfig, now: Moment) {
-        let names: Vec<_> =
-            (0..step.tasks).map(|index| TaskName { index, ..first.clone() }).collect();
-        let Some(job) = self.jobs.get(&first.job) else { return };
-        let members: Vec<_> = names.iter().filter_map(|name| job.task(name)).collect();
-        if !members.iter().all(|member| member.is_waiting(now)) {
-            return;
-        }
-        let run = members.iter().map(|member| member.run).max().unwrap_or_default();
-        let run = run.saturating_add(1);
-        let Some(agents) = self.choose_gang(&names, step, config, now) else { return };
-        for (name, agent) in names.iter().zip(agents) {
-            self.start(&agent, name, run, now);
-        }
-    }
-
-    fn choose_gang(
-        &mut self,
-        names: &[TaskName],
-        step: &StepSpec,
-        config: &QueueConfig,
-        now: Moment,
-    ) -> Option<Vec<AgentName>> {
-        let mut racks: Vec<_> =
-            self.workers.values().filter_map(|tracked| tracked.rack().cloned()).collect();
-        racks.sort();
-        racks.dedup();
-        let one_rack = racks.into_iter().filter(|_| step.one_rack).map(Some);
-        for rack in one_rack.chain([None]) {
-            let within = StepSpec { label: rack.or(step.label.clone()), ..step.clone() };
-            let mut chosen = Vec::new();
-            for name in names {
-                let Some(agent) = self.choose(name, &within, config, now) else { break };
-                self.assign_run(&agent, name, &within, 0, now);
-                chosen.push(agent);
-            }
-            for (name, agent) in names.iter().zip(&chosen) {
-                if let Some(tracked) = self.workers.get_mut(agent) {
-                    tracked.runs.shift_remove(name);
-                }
-            }
-            if chosen.len() == names.len() {
-                return Some(chosen);
-            }
-        }
-        None
-    }
-
-    fn choose(
-        &self,
-        task: &TaskName,
-        step: &StepSpec,
-        config: &QueueConfig,
-        now: Moment,
-    ) -> Option<AgentName> {
-        let taken_out = &self.view.taken_out;
-        let (service, interference) = (&config.service, &self.interference);
-        let may_wait = self.jobs.get(&task.job).is_none_or(|job| job.may_wait(now));
-        let context = ChoiceContext { task, step, service, taken_out, interference, may_wait, now };
-        let costs =
-            self.workers.values().filter_map(|tracked| Some((cost(tracked, &context)?, tracked)));
-        costs.min_by_key(|(cost, _)| *cost).map(|(_, tracked)| tracked.agent.clone())
-    }
-
-    fn assign_run(
-        &mut self,
-        agent: &AgentName,
-        name: &TaskName,
-        step: &StepSpec,
-        run: RunNumber,
-        now: Moment,
-    ) {
-        let Some(job) = self.jobs.get(&name.job) else { return };
-        let checkpoint =
-            job.task(name).map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
-        let payload = job.payload.clone();
-        let job_deadline = self.deadline(&job.spec, name.occurrence);
-        let Some(tracked) = self.workers.get_mut(agent) else { return };
-        let Some(incarnation) = tracked.worker.as_ref().map(|worker| worker.incarnation.clone())
-        else {
-            return;
-        };
-        let start = StartOrder {
-            checkpoint,
-            job_deadline,
-            ..start_order(name, incarnation, run, step, payload)
-        };
-        tracked.runs.insert(name.clone(), AssignedRun::open(start, step, now));
-    }
-
-    fn start(&mut self, agent: &AgentName, name: &TaskName, run: RunNumber, now: Moment) {
-        let incarnation = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
-        let Some(incarnation) = incarnation.map(|worker| worker.incarnation.clone()) else {
-            return;
-        };
-        let Some(step) = self.jobs.get(&name.job).and_then(|job| job.step_spec(name)).cloned()
-        else {
-            return;
-        };
-        self.assign_run(agent, name, &step, run, now);
-        let reserved_cpu = self.workers.get(agent).map_or(0, |tracked| tracked.reserved().cpu);
-        let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let Some(task) = job.task_mut(name) else { return };
-        task.run = run;
-        task.place = TaskPlace::Placed(agent.clone());
-        let record = task.record(Some(PlacedAt { agent: agent.clone(), incarnation }));
-        let started =
-            CommitEffect::Started { agent: agent.clone(), task: name.clone(), run, reserved_cpu };
-        self.push_task(name, &record, Some(started));
-    }
-
     /// Applies the effect of a stored write to the state of its worker.
     pub fn release(&mut self, effect: &CommitEffect) {
         match effect {
@@ -391,13 +318,11 @@
                         .is_some_and(|worker| worker.incarnation == *incarnation)
                 {
                     tracked.acknowledged = tracked.acknowledged.max(*number);
-                    tracked.has_updates = true;
                 }
             }
             CommitEffect::RunAcknowledged { agent, task, run } => {
                 if let Some(tracked) = self.workers.get_mut(agent) {
                     tracked.acknowledged_runs.push((task.clone(), *run));
-                    tracked.has_updates = true;
                 }
             }
             CommitEffect::Published { .. } => {}
@@ -412,23 +337,21 @@
         run.stored = true;
         let order = run.order();
         tracked.order(order);
+        self.updated.insert(agent.clone());
     }
 
     /// Marks agents with outstanding orders, so that the next answers repeat these orders.
     pub fn resend_orders(&mut self) {
-        for tracked in self.workers.values_mut() {
-            tracked.has_updates |= !tracked.orders.is_empty();
+        for tracked in self.workers.values_mut().filter(|tracked| !tracked.orders.is_empty()) {
+            tracked.has_updates = true;
+            self.updated.insert(tracked.agent.clone());
         }
     }
 
     /// Number of jobs of which no task is known to have started, by queue.
     #[must_use]
-    pub fn pending(&self) -> IndexMap<QueueName, u64> {
-        let mut pending = IndexMap::new();
-        for job in self.jobs.values().filter(|job| job.state == JobState::Queued) {
-            *pending.entry(job.spec.queue.clone()).or_insert(0) += 1;
-        }
-        pending
+    pub fn pending(&self) -> &IndexMap<QueueName, u64> {
+        &self.pending
     }
 
     /// Whether the run is assigned to the agent's worker.
@@ -446,7 +369,7 @@
         let dropped: Vec<_> =
             self.ended.iter().filter(|(_, ending)| old(ending)).map(|(id, _)| id.clone()).collect();
         for id in &dropped {
-            self.ended.shift_remove(id);
+            self.ended.swap_remove(id);
             self.push(Some((id.to_string(), None)), None);
         }
         dropped
@@ -454,7 +377,7 @@
 }
 
 /// A start without a checkpoint; the caller sets the job's deadline.
-fn start_order(
+pub(crate) fn start_order(
     task: &TaskName,
     incarnation: WorkerIncarnation,
     run: RunNumber,
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -31,7 +31,7 @@
 }
 
 /// Resources of a task or a worker.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskNeed {
     /// Thousandths of a processor.
     pub cpu: u64,
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -7,19 +7,17 @@
 use std::collections::VecDeque;
 
 use cactusdoor_core::unit::{Millis, Moment};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
 use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
+use crate::run_table::RunTable;
 use crate::spec::{StepSpec, TaskNeed};
 use crate::throttling::TARGET_HEADROOM;
 
 /// Time without a report, ms, after which an agent gets no new tasks: two lost reports.
 pub const REPORT_TIMEOUT: Millis = 1_600;
-/// Share of its reserved processors that a serving task uses on average, percent: the
-/// reservation is sized for peak load.
-const SERVING_PERCENT: u64 = 50;
 /// Distinct jobs that fail on a worker in a row before it is quarantined.
 const FAILED_JOBS: usize = 2;
 /// Length of a worker's first quarantine, ms; doubled with each further one.
@@ -125,6 +123,11 @@
         self.failed.clear();
     }
 
+    #[must_use]
+    pub fn quarantined_until(&self) -> Moment {
+        self.quarantined_until
+    }
+
     /// Number of quarantines since the last success.
     #[must_use]
     pub fn quarantines(&self) -> u32 {
@@ -153,7 +156,7 @@
     /// End of the agent's lease: no run of the worker continues after this time.
     pub lease_end: Moment,
     pub leaves_at: Option<Moment>,
-    pub runs: IndexMap<TaskName, AssignedRun>,
+    pub runs: RunTable,
     /// Runs in the worker's newest list that are not assigned to it.
     pub unassigned: Vec<(TaskName, RunNumber)>,
     /// Whether the agent may still start runs that have ended: this owner has had no list yet,
@@ -167,7 +170,7 @@
     /// Stored ends that the worker did not list, to be acknowledged to the agent.
     pub acknowledged_runs: Vec<(TaskName, RunNumber)>,
     pub health: WorkerHealth,
-    /// Whether orders or acknowledgements wait to be sent to the agent.
+    /// Whether orders wait to be sent to the agent; acknowledgements go with any answer.
     pub has_updates: bool,
 }
 
@@ -183,7 +186,7 @@
             reported_at: Moment::default(),
             lease_end,
             leaves_at: None,
-            runs: IndexMap::new(),
+            runs: RunTable::default(),
             unassigned: Vec::new(),
             awaits_list: true,
             orders: VecDeque::new(),
@@ -253,10 +256,7 @@
     /// an unassigned run is not known.
     #[must_use]
     pub fn reserved(&self) -> TaskNeed {
-        if !self.unassigned.is_empty() {
-            return TaskNeed::UNBOUNDED;
-        }
-        self.runs.values().fold(TaskNeed::default(), |sum, run| sum.plus(&run.reserved))
+        if self.unassigned.is_empty() { self.runs.reserved() } else { TaskNeed::UNBOUNDED }
     }
 
     #[must_use]
@@ -269,41 +269,26 @@
     #[must_use]
     pub fn idle_cpu(&self) -> u64 {
         let capacity = self.worker.as_ref().map_or(0, |worker| worker.capacity.cpu);
-        let busy = |run: &AssignedRun| {
-            let share = if run.start.latency_bound > 0 { SERVING_PERCENT } else { 100 };
-            run.reserved.cpu.saturating_mul(share) / 100
-        };
-        self.runs.values().map(busy).fold(capacity, u64::saturating_sub)
-    }
-
-    /// Processors that the best-effort tasks use together at full speed, in thousandths.
-    #[must_use]
-    pub fn best_effort_cpu(&self) -> u64 {
-        let best_effort = self.runs.values().filter(|run| run.start.best_effort);
-        best_effort.map(|run| run.start.cpu).fold(0, u64::saturating_add)
+        capacity.saturating_sub(self.runs.busy_cpu())
     }
 
     /// Factor by which best-effort tasks must be slowed down for every serving task to
     /// keep its target headroom, with one more task of `image` and `cpu`.
     #[must_use]
     pub fn slowdown(&self, model: &InterferenceModel, image: Option<&Label>, cpu: u64) -> f64 {
-        let mut images: IndexMap<Option<&Label>, u64> = IndexMap::new();
-        images.insert(image, cpu);
-        for run in self.runs.values().filter(|run| run.start.best_effort) {
-            let used = images.entry(run.start.image.as_ref()).or_default();
-            *used = used.saturating_add(run.start.cpu);
-        }
-        let serving: IndexSet<_> = self
-            .runs
-            .values()
-            .filter(|run| run.start.latency_bound > 0)
-            .map(|run| run.start.image.as_ref())
-            .collect();
-        let slowed = serving.into_iter().map(|serving| {
-            let lost = images
-                .iter()
-                .map(|(image, cpu)| model.coefficient(serving, *image) * self.share(*cpu));
-            lost.sum::<f64>() / model.spare_headroom(serving, TARGET_HEADROOM)
+        let slowed = self.runs.serving_images().map(|serving| {
+            let loss = |image, cpu| model.coefficient(serving, image) * self.share(cpu);
+            // One sum an image: the new task adds to the tasks of its own.
+            let mut own = cpu;
+            let mut others = 0.0;
+            for (other, used) in self.runs.best_effort_images() {
+                if other == image {
+                    own = own.saturating_add(used);
+                } else {
+                    others += loss(other, used);
+                }
+            }
+            (loss(image, own) + others) / model.spare_headroom(serving, TARGET_HEADROOM)
         });
         slowed.fold(0.0, f64::max)
     }
@@ -316,12 +301,6 @@
         cpu as f64 / capacity as f64
     }
 
-    /// Number of serving tasks.
-    #[must_use]
-    pub fn serving_tasks(&self) -> usize {
-        self.runs.values().filter(|run| run.start.latency_bound > 0).count()
-    }
-
     #[must_use]
     pub fn rack(&self) -> Option<&Label> {
         self.worker.as_ref()?.labels.last()
--- a/crates/queue/tests/accounting.rs
+++ b/crates/queue/tests/accounting.rs
@@ -33,7 +33,7 @@
 #[test]
 fn a_restored_run_of_an_ended_job_keeps_its_worker_closed_until_it_ends() {
     let mut scheduler = QueueScheduler::open(2, NOW.after(9_000));
-    scheduler.view = view();
+    scheduler.set_view(view());
     scheduler.restore_ending(&"old".into(), JobEnding { state: JobState::Cancelled, at: UNIX });
     let placed = PlacedAt { agent: agent("a"), incarnation: worker("a", 1).incarnation };
     let record = TaskRecord { run: 1, placed: Some(placed), ..TaskRecord::default() };
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -2,8 +2,11 @@
 
 mod support;
 
+use std::collections::BTreeSet;
+
 use assert_matches::assert_matches;
 use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::config::OperatorView;
 use cactusdoor_queue::job::TaskPlace;
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
 use cactusdoor_queue::name::TaskName;
@@ -165,13 +168,14 @@
 #[test]
 fn no_task_is_placed_in_a_data_centre_out_of_service_or_on_a_leaving_worker() {
     let mut scheduler = scheduler();
-    scheduler.view.taken_out.insert("north".into());
+    let taken_out = BTreeSet::from(["north".into()]);
+    scheduler.set_view(OperatorView { taken_out, ..view() });
     scheduler.report(&report("a", 1, Some(worker("a", 1))), NOW, UNIX);
     scheduler.submit(&"j".into(), job(vec![step(1, 1_000)]));
     scheduler.place(NOW, UNIX);
     store(&mut scheduler);
     assert_eq!(starts(&scheduler, "a"), vec![]);
-    scheduler.view.taken_out.clear();
+    scheduler.set_view(view());
     let mut leaving = worker("a", 1);
     leaving.leaves_in = Some(2_000);
     scheduler.report(&report("a", 2, Some(leaving)), NOW, UNIX);
@@ -225,7 +229,7 @@
 #[test]
 fn the_next_owner_restores_a_stored_placement() {
     let mut scheduler = QueueScheduler::open(2, NOW.after(9_000));
-    scheduler.view = view();
+    scheduler.set_view(view());
     scheduler.submit(&"j".into(), job(vec![step(2, 1_000)]));
     let placed = PlacedAt { agent: agent("a"), incarnation: worker("a", 1).incarnation };
     let record = TaskRecord { run: 4, placed: Some(placed), ..TaskRecord::default() };
@@ -432,3 +436,19 @@
     }
     assert_eq!(scheduler.ended["j"].state, JobState::Completed);
 }
+
+/// Guards against a gang that prefers a single rack and loses its required label by it.
+#[test]
+fn a_gang_in_one_rack_stays_on_workers_with_its_label() {
+    let mut scheduler = scheduler();
+    let mut other = worker("b", 1);
+    other.labels = vec!["b".into(), "r0".into()];
+    scheduler.report(&report("b", 1, Some(other)), NOW, UNIX);
+    scheduler.report(&report("a", 1, Some(worker("a", 1))), NOW, UNIX);
+    let gang = StepSpec { gang: true, one_rack: true, label: Some("a".into()), ..step(2, 1_000) };
+    scheduler.submit(&"j".into(), job(vec![gang]));
+    scheduler.place(NOW, UNIX);
+    store(&mut scheduler);
+    assert_eq!(starts(&scheduler, "b"), vec![]);
+    assert_eq!(starts(&scheduler, "a").len(), 2);
+}
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -175,7 +175,7 @@
     fn change_owner(&mut self) {
         self.epoch += 1;
         let mut scheduler = QueueScheduler::open(self.epoch, self.now.after(1_000_000));
-        scheduler.view = view();
+        scheduler.set_view(view());
         let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
         let keys: Vec<_> = keys.collect();
         for (key, value) in &keys {
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -145,7 +145,7 @@
             scheduler.cancel(job, unix);
         }
         // The loop takes the configuration from the operators' records.
-        scheduler.view = view();
+        scheduler.set_view(view());
         self.owners.push(OwnerModel {
             epoch,
             scheduler,
--- /dev/null
+++ b/crates/queue/tests/oracle.rs
@@ -0,0 +1,355 @@
+//! The scheduler's indices against a scheduler that computes everything anew.
+//!
+//! After any sequence of events both have the same sums, and make the same placements in the
+//! same order.
+
+#[path = "oracle/naive.rs"]
+mod naive;
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::config::{OperatorView, QueueConfig};
+use cactusdoor_queue::interference::{InterferenceSample, ShareChange};
+use cactusdoor_queue::name::{JobId, TaskName};
+use cactusdoor_queue::record::{TaskKey, TaskRecord};
+use cactusdoor_queue::report::{JobState, ReportedRun, RunEnd};
+use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
+use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
+use naive::{NaivePass, check_sums};
+use proptest::prelude::*;
+use support::*;
+
+const AGENTS: u64 = 7;
+/// Longer than the least time between two trials of best-effort steps.
+const TICK: u64 = 300;
+
+#[derive(Clone, Debug)]
+enum Action {
+    Submit {
+        queue: u8,
+        steps: Vec<StepSpec>,
+        times: u32,
+        interval: u64,
+    },
+    Cancel(prop::sample::Index),
+    /// A run ends on its worker.
+    End(prop::sample::Index, RunEnd),
+    Report {
+        agent: u64,
+        listed: bool,
+        stray: bool,
+    },
+    Restart {
+        agent: u64,
+    },
+    Leave {
+        agent: u64,
+    },
+    Sample {
+        agent: u64,
+        now: f32,
+    },
+    Configure {
+        taken_out: bool,
+        attempts: u32,
+        swapped: bool,
+    },
+    Pass(u64),
+    ChangeOwner,
+}
+
+fn step_spec() -> impl Strategy<Value = StepSpec> {
+    let image = prop::option::of(prop::sample::select(vec!["x", "y"]));
+    let kind = prop::sample::select(vec!["plain", "plain", "fills", "serves", "gang", "spread"]);
+    let places = (
+        prop::option::weighted(0.2, prop::sample::select(vec!["r0", "r1", "none"])),
+        prop::option::weighted(0.2, prop::sample::select(vec!["r0", "r2"])),
+    );
+    (1u32..6, 1u64..5, kind, image, places, any::<(bool, bool)>()).prop_map(
+        |(tasks, cpu, kind, image, (label, rack), (endless, one_rack))| StepSpec {
+            need: TaskNeed { cpu: cpu * 700, memory: 300, accelerators: 0 },
+            estimate: 400 * cpu,
+            gang: kind == "gang",
+            one_rack: kind == "gang" && one_rack,
+            label: label.map(Into::into),
+            rack: rack.map(Into::into),
+            per_worker: u32::from(kind == "spread"),
+            endless: kind == "serves" && endless,
+            image: image.map(Into::into),
+            latency_bound: if kind == "serves" { 200 } else { 0 },
+            best_effort: kind == "fills",
+            ..step(tasks, 0)
+        },
+    )
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let agent = || 0..AGENTS;
+    let any_index = || any::<prop::sample::Index>();
+    let end = prop::sample::select(vec![
+        RunEnd::Done,
+        RunEnd::Done,
+        RunEnd::Done,
+        RunEnd::Failed,
+        RunEnd::Stopped,
+        RunEnd::NotStarted,
+    ]);
+    let steps = prop::collection::vec(step_spec(), 1..4);
+    prop_oneof![
+        6 => (0u8..3, steps, 0u32..4, 0u64..900).prop_map(|(queue, steps, times, interval)| {
+            Action::Submit { queue, steps, times, interval }
+        }),
+        1 => any_index().prop_map(Action::Cancel),
+        9 => (any_index(), end).prop_map(|(index, end)| Action::End(index, end)),
+        6 => (agent(), any::<bool>(), prop::bool::weighted(0.1))
+            .prop_map(|(agent, listed, stray)| Action::Report { agent, listed, stray }),
+        1 => agent().prop_map(|agent| Action::Restart { agent }),
+        1 => agent().prop_map(|agent| Action::Leave { agent }),
+        1 => (agent(), 0.5f32..4.0).prop_map(|(agent, now)| Action::Sample { agent, now }),
+        1 => (any::<bool>(), 0u32..4, any::<bool>()).prop_map(|(taken_out, attempts, swapped)| {
+            Action::Configure { taken_out, attempts, swapped }
+        }),
+        4 => (1u64..8).prop_map(Action::Pass),
+        1 => Just(Action::ChangeOwner),
+    ]
+}
+
+struct Simulation {
+    scheduler: QueueScheduler,
+    epoch: u64,
+    now: Moment,
+    unix: u64,
+    reports: u64,
+    born: BTreeMap<u64, u64>,
+    leaving: BTreeSet<u64>,
+    jobs: Vec<(JobId, JobSpec)>,
+    records: BTreeMap<String, Vec<u8>>,
+    view: OperatorView,
+}
+
+fn configured(taken_out: bool, attempts: u32, swapped: bool) -> OperatorView {
+    let mut view = view();
+    let config = view.config.as_mut().unwrap();
+    for number in 0u32..3 {
+        let name = format!("q{number}").into();
+        let priority = if swapped { 3 - number } else { number };
+        let service = if swapped && number == 2 { "drafts" } else { "minutes" }.into();
+        let queue = QueueConfig { name, priority, attempts, service, ..queue() };
+        config.queues.insert(queue.name.clone(), Arc::new(queue));
+    }
+    let taken_out = taken_out.then(|| "south".into()).into_iter().collect();
+    OperatorView { taken_out, ..view }
+}
+
+impl Simulation {
+    fn open() -> Self {
+        let mut simulation = Self {
+            scheduler: QueueScheduler::open(1, Moment(0)),
+            epoch: 1,
+            now: Moment(10_000),
+            unix: UNIX,
+            reports: 0,
+            born: (0..AGENTS).map(|agent| (agent, 1)).collect(),
+            leaving: BTreeSet::new(),
+            jobs: Vec::new(),
+            records: BTreeMap::new(),
+            view: configured(false, 3, false),
+        };
+        simulation.scheduler.set_view(simulation.view.clone());
+        simulation
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match action {
+            Action::Submit { queue, steps, times, interval } => {
+                self.submit(*queue, steps.clone(), *times, *interval);
+            }
+            Action::Cancel(index) if !self.jobs.is_empty() => {
+                let id = index.get(&self.jobs).0.clone();
+                self.scheduler.cancel(&id, self.unix);
+            }
+            Action::End(index, end) => self.end(index, *end),
+            Action::Report { agent, listed, stray } => self.report(*agent, *listed, *stray),
+            Action::Restart { agent } => {
+                *self.born.entry(*agent).or_default() += 1;
+                self.leaving.remove(agent);
+                self.report(*agent, true, false);
+            }
+            Action::Leave { agent } => {
+                self.leaving.insert(*agent);
+                self.report(*agent, false, false);
+            }
+            Action::Sample { agent, now } => {
+                let shares = vec![ShareChange { image: "x".into(), before: 0.1, now: 0.6 }];
+                let sample =
+                    InterferenceSample { serving: "y".into(), before: 2.0, now: *now, shares };
+                let mut report = self.message(*agent);
+                report.samples = vec![sample];
+                self.scheduler.report(&report, self.now, self.unix);
+            }
+            Action::Configure { taken_out, attempts, swapped } => {
+                self.view = configured(*taken_out, *attempts, *swapped);
+                self.scheduler.set_view(self.view.clone());
+            }
+            Action::Pass(ticks) => {
+                self.now = self.now.after(ticks * TICK);
+                self.unix += ticks * TICK;
+            }
+            Action::ChangeOwner => self.change_owner(),
+            Action::Cancel(_) => {}
+        }
+        self.now = self.now.after(TICK);
+        self.unix += TICK;
+        self.compare();
+    }
+
+    fn submit(&mut self, queue: u8, mut steps: Vec<StepSpec>, times: u32, interval: u64) {
+        for (index, step) in (0u16..).zip(&mut steps) {
+            step.after = (0..index).filter(|before| before % 2 == 0).collect();
+        }
+        let id: JobId = format!("j{}", self.jobs.len()).into();
+        let queue = format!("q{queue}").into();
+        let accepted = self.unix - interval;
+        let spec = JobSpec { queue, times, interval, accepted, first_due: self.unix, ..job(steps) };
+        assert!(self.scheduler.submit(&id, spec.clone()));
+        self.jobs.push((id, spec));
+    }
+
+    fn message(&mut self, agent: u64) -> cactusdoor_queue::report::AgentReport {
+        self.reports += 1;
+        let mut info = worker(&format!("a{agent}"), self.born[&agent]);
+        info.labels = vec!["kind".into(), format!("r{}", agent % 3).into()];
+        info.data_centre = if agent.is_multiple_of(2) { "north" } else { "south" }.into();
+        info.service = if agent == 6 { "drafts" } else { "minutes" }.into();
+        info.capacity.cpu += 500 * agent;
+        info.leaves_in = self.leaving.contains(&agent).then_some(4_000);
+        let mut message = report(&format!("a{agent}"), self.reports, Some(info));
+        message.epoch = self.epoch;
+        message
+    }
+
+    /// Reports the assigned runs as listed if `listed`, and one more if `stray`.
+    fn report(&mut self, agent: u64, listed: bool, stray: bool) {
+        let mut message = self.message(agent);
+        if listed {
+            let tracked = self.scheduler.workers.get(&message.agent);
+            let runs = tracked.into_iter().flat_map(|tracked| tracked.runs.values());
+            let row = |task: &TaskName, run| ReportedRun {
+                task: task.clone(),
+                run,
+                checkpoint: "".into(),
+                percent: Some(10),
+                speed: 100,
+            };
+            let mut rows: Vec<_> = runs.map(|run| row(&run.start.task, run.start.run)).collect();
+            rows.extend(stray.then(|| row(&task("stray", 0, 0), 9)));
+            message.runs = Some(rows);
+        }
+        self.scheduler.report(&message, self.now, self.unix);
+    }
+
+    fn end(&mut self, index: &prop::sample::Index, end: RunEnd) {
+        let workers = self.scheduler.workers.values();
+        let runs: Vec<_> = workers
+            .flat_map(|tracked| {
+                let runs = tracked.runs.values();
+                runs.map(|run| (tracked.agent.clone(), run.start.task.clone(), run.start.run))
+            })
+            .collect();
+        if runs.is_empty() {
+            return;
+        }
+        let (agent, task, run) = index.get(&runs).clone();
+        let mut message = self.message(agent[1..].parse().unwrap());
+        let number = if end == RunEnd::NotStarted { 0 } else { self.reports };
+        message.ended = vec![ended(number, &task, run, end)];
+        self.scheduler.report(&message, self.now, self.unix);
+    }
+
+    /// Lets both schedulers place tasks, and compares their placements and sums.
+    fn compare(&mut self) {
+        self.scheduler.expire(self.now, self.unix);
+        self.store();
+        let expected = NaivePass::run(&self.scheduler, self.now, self.unix).placed;
+        assert!(!self.scheduler.place(self.now, self.unix));
+        assert_eq!(self.store(), expected);
+        self.scheduler.workers.values().for_each(check_sums);
+        let mut pending = BTreeMap::new();
+        for job in self.scheduler.jobs.values().filter(|job| job.state == JobState::Queued) {
+            *pending.entry(job.spec.queue.clone()).or_insert(0u64) += 1;
+        }
+        let counted = self.scheduler.pending().iter();
+        assert_eq!(
+            counted.map(|(queue, n)| (queue.clone(), *n)).collect::<BTreeMap<_, _>>(),
+            pending
+        );
+        let leases = self.scheduler.workers.values().filter(|tracked| !tracked.runs.is_empty());
+        let first = leases.map(|tracked| tracked.lease_end.after(1)).min();
+        let wake = self.scheduler.next_wake(self.now, self.unix);
+        assert!(first.is_none_or(|first| wake.is_some_and(|wake| wake <= first)));
+    }
+
+    /// Stores all writes; returns the placements among them.
+    fn store(&mut self) -> Vec<(TaskName, cactusdoor_queue::name::AgentName)> {
+        let mut placed = Vec::new();
+        for write in self.scheduler.take_writes() {
+            match write.record {
+                Some((key, Some(value))) => drop(self.records.insert(key, value)),
+                Some((key, None)) => drop(self.records.remove(&key)),
+                None => {}
+            }
+            if let Some(effect) = write.effect {
+                self.scheduler.release(&effect);
+                if let CommitEffect::Started { task, agent, .. } = effect {
+                    placed.push((task, agent));
+                }
+            }
+        }
+        placed
+    }
+
+    fn change_owner(&mut self) {
+        self.store();
+        self.epoch += 1;
+        let mut next = QueueScheduler::open(self.epoch, self.now.after(3_000));
+        next.set_view(self.view.clone());
+        let keys: Vec<_> =
+            self.records.iter().map(|(key, value)| (TaskKey::parse(key), value)).collect();
+        for (key, value) in &keys {
+            if let TaskKey::Job(job) = key {
+                next.restore_ending(job, serde_json::from_slice(value).unwrap());
+            }
+        }
+        for (id, spec) in &self.jobs {
+            next.submit(id, spec.clone());
+        }
+        for (key, value) in &keys {
+            if let TaskKey::Task(name) = key {
+                let record: TaskRecord = serde_json::from_slice(value).unwrap();
+                next.restore_task(name, &record, self.now);
+            }
+        }
+        next.finish_loading(self.unix);
+        self.scheduler = next;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 250, ..ProptestConfig::default() })]
+
+    #[test]
+    fn indices_make_the_placements_of_a_scheduler_without_them(
+        actions in prop::collection::vec(action(), 1..90)
+    ) {
+        let mut simulation = Simulation::open();
+        for agent in 0..AGENTS {
+            simulation.report(agent, true, false);
+        }
+        for action in &actions {
+            simulation.apply(action);
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/tests/oracle/naive.rs
@@ -0,0 +1,220 @@
+//! A scheduler that computes everything anew from the jobs and the workers' runs.
+
+use std::sync::Arc;
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::config::QueueConfig;
+use cactusdoor_queue::job::JobProgress;
+use cactusdoor_queue::name::{AgentName, JobId, Label, StepName, TaskName};
+use cactusdoor_queue::placement::{ChoiceContext, cost};
+use cactusdoor_queue::report::StartOrder;
+use cactusdoor_queue::run_table::RunTable;
+use cactusdoor_queue::scheduler::QueueScheduler;
+use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
+use cactusdoor_queue::worker::{AssignedRun, TrackedWorker};
+use indexmap::IndexMap;
+
+/// Placements that a pass over all jobs and all workers makes.
+pub struct NaivePass<'a> {
+    scheduler: &'a QueueScheduler,
+    jobs: IndexMap<JobId, JobProgress>,
+    workers: Vec<TrackedWorker>,
+    now: Moment,
+    unix: u64,
+    pub placed: Vec<(TaskName, AgentName)>,
+}
+
+impl<'a> NaivePass<'a> {
+    pub fn run(scheduler: &'a QueueScheduler, now: Moment, unix: u64) -> Self {
+        let workers = scheduler.workers.values().map(rebuilt).collect();
+        let jobs = scheduler.jobs.clone();
+        let mut pass = Self { scheduler, jobs, workers, now, unix, placed: Vec::new() };
+        for id in pass.order() {
+            pass.place_job(&id);
+        }
+        pass
+    }
+
+    fn config(&self, spec: &JobSpec) -> Arc<QueueConfig> {
+        self.scheduler.queue_config(spec)
+    }
+
+    fn order(&mut self) -> Vec<JobId> {
+        let mut order = Vec::new();
+        for job in self.jobs.values_mut() {
+            job.open_due(self.unix);
+        }
+        for job in self.jobs.values() {
+            let newest = job.occurrences.keys().next_back().copied().unwrap_or_default();
+            let begins = job.spec.due(newest).unwrap_or(job.spec.accepted);
+            let budget = self.config(&job.spec).time_budget(job.spec.critical_path());
+            let late = !job.spec.is_endless() && begins + budget < self.unix;
+            let priority = self.config(&job.spec).priority;
+            order.push((priority, late, job.spec.accepted, job.id.clone()));
+        }
+        order.sort();
+        order.into_iter().map(|(_, _, _, id)| id).collect()
+    }
+
+    fn place_job(&mut self, id: &JobId) {
+        self.jobs[id].update_idle(self.now);
+        let job = &self.jobs[id];
+        let mut ready = Vec::new();
+        for (&occurrence, steps) in &job.occurrences {
+            for (step, progress) in (0u16..).zip(steps) {
+                let waiting = progress.tasks.iter().any(|task| task.is_waiting(self.now));
+                if waiting && job.is_ready(occurrence, step) {
+                    ready.push(StepName { job: id.clone(), occurrence, step });
+                }
+            }
+        }
+        let spec = job.spec.clone();
+        let config = self.config(&spec);
+        if job.has_failed(config.attempts) {
+            return;
+        }
+        for name in ready {
+            let step = &spec.steps[usize::from(name.step)];
+            if step.gang {
+                self.place_gang(&name, step, &config);
+            } else {
+                self.place_step(&name, step, &config);
+            }
+        }
+    }
+
+    fn place_step(&mut self, name: &StepName, step: &StepSpec, config: &QueueConfig) {
+        for index in 0..step.tasks {
+            let task = name.task(index);
+            if !self.jobs[&name.job].task(&task).is_some_and(|task| task.is_waiting(self.now)) {
+                continue;
+            }
+            let Some(worker) = self.choose(None, name, &task, step, config) else { return };
+            self.place(worker, &task, step);
+        }
+    }
+
+    fn place_gang(&mut self, name: &StepName, step: &StepSpec, config: &QueueConfig) {
+        let tasks: Vec<_> = (0..step.tasks).map(|index| name.task(index)).collect();
+        let job = &self.jobs[&name.job];
+        let waits = |task| job.task(task).is_some_and(|task| task.is_waiting(self.now));
+        if !tasks.iter().all(waits) {
+            return;
+        }
+        let mut racks: Vec<_> = self.workers.iter().filter_map(TrackedWorker::rack).collect();
+        racks.sort();
+        racks.dedup();
+        let racks: Vec<_> =
+            racks.into_iter().filter(|_| step.one_rack).cloned().map(Some).collect();
+        for rack in racks.into_iter().chain([None]) {
+            let before = self.workers.clone();
+            let mut chosen = Vec::new();
+            for task in &tasks {
+                let Some(worker) = self.choose(rack.as_ref(), name, task, step, config) else {
+                    break;
+                };
+                self.assign(worker, task, step);
+                chosen.push(worker);
+            }
+            self.workers = before;
+            if chosen.len() == tasks.len() {
+                for (task, worker) in tasks.iter().zip(chosen) {
+                    self.place(worker, task, step);
+                }
+                return;
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        within: Option<&Label>,
+        name: &StepName,
+        task: &TaskName,
+        step: &StepSpec,
+        config: &QueueConfig,
+    ) -> Option<usize> {
+        let may_wait = self.jobs[&name.job].may_wait(self.now);
+        let context = ChoiceContext {
+            name,
+            step,
+            service: &config.service,
+            taken_out: &self.scheduler.view().taken_out,
+            interference: &self.scheduler.interference,
+            within,
+            may_wait,
+            now: self.now,
+        };
+        let free = self.workers.iter().enumerate();
+        let free = free.filter(|(_, tracked)| !tracked.runs.contains_key(task));
+        let costs = free.filter_map(|(index, tracked)| Some((cost(tracked, &context)?, index)));
+        costs.min().map(|(_, index)| index)
+    }
+
+    fn assign(&mut self, worker: usize, task: &TaskName, step: &StepSpec) {
+        let tracked = &mut self.workers[worker];
+        let incarnation = tracked.worker.as_ref().unwrap().incarnation.clone();
+        let start = StartOrder {
+            task: task.clone(),
+            incarnation,
+            run: 1,
+            checkpoint: "".into(),
+            payload: "".into(),
+            latency_bound: step.latency_bound,
+            best_effort: step.best_effort,
+            image: step.image.clone(),
+            cpu: step.need.cpu,
+            job_deadline: 0,
+        };
+        tracked.runs.insert(AssignedRun::open(start, step, self.now));
+    }
+
+    fn place(&mut self, worker: usize, task: &TaskName, step: &StepSpec) {
+        self.assign(worker, task, step);
+        let agent = self.workers[worker].agent.clone();
+        let job = &mut self.jobs[&task.job];
+        let placed = cactusdoor_queue::job::TaskPlace::Placed(agent.clone());
+        job.change_task(task, |task| task.place = placed);
+        job.update_idle(self.now);
+        self.placed.push((task.clone(), agent));
+    }
+}
+
+/// The worker with sums that are computed from its runs.
+fn rebuilt(tracked: &TrackedWorker) -> TrackedWorker {
+    let mut runs = RunTable::default();
+    for run in tracked.runs.values() {
+        runs.insert(run.clone());
+    }
+    TrackedWorker { runs, ..tracked.clone() }
+}
+
+/// Checks the sums of a worker against its runs, one by one.
+pub fn check_sums(tracked: &TrackedWorker) {
+    let runs = || tracked.runs.values();
+    let reserved = runs().fold(TaskNeed::default(), |sum, run| sum.plus(&run.reserved));
+    assert_eq!(tracked.runs.reserved(), reserved);
+    let busy = |run: &AssignedRun| {
+        let share = if run.start.latency_bound > 0 { 50 } else { 100 };
+        run.reserved.cpu.saturating_mul(share) / 100
+    };
+    assert_eq!(tracked.runs.busy_cpu(), runs().map(busy).fold(0, u64::saturating_add));
+    let best_effort: Vec<_> = runs().filter(|run| run.start.best_effort).collect();
+    let cpu = best_effort.iter().map(|run| run.start.cpu).sum::<u64>();
+    assert_eq!(tracked.runs.best_effort_cpu(), cpu);
+    assert_eq!(tracked.runs.best_effort_images().map(|(_, cpu)| cpu).sum::<u64>(), cpu);
+    for (image, cpu) in tracked.runs.best_effort_images() {
+        let of_image = best_effort.iter().filter(|run| run.start.image.as_ref() == image);
+        assert_eq!(of_image.map(|run| run.start.cpu).sum::<u64>(), cpu);
+    }
+    let serving: Vec<_> = runs().filter(|run| run.start.latency_bound > 0).collect();
+    assert_eq!(tracked.runs.serving(), serving.len());
+    let images: std::collections::BTreeSet<_> =
+        serving.iter().map(|run| run.start.image.as_ref()).collect();
+    assert_eq!(tracked.runs.serving_images().collect::<std::collections::BTreeSet<_>>(), images);
+    for task in tracked.runs.keys() {
+        let step = task.step_name();
+        let number = tracked.runs.keys().filter(|other| other.step_name() == step).count();
+        assert_eq!(tracked.runs.of_step(&step) as usize, number);
+    }
+}
--- a/crates/queue/tests/pending.rs
+++ b/crates/queue/tests/pending.rs
@@ -85,7 +85,7 @@
 
 fn restored(record: &TaskRecord) -> QueueScheduler {
     let mut scheduler = QueueScheduler::open(2, NOW.after(9_000));
-    scheduler.view = view();
+    scheduler.set_view(view());
     scheduler.submit(&"j".into(), job(vec![step(2, 1_000)]));
     scheduler.restore_task(&task("j", 0, 0), record, NOW);
     scheduler.finish_loading(UNIX);
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -36,7 +36,7 @@
 
 pub fn scheduler() -> QueueScheduler {
     let mut scheduler = QueueScheduler::open(1, Moment(0));
-    scheduler.view = view();
+    scheduler.set_view(view());
     scheduler
 }
 
--- a/crates/queue/tests/withdrawal.rs
+++ b/crates/queue/tests/withdrawal.rs
@@ -92,7 +92,7 @@
 #[test]
 fn a_new_owner_does_not_start_a_restored_run_that_has_ended() {
     let mut scheduler = QueueScheduler::open(1, NOW.after(9_000));
-    scheduler.view = view();
+    scheduler.set_view(view());
     scheduler.submit(&"j".into(), job(vec![step(1, 1_000)]));
     let placed = PlacedAt { agent: "a".into(), incarnation: worker("a", 1).incarnation };
     let record = TaskRecord { run: 1, placed: Some(placed), ..TaskRecord::default() };
