Repeat an entry's append under its own number at the owner

Cause: an entry whose append has no answer for 450 ms has the owner store the group. The relay now carries producer, epoch and number of the entry's append; the store executes it once, whoever sends it, and the entry goes on behind it. After an unknown answer the entry takes a new producer, as the owner may still store the group.

Owners of this version say in their heartbeat that they take such calls; to others the entry sends the former one.

--- a/crates/fleet/src/appender.rs
+++ b/crates/fleet/src/appender.rs
@@ -54,10 +54,31 @@
         producer: String,
         epoch: Epoch,
     ) -> Self {
-        let identity = AppendIdentity { producer, epoch, sequence: 0 };
+        Self::resume(store, clock, topic, AppendIdentity { producer, epoch, sequence: 0 })
+    }
+
+    /// An appender whose next append has this identity.
+    #[must_use]
+    pub fn resume(
+        store: StoreClient,
+        clock: MonotonicClock,
+        topic: &'static str,
+        identity: AppendIdentity,
+    ) -> Self {
         Self { store, clock, topic, identity }
     }
 
+    /// Identity of the next append.
+    #[must_use]
+    pub fn identity(&self) -> &AppendIdentity {
+        &self.identity
+    }
+
+    /// Goes on to the next append: another process has stored the current one.
+    pub fn advance(&mut self) {
+        self.identity.sequence += 1;
+    }
+
     /// Appends `records`, at offset `at` if given; repeats an append without an answer
     /// under the same sequence number.
     pub async fn append(
--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -178,7 +178,8 @@
     append_until_stored(&mut task_appender, &record).await?;
     let mut heartbeat_appender = open_appender(store, clock, OWNER, epoch);
     let (name, address) = (owner.name.clone(), owner.address);
-    let heartbeat = OwnerHeartbeat { epoch, owner: name, address, resigned: false };
+    let heartbeat =
+        OwnerHeartbeat { epoch, owner: name, address, resigned: false, repeats_appends: true };
     // Fences the predecessor's heartbeat, which would renew its agents' leases.
     let confirmed = append_until_stored(&mut heartbeat_appender, &heartbeat.record()).await?.sent;
     let now = clock.now();
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -35,6 +35,9 @@
     pub address: SocketAddr,
     /// Whether the owner has resigned.
     pub resigned: bool,
+    /// Whether the owner repeats appends under their numbers; earlier versions do not.
+    #[serde(default, rename = "appends")]
+    pub repeats_appends: bool,
 }
 
 impl OwnerHeartbeat {
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -442,6 +442,7 @@
             OwnerCall::Store(requests, reply) => {
                 self.relay(requests, reply, now);
             }
+            OwnerCall::Append(append, reply) => self.repeat_append(append, reply, now),
             OwnerCall::Find(job, reply) => match self.published.get(&job) {
                 Some(state) => send(reply, FindReply::Known(*state)),
                 // Only a read sent after the call shows that there is no such job.
--- a/crates/fleet/src/owner/requests.rs
+++ b/crates/fleet/src/owner/requests.rs
@@ -3,21 +3,26 @@
 //! Jobs and cancels that were read from the store go to the scheduler, and requests that an
 //! entry could not store are stored for it. Only the requests of ended jobs are removed.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_node::clock::unix_ms;
-use cactusdoor_peer::queue::{FindReply, RelayedRequest, StoreReply};
-use cactusdoor_platform::store::{KeyedRecord, StoredRecord};
+use cactusdoor_peer::queue::{FindReply, RelayedAppend, RelayedRequest, StoreReply};
+use cactusdoor_platform::store::{AppendIdentity, KeyedRecord, StoredRecord};
 use cactusdoor_queue::record::RequestKey;
 use cactusdoor_queue::spec::JobSpec;
 use tokio::sync::oneshot;
 
 use super::background::AppendGroup;
 use super::{AppendResult, OwnerTerm, send};
-use crate::appender::AppenderError;
+use crate::appender::{AppenderError, TopicAppender};
 use crate::follower::TopicUpdate;
 use crate::odd_entry;
+use crate::topic::REQUESTS;
 
+/// Longest time for which an entry's append is repeated: the entry waits no longer.
+const REPEAT_LIMIT: Duration = Duration::from_millis(900);
 /// Time between two removals of the requests of ended jobs, ms.
 pub(super) const REMOVAL_INTERVAL: Millis = 2_000;
 
@@ -67,11 +72,35 @@
             send(reply, StoreReply::NotStored);
             return;
         }
-        let records = requests.into_iter().map(|request| KeyedRecord {
-            key: request.key,
-            value: Some(Bytes::from(request.value)),
+        self.append_requests(requests.into_iter().map(keyed_record).collect(), Some(reply));
+    }
+
+    /// Repeats an append for an entry that the store refuses or does not answer. The store
+    /// executes it once, however often and by whomever it is sent.
+    pub(super) fn repeat_append(
+        &self,
+        append: RelayedAppend,
+        reply: oneshot::Sender<StoreReply>,
+        now: Moment,
+    ) {
+        if !self.is_confirmed(now) {
+            send(reply, StoreReply::NotStored);
+            return;
+        }
+        let RelayedAppend { producer, epoch, sequence, requests } = append;
+        let identity = AppendIdentity { producer, epoch, sequence };
+        let (store, clock) = (self.context.store.clone(), self.context.clock);
+        let mut appender = TopicAppender::resume(store, clock, REQUESTS, identity);
+        let records: Vec<_> = requests.into_iter().map(keyed_record).collect();
+        actix_rt::spawn(async move {
+            let result = tokio::time::timeout(REPEAT_LIMIT, appender.append(None, &records)).await;
+            let stored = match result {
+                Ok(Ok(_)) => StoreReply::Stored,
+                Ok(Err(AppenderError::Refused(_))) => StoreReply::NotStored,
+                Ok(Err(_)) | Err(_) => StoreReply::Unknown,
+            };
+            send(reply, stored);
         });
-        self.append_requests(records.collect(), Some(reply));
     }
 
     pub(super) fn handle_request_result(&mut self, result: AppendResult) {
@@ -125,3 +154,7 @@
         }
     }
 }
+
+fn keyed_record(request: RelayedRequest) -> KeyedRecord {
+    KeyedRecord { key: request.key, value: Some(Bytes::from(request.value)) }
+}
--- a/crates/fleet/src/owner_client.rs
+++ b/crates/fleet/src/owner_client.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_peer::queue::{
-    FindReply, QueueServiceClient, RelayedRequest, StoreReply, WatchReply, WatchRequest,
+    FindReply, QueueServiceClient, RelayedAppend, RelayedRequest, StoreReply, WatchReply,
+    WatchRequest,
 };
 use cactusdoor_peer::wire;
 use cactusdoor_queue::name::JobId;
@@ -90,6 +91,20 @@
         .await
     }
 
+    pub async fn append(
+        &self,
+        address: SocketAddr,
+        append: RelayedAppend,
+        limit: Duration,
+    ) -> Result<StoreReply, CallError> {
+        self.call(
+            address,
+            limit,
+            |client, context| async move { client.append(context, append).await },
+        )
+        .await
+    }
+
     async fn call<T, F: Future<Output = Result<T, RpcError>>>(
         &self,
         address: SocketAddr,
--- a/crates/fleet/src/queue_server.rs
+++ b/crates/fleet/src/queue_server.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cactusdoor_peer::queue::{
-    FindReply, QueueService, RelayedRequest, StoreReply, WatchReply, WatchRequest,
+    FindReply, QueueService, RelayedAppend, RelayedRequest, StoreReply, WatchReply, WatchRequest,
 };
 use cactusdoor_peer::wire::{MAX_FRAME_BYTES, disable_nagle};
 use cactusdoor_queue::name::JobId;
@@ -26,6 +26,7 @@
     Watch(WatchRequest, oneshot::Sender<WatchReply>),
     Find(JobId, oneshot::Sender<FindReply>),
     Store(Vec<RelayedRequest>, oneshot::Sender<StoreReply>),
+    Append(RelayedAppend, oneshot::Sender<StoreReply>),
 }
 
 /// Receives calls while this process is the owner.
@@ -112,4 +113,11 @@
             None => StoreReply::NotStored,
         }
     }
+
+    async fn append(self, _: Context, append: RelayedAppend) -> StoreReply {
+        match self.send(|reply| OwnerCall::Append(append, reply)) {
+            Some(reply) => reply.await.unwrap_or(StoreReply::Unknown),
+            None => StoreReply::NotStored,
+        }
+    }
 }
--- a/crates/fleet/src/submitter.rs
+++ b/crates/fleet/src/submitter.rs
@@ -1,7 +1,7 @@
 //! Stores callers' requests in groups, one append at a time.
 //!
-//! If the store refuses or delays an append of this entry, the entry asks the owner to store
-//! the group. Requests are stored by key, so one that is stored twice counts once. A request
+//! If the store refuses or delays an append of this entry, the entry asks the owner to repeat
+//! it under the same number, so that it is stored once. A request
 //! that waits too long for its append is refused and never stored. A request that may have
 //! been stored must not be refused: it waits until its outcome is known.
 
@@ -11,8 +11,8 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_node::clock::MonotonicClock;
-use cactusdoor_peer::queue::{RelayedRequest, StoreReply};
-use cactusdoor_platform::store::{KeyedRecord, StoreClient};
+use cactusdoor_peer::queue::{RelayedAppend, RelayedRequest, StoreReply};
+use cactusdoor_platform::store::{AppendIdentity, KeyedRecord, StoreClient};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::appender::{AppenderError, TopicAppender, pause};
@@ -94,7 +94,10 @@
 /// Outcome of a group.
 enum GroupOutcome {
     Stored,
-    Relayed,
+    /// Stored by the owner, under the number of this entry's append if `numbered`.
+    Relayed {
+        numbered: bool,
+    },
     /// Stored neither here nor by the owner.
     Refused,
     /// The store refused it, and the owner did not answer.
@@ -134,26 +137,37 @@
                     self.relay_after = RELAY_AFTER;
                     answer(group, SubmitOutcome::Stored);
                 }
-                GroupOutcome::Relayed => {
-                    // The append in flight may still be stored, so its number cannot be reused.
-                    self.retired += 1;
-                    self.appender = open_appender(&self.context, self.retired);
+                GroupOutcome::Relayed { numbered } => {
+                    if numbered {
+                        self.appender.advance();
+                    } else {
+                        // The append in flight may still be stored under its number.
+                        self.replace_appender();
+                    }
                     self.relay_after = Duration::ZERO;
                     self.context.metrics.relayed.inc_by(group.len() as u64);
                     answer(group, SubmitOutcome::Relayed);
                 }
                 GroupOutcome::Refused => self.requeue(group, false).await,
-                GroupOutcome::Unknown => self.requeue(group, true).await,
+                GroupOutcome::Unknown => {
+                    // The owner may still store the group under its number.
+                    self.replace_appender();
+                    self.requeue(group, true).await;
+                }
                 GroupOutcome::Ended(error) => {
                     log::error!("appender of this entry has failed and is replaced: {error}");
-                    self.retired += 1;
-                    self.appender = open_appender(&self.context, self.retired);
+                    self.replace_appender();
                     self.requeue(group, true).await;
                 }
             }
         }
     }
 
+    fn replace_appender(&mut self) {
+        self.retired += 1;
+        self.appender = open_appender(&self.context, self.retired);
+    }
+
     async fn requeue(&mut self, group: Vec<WaitingCall>, uncertain: bool) {
         for mut waiting in group.into_iter().rev() {
             waiting.uncertain |= uncertain;
@@ -168,9 +182,10 @@
     /// Meanwhile, requests that have waited longer than `QUEUE_LIMIT` are refused.
     async fn store(&mut self, records: &[KeyedRecord]) -> GroupOutcome {
         let relay_now = Notify::new();
+        let identity = self.appender.identity().clone();
         let append = self.appender.append(None, records);
-        let relay =
-            relay(&self.context.finder, &self.client, records, self.relay_after, &relay_now);
+        let (finder, client) = (&self.context.finder, &self.client);
+        let relay = relay(finder, client, (identity, records), self.relay_after, &relay_now);
         tokio::pin!(append, relay);
         let (mut refused, mut relayed) = (false, None);
         loop {
@@ -192,35 +207,46 @@
                 }
             }
             match relayed {
-                Some(StoreReply::Stored) => return GroupOutcome::Relayed,
-                Some(StoreReply::NotStored) if refused => return GroupOutcome::Refused,
-                Some(StoreReply::Unknown) if refused => return GroupOutcome::Unknown,
+                Some((StoreReply::Stored, numbered)) => return GroupOutcome::Relayed { numbered },
+                Some((StoreReply::NotStored, _)) if refused => return GroupOutcome::Refused,
+                Some((StoreReply::Unknown, _)) if refused => return GroupOutcome::Unknown,
                 _ => {}
             }
         }
     }
 }
 
-/// Asks the owner to store records, after `after` or once `relay_now` is notified.
+/// Asks the owner to repeat an append, after `after` or once `relay_now` is notified. Returns
+/// also whether the owner keeps to the append's number.
 async fn relay(
     finder: &OwnerFinder,
     client: &OwnerClient,
-    records: &[KeyedRecord],
+    (identity, records): (AppendIdentity, &[KeyedRecord]),
     after: Duration,
     relay_now: &Notify,
-) -> StoreReply {
+) -> (StoreReply, bool) {
     // The relay starts after the wait or the notification, whichever comes first.
     let _ = tokio::time::timeout(after, relay_now.notified()).await;
-    let Some(heartbeat) = finder.owner() else { return StoreReply::NotStored };
+    let Some(heartbeat) = finder.owner() else { return (StoreReply::NotStored, false) };
     let requests = records.iter().map(|record| RelayedRequest {
         key: record.key.clone(),
         value: record.value.clone().unwrap_or_default().into(),
     });
-    match client.store(heartbeat.address, requests.collect(), RELAY_LIMIT).await {
+    let (address, requests) = (heartbeat.address, requests.collect());
+    let numbered = heartbeat.repeats_appends;
+    let answer = if numbered {
+        let AppendIdentity { producer, epoch, sequence } = identity;
+        let append = RelayedAppend { producer, epoch, sequence, requests };
+        client.append(address, append, RELAY_LIMIT).await
+    } else {
+        client.store(address, requests, RELAY_LIMIT).await
+    };
+    let reply = match answer {
         Ok(reply) => reply,
         Err(CallError::NotConnected) => StoreReply::NotStored,
         Err(CallError::NoAnswer) => StoreReply::Unknown,
-    }
+    };
+    (reply, numbered)
 }
 
 fn next_group(waiting: &mut VecDeque<WaitingCall>) -> (Vec<WaitingCall>, Vec<KeyedRecord>) {
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -120,6 +120,29 @@
     cluster.check();
 }
 
+/// The owner repeats an append under the entry's number, so the entry goes on behind it.
+#[actix_web::test]
+async fn jobs_after_an_append_that_the_owner_repeated_are_stored_once() {
+    let cluster = TestCluster::open(2).await;
+    cluster.submit("r1", 50, tasks(1)).await;
+    cluster.await_state("r1", "completed").await;
+    let body = json!({"spec": "50", "steps": tasks(1)});
+    for round in 0..3 {
+        cluster.store.set_mode(StoreMode::LosingAnswers);
+        let lost = cluster.call("POST", 0, &format!("/q/r2{round}"), body.clone()).await.0;
+        assert!(matches!(lost, 200 | 504), "{lost}");
+        cluster.store.set_mode(StoreMode::Serving);
+        cluster.submit(&format!("r3{round}"), 50, tasks(1)).await;
+    }
+    let stored = cluster.store.records("keyed.requests");
+    for job in (0..3).flat_map(|round| [format!("r2{round}"), format!("r3{round}")]) {
+        cluster.await_state(&job, "completed").await;
+        let number = stored.iter().filter(|(key, value)| *key == job && !value.is_empty()).count();
+        assert_eq!(number, 1, "{job}");
+    }
+    cluster.check();
+}
+
 #[actix_web::test]
 async fn a_new_configuration_takes_effect_after_its_log_was_dropped() {
     let cluster = TestCluster::open(2).await;
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -3,7 +3,7 @@
 //! Agents report to it, and entries follow job states, look up jobs and store requests
 //! through it.
 
-use cactusdoor_core::unit::{Epoch, Millis};
+use cactusdoor_core::unit::{Epoch, Millis, Sequence};
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::{AgentReport, JobState, ReportReply};
 use serde::{Deserialize, Serialize};
@@ -18,8 +18,21 @@
     /// From an entry that does not know a job; answered once the owner has read all
     /// requests that were stored before the call.
     async fn find(job: JobId) -> FindReply;
-    /// From an entry whose requests the platform's store refuses; the owner stores them.
+    /// From an entry whose requests the platform's store refuses; the owner stores them under
+    /// a number of its own. Kept for entries and owners of an earlier version.
     async fn store(requests: Vec<RelayedRequest>) -> StoreReply;
+    /// From an entry whose append the platform's store refuses or does not answer; the owner
+    /// repeats it under the same number.
+    async fn append(append: RelayedAppend) -> StoreReply;
+}
+
+/// An append of an entry: the store executes it once, whoever sends it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedAppend {
+    pub producer: String,
+    pub epoch: Epoch,
+    pub sequence: Sequence,
+    pub requests: Vec<RelayedRequest>,
 }
 
 /// A request to be stored under its key.
