Stop an unlisted run on a successor under the same id before it restarts

A run that no list has named is now assigned to the successor and stopped there; once the stop is answered, the successor refuses a delayed start. The agent does not report the predecessor under the same id as ended before the successor's list is known.

The cause of such a lapse is worker_replaced.

--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -253,8 +253,10 @@
             return;
         }
         if polled.born != 0 && polled.born != incarnation.born {
-            drop(state);
-            self.remove(incarnation, "worker has restarted");
+            state.remove_restarted();
+            let (worker, cause) = (incarnation.id.to_string(), "worker has restarted");
+            self.log.record(DecisionEvent::WorkerGone { worker, cause });
+            self.report_due.notify_one();
             return;
         }
         self.sample.set(ClockSample { clock: polled.clock, at: self.clock.now() });
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -48,7 +48,8 @@
 #[derive(Debug, Default)]
 pub struct AgentState {
     pub worker: Option<WorkerInfo>,
-    /// Newest incarnation of a worker that is known to have ended.
+    /// Newest incarnation of a worker that is known to have ended; not the predecessor of the
+    /// registered worker under the same id, which starts without an answer may still reach.
     ended_incarnation: Option<WorkerIncarnation>,
     pub epoch: Epoch,
     /// Highest number of an order received in `epoch`.
@@ -95,7 +96,7 @@
                 self.earlier_reports = self.reports;
                 self.ended_incarnation = known
                     .or(self.ended_incarnation.take())
-                    .filter(|ended| *ended != worker.incarnation);
+                    .filter(|ended| ended.id != worker.incarnation.id);
                 self.worker = Some(worker);
                 true
             }
@@ -109,6 +110,14 @@
         self.clear_runs();
     }
 
+    /// Removes a worker that has restarted under its id: a start without an answer may still
+    /// reach its successor, so the owner must not count its run as ended before the
+    /// successor is known.
+    pub fn remove_restarted(&mut self) {
+        self.worker = None;
+        self.clear_runs();
+    }
+
     fn clear_runs(&mut self) {
         self.ordered.clear();
         self.superseded.clear();
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -110,13 +110,23 @@
                 replaced.then_some(LapseCause::WorkerReplaced)
             }
         };
-        let expired: Vec<_> = tracked
-            .runs
-            .iter()
-            .filter_map(|(task, run)| {
-                Some((task.clone(), run.start.run, lapse_cause(&run.start.incarnation)?))
-            })
-            .collect();
+        // The start of a run that was never listed may still reach a successor under the same
+        // id: the run ends once the successor has answered its stop.
+        let may_reach = |run: &AssignedRun| {
+            let old = &run.start.incarnation;
+            worker.is_some_and(|new| new.incarnation.id == old.id) && run.percent.is_none()
+        };
+        let expired = tracked.runs.iter().filter_map(|(task, run)| {
+            let cause = lapse_cause(&run.start.incarnation)?;
+            Some((task.clone(), run.start.run, cause, may_reach(run)))
+        });
+        let (uncertain, expired): (Vec<_>, Vec<_>) =
+            expired.partition(|(_, _, _, uncertain)| *uncertain);
+        for (task, run, _, _) in uncertain {
+            if let Some(worker) = worker {
+                tracked.stop_on_successor(&task, run, &worker.incarnation);
+            }
+        }
         if tracked.worker.as_ref().map(|old| &old.incarnation) != worker.map(|new| &new.incarnation)
         {
             tracked.acknowledged = 0;
@@ -127,7 +137,7 @@
             self.rooms.gain(agent);
         }
         tracked.worker = worker.cloned();
-        for (task, run, cause) in expired {
+        for (task, run, cause, _) in expired {
             self.lapse_run(agent, &task, run, cause, now, unix);
         }
         if leaves.is_some() {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexSet;
 
 use crate::interference::InterferenceModel;
-use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName};
+use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
 use crate::run_table::RunTable;
 use crate::spec::{StepSpec, TaskNeed};
@@ -225,6 +225,24 @@
         }
     }
 
+    /// Assigns a run to the successor of its worker and stops it there, so that a delayed start
+    /// is refused.
+    pub fn stop_on_successor(
+        &mut self,
+        task: &TaskName,
+        number: RunNumber,
+        successor: &WorkerIncarnation,
+    ) {
+        self.withdraw_start(task, number);
+        let Some(run) = self.runs.get_mut(task) else { return };
+        run.start.incarnation = successor.clone();
+        run.stopping = true;
+        if run.stored {
+            let order = run.order();
+            self.order(order);
+        }
+    }
+
     /// Orders runs again that the agent has received but never listed: it forgets its orders
     /// when it removes its worker, and the same incarnation may register again.
     pub fn repeat_orders(&mut self, reported: &[ReportedRun]) {
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -69,6 +69,12 @@
     }
 }
 
+/// A later incarnation of the worker under another id.
+pub fn successor(agent: &str, born: u64) -> WorkerInfo {
+    let id = format!("i-{agent}-{born}").into();
+    WorkerInfo { incarnation: WorkerIncarnation { id, born }, ..worker(agent, born) }
+}
+
 pub fn report(agent: &str, number: u64, worker: Option<WorkerInfo>) -> AgentReport {
     AgentReport {
         agent: agent.into(),
