Count a job as late once its remaining chain no longer fits

Cause: jobs that can no longer meet their deadline come last at equal priority, but a job counted as such only after the deadline itself. On the large site processors for best-effort steps are short from second 10 on, and went first to jobs that could not be in time any more. The latest time is now the deadline less the longest chain of steps that are not done, for each occurrence; agents get the deadline less the chain after the step.

--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -153,6 +153,8 @@
     /// Time since which no task is placed; `None` while one is.
     pub idle_since: Option<Moment>,
     pub occurrences: BTreeMap<u32, Vec<StepProgress>>,
+    /// For each step, the longest chain that begins with it, ms.
+    chains: Vec<Millis>,
     /// Length of the critical path by the caller's estimates, ms.
     pub critical_path: Millis,
     /// Occurrences before this one have been opened.
@@ -167,7 +169,8 @@
     #[must_use]
     pub fn open(id: JobId, spec: JobSpec) -> Self {
         let payload = spec.payload.as_str().into();
-        let critical_path = spec.critical_path();
+        let chains = spec.chains();
+        let critical_path = chains.iter().copied().max().unwrap_or_default();
         Self {
             id,
             spec: Arc::new(spec),
@@ -175,6 +178,7 @@
             state: JobState::Queued,
             idle_since: None,
             occurrences: BTreeMap::new(),
+            chains,
             critical_path,
             next_occurrence: 0,
             unfinished: 0,
@@ -295,6 +299,22 @@
         spec.after.iter().all(done)
     }
 
+    /// Length of the longest chain of steps of an occurrence that are not done, ms.
+    #[must_use]
+    pub fn remaining_path(&self, occurrence: u32) -> Millis {
+        let steps = self.occurrences.get(&occurrence).into_iter().flatten();
+        let chains = steps.zip(&self.chains).filter(|(step, _)| !step.is_done());
+        chains.map(|(_, chain)| *chain).max().unwrap_or_default()
+    }
+
+    /// Length of the longest chain of steps after this one, ms.
+    #[must_use]
+    pub fn path_after(&self, step: u16) -> Millis {
+        let chain = self.chains.get(usize::from(step)).copied().unwrap_or_default();
+        let own = self.spec.steps.get(usize::from(step)).map_or(0, |step| step.estimate);
+        chain.saturating_sub(own)
+    }
+
     /// Whether every task of every occurrence is done.
     #[must_use]
     pub fn is_completed(&self) -> bool {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -75,7 +75,9 @@
         while let Some(timer) = self.day_timers.take_due(unix) {
             match timer {
                 DayTimer::Due(job) => self.open_due(&job, now, unix),
-                DayTimer::Late(job) => self.mark_job(&job),
+                DayTimer::Late(job, occurrence) => {
+                    self.changed.insert((job, occurrence));
+                }
             }
         }
     }
@@ -83,17 +85,10 @@
     /// Opens the due occurrences of a job and sets its timers.
     fn open_due(&mut self, id: &JobId, now: Moment, unix: Millis) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        let late_at = Self::late_at(&self.view, job);
         job.open_due(unix);
-        if let Some(late_at) = late_at {
-            self.day_timers.cancel(late_at, DayTimer::Late(id.clone()));
-        }
         if let Some(due) = job.next_due() {
             self.day_timers.set(due, DayTimer::Due(id.clone()));
         }
-        if let Some(late_at) = Self::late_at(&self.view, job).filter(|at| *at > unix) {
-            self.day_timers.set(late_at, DayTimer::Late(id.clone()));
-        }
         self.update_idle(id, now);
         self.mark_job(id);
     }
@@ -126,7 +121,8 @@
     fn index_occurrence(&mut self, id: &JobId, occurrence: u32, now: Moment, unix: Millis) {
         let Some(job) = self.jobs.get(id) else { return };
         let config = self.queue_config(&job.spec);
-        let late = Self::late_at(&self.view, job).is_some_and(|at| at <= unix);
+        let late_at = Self::late_at(&self.view, job, occurrence);
+        let late = late_at.is_some_and(|at| at <= unix);
         let mut retry = None;
         let (mut ready, mut others) = (Vec::new(), Vec::new());
         let steps = job.occurrences.get(&occurrence).into_iter().flatten();
@@ -140,6 +136,9 @@
                 others.push(name);
             }
         }
+        if let Some(at) = late_at.filter(|at| *at > unix && !ready.is_empty()) {
+            self.day_timers.set(at, DayTimer::Late(id.clone(), occurrence));
+        }
         if let Some(at) = retry {
             self.steady_timers.set(at.0, SteadyTimer::Retry(id.clone(), occurrence));
         }
@@ -378,6 +377,7 @@
             job.task(name).map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
         let payload = job.payload.clone();
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
+        let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
         let Some((_, tracked)) = self.workers.get_index_mut(worker) else { return };
         let Some(incarnation) = tracked.worker.as_ref().map(|worker| worker.incarnation.clone())
         else {
@@ -415,10 +415,11 @@
         self.push_task(name, &record, Some(started));
     }
 
-    /// Unix time from which a job can no longer meet its deadline; `None` for an endless one.
-    pub(crate) fn late_at(view: &OperatorView, job: &JobProgress) -> Option<Millis> {
-        let newest = job.occurrences.keys().next_back().copied().unwrap_or_default();
-        let deadline = || Self::deadline(view, job, newest).saturating_add(1);
-        (!job.spec.is_endless()).then(deadline)
+    /// Unix time from which an occurrence can no longer meet its deadline; `None` for an
+    /// endless job.
+    fn late_at(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Option<Millis> {
+        let latest = Self::deadline(view, job, occurrence);
+        let latest = latest.saturating_sub(job.remaining_path(occurrence));
+        (!job.spec.is_endless()).then(|| latest.saturating_add(1))
     }
 }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -176,9 +176,6 @@
         if let Some(due) = job.next_due() {
             self.day_timers.cancel(due, DayTimer::Due(id.clone()));
         }
-        if let Some(late_at) = Self::late_at(&self.view, &job) {
-            self.day_timers.cancel(late_at, DayTimer::Late(id.clone()));
-        }
         Some(job)
     }
 
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -182,12 +182,25 @@
     /// Length of the critical path by the caller's estimates, ms.
     #[must_use]
     pub fn critical_path(&self) -> Millis {
-        let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let before = step.after.iter().filter_map(|step| ends.get(usize::from(*step)));
-            ends.push(before.max().copied().unwrap_or_default().saturating_add(step.estimate));
+        self.chains().into_iter().max().unwrap_or_default()
+    }
+
+    /// For each step, the length of the longest chain that begins with it, by the caller's
+    /// estimates, ms.
+    #[must_use]
+    pub fn chains(&self) -> Vec<Millis> {
+        let mut chains = vec![0; self.steps.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            // Later steps have added their chains already.
+            chains[index] = step.estimate.saturating_add(chains[index]);
+            for before in &step.after {
+                let chain = chains[index];
+                if let Some(after) = chains.get_mut(usize::from(*before)) {
+                    *after = chain.max(*after);
+                }
+            }
         }
-        ends.into_iter().max().unwrap_or_default()
+        chains
     }
 
     /// Unix time at which an occurrence may start; `None` for at once.
--- a/crates/queue/src/timers.rs
+++ b/crates/queue/src/timers.rs
@@ -25,8 +25,8 @@
 pub enum DayTimer {
     /// An occurrence of the job is due.
     Due(JobId),
-    /// The job can no longer meet its deadline.
-    Late(JobId),
+    /// This occurrence can no longer meet its deadline.
+    Late(JobId, u32),
 }
 
 /// Timers of one clock, ms.
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -17,7 +17,7 @@
 pub struct StepOrder {
     /// 0 is the highest priority.
     pub priority: u32,
-    /// At equal priority, jobs that can no longer meet their deadline come last.
+    /// At equal priority, occurrences that can no longer meet their deadline come last.
     pub late: bool,
     pub accepted: Millis,
     pub step: StepName,
--- a/crates/queue/tests/oracle/naive.rs
+++ b/crates/queue/tests/oracle/naive.rs
@@ -4,7 +4,7 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::config::QueueConfig;
-use cactusdoor_queue::job::JobProgress;
+use cactusdoor_queue::job::{JobProgress, StepProgress, TaskPlace};
 use cactusdoor_queue::name::{AgentName, JobId, Label, StepName, TaskName};
 use cactusdoor_queue::placement::{ChoiceContext, cost};
 use cactusdoor_queue::report::StartOrder;
@@ -29,8 +29,8 @@
         let workers = scheduler.workers.values().map(rebuilt).collect();
         let jobs = scheduler.jobs.clone();
         let mut pass = Self { scheduler, jobs, workers, now, unix, placed: Vec::new() };
-        for id in pass.order() {
-            pass.place_job(&id);
+        for (_, _, _, step) in pass.order() {
+            pass.place(&step);
         }
         pass
     }
@@ -39,47 +39,45 @@
         self.scheduler.queue_config(spec)
     }
 
-    fn order(&mut self) -> Vec<JobId> {
+    /// Ready steps by priority, whether they can be in time, and age.
+    fn order(&mut self) -> Vec<(u32, bool, u64, StepName)> {
         let mut order = Vec::new();
         for job in self.jobs.values_mut() {
             job.open_due(self.unix);
+            job.update_idle(self.now);
         }
         for job in self.jobs.values() {
-            let newest = job.occurrences.keys().next_back().copied().unwrap_or_default();
-            let begins = job.spec.due(newest).unwrap_or(job.spec.accepted);
-            let budget = self.config(&job.spec).time_budget(job.spec.critical_path());
-            let late = !job.spec.is_endless() && begins + budget < self.unix;
-            let priority = self.config(&job.spec).priority;
-            order.push((priority, late, job.spec.accepted, job.id.clone()));
+            let config = self.config(&job.spec);
+            for (&occurrence, steps) in &job.occurrences {
+                let begins = job.spec.due(occurrence).unwrap_or(job.spec.accepted);
+                let deadline = begins + config.time_budget(job.spec.critical_path());
+                let left = remaining_path(&job.spec, steps);
+                let late = !job.spec.is_endless() && deadline.saturating_sub(left) < self.unix;
+                for (step, progress) in (0u16..).zip(steps) {
+                    let waiting = progress.tasks.iter().any(|task| task.is_waiting(self.now));
+                    if waiting && job.is_ready(occurrence, step) {
+                        let name = StepName { job: job.id.clone(), occurrence, step };
+                        order.push((config.priority, late, job.spec.accepted, name));
+                    }
+                }
+            }
         }
         order.sort();
-        order.into_iter().map(|(_, _, _, id)| id).collect()
+        order
     }
 
-    fn place_job(&mut self, id: &JobId) {
-        self.jobs[id].update_idle(self.now);
-        let job = &self.jobs[id];
-        let mut ready = Vec::new();
-        for (&occurrence, steps) in &job.occurrences {
-            for (step, progress) in (0u16..).zip(steps) {
-                let waiting = progress.tasks.iter().any(|task| task.is_waiting(self.now));
-                if waiting && job.is_ready(occurrence, step) {
-                    ready.push(StepName { job: id.clone(), occurrence, step });
-                }
-            }
-        }
+    fn place(&mut self, name: &StepName) {
+        let job = &self.jobs[&name.job];
         let spec = job.spec.clone();
         let config = self.config(&spec);
         if job.has_failed(config.attempts) {
             return;
         }
-        for name in ready {
-            let step = &spec.steps[usize::from(name.step)];
-            if step.gang {
-                self.place_gang(&name, step, &config);
-            } else {
-                self.place_step(&name, step, &config);
-            }
+        let step = &spec.steps[usize::from(name.step)];
+        if step.gang {
+            self.place_gang(name, step, &config);
+        } else {
+            self.place_step(name, step, &config);
         }
     }
 
@@ -90,7 +88,7 @@
                 continue;
             }
             let Some(worker) = self.choose(None, name, &task, step, config) else { return };
-            self.place(worker, &task, step);
+            self.place_task(worker, &task, step);
         }
     }
 
@@ -119,7 +117,7 @@
             self.workers = before;
             if chosen.len() == tasks.len() {
                 for (task, worker) in tasks.iter().zip(chosen) {
-                    self.place(worker, task, step);
+                    self.place_task(worker, task, step);
                 }
                 return;
             }
@@ -169,17 +167,29 @@
         tracked.runs.insert(AssignedRun::open(start, step, self.now));
     }
 
-    fn place(&mut self, worker: usize, task: &TaskName, step: &StepSpec) {
+    fn place_task(&mut self, worker: usize, task: &TaskName, step: &StepSpec) {
         self.assign(worker, task, step);
         let agent = self.workers[worker].agent.clone();
         let job = &mut self.jobs[&task.job];
-        let placed = cactusdoor_queue::job::TaskPlace::Placed(agent.clone());
+        let placed = TaskPlace::Placed(agent.clone());
         job.change_task(task, |task| task.place = placed);
         job.update_idle(self.now);
         self.placed.push((task.clone(), agent));
     }
 }
 
+/// Longest chain of steps that are not done, by depth-first search.
+fn remaining_path(spec: &JobSpec, steps: &[StepProgress]) -> u64 {
+    fn chain(spec: &JobSpec, from: usize) -> u64 {
+        let after = (from + 1..spec.steps.len())
+            .filter(|after| spec.steps[*after].after.iter().any(|step| usize::from(*step) == from));
+        spec.steps[from].estimate + after.map(|after| chain(spec, after)).max().unwrap_or(0)
+    }
+    let undone = (0..steps.len())
+        .filter(|step| !steps[*step].tasks.iter().all(|task| task.place == TaskPlace::Done));
+    undone.map(|step| chain(spec, step)).max().unwrap_or(0)
+}
+
 /// The worker with sums that are computed from its runs.
 fn rebuilt(tracked: &TrackedWorker) -> TrackedWorker {
     let mut runs = RunTable::default();
