--- a/crates/queue/src/interference.rs
+++ b/crates/queue/src/interference.rs
@@ -15,7 +15,7 @@
 
 use crate::name::Label;
 
-/// Interference coefficient of an unknown pair of images: a best-effort task on a sixth
+/// Interference coefficient of a pair of images while none is known: a best-effort task on a sixth
 /// of a worker lowers the headroom by 1.
 const DEFAULT_COEFFICIENT: f64 = 6.0;
 /// Least and greatest learned interference coefficient.
@@ -91,7 +91,7 @@
     pub fn coefficient(&self, serving: Option<&Label>, best_effort: Option<&Label>) -> f64 {
         let known = serving.and_then(|image| self.serving.get(image));
         let coefficient = known.and_then(|known| known.coefficients.get(best_effort?)).copied();
-        coefficient.unwrap_or(DEFAULT_COEFFICIENT)
+        coefficient.unwrap_or_else(|| self.expected_coefficient(best_effort))
     }
 
     /// Baseline headroom of a serving image beyond `target`.
@@ -102,6 +102,19 @@
         (baseline - target).max(MIN_SPARE_HEADROOM)
     }
 
+    /// Coefficient of a pair that was not seen together: the geometric mean of the default and
+    /// of the pairs that were, with the same best-effort image.
+    fn expected_coefficient(&self, best_effort: Option<&Label>) -> f64 {
+        let Some(image) = best_effort else { return DEFAULT_COEFFICIENT };
+        let known = self.serving.values().filter_map(|known| known.coefficients.get(image));
+        let (mut sum, mut count) = (DEFAULT_COEFFICIENT.ln(), 1.0);
+        for coefficient in known {
+            sum += coefficient.ln();
+            count += 1.0;
+        }
+        (sum / count).exp()
+    }
+
     /// Corrects the coefficients by a sample's error (normalised least mean squares).
     pub fn learn(&mut self, sample: &InterferenceSample) {
         let (before, now) = (headroom(sample.before), headroom(sample.now));
--- /dev/null
+++ b/crates/queue/tests/heavy_days.rs
@@ -0,0 +1,101 @@
+//! Patterns of heavy days on a large fleet: who waits, and where work goes.
+
+mod support;
+
+use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::interference::{InterferenceModel, InterferenceSample, ShareChange};
+use cactusdoor_queue::scheduler::QueueScheduler;
+use cactusdoor_queue::spec::{JobSpec, StepSpec};
+use support::*;
+
+const NOW: Moment = Moment(10_000);
+
+/// A scheduler whose agents have reported a worker each.
+fn fleet(agents: &[&str]) -> QueueScheduler {
+    let mut scheduler = scheduler();
+    for name in agents {
+        scheduler.report(&report(name, 1, Some(worker(name, 1))), NOW, UNIX);
+    }
+    scheduler
+}
+
+fn serving(image: &str, tasks: u32) -> StepSpec {
+    StepSpec { latency_bound: 200, endless: true, image: Some(image.into()), ..step(tasks, 1_000) }
+}
+
+fn placed(scheduler: &QueueScheduler, agent: &str, job: &str) -> usize {
+    let runs = scheduler.workers[agent].runs.keys();
+    runs.filter(|task| &*task.job == job).count()
+}
+
+/// Pattern: a backlog of jobs of several steps. The one whose remaining steps no longer fit
+/// before its deadline gives way to one that can still be in time, though it is older.
+#[test]
+fn a_job_whose_remaining_chain_is_too_long_comes_after_one_that_can_be_in_time() {
+    let mut scheduler = fleet(&["a"]);
+    let long = StepSpec { estimate: 2_000, ..step(1, 3_000) };
+    let next = StepSpec { after: vec![0], ..long.clone() };
+    // 8,100 ms for a chain of 4,000 ms: it must begin within 4,100 ms.
+    let older = JobSpec { accepted: UNIX - 4_200, ..job(vec![long.clone(), next.clone()]) };
+    let newer = JobSpec { accepted: UNIX - 4_000, ..job(vec![long, next]) };
+    scheduler.submit(&"older".into(), older);
+    scheduler.submit(&"newer".into(), newer);
+    scheduler.place(NOW, UNIX);
+    assert_eq!((placed(&scheduler, "a", "older"), placed(&scheduler, "a", "newer")), (0, 1));
+}
+
+/// Pattern: many images, so that few pairs have met. An image that has interfered little with
+/// some serving images is expected to interfere little with the others.
+#[test]
+fn an_unknown_pair_is_judged_by_the_other_pairs_of_the_image() {
+    let mut model = InterferenceModel::default();
+    for (image, now) in [("light", 3.0), ("heavy", 1.0)] {
+        for serving in ["p", "q", "r"] {
+            for _ in 0..40 {
+                let shares = vec![ShareChange { image: image.into(), before: 0.0, now: 0.1 }];
+                let serving = serving.into();
+                model.learn(&InterferenceSample { serving, before: 3.0, now, shares });
+            }
+        }
+    }
+    let coefficient = |image: &str| model.coefficient(Some(&"new".into()), Some(&image.into()));
+    assert!(coefficient("light") < 2.0, "{}", coefficient("light"));
+    assert!(coefficient("heavy") > 10.0, "{}", coefficient("heavy"));
+    assert!(coefficient("light") < coefficient("unknown"));
+    assert!(coefficient("unknown") < coefficient("heavy"));
+}
+
+/// Pattern: serving tasks on most workers. Those of one image stand together, so that a
+/// best-effort task has to suit few images wherever it goes.
+#[test]
+fn serving_tasks_of_one_image_share_workers() {
+    let mut scheduler = fleet(&["a", "b"]);
+    for (job_id, image) in [("p1", "p"), ("q1", "q"), ("p2", "p"), ("q2", "q")] {
+        let apart = StepSpec { per_worker: 1, ..serving(image, 1) };
+        // The first two do not fit on one worker.
+        let wide = StepSpec { need: step(1, 2_500).need, ..serving(image, 1) };
+        scheduler
+            .submit(&job_id.into(), job(vec![if job_id.ends_with('1') { wide } else { apart }]));
+        scheduler.place(NOW, UNIX);
+    }
+    let together = |one, two| {
+        ["a", "b"]
+            .iter()
+            .any(|agent| placed(&scheduler, agent, one) == 1 && placed(&scheduler, agent, two) == 1)
+    };
+    assert!(together("p1", "p2") && together("q1", "q2"));
+}
+
+/// Pattern: short tasks that reserve processors beside best-effort ones. They go beside serving
+/// tasks, which they do not disturb, and leave the workers without any to best-effort tasks.
+#[test]
+fn short_tasks_leave_workers_without_serving_tasks_to_best_effort_ones() {
+    let mut scheduler = fleet(&["a", "b"]);
+    scheduler.submit(&"serves".into(), job(vec![serving("p", 2)]));
+    scheduler.place(NOW, UNIX);
+    let shared = if placed(&scheduler, "a", "serves") > 0 { "a" } else { "b" };
+    assert_eq!(placed(&scheduler, shared, "serves"), 2);
+    scheduler.submit(&"short".into(), job(vec![step(2, 1_000)]));
+    scheduler.place(NOW, UNIX);
+    assert_eq!(placed(&scheduler, shared, "short"), 2);
+}
