Let one candidate at a time load the state, and spare an owner that is heard again

Cause: when the owner of the large site is killed, 160 agents notice it at once, and each reads and decodes the whole state (370 to 950 ms).

A candidate now announces its candidacy beside the heartbeats, on the condition that nothing was appended there since it read them; the others wait for its heartbeat for 1.8 s. After loading it reads the heartbeat again and goes on only if the owner still counts as failed.

Ruled out: longer random delays (they lengthen every takeover).

--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -47,7 +47,7 @@
     Unreadable(#[from] ReadError),
     #[error("could not store the election: {0}")]
     NotStored(#[from] AppenderError),
-    #[error("a higher epoch has already been elected")]
+    #[error("the owner, or its successor, has sent a heartbeat")]
     Outdated,
     #[error("the owner that was just elected has not sent a heartbeat yet")]
     NoHeartbeat,
@@ -88,7 +88,7 @@
             pause(CANDIDACY_DELAY).await;
             // A borrow held across an await would block the reporter on this thread.
             let contact = *context.contact.borrow();
-            if needs_election(&context, contact).await {
+            if needs_election(&context, contact).await && announce(&context).await {
                 run_for_election(&mut context, &mut pending_owner).await;
                 continue;
             }
@@ -102,6 +102,26 @@
     if contact == OwnerContact::Confirmed || context.finder.read().await.is_err() {
         return false;
     }
+    has_failed(context, contact)
+}
+
+/// Announces the candidacy. One process at a time loads the stored state: the others wait
+/// for its heartbeat.
+async fn announce(context: &CandidateContext) -> bool {
+    match context.finder.announce_candidacy(&context.owner.name).await {
+        Ok(()) => true,
+        Err(error) => {
+            log::debug!("candidacy was not stored: {error}");
+            false
+        }
+    }
+}
+
+/// Whether the owner has failed and no candidate is about to replace it, as of the last read.
+fn has_failed(context: &CandidateContext, contact: OwnerContact) -> bool {
+    if context.finder.has_candidate() {
+        return false;
+    }
     if context.finder.has_no_heartbeat() {
         return true;
     }
@@ -156,17 +176,19 @@
     started: Moment,
 ) -> Result<OwnerTerm, ElectionError> {
     let owner = &context.owner;
-    let seen_before = context.finder.owner();
+    let contact = *context.contact.borrow();
     let mut state = StoredState::load(&owner.store).await?;
+    // Loading takes a while: an owner that has sent a heartbeat meanwhile is not replaced.
+    context.finder.read().await?;
+    if !has_failed(context, contact) {
+        return Err(ElectionError::Outdated);
+    }
     let seen = context.finder.owner();
     let seen_epoch = seen.as_ref().map_or(0, |heartbeat| heartbeat.epoch);
-    if let Some(elected) = state.epoch() {
-        if seen_epoch > elected && seen != seen_before {
-            return Err(ElectionError::Outdated);
-        }
-        if seen_epoch < elected && !pending_owner.has_timed_out(elected, owner.clock.now()) {
-            return Err(ElectionError::NoHeartbeat);
-        }
+    if let Some(elected) = state.epoch().filter(|elected| seen_epoch < *elected)
+        && !pending_owner.has_timed_out(elected, owner.clock.now())
+    {
+        return Err(ElectionError::NoHeartbeat);
     }
     let epoch = next_epoch(state.epoch(), seen_epoch, unix_ms());
     let record = election_record(epoch, owner);
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -1,7 +1,8 @@
 //! Discovery of the owner by its heartbeat in the store.
 //!
 //! Records the newest heartbeat, how long it has not changed and how long the store has
-//! answered. The candidate, not this module, decides whether the owner has failed.
+//! answered, and whether another process has announced its candidacy. The candidate, not this
+//! module, decides whether the owner has failed.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use cactusdoor_queue::name::AgentName;
 use serde::{Deserialize, Serialize};
 
+use crate::appender::{AppenderError, TopicAppender};
 use crate::decision::DecisionEvent;
 use crate::decision_log::DecisionLog;
 use crate::follower::read_newest;
@@ -22,6 +24,11 @@
 
 /// Key of the heartbeat's record.
 const HEARTBEAT_KEY: &str = "owner";
+/// Key of the record that announces a candidacy.
+const CANDIDACY_KEY: &str = "candidacy";
+/// Time in which an announced candidate sends its first heartbeat, ms: it loads the stored
+/// state meanwhile.
+const CANDIDACY_TIME: Millis = 1_800;
 /// Least time between two reads of the heartbeat, ms.
 const READ_INTERVAL: Millis = 250;
 /// Longest time between two reads, ms, across which the store counts as available.
@@ -57,12 +64,25 @@
     since: Moment,
 }
 
+/// The newest candidacy that was read.
+#[derive(Clone, Copy, Debug)]
+struct SeenCandidacy {
+    offset: Offset,
+    /// When it was first seen.
+    since: Moment,
+    /// Whether this process has announced it.
+    own: bool,
+}
+
 /// Reads the owner's heartbeat on demand.
 pub struct OwnerFinder {
     store: StoreClient,
     clock: MonotonicClock,
     log: DecisionLog,
     seen: RefCell<Option<SeenHeartbeat>>,
+    candidacy: Cell<Option<SeenCandidacy>>,
+    /// Offset after the last record of the topic, as of the last read.
+    end: Cell<Offset>,
     read_at: Cell<Moment>,
     /// Since when the store has answered every read, without a long gap.
     available_since: Cell<Moment>,
@@ -78,6 +98,8 @@
             clock,
             log,
             seen: RefCell::default(),
+            candidacy: Cell::default(),
+            end: Cell::default(),
             read_at: Cell::default(),
             available_since: Cell::default(),
             answered: Cell::new(false),
@@ -121,6 +143,37 @@
         }
     }
 
+    /// Whether another process has recently announced its candidacy and no heartbeat has
+    /// followed, as of the last read.
+    #[must_use]
+    pub fn has_candidate(&self) -> bool {
+        let seen = self.seen.borrow();
+        let heartbeat = seen.as_ref().map(|seen| seen.offset);
+        self.candidacy.get().is_some_and(|candidacy| {
+            let recent = self.read_at.get() < candidacy.since.after(CANDIDACY_TIME);
+            let pending = heartbeat.is_none_or(|heartbeat| heartbeat < candidacy.offset);
+            recent && pending && !candidacy.own
+        })
+    }
+
+    /// Announces the candidacy of `name`. Fails if anything was appended since the last read:
+    /// a heartbeat, or the candidacy of another process.
+    pub async fn announce_candidacy(&self, name: &AgentName) -> Result<(), AppenderError> {
+        let producer = format!("candidacy-{name}-{:016x}", rand::random::<u64>());
+        let mut appender = TopicAppender::open(self.store.clone(), self.clock, OWNER, producer, 1);
+        let value = Some(Bytes::copy_from_slice(name.as_bytes()));
+        let record = KeyedRecord { key: CANDIDACY_KEY.into(), value };
+        let stored = appender.append(Some(self.end.get()), &[record]).await?;
+        self.note_candidacy(stored.end.saturating_sub(1), self.clock.now(), true);
+        Ok(())
+    }
+
+    fn note_candidacy(&self, offset: Offset, since: Moment, own: bool) {
+        if self.candidacy.get().is_none_or(|known| known.offset < offset) {
+            self.candidacy.set(Some(SeenCandidacy { offset, since, own }));
+        }
+    }
+
     /// Reads the heartbeat unless it was read less than `READ_INTERVAL` ago.
     pub async fn refresh(&self) -> Result<(), ReadError> {
         let now = self.clock.now();
@@ -134,7 +187,10 @@
     pub async fn read(&self) -> Result<(), ReadError> {
         let now = self.clock.now();
         let records = match read_newest(&self.store, OWNER).await {
-            Ok((records, _)) => records,
+            Ok((records, end)) => {
+                self.end.set(end);
+                records
+            }
             Err(error) => {
                 self.available_since.set(self.clock.now());
                 return Err(error);
@@ -145,6 +201,9 @@
         }
         self.read_at.set(now);
         self.answered.set(true);
+        if let Some(stored) = records.iter().find(|stored| stored.record.key == CANDIDACY_KEY) {
+            self.note_candidacy(stored.offset, now, false);
+        }
         let heartbeat = records.into_iter().find(|stored| stored.record.key == HEARTBEAT_KEY);
         let Some(stored) = heartbeat else { return Ok(()) };
         let value = stored.record.value.unwrap_or_default();
