Log and count slow rounds of the owner, and measure the owner's decisions

An owner that falls behind says so: the duration of a round, and the calls that had waited for it (owner_slow from 400 ms on). cactusdoor-bench capacity queue prints the cost of a placement, a pass, a report, an end, a cancel and loading, from 11 to 2,100 workers.

--- a/crates/bench/src/capacity.rs
+++ b/crates/bench/src/capacity.rs
@@ -7,6 +7,7 @@
 mod daemons;
 mod owner;
 mod process;
+mod queue;
 mod shard;
 mod state;
 mod wire;
@@ -18,6 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CapacityPart {
     Owner,
+    Queue,
     State,
     Wire,
     Appends,
@@ -30,6 +32,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
             "owner" => Ok(Self::Owner),
+            "queue" => Ok(Self::Queue),
             "state" => Ok(Self::State),
             "wire" => Ok(Self::Wire),
             "appends" => Ok(Self::Appends),
@@ -45,6 +48,7 @@
     println!("`cargo run --release -p cactusdoor-bench -- capacity {name}`\n");
     match part {
         CapacityPart::Owner => owner::run(),
+        CapacityPart::Queue => queue::run(),
         CapacityPart::State => state::run(),
         CapacityPart::Wire => wire::run(),
         CapacityPart::Appends => actix_rt::System::new().block_on(appends::run()),
--- /dev/null
+++ b/crates/bench/src/capacity/queue.rs
@@ -0,0 +1,270 @@
+//! Cost of the decisions of the owner on the users' platform, by fleet and backlog.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use anyhow::Context as _;
+use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig};
+use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
+use cactusdoor_queue::record::TaskRecord;
+use cactusdoor_queue::report::{AgentReport, EndedRun, ReportedRun, RunEnd, WorkerInfo};
+use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
+use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
+use indexmap::IndexMap;
+
+use super::{micros_each, process};
+use crate::report::ReportTable;
+
+/// Workers, and jobs that wait when all of them are full.
+const SIZES: [(usize, usize); 5] = [(11, 20), (67, 120), (160, 300), (500, 900), (2_100, 3_800)];
+/// Tasks of a job.
+const TASKS: u32 = 40;
+/// Capacity of a worker, and need of a task, thousandths of a processor.
+const CAPACITY: u64 = 32_000;
+const NEED: u64 = 3_500;
+/// Repetitions of passes, reports, ends and cancels.
+const REPEATS: usize = 200;
+const UNIX: Millis = 1_700_000_000_000;
+const NOW: Moment = Moment(1_000_000);
+
+pub fn run() -> anyhow::Result<()> {
+    let mut table = ReportTable::new(&[
+        "workers",
+        "waiting jobs",
+        "steps",
+        "placement us",
+        "pass us",
+        "report us",
+        "end us",
+        "cancel us",
+        "loading ms",
+        "runs loaded",
+        "resident KiB",
+    ]);
+    // Earlier fleets stay allocated, so that later ones do not reuse their memory.
+    let mut fleets = Vec::new();
+    for (workers, waiting) in SIZES {
+        for best_effort in [false, true] {
+            let before = process::own_resident()?;
+            let mut fleet = ModelFleet::open(workers, best_effort);
+            table.row(fleet.measure(waiting, before)?);
+            fleets.push(fleet);
+        }
+    }
+    print!("{}", table.text());
+    Ok(())
+}
+
+/// A scheduler with full workers and the records that it has stored.
+struct ModelFleet {
+    scheduler: QueueScheduler,
+    workers: usize,
+    best_effort: bool,
+    jobs: Vec<(JobId, JobSpec)>,
+    records: IndexMap<String, Vec<u8>>,
+    reports: u64,
+}
+
+impl ModelFleet {
+    fn open(workers: usize, best_effort: bool) -> Self {
+        let mut scheduler = QueueScheduler::open(1, NOW);
+        scheduler.set_view(view());
+        let records = IndexMap::new();
+        let mut fleet =
+            Self { scheduler, workers, best_effort, jobs: Vec::new(), records, reports: 0 };
+        for index in 0..workers {
+            let report = fleet.report(index, Vec::new());
+            fleet.scheduler.report(&report, NOW, UNIX);
+        }
+        fleet
+    }
+
+    fn measure(&mut self, waiting: usize, before: u64) -> anyhow::Result<Vec<String>> {
+        let room = self.workers * usize::try_from(CAPACITY / NEED)?;
+        let filling = room.div_ceil(TASKS as usize);
+        for _ in 0..filling + waiting {
+            self.submit();
+        }
+        let started = Instant::now();
+        while self.scheduler.place(NOW, UNIX) {}
+        let placing = started.elapsed();
+        let placed = self.store();
+        let pass = self.time(|fleet, _| fleet.pass());
+        let runs: Vec<_> = (0..REPEATS).map(|index| self.first_run(index)).collect();
+        let report = self.time(|fleet, index| {
+            let report = fleet.report(index % fleet.workers, Vec::new());
+            fleet.scheduler.report(&report, NOW, UNIX);
+        });
+        let end = self.time(|fleet, index| {
+            if let Some((worker, task)) = &runs[index] {
+                let report = fleet.report(*worker, vec![ended(task, index)]);
+                fleet.scheduler.report(&report, NOW, UNIX);
+                fleet.pass();
+            }
+        });
+        self.store();
+        let jobs: Vec<_> = self.jobs.iter().rev().map(|(id, _)| id.clone()).collect();
+        let cancel = self.time(|fleet, index| {
+            fleet.scheduler.cancel(&jobs[index % jobs.len()], UNIX);
+        });
+        self.store();
+        let started = Instant::now();
+        let loaded = self.load()?;
+        let loading = started.elapsed().as_secs_f64() * 1e3;
+        let loaded: usize = loaded.workers.values().map(|tracked| tracked.runs.len()).sum();
+        let resident = process::own_resident()?.saturating_sub(before);
+        Ok(vec![
+            self.workers.to_string(),
+            waiting.to_string(),
+            if self.best_effort { "best-effort" } else { "reserving" }.to_owned(),
+            format!("{:.1}", micros_each(placing, placed)),
+            format!("{pass:.2}"),
+            format!("{report:.1}"),
+            format!("{end:.1}"),
+            format!("{cancel:.1}"),
+            format!("{loading:.1}"),
+            loaded.to_string(),
+            resident.to_string(),
+        ])
+    }
+
+    /// Mean time of an action, us.
+    fn time(&mut self, action: impl Fn(&mut Self, usize)) -> f64 {
+        let started = Instant::now();
+        for index in 0..REPEATS {
+            action(self, index);
+        }
+        micros_each(started.elapsed(), REPEATS)
+    }
+
+    fn pass(&mut self) {
+        self.scheduler.place(NOW, UNIX);
+    }
+
+    fn submit(&mut self) {
+        let id: JobId = format!("{:016x}", self.jobs.len()).into();
+        let step = StepSpec {
+            tasks: TASKS,
+            need: TaskNeed { cpu: NEED, memory: 2_000, accelerators: 0 },
+            estimate: 1_700,
+            best_effort: self.best_effort,
+            image: self.best_effort.then(|| format!("b{}", self.jobs.len() % 30).into()),
+            ..StepSpec::default()
+        };
+        let spec = JobSpec {
+            queue: "q".into(),
+            service: "s".into(),
+            payload: "text".into(),
+            steps: vec![step],
+            times: 0,
+            first_due: 0,
+            interval: 0,
+            accepted: UNIX,
+        };
+        self.scheduler.submit(&id, spec.clone());
+        self.jobs.push((id, spec));
+    }
+
+    /// Stores all writes; returns the number of starts among them.
+    fn store(&mut self) -> usize {
+        let mut started = 0;
+        for write in self.scheduler.take_writes() {
+            match write.record {
+                Some((key, Some(value))) => drop(self.records.insert(key, value)),
+                Some((key, None)) => drop(self.records.swap_remove(&key)),
+                None => {}
+            }
+            if let Some(effect) = write.effect {
+                started += usize::from(matches!(effect, CommitEffect::Started { .. }));
+                self.scheduler.release(&effect);
+            }
+        }
+        started
+    }
+
+    /// The oldest run of a worker that an index selects.
+    fn first_run(&self, index: usize) -> Option<(usize, TaskName)> {
+        let worker = index % self.workers;
+        let tracked = self.scheduler.workers.get(&agent(worker))?;
+        let task = tracked.runs.keys().nth(index / self.workers)?;
+        Some((worker, task.clone()))
+    }
+
+    /// A report with the complete list of the worker's runs.
+    fn report(&mut self, index: usize, ended: Vec<EndedRun>) -> AgentReport {
+        self.reports += 1;
+        let tracked = self.scheduler.workers.get(&agent(index));
+        let runs = tracked.into_iter().flat_map(|tracked| tracked.runs.values());
+        let listed = runs.map(|run| ReportedRun {
+            task: run.start.task.clone(),
+            run: run.start.run,
+            checkpoint: "".into(),
+            percent: Some(40),
+            speed: 100,
+        });
+        AgentReport {
+            agent: agent(index),
+            incarnation: 1,
+            number: self.reports,
+            epoch: 1,
+            received: tracked.map_or(0, |tracked| tracked.last_order),
+            worker: Some(worker(index)),
+            ended_incarnation: None,
+            ended,
+            runs: Some(listed.collect()),
+            samples: Vec::new(),
+            wait: 600,
+        }
+    }
+
+    /// The scheduler of a successor, from the stored records.
+    fn load(&self) -> anyhow::Result<QueueScheduler> {
+        let mut next = QueueScheduler::open(2, NOW);
+        next.set_view(view());
+        for (id, spec) in &self.jobs {
+            let spec = serde_json::to_vec(spec).context("could not encode a job")?;
+            next.submit(id, JobSpec::decode(&spec).context("could not decode a job")?);
+        }
+        for (key, value) in &self.records {
+            if let Ok(name) = key.parse::<TaskName>() {
+                let record: TaskRecord =
+                    serde_json::from_slice(value).context("could not decode a task")?;
+                next.restore_task(&name, &record, NOW);
+            }
+        }
+        next.finish_loading(UNIX);
+        Ok(next)
+    }
+}
+
+fn agent(index: usize) -> AgentName {
+    format!("side-{index}").into()
+}
+
+fn worker(index: usize) -> WorkerInfo {
+    WorkerInfo {
+        incarnation: WorkerIncarnation { id: format!("i-{index}").into(), born: 1 },
+        service: "s".into(),
+        data_centre: "north".into(),
+        capacity: TaskNeed { cpu: CAPACITY, memory: 125_000, accelerators: 0 },
+        labels: vec!["a".into(), format!("r-{}", index / 12).into()],
+        leaves_in: None,
+    }
+}
+
+fn ended(task: &TaskName, index: usize) -> EndedRun {
+    let number = index as u64 + 1;
+    EndedRun { number, task: task.clone(), run: 1, end: RunEnd::Done, checkpoint: "".into() }
+}
+
+fn view() -> OperatorView {
+    let queue = QueueConfig {
+        attempts: 3,
+        priority: 0,
+        ..QueueConfig::of_removed(&"q".into(), &"s".into())
+    };
+    let queues = IndexMap::from([("q".into(), Arc::new(queue))]);
+    let config = FleetConfig { version: 1, queues, body_bytes: 0 };
+    OperatorView { config: Some(config), ..OperatorView::default() }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -21,7 +21,7 @@
     /// Cost of decisions, state, appends and daemons at several sizes
     #[bpaf(command)]
     Capacity {
-        /// owner, state, wire, appends or daemons
+        /// owner, queue, state, wire, appends or daemons
         #[bpaf(positional("PART"))]
         part: CapacityPart,
     },
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -103,6 +103,14 @@
         epoch: Epoch,
         cause: &'static str,
     },
+    /// A round of the owner's loop took long: agents wait for their answers.
+    OwnerSlow {
+        epoch: Epoch,
+        /// Duration of the round.
+        round: Millis,
+        /// Calls that had waited for it.
+        calls: usize,
+    },
     /// The owner withholds starts, as it may not know of cancels or operators' records, or
     /// resumes them.
     StartsWithheld {
@@ -227,6 +235,7 @@
             Self::OwnerElected { .. } => ("owner_elected", true),
             Self::ElectionLost { .. } => ("election_lost", true),
             Self::OwnerResigned { .. } => ("owner_resigned", true),
+            Self::OwnerSlow { .. } => ("owner_slow", false),
             Self::StartsWithheld { .. } => ("starts_withheld", true),
             Self::JobPublished { .. } => ("job_shown", false),
             Self::TaskPlaced { .. } => ("task_placed", false),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -19,6 +19,10 @@
     /// Stops ordered for runs that the owner had not assigned.
     pub unassigned: IntCounter,
     pub appended_records: IntCounter,
+    /// Duration of a round of the owner's loop.
+    pub rounds: Histogram,
+    /// Calls that waited for the loop when its last round began.
+    pub waiting_calls: IntGauge,
 }
 
 /// Metrics of an agent.
@@ -41,6 +45,10 @@
 
 impl OwnerMetrics {
     pub fn open(registry: &Registry) -> prometheus::Result<Self> {
+        let rounds = HistogramOpts::new(
+            "cactusdoor_owner_round_seconds",
+            "Duration of a round: calls handled, tasks placed, answers sent",
+        );
         let metrics = Self {
             owns: IntGauge::new("cactusdoor_owner_active", "1 while this process owns the queues")?,
             started: IntCounter::new("cactusdoor_owner_placements_total", "Stored placements")?,
@@ -58,7 +66,14 @@
                 "cactusdoor_owner_records_total",
                 "Records sent to the store",
             )?,
+            rounds: Histogram::with_opts(rounds.buckets(LATENCY_BUCKETS.to_vec()))?,
+            waiting_calls: IntGauge::new(
+                "cactusdoor_owner_waiting_calls",
+                "Calls that waited for the owner when its last round began",
+            )?,
         };
+        registry.register(Box::new(metrics.rounds.clone()))?;
+        registry.register(Box::new(metrics.waiting_calls.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -13,6 +13,7 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment, Offset};
@@ -48,6 +49,8 @@
 const APPEND_RECORDS: usize = 600;
 /// Most bytes of one append: a fraction of the largest call.
 const APPEND_BYTES: usize = 400_000;
+/// Duration of a round from which on it is logged, ms: half of an agent's answer timeout.
+const SLOW_ROUND: Millis = 400;
 /// Longest sleep of the loop without an event.
 const IDLE_TICK: Millis = 250;
 /// Longest wait of an acknowledgement for orders that it can go with, ms.
@@ -220,11 +223,13 @@
 
     /// Runs until another owner is elected or this one resigns.
     pub async fn run(mut self, mut stopping: watch::Receiver<bool>) {
+        let (mut began, mut waiting) = (self.context.clock.now(), 0);
         let end = loop {
             if let Some(end) = self.step() {
                 break end;
             }
             let wake = self.context.clock.instant(self.next_wake());
+            self.record_round(began, waiting);
             tokio::select! {
                 call = self.calls.recv() => if let Some(call) = call { self.handle_call(call) },
                 Some(update) = self.requests.recv() => self.apply_requests(update),
@@ -239,6 +244,7 @@
                 _ = stopping.changed() => if *stopping.borrow() { break TermEnd::Stopped },
                 () = tokio::time::sleep_until(wake.into()) => {}
             }
+            (began, waiting) = (self.context.clock.now(), self.calls.len());
             while let Ok(call) = self.calls.try_recv() {
                 self.handle_call(call);
             }
@@ -246,6 +252,18 @@
         self.close(end).await;
     }
 
+    /// Records the duration of a round and the number of calls that had waited for it.
+    fn record_round(&self, began: Moment, calls: usize) {
+        let round = self.context.clock.now().since(began);
+        let metrics = &self.context.metrics;
+        metrics.rounds.observe(Duration::from_millis(round).as_secs_f64());
+        metrics.waiting_calls.set(i64::try_from(calls).unwrap_or(i64::MAX));
+        if round >= SLOW_ROUND {
+            let epoch = self.scheduler.epoch;
+            self.context.log.record(DecisionEvent::OwnerSlow { epoch, round, calls });
+        }
+    }
+
     async fn close(self, end: TermEnd) {
         let epoch = self.scheduler.epoch;
         self.context.log.record(DecisionEvent::OwnerResigned { epoch, cause: end.cause() });
