--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -19,9 +19,6 @@
 /// Cost of a task that reserves processors on a worker without serving tasks, in thousandths:
 /// best-effort tasks interfere with nothing there.
 const UNSHARED_PENALTY: u64 = 1_000;
-/// Cost of a serving task beside serving tasks of other images only, in thousandths: a
-/// best-effort task has to suit all of them.
-const MIXED_PENALTY: u64 = 400;
 /// Cost of placing a best-effort task beside serving tasks, in thousandths.
 const SERVING_PENALTY: u64 = 300;
 
@@ -80,8 +77,8 @@
 /// Reserved share of the capacity after the placement, in thousandths; for serving
 /// tasks, the share that stays free.
 ///
-/// Serving tasks are packed onto the fullest workers, by image, and other tasks are placed
-/// beside them. On the remaining workers, best-effort tasks interfere with no serving task.
+/// Serving tasks are packed onto the fullest workers, and other tasks are placed beside them.
+/// On the remaining workers, best-effort tasks interfere with no serving task.
 fn reserve_cost(tracked: &TrackedWorker, step: &StepSpec) -> u64 {
     let capacity = tracked.worker.as_ref().map_or(1, |worker| worker.capacity.cpu).max(1);
     let reserved = tracked.reserved().cpu.saturating_add(step.need.cpu);
@@ -90,9 +87,7 @@
         let alone = if tracked.runs.serving() == 0 { UNSHARED_PENALTY } else { 0 };
         return reserved.saturating_add(alone);
     }
-    let mut images = tracked.runs.serving_images().peekable();
-    let mixed = images.peek().is_some() && images.all(|image| image != step.image.as_ref());
-    1_000u64.saturating_sub(reserved) + if mixed { MIXED_PENALTY } else { 0 }
+    1_000u64.saturating_sub(reserved)
 }
 
 /// Slowdown of the worker's best-effort tasks after the placement, in thousandths:
