--- a/crates/queue/tests/heavy_days.rs
+++ b/crates/queue/tests/heavy_days.rs
@@ -4,6 +4,7 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::interference::{InterferenceModel, InterferenceSample, ShareChange};
+use cactusdoor_queue::report::RunEnd;
 use cactusdoor_queue::scheduler::QueueScheduler;
 use cactusdoor_queue::spec::{JobSpec, StepSpec};
 use support::*;
@@ -78,3 +79,29 @@
     scheduler.place(NOW, UNIX);
     assert_eq!(placed(&scheduler, shared, "short"), 2);
 }
+
+/// Pattern: a full fleet of hundreds of machines with a long backlog. Guards against an owner
+/// that looks at the backlog again without a change, and against room that stays unused.
+#[test]
+fn a_full_fleet_waits_for_room_and_uses_what_is_freed() {
+    let names: Vec<_> = (0..160).map(|index| format!("side-{index}")).collect();
+    let mut scheduler = fleet(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    for index in 0..300 {
+        scheduler.submit(&format!("j{index:03}").into(), job(vec![step(40, 1_000)]));
+    }
+    while scheduler.place(NOW, UNIX) {}
+    let runs = |scheduler: &QueueScheduler| -> usize {
+        scheduler.workers.values().map(|tracked| tracked.runs.len()).sum()
+    };
+    assert_eq!(runs(&scheduler), 640, "four on each worker");
+    assert!(!scheduler.place(NOW, UNIX));
+    assert!(scheduler.next_wake(NOW, UNIX).is_some_and(|wake| wake > NOW), "no busy loop");
+    store(&mut scheduler);
+    let freed = scheduler.workers["side-77"].runs.keys().next().unwrap().clone();
+    let mut end = report("side-77", 2, Some(worker("side-77", 1)));
+    end.ended = vec![ended(1, &freed, 1, RunEnd::Done)];
+    scheduler.report(&end, NOW, UNIX);
+    assert_eq!(runs(&scheduler), 639);
+    scheduler.place(NOW, UNIX);
+    assert_eq!(runs(&scheduler), 640, "the freed room is used at once");
+}
