--- a/review/standins.py
+++ b/review/standins.py
@@ -352,6 +352,9 @@
             return
         expected = call.headers.get("X-Expect-Instance")
         with self.lock:
+            if self.down:
+                call.close_connection = True
+                return
             if expected not in (None, self.id):
                 return call.reply(421)
             token = body.get("fencingToken", 0)
