--- a/review/standins.py
+++ b/review/standins.py
@@ -109,6 +109,8 @@
 
     def __init__(self):
         self.topics = {}
+        # Topics whose partition is down: every call about them gets 503 and has no effect.
+        self.down = set()
         self.changed = threading.Condition()
         self.port = free_port()
         store = self
@@ -145,6 +147,8 @@
         body = call.body()
         if url.path != "/log-append":
             return call.reply(404)
+        if query["topic"] in self.down:
+            return call.reply(503)
         time.sleep(self.APPEND_S)
         with self.changed:
             status, answer = self.append_records(self.topic(query["topic"]), query, body)
@@ -184,6 +188,8 @@
     def get(self, call):
         url = urlsplit(call.path)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        if query.get("topic") in self.down:
+            return call.reply(503)
         if url.path == "/log-read":
             return self.read(call, query)
         if url.path == "/log-newest":
@@ -231,7 +237,7 @@
 
 class Worker:
     """A worker that doesn't guard its capacity. The `spec` of a task is JSON: `ms` is the time
-    of its work (0: it lasts), `fails` how many of its runs end `failed` after 50 ms, `saves`
+    of its work (0: it lasts), `fails` how many of its runs end `failed` after `fail_ms` (50), `saves`
     whether it checkpoints, and `gang` the number of members if its step is a gang."""
 
     def __init__(self, deployment, index):
@@ -396,7 +402,7 @@
         self.highest[task] = run
         spec, now = json.loads(body["spec"]), time.monotonic()
         fails = run <= spec.get("fails", 0)
-        length = 0.05 if fails else spec["ms"] / 1000
+        length = spec.get("fail_ms", 50) / 1000 if fails else spec["ms"] / 1000
         checkpoint = body.get("checkpoint", "")
         before = int(checkpoint[:8], 16) / 1000 if checkpoint else 0.0
         restore = RESTORE_MS / 1000 if checkpoint else 0.0
