--- a/review/standins.py
+++ b/review/standins.py
@@ -637,7 +637,7 @@
 
 def main(folder, case, **deployment):
     """Runs `case(deployment)`, which returns the broken rule's text or None, and exits."""
-    running = None
+    running, code = None, 2
     try:
         if not os.path.exists(PROGRAM):
             raise CouldNotRun("target/release/cactusdoor-fleet is not built")
@@ -647,9 +647,8 @@
         running.record.write(f"verdict: {broken or 'the rule held'}")
         print(broken or "the rule held")
         code = 1 if broken else 0
-    except CouldNotRun as error:
-        print(f"could not run: {error}")
-        code = 2
+    except Exception as error:
+        print(f"could not run: {error!r}")
     finally:
         if running:
             running.close()
