Fail no job before the owner knows the configuration

Callers saw a job as failed after three of the five attempts of its queue.

Cause: an owner that had not read the configuration took each queue for a removed one, with three attempts, and ended jobs by that. Ruled out: failures counted twice, and wrong ends from the worker.

An owner without a configuration now counts failures and ends no job by them. The first view has all steps indexed again, which ends a job without attempts left before its failed task is placed again.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -293,7 +293,7 @@
 
     fn check_job(&mut self, id: &JobId, unix: Millis) {
         let Some(job) = self.jobs.get(id) else { return };
-        if job.has_failed(self.queue_config(&job.spec).attempts) {
+        if self.has_failed(job) {
             self.end_job(id, JobState::Failed, unix);
         } else if job.is_completed() {
             self.end_job(id, JobState::Completed, unix);
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -142,7 +142,7 @@
         if let Some(at) = retry {
             self.steady_timers.set(at.0, SteadyTimer::Retry(id.clone(), occurrence));
         }
-        if !ready.is_empty() && job.has_failed(config.attempts) {
+        if !ready.is_empty() && self.has_failed(job) {
             self.end_job(id, JobState::Failed, unix);
             return;
         }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -272,6 +272,12 @@
         config.unwrap_or_else(|| Arc::new(QueueConfig::of_removed(&spec.queue, &spec.service)))
     }
 
+    /// Whether a task or a gang of the job has used all attempts of its queue. Without a
+    /// configuration their number is not known: jobs that have used them end once it is.
+    pub(crate) fn has_failed(&self, job: &JobProgress) -> bool {
+        self.view.config.is_some() && job.has_failed(self.queue_config(&job.spec).attempts)
+    }
+
     /// Unix time by which an occurrence of a job should be done.
     pub(crate) fn deadline(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Millis {
         let begins = job.spec.due(occurrence).unwrap_or(job.spec.accepted);
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -29,7 +29,11 @@
 }
 
 pub fn view() -> OperatorView {
-    let queues = IndexMap::from([("q".into(), Arc::new(queue()))]);
+    view_of(queue())
+}
+
+pub fn view_of(queue: QueueConfig) -> OperatorView {
+    let queues = IndexMap::from([(queue.name.clone(), Arc::new(queue))]);
     let config = FleetConfig { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
 }
