Keep the terms of a job's queue when the queue is removed

Callers saw a job of a route that was removed and added again as failed after three of its five attempts.

Cause: jobs were scheduled by the newest configuration alone, and a queue that it lacks had defaults: three attempts, lowest priority, slack factor 2. Ruled out: the unknown configuration.

Entries now store the terms of the queue with each job, and they apply while the queue is not configured. The job's own record outlives owners, restarts and compacted operators' topics. Earlier builds skip the field; their own records keep the default.

Priority, attempts and slack move from QueueConfig to QueueTerms; tests that name these fields follow, with the same figures.

--- a/crates/bench/src/capacity/queue.rs
+++ b/crates/bench/src/capacity/queue.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Context as _;
 use cactusdoor_core::unit::{Millis, Moment};
-use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig};
+use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
 use cactusdoor_queue::record::TaskRecord;
 use cactusdoor_queue::report::{AgentReport, EndedRun, ReportedRun, RunEnd, WorkerInfo};
@@ -155,6 +155,7 @@
         let spec = JobSpec {
             queue: "q".into(),
             service: "s".into(),
+            terms: None,
             payload: "text".into(),
             steps: vec![step],
             times: 0,
@@ -259,11 +260,8 @@
 }
 
 fn view() -> OperatorView {
-    let queue = QueueConfig {
-        attempts: 3,
-        priority: 0,
-        ..QueueConfig::of_removed(&"q".into(), &"s".into())
-    };
+    let terms = QueueTerms { priority: 0, ..QueueTerms::default() };
+    let queue = QueueConfig::of_removed(&"q".into(), &"s".into(), terms);
     let queues = IndexMap::from([("q".into(), Arc::new(queue))]);
     let config = FleetConfig { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
--- a/crates/fleet/tests/loading.rs
+++ b/crates/fleet/tests/loading.rs
@@ -13,6 +13,7 @@
     JobSpec {
         queue: "q".into(),
         service: "minutes".into(),
+        terms: None,
         payload: String::new(),
         steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
         times: 0,
--- a/crates/fleet/tests/odd_bytes.rs
+++ b/crates/fleet/tests/odd_bytes.rs
@@ -15,7 +15,7 @@
 use cactusdoor_platform::store::{KeyedRecord, LogPage, NewestPage, StoreClient, StoredRecord};
 use cactusdoor_platform::{announcement, config, submission, worker};
 use cactusdoor_queue::agent::{AgentState, ReportContent};
-use cactusdoor_queue::config::{OperatorView, QueueConfig};
+use cactusdoor_queue::config::{OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::name::WorkerIncarnation;
 use cactusdoor_queue::report::{AgentLease, AgentOrder, StartOrder};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -59,7 +59,7 @@
 }
 
 fn stored_job() -> Value {
-    let queue = QueueConfig::of_removed(&"q".into(), &"s".into());
+    let queue = QueueConfig::of_removed(&"q".into(), &"s".into(), QueueTerms::default());
     let body = job_document().to_string();
     let job = submission::read(body.as_bytes(), &queue, UNIX).unwrap();
     serde_json::to_value(job).unwrap()
@@ -191,7 +191,7 @@
     #[test]
     fn submissions(odd in prop::collection::vec(odd_document(job_document()), 1..4)) {
         let (mut agent, mut scheduler) = (agent(), scheduler());
-        let queue = QueueConfig::of_removed(&"q".into(), &"s".into());
+        let queue = QueueConfig::of_removed(&"q".into(), &"s".into(), QueueTerms::default());
         for (number, body) in (1u64..).zip(&odd) {
             if let Ok(job) = submission::read(body, &queue, UNIX) {
                 let stored = serde_json::to_vec(&job).unwrap();
--- a/crates/queue/src/config.rs
+++ b/crates/queue/src/config.rs
@@ -5,21 +5,18 @@
 
 use cactusdoor_core::unit::Millis;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::name::{DataCentre, QueueName, ServiceName};
 
-/// Attempts of a task in a queue that is no longer configured.
+/// Attempts of a task in a removed queue whose terms were not stored.
 const DEFAULT_ATTEMPTS: u32 = 3;
-/// Slack factor of a queue that is no longer configured.
+/// Slack factor of a removed queue whose terms were not stored.
 const DEFAULT_SLACK_FACTOR: f64 = 2.0;
 
-/// Configuration of one queue.
-#[derive(Clone, Debug, PartialEq)]
-pub struct QueueConfig {
-    pub name: QueueName,
-    pub host: String,
-    pub prefix: String,
-    pub service: ServiceName,
+/// How a queue's jobs are scheduled. Stored with each job, under the names written here.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct QueueTerms {
     /// 0 is the highest priority.
     pub priority: u32,
     /// Most attempts of a task or gang; 0 for no limit.
@@ -28,27 +25,9 @@
     pub slack_factor: f64,
     /// Added to the multiplied critical path, ms.
     pub slack_base: Millis,
-    /// Time limit of a call, ms; 0 for none.
-    pub timeout: Millis,
 }
 
-impl QueueConfig {
-    /// Defaults for a queue that is no longer configured: lowest priority.
-    #[must_use]
-    pub fn of_removed(name: &QueueName, service: &ServiceName) -> Self {
-        Self {
-            name: name.clone(),
-            host: String::new(),
-            prefix: String::new(),
-            service: service.clone(),
-            priority: u32::MAX,
-            attempts: DEFAULT_ATTEMPTS,
-            slack_factor: DEFAULT_SLACK_FACTOR,
-            slack_base: 0,
-            timeout: 0,
-        }
-    }
-
+impl QueueTerms {
     /// Time budget of a job with a critical path of this length, ms.
     #[must_use]
     #[expect(
@@ -63,6 +42,45 @@
     }
 }
 
+impl Default for QueueTerms {
+    /// Terms of a removed queue whose terms were not stored: lowest priority.
+    fn default() -> Self {
+        Self {
+            priority: u32::MAX,
+            attempts: DEFAULT_ATTEMPTS,
+            slack_factor: DEFAULT_SLACK_FACTOR,
+            slack_base: 0,
+        }
+    }
+}
+
+/// Configuration of one queue.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueConfig {
+    pub name: QueueName,
+    pub host: String,
+    pub prefix: String,
+    pub service: ServiceName,
+    pub terms: QueueTerms,
+    /// Time limit of a call, ms; 0 for none.
+    pub timeout: Millis,
+}
+
+impl QueueConfig {
+    /// A queue that is not configured, with the terms under which its job was accepted.
+    #[must_use]
+    pub fn of_removed(name: &QueueName, service: &ServiceName, terms: QueueTerms) -> Self {
+        Self {
+            name: name.clone(),
+            host: String::new(),
+            prefix: String::new(),
+            service: service.clone(),
+            terms,
+            timeout: 0,
+        }
+    }
+}
+
 /// One version of the fleet's configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetConfig {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -150,7 +150,7 @@
         for name in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
-            let (priority, accepted) = (config.priority, job.spec.accepted);
+            let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
         }
         for name in others {
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -260,7 +260,7 @@
         }
     }
 
-    /// Configuration of a job's queue; defaults if the queue is no longer configured.
+    /// Configuration of a job's queue; the terms of its acceptance if the queue is not configured.
     #[must_use]
     pub fn queue_config(&self, spec: &JobSpec) -> Arc<QueueConfig> {
         Self::configured(&self.view, spec)
@@ -269,19 +269,22 @@
     fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
         let config = view.config.as_ref();
         let config = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
-        config.unwrap_or_else(|| Arc::new(QueueConfig::of_removed(&spec.queue, &spec.service)))
+        config.unwrap_or_else(|| {
+            let terms = spec.terms.unwrap_or_default();
+            Arc::new(QueueConfig::of_removed(&spec.queue, &spec.service, terms))
+        })
     }
 
     /// Whether a task or a gang of the job has used all attempts of its queue. Without a
     /// configuration their number is not known: jobs that have used them end once it is.
     pub(crate) fn has_failed(&self, job: &JobProgress) -> bool {
-        self.view.config.is_some() && job.has_failed(self.queue_config(&job.spec).attempts)
+        self.view.config.is_some() && job.has_failed(self.queue_config(&job.spec).terms.attempts)
     }
 
     /// Unix time by which an occurrence of a job should be done.
     pub(crate) fn deadline(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Millis {
         let begins = job.spec.due(occurrence).unwrap_or(job.spec.accepted);
-        let budget = Self::configured(view, &job.spec).time_budget(job.critical_path);
+        let budget = Self::configured(view, &job.spec).terms.time_budget(job.critical_path);
         begins.saturating_add(budget)
     }
 
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::config::QueueTerms;
 use crate::name::{Label, QueueName, ServiceName};
 
 /// Most tasks of a job, over all occurrences: a larger job could exhaust the owner's memory.
@@ -116,11 +117,15 @@
 }
 
 /// A job as an entry stored it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     pub queue: QueueName,
     /// Service of the queue when the job was accepted.
     pub service: ServiceName,
+    /// Terms of the queue when the job was accepted, which apply once it is removed; `None` in
+    /// records of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<QueueTerms>,
     /// Opaque text that is passed to the workers.
     pub payload: String,
     pub steps: Vec<StepSpec>,
--- a/crates/queue/tests/attempts.rs
+++ b/crates/queue/tests/attempts.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::config::{OperatorView, QueueConfig};
+use cactusdoor_queue::config::OperatorView;
 use cactusdoor_queue::record::PlacedAt;
 use cactusdoor_queue::report::{AgentReport, EndedRun, JobState, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -17,7 +17,9 @@
 
 /// The view of operators who give a task five attempts.
 fn five_attempts() -> OperatorView {
-    view_of(QueueConfig { attempts: ATTEMPTS, ..queue() })
+    let mut queue = queue();
+    queue.terms.attempts = ATTEMPTS;
+    view_of(queue)
 }
 
 /// An owner with one worker and one job of a single task.
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig};
+use cactusdoor_queue::config::{FleetConfig, OperatorView};
 use cactusdoor_queue::lease::{AGENT_LEASE, CONFIRM_LIMIT, clock_bound};
 use cactusdoor_queue::name::{AgentName, JobId};
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
@@ -78,7 +78,8 @@
 }
 
 fn view() -> OperatorView {
-    let queue = QueueConfig { attempts: 0, ..support::queue() };
+    let mut queue = support::queue();
+    queue.terms.attempts = 0;
     let queues = IndexMap::from([("q".into(), Arc::new(queue))]);
     let config = FleetConfig { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::config::{OperatorView, QueueConfig};
+use cactusdoor_queue::config::{OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::interference::{InterferenceSample, ShareChange};
 use cactusdoor_queue::name::{JobId, TaskName};
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
@@ -137,7 +137,8 @@
         let name = format!("q{number}").into();
         let priority = if swapped { 3 - number } else { number };
         let service = if swapped && number == 2 { "drafts" } else { "minutes" }.into();
-        let queue = QueueConfig { name, priority, attempts, service, ..queue() };
+        let terms = QueueTerms { priority, attempts, ..queue().terms };
+        let queue = QueueConfig { name, terms, service, ..queue() };
         config.queues.insert(queue.name.clone(), Arc::new(queue));
     }
     let taken_out = taken_out.then(|| "south".into()).into_iter().collect();
--- a/crates/queue/tests/oracle/naive.rs
+++ b/crates/queue/tests/oracle/naive.rs
@@ -50,14 +50,14 @@
             let config = self.config(&job.spec);
             for (&occurrence, steps) in &job.occurrences {
                 let begins = job.spec.due(occurrence).unwrap_or(job.spec.accepted);
-                let deadline = begins + config.time_budget(job.spec.critical_path());
+                let deadline = begins + config.terms.time_budget(job.spec.critical_path());
                 let left = remaining_path(&job.spec, steps);
                 let late = !job.spec.is_endless() && deadline.saturating_sub(left) < self.unix;
                 for (step, progress) in (0u16..).zip(steps) {
                     let waiting = progress.tasks.iter().any(|task| task.is_waiting(self.now));
                     if waiting && job.is_ready(occurrence, step) {
                         let name = StepName { job: job.id.clone(), occurrence, step };
-                        order.push((config.priority, late, job.spec.accepted, name));
+                        order.push((config.terms.priority, late, job.spec.accepted, name));
                     }
                 }
             }
@@ -70,7 +70,7 @@
         let job = &self.jobs[&name.job];
         let spec = job.spec.clone();
         let config = self.config(&spec);
-        if job.has_failed(config.attempts) {
+        if job.has_failed(config.terms.attempts) {
             return;
         }
         let step = &spec.steps[usize::from(name.step)];
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig};
+use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
 use cactusdoor_queue::report::{AgentOrder, AgentReport, EndedRun, RunEnd, WorkerInfo};
 use cactusdoor_queue::scheduler::{PendingWrite, QueueScheduler};
@@ -20,10 +20,7 @@
         host: "h".into(),
         prefix: "/q/".into(),
         service: "minutes".into(),
-        priority: 0,
-        attempts: 3,
-        slack_factor: 2.0,
-        slack_base: 100,
+        terms: QueueTerms { priority: 0, attempts: 3, slack_factor: 2.0, slack_base: 100 },
         timeout: 0,
     }
 }
@@ -53,6 +50,7 @@
     JobSpec {
         queue: "q".into(),
         service: "minutes".into(),
+        terms: None,
         payload: "text".into(),
         steps,
         times: 0,
