--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -142,7 +142,7 @@
         if let Some(at) = retry {
             self.steady_timers.set(at.0, SteadyTimer::Retry(id.clone(), occurrence));
         }
-        if !ready.is_empty() && job.has_failed(config.attempts) {
+        if !ready.is_empty() && self.has_failed(job) {
             self.end_job(id, JobState::Failed, unix);
             return;
         }
@@ -150,7 +150,7 @@
         for name in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
-            let (priority, accepted) = (config.priority, job.spec.accepted);
+            let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
         }
         for name in others {
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig};
+use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
 use cactusdoor_queue::report::{AgentOrder, AgentReport, EndedRun, RunEnd, WorkerInfo};
 use cactusdoor_queue::scheduler::{PendingWrite, QueueScheduler};
@@ -20,16 +20,17 @@
         host: "h".into(),
         prefix: "/q/".into(),
         service: "minutes".into(),
-        priority: 0,
-        attempts: 3,
-        slack_factor: 2.0,
-        slack_base: 100,
+        terms: QueueTerms { priority: 0, attempts: 3, slack_factor: 2.0, slack_base: 100 },
         timeout: 0,
     }
 }
 
 pub fn view() -> OperatorView {
-    let queues = IndexMap::from([("q".into(), Arc::new(queue()))]);
+    view_of(queue())
+}
+
+pub fn view_of(queue: QueueConfig) -> OperatorView {
+    let queues = IndexMap::from([(queue.name.clone(), Arc::new(queue))]);
     let config = FleetConfig { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
 }
@@ -49,6 +50,7 @@
     JobSpec {
         queue: "q".into(),
         service: "minutes".into(),
+        terms: None,
         payload: "text".into(),
         steps,
         times: 0,
