Divide orders that exceed a frame among several answers

Cause: a new owner orders all runs of a worker again, and put all of these orders with their payloads into one answer. Above 9 MiB the transport refuses the frame, so the agent got no lease any more.

An answer now carries orders up to 2 MiB, and the agent's next report is answered at once with the rest. Numbers without gaps make it safe.

--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -8,7 +8,7 @@
 use cactusdoor_queue::interference::InterferenceEstimates;
 use cactusdoor_queue::lease::{AGENT_LEASE, CONFIRM_LIMIT};
 use cactusdoor_queue::name::AgentName;
-use cactusdoor_queue::report::{AgentLease, AgentOrder, ReportReply};
+use cactusdoor_queue::report::{AgentLease, ReportReply};
 use tokio::sync::oneshot;
 
 use super::{OwnerTerm, WaitingWatch, send};
@@ -75,15 +75,10 @@
         let duration = until.0.saturating_sub(received.0);
         let confirmed = self.is_confirmed(now);
         let interference = self.due_estimates(agent, now);
-        let outdated = self.outdated;
-        // Agents execute orders in sequence, so orders behind a withheld start wait too.
-        let is_sendable =
-            |(_, order): &&(u64, AgentOrder)| !outdated || matches!(order, AgentOrder::Stop { .. });
         let Some(tracked) = self.scheduler.workers.get_mut(agent) else {
             send(reply, ReportReply::NotOwner);
             return;
         };
-        tracked.has_updates = false;
         let lease = AgentLease {
             epoch: self.scheduler.epoch,
             incarnation: tracked.worker.as_ref().map(|worker| worker.incarnation.clone()),
@@ -92,7 +87,7 @@
             heartbeat: self.heartbeat_end,
             acknowledged: tracked.acknowledged,
             acknowledged_runs: std::mem::take(&mut tracked.acknowledged_runs),
-            orders: tracked.orders.iter().take_while(is_sendable).cloned().collect(),
+            orders: tracked.next_orders(self.outdated),
             interference,
         };
         send(reply, ReportReply::Lease(lease));
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -293,6 +293,14 @@
         }
     }
 
+    /// Submits a job of `count` small tasks, each with a spec of `bytes`.
+    pub async fn submit_large(&self, id: &str, millis: u64, count: u32, bytes: usize) {
+        let steps = json!([{"count": count, "cpu": 1, "memMb": 1}]);
+        let body = json!({"spec": format!("{millis:0>bytes$}"), "steps": steps});
+        let (status, _) = self.call("POST", 0, &format!("/q/{id}"), body).await;
+        assert_eq!(status, 200, "job {id} was not accepted\n{}", self.logs());
+    }
+
     /// Pending jobs as an entry counts them; `None` if it gives no count.
     pub async fn pending(&self, entry: usize) -> Option<u64> {
         let (status, body) = self.call("GET", entry, "/q/", Value::Null).await;
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -130,6 +130,18 @@
 }
 
 impl AgentOrder {
+    /// Size of the texts and checkpoints that the order carries, bytes.
+    #[must_use]
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Self::Start(start) => {
+                let image = start.image.as_ref().map_or(0, |image| image.len());
+                start.payload.len() + start.checkpoint.len() + start.task.job.len() + image
+            }
+            Self::Stop { task, .. } => task.job.len(),
+        }
+    }
+
     /// The run that the order is about.
     #[must_use]
     pub fn run(&self) -> (&TaskName, RunNumber) {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -18,6 +18,10 @@
 
 /// Time without a report, ms, after which an agent gets no new tasks: two lost reports.
 pub const REPORT_TIMEOUT: Millis = 1_600;
+/// Bytes of orders from which on no further one goes with an answer: a fraction of a frame.
+const ANSWER_BYTES: usize = 2 * 1024 * 1024;
+/// Bytes of an order apart from its texts, at most.
+const ORDER_BYTES: usize = 256;
 /// Distinct jobs that fail on a worker in a row before it is quarantined.
 const FAILED_JOBS: usize = 2;
 /// Length of a worker's first quarantine, ms; doubled with each further one.
@@ -204,6 +208,26 @@
         self.orders.push_back((self.last_order, order));
     }
 
+    /// Orders of the next answer, the oldest first. `withheld`: no start may be sent; agents
+    /// execute orders in sequence, so the orders behind a withheld start wait too.
+    ///
+    /// All outstanding orders may exceed a frame: those that do not fit go with later answers.
+    pub fn next_orders(&mut self, withheld: bool) -> Vec<(u64, AgentOrder)> {
+        let is_sendable =
+            |(_, order): &&(u64, AgentOrder)| !withheld || matches!(order, AgentOrder::Stop { .. });
+        let (mut orders, mut bytes, mut has_more) = (Vec::new(), 0, false);
+        for order in self.orders.iter().take_while(is_sendable) {
+            if bytes >= ANSWER_BYTES {
+                has_more = true;
+                break;
+            }
+            bytes += order.1.text_bytes() + ORDER_BYTES;
+            orders.push(order.clone());
+        }
+        self.has_updates = has_more;
+        orders
+    }
+
     /// Duration of the lease that an answer grants, at most `limit`, ms. A report without a
     /// worker does not extend `lease_end`, so its answer grants nothing. Nor does an answer
     /// that does not order the stop of every expired run that the agent may still start.
