Send the changes of job states in pages

StateChanges gives at most 20,000 changes with an answer. The test takes 350,000 changes in pages below a frame; it is for the new type and could not run before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod reporter;
 pub mod settings;
 pub mod signals;
+pub mod state_changes;
 pub mod submitter;
 pub mod topic;
 pub mod trace;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -41,6 +41,7 @@
 use crate::metrics::OwnerMetrics;
 use crate::operators::ConfirmedView;
 use crate::queue_server::{CallReceiver, OwnerCall, QueueServer};
+use crate::state_changes::StateChanges;
 use crate::topic::REQUESTS;
 
 /// Least time between two appends; records that arrive meanwhile share the next one.
@@ -150,8 +151,8 @@
     /// When watches were last answered with changes.
     watches_answered: Moment,
     finds: Vec<(JobId, oneshot::Sender<FindReply>, Moment)>,
-    /// Published job states of this term, in order.
-    changes: Vec<(JobId, JobState)>,
+    /// Published job states of this term.
+    changes: StateChanges,
     published: IndexMap<JobId, JobState>,
     /// Number of the newest pending counts, and the pending jobs of each queue.
     pending: (u64, IndexMap<QueueName, u64>),
@@ -210,7 +211,7 @@
             watches: Vec::new(),
             watches_answered: now,
             finds: Vec::new(),
-            changes: Vec::new(),
+            changes: StateChanges::default(),
             published: IndexMap::new(),
             pending: (1, IndexMap::new()),
             ended: Vec::new(),
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -42,7 +42,7 @@
         self.watches_answered = now;
         for (request, reply, until) in std::mem::take(&mut self.watches) {
             let from = self.watched_from(&request);
-            if self.changes.len() > from || until <= now {
+            if self.changes.has_after(from) || until <= now {
                 self.answer_watch(&request, reply);
             } else {
                 self.watches.push((request, reply, until));
@@ -55,7 +55,7 @@
     pub(super) fn next_watch(&self) -> Option<Moment> {
         let due = self.watches.iter().map(|(_, _, until)| *until).min()?;
         let behind =
-            |(request, _, _): &WaitingWatch| self.changes.len() > self.watched_from(request);
+            |(request, _, _): &WaitingWatch| self.changes.has_after(self.watched_from(request));
         if !self.watches.iter().any(behind) {
             return Some(due);
         }
@@ -120,15 +120,15 @@
 
     pub(super) fn answer_watch(&self, request: &WatchRequest, reply: oneshot::Sender<WatchReply>) {
         let same = request.epoch == self.scheduler.epoch;
-        let from = self.watched_from(request).min(self.changes.len());
+        let (states, next) = self.changes.page(self.watched_from(request));
         let (number, pending) = &self.pending;
         let known = same && request.pending == *number;
         let pending = (!known).then(|| pending.iter().map(|(q, n)| (q.clone(), *n)).collect());
         let answer = WatchReply {
             epoch: self.scheduler.epoch,
             confirmed: self.is_confirmed(self.context.clock.now()),
-            next: self.changes.len() as u64,
-            states: self.changes[from..].to_vec(),
+            next: next as u64,
+            states: states.to_vec(),
             pending: (*number, pending),
         };
         send(reply, answer);
