Double a task's stall limit with each stop

Cause: a worker counts as stalled if no task progresses by a whole percent in 3.5 s or 5% of the estimate. Ruled out: failing workers and lost lists.

The limit now doubles with each run of the task that was stopped as stalled, so that a few stops at most suffice however wrong the estimate is. A worker that does not work is still detected.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -24,6 +24,9 @@
 const STALL_LIMIT: Millis = 3_500;
 /// Least stall limit as a percentage of a task's estimate: progress is listed in percent.
 const STALL_PERCENT: Millis = 5;
+/// Most doublings of a task's stall limit: one for each run that was stopped as stalled, as the
+/// estimate may be far too low.
+const MAX_STALL_DOUBLINGS: u32 = 10;
 /// Speed, percent, below which a throttled task is ignored in the check for a stall.
 const STALL_SPEED: u8 = 50;
 /// Progress, percent, at which an endless task is operational.
@@ -239,9 +242,12 @@
             let until = tracked.health.quarantined_until().0;
             self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
         }
-        if !self.jobs.contains_key(&task.job) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             self.push(Some((task.to_string(), None)), None);
             return;
+        };
+        if run.stalled {
+            job.change_task(task, |task| task.stalls = task.stalls.saturating_add(1));
         }
         let listed =
             listed.map(|listed| &listed.checkpoint).filter(|checkpoint| !checkpoint.is_empty());
@@ -413,6 +419,7 @@
     let finite: Vec<_> = runs.filter(|run| !run.stopping && !run.endless).collect();
     let stalled = |run: &&AssignedRun| {
         let limit = STALL_LIMIT.max(run.estimate.saturating_mul(STALL_PERCENT) / 100);
+        let limit = limit.saturating_mul(1 << run.stalls.min(MAX_STALL_DOUBLINGS));
         run.progressed.after(limit) < now
     };
     if finite.is_empty() || !finite.iter().all(stalled) {
@@ -423,6 +430,10 @@
     let is_operational = |run: &AssignedRun| run.endless && run.percent >= Some(OPERATIONAL);
     let to_stop = tracked.runs.iter().filter(|(_, run)| !is_operational(run));
     for task in to_stop.map(|(task, _)| task.clone()).collect::<Vec<_>>() {
-        tracked.stop(&task);
+        if tracked.stop(&task)
+            && let Some(run) = tracked.runs.get_mut(&task)
+        {
+            run.stalled = true;
+        }
     }
 }
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -33,6 +33,9 @@
     /// Highest run number used; 0 before the first start.
     pub run: RunNumber,
     pub failures: u32,
+    /// Runs that were stopped since their workers seemed stalled. Not stored; each owner counts
+    /// them anew.
+    pub stalls: u32,
     /// Checkpoint from which the next run resumes.
     pub checkpoint: Checkpoint,
     pub place: TaskPlace,
@@ -43,7 +46,8 @@
 impl TaskProgress {
     fn open() -> Self {
         let place = TaskPlace::Waiting(Moment::default());
-        Self { run: 0, failures: 0, checkpoint: Checkpoint::from(""), place, agent: None }
+        let checkpoint = Checkpoint::from("");
+        Self { run: 0, failures: 0, stalls: 0, checkpoint, place, agent: None }
     }
 
     /// The task's record to store; `placed`: its worker, if it is placed.
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -373,8 +373,9 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get(&name.job) else { return };
-        let checkpoint =
-            job.task(name).map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
+        let task = job.task(name);
+        let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
+        let stalls = task.map_or(0, |task| task.stalls);
         let payload = job.payload.clone();
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
         let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
@@ -388,7 +389,7 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(AssignedRun::open(start, step, now));
+        tracked.runs.insert(AssignedRun { stalls, ..AssignedRun::open(start, step, now) });
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -48,6 +48,10 @@
     pub since: Moment,
     /// When the progress last changed.
     pub progressed: Moment,
+    /// Earlier runs of the task that were stopped since their workers seemed stalled.
+    pub stalls: u32,
+    /// Whether the run is stopped since its worker seems stalled.
+    pub stalled: bool,
     /// Newest checkpoint.
     pub checkpoint: Checkpoint,
 }
@@ -68,6 +72,8 @@
             percent: None,
             since: now,
             progressed: now,
+            stalls: 0,
+            stalled: false,
         }
     }
 
