Expect no reports from agents that have left

Operators saw an owner resign as isolated while every living agent reached it, which costs an election and a wait of up to 9.6 s for silent agents.

Cause: the share of agents that reach the owner was taken of all that had ever reported in its term, those of removed and replaced machines included.

Agents that were silent for longer than any lease no longer count. An owner that is cut off sees the others fall silent together and resigns after 2.5 s as before.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -346,12 +346,7 @@
         if now < self.began.after(2 * UNREACHABLE_AFTER) {
             return false;
         }
-        let known = self.scheduler.workers.values().filter(|tracked| tracked.incarnation != 0);
-        let (mut agents, mut reached) = (0, 0);
-        for tracked in known {
-            agents += 1;
-            reached += usize::from(now <= tracked.reported_at.after(UNREACHABLE_AFTER));
-        }
+        let (reached, agents) = self.scheduler.reached_agents(UNREACHABLE_AFTER, now);
         agents >= QUORUM_AGENTS && reached * 2 < agents
     }
 
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -13,6 +13,7 @@
 use crate::config::{OperatorView, QueueConfig};
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
+use crate::lease::{CONFIRM_LIMIT, clock_bound};
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
@@ -354,6 +355,18 @@
         }
     }
 
+    /// Number of agents that have reported within `silence` ms, and of all known agents. An
+    /// agent that has been silent for longer than any lease has left.
+    #[must_use]
+    pub fn reached_agents(&self, silence: Millis, now: Moment) -> (usize, usize) {
+        let reported = self.workers.values().filter(|tracked| tracked.incarnation != 0);
+        let reported = reported.map(|tracked| tracked.reported_at);
+        let known = reported.filter(|at| now <= clock_bound(*at, CONFIRM_LIMIT));
+        known.fold((0, 0), |(reached, agents), at| {
+            (reached + usize::from(now <= at.after(silence)), agents + 1)
+        })
+    }
+
     /// Number of jobs of which no task is known to have started, by queue.
     #[must_use]
     pub fn pending(&self) -> &IndexMap<QueueName, u64> {
