Stop a run that a paused agent may have received

The owner ends the run at 13.996 s and replaces its start order by a stop under the same number. The agent resumes at 17.27 s and sends a report; only then it applies the answer that had waited, and has the start under that number. The answer to its report grants a lease, and its stop is ignored, as its number is known. Run 2 starts at 17.337 s, run 1 at 17.350 s.

The owner now also orders the stop under a new number, which goes with the lease. And an agent takes an answer that arrives after the longest lease that it can carry for none: the right to its orders has ended.

The test in withdrawal.rs failed before. The one in returning.rs expected the stop with the second answer only; the first one, which grants no lease yet, has it now, and the test asks for it there.

--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -10,6 +10,7 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_queue::agent::ReportContent;
+use cactusdoor_queue::lease::is_late_answer;
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::report::ReportReply;
 use tokio::sync::watch;
@@ -112,6 +113,9 @@
         let number = report.number;
         reporter.metrics.reports.inc();
         match self.client.report(heartbeat.address, report).await {
+            Ok(ReportReply::Lease(_)) if is_late_answer(sent, reporter.clock.now()) => {
+                self.handle_loss(OwnerContact::Unconfirmed, "late answer")
+            }
             Ok(ReportReply::Lease(lease)) => {
                 self.last_answer.set(reporter.clock.now());
                 self.epoch.set(lease.epoch);
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -229,8 +229,10 @@
         }
         let Some(run) = tracked.runs.remove(task) else { return };
         self.rooms.gain(agent);
-        if listed.is_none() {
-            tracked.withdraw_start(task, number);
+        // The agent may have received the start without a report of that so far, and ignores
+        // another order under its number.
+        if listed.is_none() && tracked.withdraw_start(task, number) {
+            tracked.order(AgentOrder::Stop { task: task.clone(), run: number });
         }
         match end {
             RunEnd::Done => tracked.health.succeed(),
--- a/crates/queue/src/lease.rs
+++ b/crates/queue/src/lease.rs
@@ -14,6 +14,13 @@
 /// Margin for the delay of a message and a late timer, ms.
 const MESSAGE_MARGIN: Millis = 300;
 
+/// Whether an answer to a report that was sent at `sent` arrives too late: the agent was paused,
+/// and its lease has ended, so the owner may have revoked the orders of the answer.
+#[must_use]
+pub fn is_late_answer(sent: Moment, now: Moment) -> bool {
+    now >= sent.after(AGENT_LEASE)
+}
+
 /// The moment by which `millis` have certainly passed on every clock since `now`.
 #[must_use]
 pub fn clock_bound(now: Moment, millis: Millis) -> Moment {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -243,16 +243,19 @@
     }
 
     /// Replaces the start order of an ended run by a stop: the agent may not have received
-    /// it yet, and orders are numbered without gaps.
-    pub fn withdraw_start(&mut self, task: &TaskName, run: RunNumber) {
+    /// it yet, and orders are numbered without gaps. Returns whether there was one.
+    pub fn withdraw_start(&mut self, task: &TaskName, run: RunNumber) -> bool {
+        let mut withdrawn = false;
         for (_, order) in &mut self.orders {
             if let AgentOrder::Start(start) = order
                 && start.task == *task
                 && start.run == run
             {
                 *order = AgentOrder::Stop { task: task.clone(), run };
+                withdrawn = true;
             }
         }
+        withdrawn
     }
 
     /// Assigns a run to the successor of its worker and stops it there, so that a delayed start
--- a/crates/queue/tests/outages.rs
+++ b/crates/queue/tests/outages.rs
@@ -9,6 +9,7 @@
 mod support;
 
 use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::lease::{AGENT_LEASE, is_late_answer};
 use model::{AGENTS, Action, CallFault, CallScope, Restart, Simulation, StepShape};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -168,3 +169,12 @@
     scheduler.report(&report, Moment(10_000), support::UNIX);
     assert_eq!(scheduler.workers["a"].lease_duration(7_000), 0);
 }
+
+/// Guards against a task that runs twice (TWICE): an agent that was paused applies an answer that
+/// arrived meanwhile, after the owner has revoked its orders.
+#[test]
+fn an_answer_that_arrives_after_its_lease_is_late() {
+    let sent = Moment(10_000);
+    assert!(!is_late_answer(sent, sent.after(AGENT_LEASE - 1)));
+    assert!(is_late_answer(sent, sent.after(AGENT_LEASE)));
+}
--- a/crates/queue/tests/returning.rs
+++ b/crates/queue/tests/returning.rs
@@ -54,11 +54,12 @@
     scheduler.expire(later, UNIX);
     assert!(!scheduler.is_assigned(&"a".into(), &task("j", 0, 0), 1));
     scheduler.report(&agent.report(content(false)), later, UNIX);
-    agent.apply_lease(answer(&scheduler), later);
-    assert!(agent.lease_end <= later, "the agent may start the run that has expired");
-    scheduler.report(&agent.report(content(true)), later, UNIX);
     let calls = agent.apply_lease(answer(&scheduler), later);
     assert_eq!(calls, vec![WorkerCall::Stop { task: task("j", 0, 0), run: 1 }]);
+    assert!(agent.lease_end <= later, "the agent may start the run that has expired");
+    scheduler.report(&agent.report(content(true)), later, UNIX);
+    agent.apply_lease(answer(&scheduler), later);
+    assert!(agent.needs_stop(&task("j", 0, 0), 1));
     assert!(agent.lease_end > later);
 }
 
--- a/crates/queue/tests/withdrawal.rs
+++ b/crates/queue/tests/withdrawal.rs
@@ -199,3 +199,23 @@
     let next = agent.report(content()).number;
     assert_eq!(started(&agent.apply_answer(orders, next, NOW)), vec![1]);
 }
+
+/// Guards against a task that runs twice (TWICE): an agent that was paused takes up a start order
+/// that it had received before, after it has sent the report that ends its pause.
+#[test]
+fn an_agent_that_has_received_the_start_of_an_expired_run_is_told_to_stop_it() {
+    let mut scheduler = ordered();
+    let mut agent = AgentState::default();
+    agent.register(worker("a", 1));
+    agent.apply_list(1, WorkerList { running: Vec::new(), ended: Vec::new() });
+    let content = || ReportContent { agent: "a".into(), incarnation: 1, full_list: true, wait: 0 };
+    let first = agent.report(content()).number;
+    let received = answer(&scheduler);
+    let later = clock_bound(NOW, AGENT_LEASE).after(1);
+    scheduler.expire(later, UNIX);
+    let listing = agent.report(content());
+    assert_eq!(started(&agent.apply_answer(received, first, NOW)), vec![1]);
+    scheduler.report(&listing, later, UNIX);
+    agent.apply_answer(answer(&scheduler), listing.number, later);
+    assert!(agent.needs_stop(&task("j", 0, 0), 1));
+}
