Grant no lease before the stops of expired runs are sent

An answer that is divided, or that withholds starts, may leave out the stop of a run that its agent may still start.

Such an answer grants no lease; the next one has the rest.

The test is for a new function and could not run before.

--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -79,15 +79,17 @@
             send(reply, ReportReply::NotOwner);
             return;
         };
+        let orders = tracked.next_orders(self.outdated);
+        let limit = if tracked.revokes_all(orders.len()) { duration } else { 0 };
         let lease = AgentLease {
             epoch: self.scheduler.epoch,
             incarnation: tracked.worker.as_ref().map(|worker| worker.incarnation.clone()),
-            duration: tracked.lease_duration(duration),
+            duration: tracked.lease_duration(limit),
             confirmed,
             heartbeat: self.heartbeat_end,
             acknowledged: tracked.acknowledged,
             acknowledged_runs: std::mem::take(&mut tracked.acknowledged_runs),
-            orders: tracked.next_orders(self.outdated),
+            orders,
             interference,
         };
         send(reply, ReportReply::Lease(lease));
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -214,6 +214,18 @@
         self.orders.push_back((self.last_order, order));
     }
 
+    /// Whether all stops of runs that are not assigned are among the first `sent` orders: an
+    /// agent that has not received one of them may still start the run.
+    #[must_use]
+    pub fn revokes_all(&self, sent: usize) -> bool {
+        self.orders.iter().skip(sent).all(|(_, order)| match order {
+            AgentOrder::Start(_) => true,
+            AgentOrder::Stop { task, run } => {
+                self.runs.get(task).is_some_and(|assigned| assigned.start.run == *run)
+            }
+        })
+    }
+
     /// Orders of the next answer, the oldest first. `withheld`: no start may be sent; agents
     /// execute orders in sequence, so the orders behind a withheld start wait too.
     ///
--- a/crates/queue/tests/large_answers.rs
+++ b/crates/queue/tests/large_answers.rs
@@ -56,6 +56,23 @@
     assert_eq!(sent, tasks, "each order is sent once, in sequence");
 }
 
+/// Guards against a task that runs twice (TWICE): the stop of an expired run goes with a later
+/// answer than the lease under which the agent may still start it.
+#[test]
+fn a_stop_of_an_expired_run_behind_a_full_answer_is_not_revoked_yet() {
+    let mut scheduler = placed();
+    let tracked = scheduler.workers.get_mut("a").unwrap();
+    let sent = tracked.next_orders(false).len();
+    assert!(tracked.revokes_all(sent), "the others are starts");
+    tracked.order(AgentOrder::Stop { task: task("k", 0, 0), run: 1 });
+    assert!(!tracked.revokes_all(sent));
+    assert!(tracked.revokes_all(TASKS as usize + 1));
+    // The stop of an assigned run revokes nothing: the run ends later anyway.
+    tracked.orders.pop_back();
+    tracked.order(AgentOrder::Stop { task: task("j", 0, 0), run: 1 });
+    assert!(tracked.revokes_all(sent));
+}
+
 /// Guards against an owner that answers without a pause while starts are withheld.
 #[test]
 fn withheld_starts_leave_no_updates() {
