Wait until a paused child has stopped

Cause: `pause` sent SIGSTOP and returned. The signal stops a process only once each of its threads has been scheduled to handle it; until then the threads run on and may answer. The new test reads the states of all threads when `pause` returns.

Ruled out: another process at the address (the paused child still holds its listener) and a resume by somebody else (threads in state R before any SIGCONT was sent).

`pause` now waits with waitid until the child is reported as stopped. Its exit status stays for the harness, and a child that has ended is reported as not running. The same cause in the fleet tests: an agent was paused by a bare signal, so that an owner could take up work after its pause; they now use the same function.

The check and its timeout are unchanged.

--- a/crates/fleet/tests/failures.rs
+++ b/crates/fleet/tests/failures.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use cactusdoor_standin::platform_store::StoreMode;
-use rustix::process::Signal;
 use serde_json::{Value, json};
 use support::{TestCluster, tasks};
 
@@ -72,10 +71,10 @@
     cluster.submit("d1", 2_000, tasks(4)).await;
     cluster.await_state("d1", "running").await;
     let owner = cluster.owner().unwrap();
-    cluster.signal_agent(owner, Signal::STOP);
+    cluster.pause_agent(owner);
     cluster.submit("d2", 100, tasks(4)).await;
     cluster.await_that("another owner", |cluster| cluster.owner() != Some(owner)).await;
-    cluster.signal_agent(owner, Signal::CONT);
+    cluster.resume_agent(owner);
     cluster.await_state("d2", "completed").await;
     cluster.await_state("d1", "completed").await;
     check_elections(&cluster);
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_standin::harness::address::free_address;
+use cactusdoor_standin::harness::child::stop_process;
 use cactusdoor_standin::platform_store::{PlatformStore, StoreEndpoint};
 use cactusdoor_standin::platform_worker::{PlatformWorker, RunHistory};
 use cactusdoor_standin::socket::spawn_child;
@@ -193,9 +194,14 @@
         self.processes[index].start();
     }
 
-    /// Sends a signal to an agent, such as to pause or resume it.
-    pub fn signal_agent(&mut self, index: usize, signal: Signal) {
-        self.processes[index].signal(signal);
+    /// Suspends an agent; returns once it has stopped.
+    pub fn pause_agent(&mut self, index: usize) {
+        let child = self.processes[index].child.as_ref().unwrap();
+        assert!(stop_process(Pid::from_child(child)).unwrap(), "the agent has ended");
+    }
+
+    pub fn resume_agent(&mut self, index: usize) {
+        self.processes[index].signal(Signal::CONT);
     }
 
     /// Kills all entries and agents at once and starts them again.
--- a/crates/standin/src/harness/child.rs
+++ b/crates/standin/src/harness/child.rs
@@ -12,7 +12,8 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::io::Errno;
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use thiserror::Error;
 
 use crate::socket::spawn_child;
@@ -40,7 +41,7 @@
     #[error("{name} did not end in time")]
     NotEnded { name: String },
     #[error("could not signal {name}")]
-    Signal { name: String, source: rustix::io::Errno },
+    Signal { name: String, source: Errno },
     #[error("could not {action}")]
     Io { action: String, source: io::Error },
     #[error("{0:?} is not a valid data centre name")]
@@ -53,6 +54,10 @@
     move |source| HarnessError::Io { action, source }
 }
 
+fn signal_error(name: &str) -> impl FnOnce(Errno) -> HarnessError {
+    move |source| HarnessError::Signal { name: name.into(), source }
+}
+
 /// Program, arguments, log file and operator address of a child.
 #[derive(Clone, Debug)]
 pub struct ChildSpec {
@@ -134,9 +139,14 @@
         self.start(name)
     }
 
-    /// Suspends a child until [`resume`](Self::resume).
+    /// Suspends a child until [`resume`](Self::resume); returns once it has stopped.
     pub fn pause(&mut self, name: &str) -> Result<(), HarnessError> {
-        self.signal(name, Signal::STOP)
+        let pid = self.process_id(name)?;
+        if stop_process(pid).map_err(signal_error(name))? {
+            Ok(())
+        } else {
+            Err(HarnessError::NotRunning { name: name.into() })
+        }
     }
 
     pub fn resume(&mut self, name: &str) -> Result<(), HarnessError> {
@@ -210,15 +220,17 @@
         Ok(status)
     }
 
-    fn signal(&mut self, name: &str, signal: Signal) -> Result<(), HarnessError> {
-        // The id of a child that was not waited for is not reused, so the signal reaches no
-        // other process.
+    /// The id of a child that was not waited for; it is not reused, so a signal to it
+    /// reaches no other process.
+    pub fn process_id(&mut self, name: &str) -> Result<Pid, HarnessError> {
         let process = self.child(name)?.process.as_ref();
         let pid = process.and_then(|process| i32::try_from(process.id()).ok());
         let pid = pid.and_then(Pid::from_raw);
-        let pid = pid.ok_or_else(|| HarnessError::NotRunning { name: name.into() })?;
-        kill_process(pid, signal)
-            .map_err(|source| HarnessError::Signal { name: name.into(), source })
+        pid.ok_or_else(|| HarnessError::NotRunning { name: name.into() })
+    }
+
+    fn signal(&mut self, name: &str, signal: Signal) -> Result<(), HarnessError> {
+        kill_process(self.process_id(name)?, signal).map_err(signal_error(name))
     }
 }
 
@@ -231,6 +243,21 @@
     Ok(String::from_utf8_lossy(&bytes).into_owned())
 }
 
+/// Suspends a child process and waits until it has stopped: its threads run on for a
+/// while after the signal was sent. `false` if it has ended instead.
+pub fn stop_process(pid: Pid) -> Result<bool, Errno> {
+    kill_process(pid, Signal::STOP)?;
+    // An exit status stays for the owner of the child.
+    let options = WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+    let status = loop {
+        match waitid(WaitId::Pid(pid), options) {
+            Err(Errno::INTR) => {}
+            status => break status?,
+        }
+    };
+    Ok(status.is_some_and(|status| status.stopped()))
+}
+
 /// Path of a program of this workspace, in the directory of the running program
 /// or its parent.
 pub fn find_program(name: &str) -> Result<PathBuf, HarnessError> {
--- a/crates/standin/tests/harness.rs
+++ b/crates/standin/tests/harness.rs
@@ -97,6 +97,26 @@
     children.wait_ready("log", WAIT_TIMEOUT).await.unwrap();
 }
 
+/// Guards against a child that still runs, and may answer, when `pause` returns.
+#[actix_rt::test]
+async fn no_thread_of_a_child_runs_once_pause_returns() {
+    let directory = tempfile::tempdir().unwrap();
+    let (mut children, _) = log_child(directory.path());
+    children.wait_ready("log", WAIT_TIMEOUT).await.unwrap();
+    let threads = format!("/proc/{}/task", children.process_id("log").unwrap());
+    for round in 0..100 {
+        children.pause("log").unwrap();
+        for thread in std::fs::read_dir(&threads).unwrap() {
+            let stat = std::fs::read_to_string(thread.unwrap().path().join("stat")).unwrap();
+            // The state follows the name, which may contain spaces.
+            let state = stat.rsplit(") ").next().unwrap().chars().next();
+            assert_eq!(state, Some('T'), "round {round}: {stat}");
+        }
+        children.resume("log").unwrap();
+    }
+    children.wait_ready("log", WAIT_TIMEOUT).await.unwrap();
+}
+
 /// Guards against a graceful stop that is reported as a crash or not at all.
 #[actix_rt::test]
 async fn terminated_child_ends_with_success() {
