Withdraw waiting starts when a data centre is taken out

Cause: whether a data centre is out was checked when a task was placed and not afterwards. A run that its worker had not started kept its start order: the agent repeated the call, a placement stored later was sent, and a new owner ordered restored placements again.

Evidence: with real processes, two tasks placed on workers that answer nothing started there after the owner had logged data_centre_taken_out.

The owner now stops runs there that are not known to have started, when it reads the record and with each list of a worker there; before that list, a new owner neither stops restored runs nor sends their starts. New decision start_withdrawn.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -158,6 +158,13 @@
         agent: AgentName,
         epoch: Epoch,
     },
+    /// The run waited for its start in a data centre taken out; its stop was ordered.
+    StartWithdrawn {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        epoch: Epoch,
+    },
     AgentSilent {
         agent: AgentName,
         /// Time since its last report; `None` if it has never reported to this owner.
@@ -242,6 +249,7 @@
             Self::RunEnded { end, .. } => ("run_ended", *end != RunEnd::Done),
             Self::RunLapsed { .. } => ("run_lapsed", true),
             Self::RunUnassigned { .. } => ("run_unassigned", true),
+            Self::StartWithdrawn { .. } => ("start_withdrawn", true),
             Self::AgentSilent { .. } => ("agent_silent", true),
             Self::WorkerQuarantined { .. } => ("worker_barred", true),
             Self::StartAnswered { attempts, .. } => ("start_answered", *attempts > 1),
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -66,6 +66,9 @@
                     metrics.unassigned.inc();
                     DecisionEvent::RunUnassigned { task, run, agent, epoch }
                 }
+                RunObservation::Withdrawn { agent, task, run } => {
+                    DecisionEvent::StartWithdrawn { task, run, agent, epoch }
+                }
             };
             self.context.log.record(event);
         }
--- a/crates/fleet/tests/path.rs
+++ b/crates/fleet/tests/path.rs
@@ -174,6 +174,37 @@
     cluster.check();
 }
 
+/// Guards against a task that starts in a data centre taken out (EVAC): the worker has not
+/// answered its start by then, and the agent repeats the call.
+#[actix_web::test]
+async fn a_start_without_an_answer_is_withdrawn_when_its_data_centre_is_taken_out() {
+    let cluster = TestCluster::open(2).await;
+    cluster.submit("n1", 50, tasks(1)).await;
+    cluster.await_state("n1", "completed").await;
+    let starts = cluster.history.lock().unwrap().starts;
+    cluster.workers.iter().for_each(|worker| worker.set_unresponsive(true));
+    cluster.submit("n2", 50, tasks(2)).await;
+    let owner = format!("agent-{}", cluster.owner().unwrap());
+    let count = |event: &str| {
+        let decisions = cluster.decisions(&owner, event).into_iter();
+        decisions.filter(|decision| decision["task"].to_string().contains("n2")).count()
+    };
+    cluster.await_that("both tasks are placed", |_| count("task_placed") == 2).await;
+    cluster.store.write("keyed.op", "evacuate/north", b"{}");
+    cluster
+        .await_that("the data centre is out", |cluster| {
+            cluster.log_lines(&owner, "\"event\":\"data_centre_taken_out\"") > 0
+        })
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.workers.iter().for_each(|worker| worker.set_unresponsive(false));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(cluster.history.lock().unwrap().starts, starts, "{}", cluster.logs());
+    cluster.store.write("keyed.op", "evacuate/north", b"");
+    cluster.await_state("n2", "completed").await;
+    cluster.check();
+}
+
 #[actix_web::test]
 async fn tasks_of_a_leaving_worker_move_to_another_worker() {
     let cluster = TestCluster::open(2).await;
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -59,7 +59,10 @@
         }
         tracked.reported_at = now;
         if !same {
-            requeue_orders(tracked, report.incarnation);
+            let worker = report.worker.as_ref();
+            let taken_out =
+                worker.is_some_and(|worker| self.view.taken_out.contains(&worker.data_centre));
+            requeue_orders(tracked, report.incarnation, taken_out);
         }
         // Each owner numbers its orders from the start.
         let received = if report.epoch == self.epoch { report.received } else { 0 };
@@ -357,6 +360,10 @@
         if !was_open && tracked.unassigned.is_empty() {
             self.rooms.gain(agent);
         }
+        if tracked.is_taken_out(&self.view) {
+            let stopped = tracked.stop_unstarted();
+            self.observations.extend(RunObservation::withdrawn(agent, stopped));
+        }
         tracked.repeat_orders(reported);
         // The agent has received an order only if its number is at most `received`; later
         // ones are in transit, so the worker is not checked for a stall yet.
@@ -399,16 +406,17 @@
     }
 }
 
-/// Queues all orders again for a restarted agent.
-fn requeue_orders(tracked: &mut TrackedWorker, incarnation: u64) {
+/// Queues all orders again for a restarted agent, or for one that reports to a new owner.
+/// `taken_out`: starts wait for the worker's list, which tells what has started.
+fn requeue_orders(tracked: &mut TrackedWorker, incarnation: u64, taken_out: bool) {
     tracked.former.push_back(std::mem::replace(&mut tracked.incarnation, incarnation));
     let excess = tracked.former.len().saturating_sub(MAX_FORMER);
     tracked.former.drain(..excess);
     tracked.orders.clear();
     tracked.last_order = 0;
     tracked.acknowledged_runs.clear();
-    let stored = tracked.runs.values().filter(|run| run.stored);
-    for order in stored.map(AssignedRun::order).collect::<Vec<_>>() {
+    let due = tracked.runs.values().filter(|run| run.stored && (run.stopping || !taken_out));
+    for order in due.map(AssignedRun::order).collect::<Vec<_>>() {
         tracked.order(order);
     }
 }
--- a/crates/queue/src/observation.rs
+++ b/crates/queue/src/observation.rs
@@ -1,7 +1,7 @@
 //! Observations about runs, for the owner's log and metrics.
 //!
-//! They tell what no write shows: ends that the owner decided itself, and runs that it
-//! did not assign. They are not stored and decide nothing.
+//! They tell what no write shows: ends and stops that the owner decided itself, and runs
+//! that it did not assign. They are not stored and decide nothing.
 
 use serde::Serialize;
 
@@ -38,6 +38,18 @@
     Lapsed { agent: AgentName, task: TaskName, run: RunNumber, cause: LapseCause },
     /// The worker lists a run that the owner has not assigned; its stop was ordered.
     Unassigned { agent: AgentName, task: TaskName, run: RunNumber },
+    /// The run waited for its start in a data centre taken out of service; its stop was ordered.
+    Withdrawn { agent: AgentName, task: TaskName, run: RunNumber },
+}
+
+impl RunObservation {
+    /// Withdrawals of an agent's runs.
+    pub(crate) fn withdrawn(
+        agent: &AgentName,
+        runs: Vec<(TaskName, RunNumber)>,
+    ) -> impl Iterator<Item = Self> {
+        runs.into_iter().map(|(task, run)| Self::Withdrawn { agent: agent.clone(), task, run })
+    }
 }
 
 impl QueueScheduler {
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -95,9 +95,18 @@
         &self.view
     }
 
-    /// Replaces the operators' view; all waiting steps are looked at again.
+    /// Replaces the operators' view; all waiting steps are looked at again, and no run that
+    /// waits for its start begins in a data centre taken out.
     pub fn set_view(&mut self, view: OperatorView) {
         self.view = view;
+        let (workers, view) = (self.workers.values_mut(), &self.view);
+        for tracked in workers.filter(|tracked| tracked.is_taken_out(view)) {
+            let stopped = tracked.stop_unstarted();
+            self.observations.extend(RunObservation::withdrawn(&tracked.agent, stopped));
+            if tracked.has_updates {
+                self.updated.insert(tracked.agent.clone());
+            }
+        }
         self.waiting.clear();
         self.day_timers.clear();
         self.opened = self.jobs.keys().cloned().collect();
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -9,6 +9,7 @@
 use cactusdoor_core::unit::{Millis, Moment};
 use indexmap::IndexSet;
 
+use crate::config::OperatorView;
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
@@ -315,6 +316,19 @@
         true
     }
 
+    /// Stops all runs that are not known to have started, and returns them. Before the
+    /// worker's list has arrived, a restored run may have started long ago.
+    pub fn stop_unstarted(&mut self) -> Vec<(TaskName, RunNumber)> {
+        if self.awaits_list {
+            return Vec::new();
+        }
+        let unstarted = self.runs.iter().filter(|(_, run)| run.percent.is_none());
+        let mut stopped: Vec<_> =
+            unstarted.map(|(task, run)| (task.clone(), run.start.run)).collect();
+        stopped.retain(|(task, _)| self.stop(task));
+        stopped
+    }
+
     /// Resources reserved by the runs, including runs that are being stopped. The need of
     /// an unassigned run is not known.
     #[must_use]
@@ -364,6 +378,12 @@
         cpu as f64 / capacity as f64
     }
 
+    /// Whether operators have taken the worker's data centre out of service.
+    #[must_use]
+    pub fn is_taken_out(&self, view: &OperatorView) -> bool {
+        self.worker.as_ref().is_some_and(|worker| view.taken_out.contains(&worker.data_centre))
+    }
+
     #[must_use]
     pub fn rack(&self) -> Option<&Label> {
         self.worker.as_ref()?.labels.last()
