Start all members of a gang with one checkpoint

Cause: each task kept the checkpoint of its own last run, and place_gang started each member with its own. Members list checkpoints at different times, and a lost worker's last one is never reported.

A gang now starts with the checkpoint of the member whose run had progressed furthest.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -251,12 +251,15 @@
             self.push(Some((task.to_string(), None)), None);
             return;
         };
-        if run.stalled {
-            job.change_task(task, |task| task.stalls = task.stalls.saturating_add(1));
-        }
         let listed =
             listed.map(|listed| &listed.checkpoint).filter(|checkpoint| !checkpoint.is_empty());
         let checkpoint = listed.cloned().unwrap_or(run.checkpoint);
+        job.change_task(task, |task| {
+            task.stalls = task.stalls.saturating_add(u32::from(run.stalled));
+            if task.checkpoint != checkpoint {
+                task.checkpoint_percent = run.percent.unwrap_or_default();
+            }
+        });
         let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
         let gang = gang.filter(|step| step.gang).map(|step| step.tasks);
         let done = end == RunEnd::Done;
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -38,6 +38,8 @@
     pub stalls: u32,
     /// Checkpoint from which the next run resumes.
     pub checkpoint: Checkpoint,
+    /// Progress of the run that produced the checkpoint, percent. Not stored; 0 if unknown.
+    pub checkpoint_percent: u8,
     pub place: TaskPlace,
     /// Agent whose worker got the newest run.
     pub agent: Option<AgentName>,
@@ -47,7 +49,15 @@
     fn open() -> Self {
         let place = TaskPlace::Waiting(Moment::default());
         let checkpoint = Checkpoint::from("");
-        Self { run: 0, failures: 0, stalls: 0, checkpoint, place, agent: None }
+        Self {
+            run: 0,
+            failures: 0,
+            stalls: 0,
+            checkpoint,
+            checkpoint_percent: 0,
+            place,
+            agent: None,
+        }
     }
 
     /// The task's record to store; `placed`: its worker, if it is placed.
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -240,7 +240,8 @@
         placed
     }
 
-    /// Places all tasks of a gang or none.
+    /// Places all tasks of a gang or none. All members start with the same checkpoint, as that
+    /// of each is valid for the others: with the furthest one.
     fn place_gang(
         &mut self,
         name: &StepName,
@@ -256,8 +257,15 @@
         }
         let run = members.iter().map(|member| member.run).max().unwrap_or_default();
         let run = run.saturating_add(1);
+        let furthest = members
+            .iter()
+            .max_by_key(|member| (member.checkpoint_percent, !member.checkpoint.is_empty()));
+        let checkpoint = furthest.map(|member| member.checkpoint.clone()).unwrap_or_default();
         let Some(workers) = self.choose_gang(name, &names, step, config, now) else { return 0 };
         for (name, worker) in names.iter().zip(&workers) {
+            if let Some(job) = self.jobs.get_mut(&name.job) {
+                job.change_task(name, |task| task.checkpoint = checkpoint.clone());
+            }
             self.start(*worker, name, run, now);
         }
         names.len()
