--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -1,7 +1,7 @@
 //! Reports of an agent to the owner, and the leases and orders in the owner's answers.
 //!
-//! Decides when a report is sent and whether the owner is reachable. Calls no worker: the
-//! worker controller executes the orders.
+//! Decides when a report is sent, whether its answer may still be used and whether the owner
+//! is reachable. Calls no worker: the worker controller executes the orders.
 
 use std::cell::Cell;
 use std::rc::Rc;
