Hold a run whose start may reach its restarted worker (TWICE)

Cause: the first start call of a run got no answer, the repeated one did, and the worker crashed and came back under its id. The late call started the run there beside the next one, as the successor knows neither the deadline nor a stop of it. Nobody remembered the call: the agent forgot it with the answer to the repeated one.

Runs with such a call don't end with a crashed worker; they wait for a successor or for the agent's lease. A successor under the same id is told to stop such runs, ended ones too, and the owner ends the runs of its predecessor once it has answered their stops.

Ruled out: a report or a list that was applied out of order; a repeated order of the owner. The format of the reports is unchanged.

Two tests took a successor under the same id for the end of a listed run, which is the fault: a list doesn't show that all calls were answered. They are replaced by ones that demand the end after the answer to the stop: book::an_unlisted_run_is_stopped_on_a_successor_under_the_same_id by book::runs_are_stopped_on_a_successor_under_the_same_id_whether_listed_or_not, and book::the_next_run_resumes_from_the_checkpoint_of_a_lost_run, which now checks both kinds of successor.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -165,6 +165,12 @@
         agent: AgentName,
         epoch: Epoch,
     },
+    /// The worker has crashed, and a call without an answer may start the run again on its
+    /// successor: the run has not ended yet.
+    RunHeld {
+        task: TaskName,
+        run: RunNumber,
+    },
     AgentSilent {
         agent: AgentName,
         /// Time since its last report; `None` if it has never reported to this owner.
@@ -250,6 +256,7 @@
             Self::RunLapsed { .. } => ("run_lapsed", true),
             Self::RunUnassigned { .. } => ("run_unassigned", true),
             Self::StartWithdrawn { .. } => ("start_withdrawn", true),
+            Self::RunHeld { .. } => ("run_held", true),
             Self::AgentSilent { .. } => ("agent_silent", true),
             Self::WorkerQuarantined { .. } => ("worker_barred", true),
             Self::StartAnswered { attempts, .. } => ("start_answered", *attempts > 1),
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -25,7 +25,7 @@
         }
         let epoch = self.scheduler.epoch;
         for ended in &report.ended {
-            if self.scheduler.is_assigned(&report.agent, &ended.task, ended.run) {
+            if self.scheduler.is_live(&report.agent, &ended.task, ended.run) {
                 self.context.metrics.ended.with_label_values(&[end_label(ended.end)]).inc();
                 self.context.log.record(DecisionEvent::RunEnded {
                     task: ended.task.clone(),
--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_platform::announcement::WorkerAnnouncement;
 use cactusdoor_platform::worker::{PollRequest, PolledList, WorkerClient, WorkerError};
@@ -115,6 +115,8 @@
         let ControllerContext { worker, clock, log, metrics, messages, .. } = context;
         let ControllerContext { lease_limit, cancel_bound, harm_bound, .. } = context;
         let unanswered_until = Cell::new(clock.now().after(lease_limit));
+        let mut state = AgentState::default();
+        state.expect_earlier_calls(clock.now());
         let controller = Rc::new(Self {
             worker,
             clock,
@@ -123,7 +125,7 @@
             lease_limit,
             harm_bound,
             answer_age_limit: cancel_bound * ANSWER_AGE_PERCENT / 100,
-            state: RefCell::default(),
+            state: RefCell::new(state),
             sample: Cell::default(),
             leased_until: Cell::default(),
             unanswered_until,
@@ -196,7 +198,7 @@
                 Err(WorkerError::NoListener) => {
                     refused_polls += 1;
                     if refused_polls >= GONE_POLLS {
-                        self.remove(&incarnation, "connections are refused");
+                        self.remove_crashed(&incarnation);
                     }
                     pause(RETRY_PAUSE).await;
                 }
@@ -254,9 +256,7 @@
         }
         if polled.born != 0 && polled.born != incarnation.born {
             state.remove_restarted();
-            let (worker, cause) = (incarnation.id.to_string(), "worker has restarted");
-            self.log.record(DecisionEvent::WorkerGone { worker, cause });
-            self.report_due.notify_one();
+            self.log_removal(incarnation, "worker has restarted");
             return;
         }
         self.sample.set(ClockSample { clock: polled.clock, at: self.clock.now() });
@@ -292,10 +292,25 @@
         let mut state = self.state.borrow_mut();
         if state.incarnation() == Some(incarnation) {
             state.remove();
-            self.log
-                .record(DecisionEvent::WorkerGone { worker: incarnation.id.to_string(), cause });
-            self.report_due.notify_one();
+            self.log_removal(incarnation, cause);
+        }
+    }
+
+    /// Removes a worker whose process has ended; it may start again under its id.
+    fn remove_crashed(&self, incarnation: &WorkerIncarnation) {
+        let mut state = self.state.borrow_mut();
+        if state.incarnation() != Some(incarnation) {
+            return;
+        }
+        for (task, run) in state.remove_crashed(self.clock.now()) {
+            self.log.record(DecisionEvent::RunHeld { task, run });
         }
+        self.log_removal(incarnation, "connections are refused");
+    }
+
+    fn log_removal(&self, incarnation: &WorkerIncarnation, cause: &'static str) {
+        self.log.record(DecisionEvent::WorkerGone { worker: incarnation.id.to_string(), cause });
+        self.report_due.notify_one();
     }
 
     /// Stops extending the lease until the worker answers again. Once its last lease has
@@ -354,7 +369,7 @@
             };
             let epoch = self.state.borrow().epoch;
             attempts += 1;
-            match self.worker.start(order, deadline, epoch).await {
+            match self.call_start(order, deadline, epoch).await {
                 Ok(_) | Err(WorkerError::AlreadyEnded) => {
                     self.state.borrow_mut().record_answer(&order.task, order.run, self.polls.get());
                     self.log_start(order, "answered", attempts);
@@ -379,6 +394,24 @@
         }
     }
 
+    /// Calls the worker to start a task, and records whether a call may still be carried out.
+    async fn call_start(
+        &self,
+        order: &StartOrder,
+        deadline: Millis,
+        epoch: Epoch,
+    ) -> Result<Millis, WorkerError> {
+        let repeated = self.state.borrow_mut().record_start_call(order, self.clock.now());
+        let answer = self.worker.start(order, deadline, epoch).await;
+        let mut state = self.state.borrow_mut();
+        if matches!(answer, Err(WorkerError::NoAnswer | WorkerError::Malformed)) {
+            state.record_start_call(order, self.clock.now());
+        } else if !repeated {
+            state.settle_start(order);
+        }
+        answer
+    }
+
     /// Ends a start that the worker refuses or must not get; returns `false` if it is to be
     /// repeated. `refused_at`: polls sent before the first refusal.
     ///
--- a/crates/fleet/src/worker_controller/registration.rs
+++ b/crates/fleet/src/worker_controller/registration.rs
@@ -131,7 +131,7 @@
 
     /// Asks the worker whether it is the candidate; returns `false` if that has to wait for
     /// the next announcement or answer of the owner.
-    async fn confirm(&self, candidate: &WorkerAnnouncement) -> bool {
+    async fn confirm(self: &Rc<Self>, candidate: &WorkerAnnouncement) -> bool {
         let incarnation = &candidate.worker.incarnation;
         let epoch = self.state.borrow().epoch;
         let request = PollRequest { deadline: None, epoch, acknowledged: 0, wait: 0 };
@@ -167,12 +167,15 @@
         }
     }
 
-    fn apply_confirmed(&self, announced: &WorkerAnnouncement, clock: Millis) {
+    fn apply_confirmed(self: &Rc<Self>, announced: &WorkerAnnouncement, clock: Millis) {
         let now = self.clock.now();
-        let mut state = self.state.borrow_mut();
-        if !state.register(announced.worker.clone()) {
-            return;
-        }
+        let calls = {
+            let mut state = self.state.borrow_mut();
+            if !state.register(announced.worker.clone()) {
+                return;
+            }
+            state.stop_late_starts(now)
+        };
         *self.filter.borrow_mut() = AnnouncementFilter::open(announced);
         self.sample.set(ClockSample { clock, at: now });
         self.unresponsive.set(false);
@@ -184,7 +187,7 @@
         if let Some(remaining) = announced.worker.leaves_in {
             self.log.record(DecisionEvent::WorkerLeaving { worker, remaining });
         }
-        self.wake.notify_one();
+        self.execute(calls);
         self.report_due.notify_one();
     }
 
--- a/crates/fleet/tests/late_starts.rs
+++ b/crates/fleet/tests/late_starts.rs
@@ -11,6 +11,9 @@
 
 /// Delay of start calls: longer than an agent takes to restart, shorter than its lease.
 const START_DELAY: Duration = Duration::from_millis(5_000);
+/// Time for which a crashed worker is down, and from its restart to the delivery of a call:
+/// longer than its agent takes to notice.
+const CRASH_TIME: Duration = Duration::from_millis(1_500);
 /// Tasks of the job, one on each of as many workers.
 const TASKS: usize = 3;
 
@@ -104,6 +107,42 @@
     check_single_runs(&cluster, "c1").await;
 }
 
+/// Guards against a task that runs twice: the first call of its start gets no answer, the repeated
+/// one does, and the path to the worker delivers the first one after the worker has crashed and
+/// started again under its id.
+#[actix_web::test]
+async fn a_start_that_reaches_a_restarted_worker_runs_once() {
+    for (job, kill_agent) in [("f1", false), ("f2", true)] {
+        let mut cluster = TestCluster::open(3).await;
+        cluster.submit("warm", 50, support::tasks(3)).await;
+        cluster.await_state("warm", "completed").await;
+        cluster.workers.iter().for_each(|worker| worker.set_start_delay(Some(START_DELAY)));
+        cluster.submit(job, 9_000, support::tasks(1)).await;
+        let delayed = |cluster: &TestCluster| {
+            cluster.workers.iter().position(|worker| worker.delayed_starts() > 0)
+        };
+        cluster.await_that("the start is under way", |cluster| delayed(cluster).is_some()).await;
+        let agent = delayed(&cluster).unwrap();
+        cluster.workers.iter().for_each(|worker| worker.set_start_delay(None));
+        let runs = |cluster: &TestCluster| cluster.workers[agent].running() == 1;
+        cluster.await_that("the repeated start is answered", runs).await;
+        if kill_agent {
+            cluster.kill_agent(agent);
+            cluster.start_agent(agent);
+            let name = format!("agent-{agent}");
+            let registered = |cluster: &TestCluster| cluster.log_lines(&name, "worker_met") == 2;
+            cluster.await_that("the worker is registered", registered).await;
+        }
+        cluster.restart_worker(agent, CRASH_TIME).await;
+        tokio::time::sleep(CRASH_TIME).await;
+        let epoch = cluster.elected().pop().unwrap();
+        let start = json!({"task": format!("{job}.0.0.0"), "run": 1, "spec": "9000",
+            "deadlineMs": 9_000, "fencingToken": epoch});
+        cluster.call_worker(agent, "/run-start", start).await;
+        check_single_runs(&cluster, job).await;
+    }
+}
+
 /// Starts tasks on three workers, prepares each worker, restarts an agent that is not the
 /// owner, and checks that all tasks run on.
 async fn check_tasks_run_on(job: &str, prepare: impl Fn(&PlatformWorker)) {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -141,6 +141,19 @@
         self.workers.push(PlatformWorker::spawn(&id, worker, announce, "north", history).unwrap());
     }
 
+    /// Crashes a worker, which starts again under its id after `down`; until then, connections to
+    /// it are refused.
+    pub async fn restart_worker(&mut self, index: usize, down: Duration) {
+        let crashed = self.workers.remove(index);
+        crashed.restart();
+        drop(crashed);
+        tokio::time::sleep(down).await;
+        let (worker, announce) = (self.agent_addresses[index].0, self.announce_addresses[index]);
+        let (id, history) = (format!("i-{index}"), Arc::clone(&self.history));
+        let worker = PlatformWorker::spawn(&id, worker, announce, "north", history).unwrap();
+        self.workers.insert(index, worker);
+    }
+
     fn add_entry(&mut self, index: usize) {
         let name = format!("entry-{index}");
         let (callers, ready) = (free_address().unwrap(), free_address().unwrap());
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -3,13 +3,17 @@
 //! Decides which calls are sent to the worker and which ends are reported. Except for a
 //! start whose every call was refused, a run counts as ended only by the worker's own list: the list
 //! names its end, or the list was requested after the worker had answered a call
-//! about the run and names it neither as running nor as ended.
+//! about the run and names it neither as running nor as ended. The other runs of a worker end
+//! with it, but for those that a late call may start again ([`late_calls`]).
+
+mod late_calls;
 
 use std::sync::Arc;
 
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use indexmap::{IndexMap, IndexSet};
 
+use self::late_calls::LateCalls;
 use crate::interference::InterferenceSample;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{
@@ -61,7 +65,8 @@
     /// Time at which the newest answered report was sent.
     pub answered_at: Moment,
     ordered: IndexMap<TaskName, OrderedRun>,
-    /// Older runs to stop although a newer run of the task is ordered.
+    /// Runs to stop that are not ordered: older runs of ordered tasks, and runs that a late call
+    /// may start.
     superseded: IndexSet<(TaskName, RunNumber)>,
     /// Whether the worker's list is known.
     has_list: bool,
@@ -73,6 +78,9 @@
     ended: Vec<EndedRun>,
     /// Runs that did not start, reported as ended although the worker does not list them.
     unlisted: Vec<EndedRun>,
+    late_calls: LateCalls,
+    /// Runs of a removed worker that a late call may start again.
+    uncertain: Vec<(TaskName, RunNumber)>,
     throttle: ThrottleController,
     speeds: IndexMap<(TaskName, RunNumber), u8>,
     samples: Vec<InterferenceSample>,
@@ -103,21 +111,6 @@
         }
     }
 
-    /// Removes a worker whose incarnation has ended.
-    pub fn remove(&mut self) {
-        self.ended_incarnation =
-            self.worker.take().map(|worker| worker.incarnation).or(self.ended_incarnation.take());
-        self.clear_runs();
-    }
-
-    /// Removes a worker that has restarted under its id: a start without an answer may still
-    /// reach its successor, so the owner must not count its run as ended before the
-    /// successor is known.
-    pub fn remove_restarted(&mut self) {
-        self.worker = None;
-        self.clear_runs();
-    }
-
     fn clear_runs(&mut self) {
         self.ordered.clear();
         self.superseded.clear();
@@ -127,6 +120,7 @@
         self.running.clear();
         self.ended.clear();
         self.unlisted.clear();
+        self.uncertain.clear();
         self.speeds.clear();
         self.throttle = ThrottleController::default();
         self.acknowledged = 0;
@@ -288,13 +282,15 @@
             let new = self.superseded.insert((task.clone(), run));
             return new.then_some(WorkerCall::Stop { task, run });
         }
-        if self.needs_stop(&task, run) {
+        let known = self.ordered.get(&task);
+        if known.is_some_and(|known| known.run == run && known.start.is_none()) {
             return None;
         }
-        let original = self.ordered.get(&task).and_then(|known| known.original.clone());
+        let original = known.and_then(|known| known.original.clone());
         let stopped = OrderedRun { run, start: None, original, phase: RunPhase::Unanswered };
         self.ordered.insert(task.clone(), stopped);
-        Some(WorkerCall::Stop { task, run })
+        let called = self.superseded.contains(&(task.clone(), run));
+        (!called).then_some(WorkerCall::Stop { task, run })
     }
 
     /// Whether a start must still be sent.
@@ -429,6 +425,11 @@
         self.reports += 1;
         let lists_runs = self.has_list && (content.full_list || !self.list_answered);
         self.listed_since = self.listed_since.or(lists_runs.then_some(self.reports));
+        let runs = if lists_runs {
+            Some(self.reported_runs())
+        } else {
+            Some(self.uncertain_runs()).filter(|uncertain| !uncertain.is_empty())
+        };
         AgentReport {
             agent: content.agent,
             incarnation: content.incarnation,
@@ -438,7 +439,7 @@
             worker: self.worker.clone().filter(|_| self.has_list),
             ended_incarnation: self.ended_incarnation.clone(),
             ended: self.ended.iter().chain(&self.unlisted).cloned().collect(),
-            runs: lists_runs.then(|| self.reported_runs()),
+            runs,
             samples: std::mem::take(&mut self.samples),
             wait: content.wait,
         }
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -70,7 +70,7 @@
         self.register_worker(
             agent,
             (report.worker.as_ref(), report.ended_incarnation.as_ref()),
-            report.runs.is_some(),
+            report.runs.as_deref(),
             now,
             unix,
         );
@@ -94,12 +94,12 @@
     }
 
     /// Registers the reported worker and ends the runs of an incarnation that has ended.
-    /// `listed`: whether the worker has answered a poll; an announcement may be an old one.
+    /// `listed`: the runs that its agent lists; without them, an announcement may be an old one.
     fn register_worker(
         &mut self,
         agent: &AgentName,
         (worker, ended): (Option<&WorkerInfo>, Option<&WorkerIncarnation>),
-        listed: bool,
+        listed: Option<&[ReportedRun]>,
         now: Moment,
         unix: Millis,
     ) {
@@ -108,7 +108,7 @@
         let lapse_cause = |incarnation: &WorkerIncarnation| {
             let replaced = worker.is_some_and(|worker| {
                 worker.incarnation.succeeds(incarnation)
-                    || (listed && worker.incarnation != *incarnation)
+                    || (listed.is_some() && worker.incarnation != *incarnation)
             });
             if ended == Some(incarnation) {
                 Some(LapseCause::WorkerEnded)
@@ -116,11 +116,16 @@
                 replaced.then_some(LapseCause::WorkerReplaced)
             }
         };
-        // The start of a run that was never listed may still reach a successor under the same
-        // id: the run ends once the successor has answered its stop.
-        let may_reach = |run: &AssignedRun| {
-            let old = &run.start.incarnation;
-            worker.is_some_and(|new| new.incarnation.id == old.id) && run.percent.is_none()
+        // A start call without an answer may still reach a successor under the same id, also of a
+        // run that was listed: the run ends once the successor has answered its stop. Before a
+        // successor is known, the agent lists the runs that have such a call.
+        let may_reach = |run: &AssignedRun| match worker {
+            Some(new) => new.incarnation.id == run.start.incarnation.id,
+            None => listed.into_iter().flatten().any(|listed| {
+                listed.task == run.start.task
+                    && listed.run == run.start.run
+                    && listed.percent.is_none()
+            }),
         };
         let expired = tracked.runs.iter().filter_map(|(task, run)| {
             let cause = lapse_cause(&run.start.incarnation)?;
@@ -128,9 +133,12 @@
         });
         let (uncertain, expired): (Vec<_>, Vec<_>) =
             expired.partition(|(_, _, _, uncertain)| *uncertain);
-        for (task, run, _, _) in uncertain {
-            if let Some(worker) = worker {
-                tracked.stop_on_successor(&task, run, &worker.incarnation);
+        for (task, run, cause, _) in uncertain {
+            if let Some(worker) = worker
+                && tracked.stop_on_successor(&task, run, &worker.incarnation)
+            {
+                let agent = agent.clone();
+                self.observations.push(RunObservation::Lapsed { agent, task, run, cause });
             }
         }
         if tracked.worker.as_ref().map(|old| &old.incarnation) != worker.map(|new| &new.incarnation)
@@ -340,7 +348,8 @@
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
                 Some(run) => {
-                    if run.percent != listed.percent {
+                    // Without a percentage, the progress is not known.
+                    if listed.percent.is_some() && run.percent != listed.percent {
                         run.percent = listed.percent;
                         run.progressed = now;
                     }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -385,10 +385,18 @@
     /// Whether the run is assigned to the agent's worker.
     #[must_use]
     pub fn is_assigned(&self, agent: &AgentName, task: &TaskName, run: RunNumber) -> bool {
-        let tracked = self.workers.get(agent);
-        tracked
-            .and_then(|tracked| tracked.runs.get(task))
-            .is_some_and(|assigned| assigned.start.run == run)
+        self.assigned(agent, task, run).is_some()
+    }
+
+    fn assigned(&self, agent: &AgentName, task: &TaskName, run: RunNumber) -> Option<&AssignedRun> {
+        let assigned = self.workers.get(agent)?.runs.get(task)?;
+        Some(assigned).filter(|assigned| assigned.start.run == run)
+    }
+
+    /// Whether the run is assigned to the agent's worker and has not lapsed.
+    #[must_use]
+    pub fn is_live(&self, agent: &AgentName, task: &TaskName, run: RunNumber) -> bool {
+        self.assigned(agent, task, run).is_some_and(|assigned| !assigned.lapsed)
     }
 
     /// Drops the states of jobs that ended more than `ENDED_LIFETIME` ago; returns these jobs.
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -43,6 +43,9 @@
     /// Whether the record of the placement is stored.
     pub stored: bool,
     pub stopping: bool,
+    /// Whether the run has ended with its worker, which has restarted under its id; the task is
+    /// free once the successor has answered the stop of the run.
+    pub lapsed: bool,
     /// Progress in the worker's newest list, percent.
     pub percent: Option<u8>,
     /// When the run was placed, or restored by a new owner.
@@ -70,6 +73,7 @@
             estimate: step.estimate,
             stored: false,
             stopping: false,
+            lapsed: false,
             percent: None,
             since: now,
             progressed: now,
@@ -272,21 +276,24 @@
     }
 
     /// Assigns a run to the successor of its worker and stops it there, so that a delayed start
-    /// is refused.
+    /// is refused. Returns whether the run was known to have started, and has lapsed.
     pub fn stop_on_successor(
         &mut self,
         task: &TaskName,
         number: RunNumber,
         successor: &WorkerIncarnation,
-    ) {
+    ) -> bool {
         self.withdraw_start(task, number);
-        let Some(run) = self.runs.get_mut(task) else { return };
+        let Some(run) = self.runs.get_mut(task) else { return false };
         run.start.incarnation = successor.clone();
         run.stopping = true;
+        let lapses = run.percent.is_some() && !run.lapsed;
+        run.lapsed |= lapses;
         if run.stored {
             let order = run.order();
             self.order(order);
         }
+        lapses
     }
 
     /// Orders runs again that the agent has received but never listed: it forgets its orders
@@ -298,7 +305,9 @@
         let known: IndexSet<_> = ordered.chain(listed).collect();
         let forgotten = self.runs.values().filter(|run| {
             let current = run.stored && run.start.incarnation == worker.incarnation;
-            current && run.percent.is_none() && !known.contains(&(&run.start.task, run.start.run))
+            // A run that is stopped on a successor was listed by the earlier incarnation.
+            let unlisted = run.percent.is_none() || run.stopping;
+            current && unlisted && !known.contains(&(&run.start.task, run.start.run))
         });
         for order in forgotten.map(AssignedRun::order).collect::<Vec<_>>() {
             self.order(order);
--- a/crates/queue/tests/book.rs
+++ b/crates/queue/tests/book.rs
@@ -147,10 +147,11 @@
     assert!(starts(&scheduler, "a").contains(&(task("j", 0, 0), 2)));
 }
 
-/// A start without an answer may reach a successor under the same id. Guards against a second
-/// run elsewhere before the successor has answered the stop.
+/// A start call without an answer may reach a successor under the same id, also after a repeated
+/// call was answered and the run was listed. Guards against a second run elsewhere before the
+/// successor has answered the stop (TWICE).
 #[test]
-fn an_unlisted_run_is_stopped_on_a_successor_under_the_same_id() {
+fn runs_are_stopped_on_a_successor_under_the_same_id_whether_listed_or_not() {
     let mut scheduler = running(vec![step(2, 1_000)]);
     let mut listed = report("a", 2, Some(worker("a", 1)));
     listed.runs = Some(vec![ReportedRun {
@@ -164,15 +165,18 @@
     scheduler.report(&report("a", 3, Some(worker("a", 2))), NOW, UNIX);
     scheduler.place(NOW, UNIX);
     store(&mut scheduler);
-    assert!(starts(&scheduler, "a").contains(&(task("j", 0, 0), 2)), "it ran on the old one");
-    assert!(!starts(&scheduler, "a").contains(&(task("j", 0, 1), 2)));
-    assert!(stops(&scheduler, "a").contains(&(task("j", 0, 1), 1)));
-    let mut answered = report("a", 4, Some(worker("a", 2)));
-    answered.ended = vec![ended(0, &task("j", 0, 1), 1, RunEnd::NotStarted)];
-    scheduler.report(&answered, NOW, UNIX);
-    scheduler.place(NOW, UNIX);
-    store(&mut scheduler);
-    assert!(starts(&scheduler, "a").contains(&(task("j", 0, 1), 2)));
+    for index in 0..2 {
+        assert!(!starts(&scheduler, "a").contains(&(task("j", 0, index), 2)), "task {index}");
+        assert!(stops(&scheduler, "a").contains(&(task("j", 0, index), 1)), "task {index}");
+    }
+    for index in 0..2 {
+        let mut answered = report("a", 4 + u64::from(index), Some(worker("a", 2)));
+        answered.ended = vec![ended(0, &task("j", 0, index), 1, RunEnd::NotStarted)];
+        scheduler.report(&answered, NOW, UNIX);
+        scheduler.place(NOW, UNIX);
+        store(&mut scheduler);
+        assert!(starts(&scheduler, "a").contains(&(task("j", 0, index), 2)), "task {index}");
+    }
 }
 
 #[test]
@@ -284,23 +288,37 @@
     assert_matches!(scheduler.ended["j"], JobEnding { state: JobState::Completed, .. });
 }
 
+/// A successor under the same id has to answer the stop of the run first.
 #[test]
 fn the_next_run_resumes_from_the_checkpoint_of_a_lost_run() {
+    for (successor, same_id) in [(successor("a", 2), false), (worker("a", 2), true)] {
+        let mut scheduler = with_checkpoint("c1");
+        scheduler.report(&report("a", 3, Some(successor.clone())), NOW, UNIX);
+        if same_id {
+            let mut answered = report("a", 4, Some(successor));
+            answered.ended = vec![ended(0, &task("j", 0, 0), 1, RunEnd::NotStarted)];
+            scheduler.report(&answered, NOW, UNIX);
+        }
+        let resumed = scheduler.jobs["j"].task(&task("j", 0, 0)).unwrap();
+        assert_eq!(&*resumed.checkpoint, "c1");
+        assert_matches!(resumed.place, TaskPlace::Waiting(_));
+    }
+}
+
+/// A scheduler whose one run has listed a checkpoint.
+fn with_checkpoint(checkpoint: &str) -> QueueScheduler {
     let mut scheduler = running(vec![step(1, 1_000)]);
     let mut progress = report("a", 2, Some(worker("a", 1)));
     let reported = ReportedRun {
         task: task("j", 0, 0),
         run: 1,
-        checkpoint: "c1".into(),
+        checkpoint: checkpoint.into(),
         percent: Some(40),
         speed: 100,
     };
     progress.runs = Some(vec![reported]);
     scheduler.report(&progress, NOW, UNIX);
-    scheduler.report(&report("a", 3, Some(worker("a", 2))), NOW, UNIX);
-    let resumed = scheduler.jobs["j"].task(&task("j", 0, 0)).unwrap();
-    assert_eq!(&*resumed.checkpoint, "c1");
-    assert_matches!(resumed.place, TaskPlace::Waiting(_));
+    scheduler
 }
 
 #[test]
--- a/crates/queue/tests/model/agent.rs
+++ b/crates/queue/tests/model/agent.rs
@@ -132,6 +132,7 @@
         let agent = &mut self.agents[index];
         agent.up = true;
         agent.unanswered_until = Moment(self.now + LEASE_LIMIT);
+        agent.state.expect_earlier_calls(Moment(self.now));
         let to = agent.process(index);
         self.note(format!("agent {} starts", AGENTS[index]));
         self.schedule(self.now, Event::Wake { to, wake: Wake::Orders });
@@ -335,7 +336,9 @@
             None => (now + latency, true),
             Some(CallFault::Lost) => return number,
             Some(CallFault::Unanswered) => (now + latency, false),
-            Some(CallFault::Late(millis)) => (now + u64::from(millis), false),
+            Some(CallFault::Late(millis) | CallFault::Held(millis)) => {
+                (now + u64::from(millis), false)
+            }
             Some(CallFault::Refused) => {
                 let outcome = Outcome::Refused;
                 self.schedule(now + latency, Event::Outcome { to: from, number, outcome });
@@ -344,7 +347,8 @@
         };
         let born = self.workers[index].incarnation.born;
         let id = incarnation.id.clone();
-        let call = Call { from, number, id, born, epoch, body, answered };
+        let held = matches!(fault, Some(CallFault::Held(_)));
+        let call = Call { from, number, id, born, epoch, body, held, answered };
         self.schedule(at, Event::Call { worker: index, call });
         number
     }
@@ -405,8 +409,12 @@
             }
             Outcome::NoListener => {
                 agent.refused_polls += 1;
-                if agent.refused_polls >= GONE_POLLS {
-                    self.remove_worker(index, incarnation, "connections are refused");
+                if agent.refused_polls >= GONE_POLLS
+                    && agent.state.incarnation() == Some(incarnation)
+                {
+                    let held = agent.state.remove_crashed(now);
+                    self.note(format!("agent {}: worker crashed, {held:?} held", AGENTS[index]));
+                    self.notify_report(index);
                 }
             }
             Outcome::NoAnswer => {
--- a/crates/queue/tests/model/event.rs
+++ b/crates/queue/tests/model/event.rs
@@ -26,6 +26,8 @@
     pub born: u64,
     pub epoch: u64,
     pub body: CallBody,
+    /// Whether the call may reach a later incarnation under the same id.
+    pub held: bool,
     /// Whether the answer reaches the caller.
     pub answered: bool,
 }
--- a/crates/queue/tests/model/fault.rs
+++ b/crates/queue/tests/model/fault.rs
@@ -31,6 +31,9 @@
     Unanswered,
     /// They are executed this much later, ms, and get no answer.
     Late(u16),
+    /// The path to the worker delivers them this much later, ms, to the incarnation that then
+    /// listens, and they get no answer.
+    Held(u16),
     /// The worker refuses them and does nothing.
     Refused,
 }
--- a/crates/queue/tests/model/mod.rs
+++ b/crates/queue/tests/model/mod.rs
@@ -243,7 +243,7 @@
     /// Executes a call that reaches the worker now.
     fn execute_call(&mut self, index: usize, call: Call) {
         self.advance_worker(index);
-        if self.workers[index].incarnation.born != call.born {
+        if self.workers[index].incarnation.born != call.born && !call.held {
             return;
         }
         if let Err(outcome) = self.workers[index].admit(&call) {
--- a/crates/queue/tests/model/order.rs
+++ b/crates/queue/tests/model/order.rs
@@ -1,5 +1,6 @@
 //! Model of an agent's execution of the owner's orders.
 
+use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::WorkerCall;
 use cactusdoor_queue::lease::clock_bound;
 use cactusdoor_queue::name::{RunNumber, TaskName};
@@ -18,6 +19,8 @@
     order: WorkerCall,
     /// Number of polls before the first refusal of a start.
     refused_at: Option<u64>,
+    /// Whether a call of the start before the one under way got no answer.
+    repeated: bool,
     /// Number of the call under way.
     pub call: Option<u64>,
 }
@@ -30,7 +33,9 @@
         for order in calls {
             let agent = &mut self.agents[index];
             let key = agent.next_number();
-            agent.orders.insert(key, OrderLoop { order, refused_at: None, call: None });
+            agent
+                .orders
+                .insert(key, OrderLoop { order, refused_at: None, repeated: false, call: None });
             self.continue_order(index, key);
         }
     }
@@ -69,6 +74,10 @@
             return;
         };
         let body = CallBody::Start { order: Box::new(start.clone()), deadline };
+        let repeated = self.agents[index].state.record_start_call(start, Moment(now));
+        if let Some(order) = self.agents[index].orders.get_mut(&key) {
+            order.repeated = repeated;
+        }
         let number = self.send_call(index, &start.incarnation, body);
         self.set_call(index, key, Some(number));
     }
@@ -129,7 +138,14 @@
         start: &StartOrder,
         outcome: &Outcome,
     ) -> bool {
+        let now = self.moment();
         let agent = &mut self.agents[index];
+        let repeated = agent.orders.get(&key).is_some_and(|order| order.repeated);
+        if matches!(outcome, Outcome::NoAnswer) {
+            agent.state.record_start_call(start, now);
+        } else if !repeated {
+            agent.state.settle_start(start);
+        }
         match outcome {
             Outcome::Done | Outcome::Ended => {
                 agent.state.record_answer(&start.task, start.run, agent.polls);
--- a/crates/queue/tests/model/registration.rs
+++ b/crates/queue/tests/model/registration.rs
@@ -134,8 +134,9 @@
         agent.sample = (clock, now);
         agent.unresponsive = false;
         agent.leased_until = Moment(now + LEASE_LIMIT);
+        let calls = agent.state.stop_late_starts(Moment(now));
         self.note(format!("agent {}: worker born {born} registered", AGENTS[index]));
-        self.wake_poll(index);
+        self.execute_orders(index, calls);
         self.notify_report(index);
     }
 }
--- a/crates/queue/tests/outages.rs
+++ b/crates/queue/tests/outages.rs
@@ -147,6 +147,45 @@
     }
 }
 
+/// Delay of a start that the path to the worker holds, ms.
+const HELD: u16 = 8_000;
+
+/// Loses the answer to the first start of a job on worker 0, whose repeated call is answered, and
+/// delivers the first call while the worker's successor under the same id is up.
+fn held_start(down: u16, endless: bool) -> Vec<(u16, Action)> {
+    let restart = Restart { same_id: true, clock_set_back: false };
+    let fault = CallFault::Held(HELD);
+    let disturb = Action::DisturbCalls { worker: 0, scope: CallScope::Orders, fault, millis: 200 };
+    vec![
+        (1_000, disturb),
+        (0, submit(0, 3, 3, 3, endless)),
+        (3_000, Action::CrashWorker { worker: 0, restart, millis: down }),
+        (15_000, Action::FreezeAgent { agent: 2, millis: 1 }),
+    ]
+}
+
+/// Guards against a double run (TWICE): the first start call of a run got no answer, the repeated
+/// one did, and the first one reaches the successor of the crashed worker under the same id.
+#[test]
+fn a_held_start_of_a_listed_run_reaches_a_successor_and_runs_once() {
+    for (seed, down) in (1..=4).flat_map(|seed| [20, 1_500, 4_500].map(|down| (seed, down))) {
+        check(seed, &held_start(down, false));
+        check(seed, &held_start(down, true));
+    }
+}
+
+/// Guards against a double run (TWICE): as above, and the agent, which knows of the call without
+/// an answer, ends between the two.
+#[test]
+fn a_held_start_of_a_former_process_reaches_a_successor_and_runs_once() {
+    for (seed, down) in (1..=4).flat_map(|seed| [20, 1_500, 4_500].map(|down| (seed, down))) {
+        let mut actions = held_start(down, false);
+        actions.insert(2, (2_000, Action::RestartAgent { agent: 0, millis: 100 }));
+        actions[3].0 = 1_000;
+        check(seed, &actions);
+    }
+}
+
 /// Guards against a double run (TWICE): a delayed announcement of an earlier incarnation seems
 /// newer than the living one, since the worker's clock was set back between the two.
 #[test]
