Start a task that lasts again after an end done (LOST)

Cause: the owner took each end Done for the end of the task, whether the task lasts or not.

Fix: an end Done doesn't end a task that lasts, and a stored record that says so, from an earlier build, counts as waiting when an owner loads it.

Ruled out: want of room, a quarantine, the agent (it reports the end as listed).

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -270,7 +270,8 @@
         });
         let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
         let gang = gang.filter(|step| step.gang).map(|step| step.tasks);
-        let done = end == RunEnd::Done;
+        // A task that lasts is never done: it is started again however its run ends.
+        let done = end == RunEnd::Done && !run.endless;
         if let Some(count) = gang.filter(|_| done) {
             for index in 0..count {
                 self.update_task(
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -266,12 +266,14 @@
             return;
         }
         self.open_occurrence(name.occurrence);
+        // Earlier builds stored the end of a run as the end of a task that lasts.
+        let done = record.done && !self.step_spec(name).is_some_and(|step| step.endless);
         self.change_task(name, |task| {
             task.run = record.run;
             task.failures = record.failures;
             task.checkpoint = record.checkpoint.clone();
             task.agent = record.placed.as_ref().map(|placed| placed.agent.clone());
-            task.place = match (&record.placed, record.done) {
+            task.place = match (&record.placed, done) {
                 (_, true) => TaskPlace::Done,
                 (Some(placed), false) => TaskPlace::Placed(placed.agent.clone()),
                 (None, false) => TaskPlace::Waiting(Moment::default()),
