Remember unanswered starts by run, not by task (TWICE)

Cause: keeps one start without an answer a task, so a newer run of the task on the same worker, whose calls were all answered, removes the call of the older one, which is then not stopped on a restarted worker.

Fix: the calls are kept by task and run. late_calls::an_unanswered_start_is_remembered_after_a_newer_run_of_its_task shows the case. The lifetime of a call moves to the lease module, where the owner finds it too.

--- a/crates/queue/src/agent/late_calls.rs
+++ b/crates/queue/src/agent/late_calls.rs
@@ -6,23 +6,19 @@
 //! starts anew. So a run with such a call does not count as ended with its worker: it ends once
 //! the successor has answered its stop, or with the agent's lease.
 
-use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_core::unit::Moment;
 use indexmap::{IndexMap, IndexSet};
 
 use super::AgentState;
+use crate::lease::CALL_LIFETIME;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{ReportedRun, StartOrder};
 use crate::throttling::FULL_SPEED;
 use crate::worker_call::WorkerCall;
 
-/// Longest time, ms, for which a call without an answer may still be carried out: workers carry
-/// calls out up to 12 s late, and the path takes a part of a second.
-const CALL_LIFETIME: Millis = 13_000;
-
-/// The newest run of a task of which a start call has no answer.
+/// A start of which a call has no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct UnansweredStart {
-    run: RunNumber,
     incarnation: WorkerIncarnation,
     /// The call is not carried out after this time.
     until: Moment,
@@ -31,23 +27,21 @@
 /// Start calls that may still be carried out.
 #[derive(Clone, Debug, Default)]
 pub struct LateCalls {
-    starts: IndexMap<TaskName, UnansweredStart>,
+    starts: IndexMap<(TaskName, RunNumber), UnansweredStart>,
     /// Calls of an earlier process of the agent are not carried out after this time.
     unknown_until: Moment,
 }
 
 impl LateCalls {
-    fn covers(&self, task: &TaskName, run: RunNumber, now: Moment) -> bool {
-        let start = self.starts.get(task);
-        now <= self.unknown_until
-            || start.is_some_and(|start| start.run >= run && now <= start.until)
+    /// Whether a call may still start the run.
+    fn covers(&self, run: &(TaskName, RunNumber), now: Moment) -> bool {
+        let start = self.starts.get(run);
+        now <= self.unknown_until || start.is_some_and(|start| now <= start.until)
     }
+}
 
-    /// Whether a call of this start has no answer.
-    fn contains(&self, order: &StartOrder) -> bool {
-        let start = self.starts.get(&order.task);
-        start.is_some_and(|start| start.run == order.run && start.incarnation == order.incarnation)
-    }
+fn key(order: &StartOrder) -> (TaskName, RunNumber) {
+    (order.task.clone(), order.run)
 }
 
 impl AgentState {
@@ -61,21 +55,14 @@
     pub fn record_start_call(&mut self, order: &StartOrder, now: Moment) -> bool {
         let starts = &mut self.late_calls.starts;
         starts.retain(|_, start| now <= start.until);
-        let repeated = self.late_calls.contains(order);
-        let start = UnansweredStart {
-            run: order.run,
-            incarnation: order.incarnation.clone(),
-            until: now.after(CALL_LIFETIME),
-        };
-        self.late_calls.starts.insert(order.task.clone(), start);
-        repeated
+        let incarnation = order.incarnation.clone();
+        let start = UnansweredStart { incarnation, until: now.after(CALL_LIFETIME) };
+        starts.insert(key(order), start).is_some()
     }
 
     /// Records that every call of a start has been answered.
     pub fn settle_start(&mut self, order: &StartOrder) {
-        if self.late_calls.contains(order) {
-            self.late_calls.starts.shift_remove(&order.task);
-        }
+        self.late_calls.starts.shift_remove(&key(order));
     }
 
     /// Removes a worker whose incarnation has ended, and whose successor has another id.
@@ -88,13 +75,13 @@
     /// Removes a worker that has ended and may start again under its id; returns its runs that
     /// a late call may start again there. They are reported as under way.
     pub fn remove_crashed(&mut self, now: Moment) -> Vec<(TaskName, RunNumber)> {
-        let running = self.running.iter().map(|listed| (&listed.task, listed.run));
-        let ordered = self.ordered.iter().map(|(task, ordered)| (task, ordered.run));
-        let ended = self.ended.iter().chain(&self.unlisted).map(|ended| (&ended.task, ended.run));
+        let running = self.running.iter().map(|listed| (listed.task.clone(), listed.run));
+        let ordered = self.ordered.iter().map(|(task, ordered)| (task.clone(), ordered.run));
+        let ended = self.ended.iter().chain(&self.unlisted);
+        let ended = ended.map(|ended| (ended.task.clone(), ended.run));
         let known: IndexSet<_> = running.chain(ordered).chain(ended).collect();
-        let uncertain =
-            known.into_iter().filter(|(task, run)| self.late_calls.covers(task, *run, now));
-        let uncertain: Vec<_> = uncertain.map(|(task, run)| (task.clone(), run)).collect();
+        let uncertain: Vec<_> =
+            known.into_iter().filter(|run| self.late_calls.covers(run, now)).collect();
         self.remove();
         self.uncertain = uncertain.clone();
         uncertain
@@ -114,7 +101,7 @@
             let earlier = &start.incarnation;
             now <= start.until && earlier.id == worker.id && *earlier != worker
         });
-        let late: Vec<_> = starts.map(|(task, start)| (task.clone(), start.run)).collect();
+        let late: Vec<_> = starts.map(|(run, _)| run.clone()).collect();
         self.superseded.extend(late.iter().cloned());
         late.into_iter().map(|(task, run)| WorkerCall::Stop { task, run }).collect()
     }
--- a/crates/queue/src/lease.rs
+++ b/crates/queue/src/lease.rs
@@ -1,4 +1,4 @@
-//! Lengths of the leases, and the time at which a lease has certainly expired.
+//! Lengths of the leases, the time at which a lease has certainly expired, and how late a call may be.
 //!
 //! Allows for clocks that run at different rates; reads no clock itself.
 
@@ -9,6 +9,9 @@
 /// Longest time, ms, from the sending of a confirmed append to the end of an agent lease:
 /// covers a short outage of the store.
 pub const CONFIRM_LIMIT: Millis = 9_000;
+/// Longest time, ms, for which a call without an answer may still be carried out: workers carry
+/// calls out up to 12 s late, and the path takes a part of a second.
+pub const CALL_LIFETIME: Millis = 13_000;
 /// Margin for slow clocks, percent: a clock may be slow by 2%, and 1% is reserve.
 const CLOCK_PERCENT: Millis = 3;
 /// Margin for the delay of a message and a late timer, ms.
--- a/crates/queue/tests/late_calls.rs
+++ b/crates/queue/tests/late_calls.rs
@@ -125,6 +125,20 @@
     }
 }
 
+/// Guards against a start of a task that is done (TWICE): a newer run of the task, whose calls were
+/// all answered, hides the call of the older one.
+#[test]
+fn an_unanswered_start_is_remembered_after_a_newer_run_of_its_task() {
+    let mut agent = agent_with_run();
+    agent.record_start_call(&order(1), NOW);
+    agent.record_start_call(&order(2), NOW);
+    agent.settle_start(&order(2));
+    agent.remove_restarted();
+    agent.register(worker("a", 2));
+    let stop = WorkerCall::Stop { task: task("j", 0, 0), run: 1 };
+    assert_eq!(agent.stop_late_starts(NOW), vec![stop]);
+}
+
 /// Guards against stops of running tasks (AVAIL): connections were refused for a moment, and the
 /// same incarnation registers again; or the successor has another id, which a late call names not.
 #[test]
