Stop ended runs on a restarted worker after its agent has restarted (TWICE)

What callers would see: a task that is done runs again. Its agent has restarted since it sent a start call without an answer, so it doesn't know of the call when the worker comes back under its id.

Evidence: outages::a_held_start_of_an_ended_run_reaches_a_successor_and_is_refused failed before: run 1 of a task starts on the successor 5 s after its end was acknowledged.

Fix: the owner keeps the runs that have ended on a worker in the last 13 s. For 13 s after a new process of the agent has reported, it orders their stops on a successor under the same id. Nothing changes while the agent has not restarted, as it knows its own calls.

Also: random outages with held calls and restarts under the same id as a test.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -63,6 +63,7 @@
             let taken_out =
                 worker.is_some_and(|worker| self.view.taken_out.contains(&worker.data_centre));
             requeue_orders(tracked, report.incarnation, taken_out);
+            tracked.former_runs.expect_former_calls(now);
         }
         // Each owner numbers its orders from the start.
         let received = if report.epoch == self.epoch { report.received } else { 0 };
@@ -141,9 +142,12 @@
                 self.observations.push(RunObservation::Lapsed { agent, task, run, cause });
             }
         }
-        if tracked.worker.as_ref().map(|old| &old.incarnation) != worker.map(|new| &new.incarnation)
-        {
+        let registered = worker.map(|new| &new.incarnation);
+        if tracked.worker.as_ref().map(|old| &old.incarnation) != registered {
             tracked.acknowledged = 0;
+            if let Some(registered) = registered {
+                tracked.stop_former_runs(registered, now);
+            }
         }
         let leaves = worker.and_then(|worker| worker.leaves_in);
         tracked.leaves_at = leaves.map(|remaining| now.after(remaining));
@@ -239,6 +243,7 @@
             return;
         }
         let Some(run) = tracked.runs.remove(task) else { return };
+        tracked.former_runs.add(task, number, &run.start.incarnation, now);
         self.rooms.gain(agent);
         // The agent may have received the start without a report of that so far, and ignores
         // another order under its number.
@@ -364,8 +369,11 @@
                     let stop = AgentOrder::Stop { task: task.clone(), run };
                     if !tracked.orders.iter().any(|(_, order)| *order == stop) {
                         tracked.order(stop);
-                        let agent = agent.clone();
-                        self.observations.push(RunObservation::Unassigned { agent, task, run });
+                        // The stop of a run that has ended is under way.
+                        if listed.percent.is_some() || !tracked.former_runs.contains(&task, run) {
+                            let agent = agent.clone();
+                            self.observations.push(RunObservation::Unassigned { agent, task, run });
+                        }
                     }
                 }
             }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod agent;
 pub mod agent_reports;
 pub mod config;
+mod former_runs;
 pub mod interference;
 pub mod job;
 mod latency;
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexSet;
 
 use crate::config::OperatorView;
+use crate::former_runs::FormerRuns;
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
@@ -172,6 +173,7 @@
     pub lease_end: Moment,
     pub leaves_at: Option<Moment>,
     pub runs: RunTable,
+    pub former_runs: FormerRuns,
     /// Runs in the worker's newest list that are not assigned to it.
     pub unassigned: Vec<(TaskName, RunNumber)>,
     /// Whether the agent may still start runs that have ended: this owner has had no list yet,
@@ -202,6 +204,7 @@
             lease_end,
             leaves_at: None,
             runs: RunTable::default(),
+            former_runs: FormerRuns::default(),
             unassigned: Vec::new(),
             awaits_list: true,
             orders: VecDeque::new(),
@@ -296,6 +299,14 @@
         lapses
     }
 
+    /// Orders stops of runs that have ended and that a late call may start on the worker, which
+    /// has just registered.
+    pub fn stop_former_runs(&mut self, worker: &WorkerIncarnation, now: Moment) {
+        for (task, run) in self.former_runs.startable(worker, now) {
+            self.order(AgentOrder::Stop { task, run });
+        }
+    }
+
     /// Orders runs again that the agent has received but never listed: it forgets its orders
     /// when it removes its worker, and the same incarnation may register again.
     pub fn repeat_orders(&mut self, reported: &[ReportedRun]) {
--- a/crates/queue/tests/outages.rs
+++ b/crates/queue/tests/outages.rs
@@ -21,8 +21,9 @@
 /// Seed of a run without `PROPTEST_RNG_SEED`.
 const SEED: u64 = 18;
 
-/// Restarts under the same id, or with a clock that was set back, have tests of their own.
+/// Restarts with a clock that was set back have a test of their own.
 const NEW_ID: Restart = Restart { same_id: false, clock_set_back: false };
+const SAME_ID: Restart = Restart { same_id: true, clock_set_back: false };
 
 fn config() -> ProptestConfig {
     let defaults = ProptestConfig::default();
@@ -53,18 +54,19 @@
     prop_oneof![Just(CallScope::All), Just(CallScope::Polls), Just(CallScope::Orders)]
 }
 
-fn call_fault() -> impl Strategy<Value = CallFault> {
+/// `late`: whom a late call reaches.
+fn call_fault(late: fn(u16) -> CallFault) -> impl Strategy<Value = CallFault> {
     prop_oneof![
         2 => Just(CallFault::Lost),
         2 => Just(CallFault::Unanswered),
-        2 => (2_000..12_000u16).prop_map(CallFault::Late),
+        2 => (2_000..12_000u16).prop_map(late),
         1 => Just(CallFault::Refused),
     ]
 }
 
-fn action() -> impl Strategy<Value = Action> {
+fn action(restart: Restart, late: fn(u16) -> CallFault) -> impl Strategy<Value = Action> {
     let submit = (0..JOBS, prop::collection::vec(step_shape(), 1..4), prop::bool::weighted(0.35));
-    let disturbance = (index(), call_scope(), call_fault(), 200..12_000u16);
+    let disturbance = (index(), call_scope(), call_fault(late), 200..12_000u16);
     let crash = (index(), prop_oneof![0..150u16, 0..2_000u16]);
     let cut = (index(), any::<bool>(), any::<bool>(), 200..12_000u16);
     let delay = (index(), 100..900u16, 500..6_000u16);
@@ -76,10 +78,10 @@
         4 => disturbance.prop_map(|(worker, scope, fault, millis)| {
             Action::DisturbCalls { worker, scope, fault, millis }
         }),
-        2 => crash.clone().prop_map(|(worker, millis)| {
-            Action::CrashWorker { worker, restart: NEW_ID, millis }
+        2 => crash.clone().prop_map(move |(worker, millis)| {
+            Action::CrashWorker { worker, restart, millis }
         }),
-        1 => crash.prop_map(|(worker, millis)| {
+        1 => crash.prop_map(move |(worker, millis)| {
             Action::CrashMachine { worker, restart: NEW_ID, millis }
         }),
         1 => (index(), 500..6_000u16).prop_map(|(worker, millis)| {
@@ -106,8 +108,12 @@
     ]
 }
 
-fn actions() -> impl Strategy<Value = Vec<(u16, Action)>> {
-    prop::collection::vec((prop_oneof![0..300u16, 0..4_000u16], action()), 1..40)
+fn actions(
+    restart: Restart,
+    late: fn(u16) -> CallFault,
+) -> impl Strategy<Value = Vec<(u16, Action)>> {
+    let action = action(restart, late);
+    prop::collection::vec((prop_oneof![0..300u16, 0..4_000u16], action), 1..40)
 }
 
 proptest! {
@@ -116,7 +122,19 @@
     /// Guards against double runs, overcommitment, lost jobs and forgotten runs under
     /// outages of workers, agents, owners and the store.
     #[test]
-    fn runs_survive_outages(seed in any::<u64>(), actions in actions()) {
+    fn runs_survive_outages(seed in any::<u64>(), actions in actions(NEW_ID, CallFault::Late)) {
+        if let Err(violation) = Simulation::open(seed).run(&actions) {
+            prop_assert!(false, "{}", violation);
+        }
+    }
+
+    /// Guards against double runs after restarts of workers under the same id, which calls for
+    /// the earlier incarnation reach.
+    #[test]
+    fn runs_survive_restarts_under_the_same_id(
+        seed in any::<u64>(),
+        actions in actions(SAME_ID, CallFault::Held),
+    ) {
         if let Err(violation) = Simulation::open(seed).run(&actions) {
             prop_assert!(false, "{}", violation);
         }
@@ -137,11 +155,10 @@
 /// its successor under the same id before the agent knows of it.
 #[test]
 fn a_start_that_reaches_a_successor_under_the_same_id_runs_once() {
-    let restart = Restart { same_id: true, clock_set_back: false };
     for (seed, delay) in (1..=4).flat_map(|seed| (0..60).step_by(5).map(move |at| (seed, at))) {
         let actions = [
             (1_000, submit(0, 3, 0, 2, false)),
-            (delay, Action::CrashWorker { worker: 0, restart, millis: 20 }),
+            (delay, Action::CrashWorker { worker: 0, restart: SAME_ID, millis: 20 }),
         ];
         check(seed, &actions);
     }
@@ -153,13 +170,12 @@
 /// Loses the answer to the first start of a job on worker 0, whose repeated call is answered, and
 /// delivers the first call while the worker's successor under the same id is up.
 fn held_start(down: u16, endless: bool) -> Vec<(u16, Action)> {
-    let restart = Restart { same_id: true, clock_set_back: false };
     let fault = CallFault::Held(HELD);
     let disturb = Action::DisturbCalls { worker: 0, scope: CallScope::Orders, fault, millis: 200 };
     vec![
         (1_000, disturb),
         (0, submit(0, 3, 3, 3, endless)),
-        (3_000, Action::CrashWorker { worker: 0, restart, millis: down }),
+        (3_000, Action::CrashWorker { worker: 0, restart: SAME_ID, millis: down }),
         (15_000, Action::FreezeAgent { agent: 2, millis: 1 }),
     ]
 }
@@ -186,6 +202,19 @@
     }
 }
 
+/// Guards against a start of a task that is done (TWICE): the process of the agent that knew of the
+/// call without an answer has ended, and so has the run, when the worker restarts under its id.
+#[test]
+fn a_held_start_of_an_ended_run_reaches_a_successor_and_is_refused() {
+    for (seed, down) in (1..=4).flat_map(|seed| [20, 1_500, 3_000].map(|down| (seed, down))) {
+        let mut actions = held_start(down, false);
+        actions[1] = (0, submit(0, 3, 3, 0, false));
+        actions.insert(2, (3_000, Action::RestartAgent { agent: 0, millis: 100 }));
+        actions[3] = (1_000, Action::CrashWorker { worker: 0, restart: SAME_ID, millis: down });
+        check(seed, &actions);
+    }
+}
+
 /// Guards against a double run (TWICE): a delayed announcement of an earlier incarnation seems
 /// newer than the living one, since the worker's clock was set back between the two.
 #[test]
