Observe the lapse of a run on a restarted worker once

Cause: since a run whose worker has restarted under its id is observed as lapsed when that is known, and stays assigned until its stop is answered. If the agent's lease expired meanwhile, it was logged and counted as lapsed again.

Fix: a run that has lapsed is not observed again. late_calls::a_run_that_has_lapsed_with_its_worker_is_observed_once failed before.

--- a/crates/queue/src/agent/late_calls.rs
+++ b/crates/queue/src/agent/late_calls.rs
@@ -65,7 +65,7 @@
         self.late_calls.starts.shift_remove(&key(order));
     }
 
-    /// Removes a worker whose incarnation has ended, and whose successor has another id.
+    /// Removes a worker whose incarnation has ended, with its runs.
     pub fn remove(&mut self) {
         self.ended_incarnation =
             self.worker.take().map(|worker| worker.incarnation).or(self.ended_incarnation.take());
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -220,7 +220,7 @@
         now: Moment,
         unix: Millis,
     ) {
-        if self.is_assigned(agent, task, run) {
+        if self.is_live(agent, task, run) {
             let (agent, task) = (agent.clone(), task.clone());
             self.observations.push(RunObservation::Lapsed { agent, task, run, cause });
         }
--- a/crates/queue/tests/late_calls.rs
+++ b/crates/queue/tests/late_calls.rs
@@ -8,6 +8,7 @@
 use cactusdoor_queue::agent::{AgentState, ListedRun, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::lease::{AGENT_LEASE, clock_bound};
 use cactusdoor_queue::name::TaskName;
+use cactusdoor_queue::observation::{LapseCause, RunObservation};
 use cactusdoor_queue::record::{PlacedAt, TaskRecord};
 use cactusdoor_queue::report::{AgentReport, EndedRun, ReportedRun, RunEnd, StartOrder};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -220,3 +221,16 @@
     scheduler.report(&forgotten, NOW, UNIX);
     assert_eq!(stops(&scheduler, "a"), vec![(task("j", 0, 0), 1)]);
 }
+
+/// Guards against runs that are counted twice as lapsed: the agent falls silent before its worker,
+/// which has restarted under its id, has answered the stop.
+#[test]
+fn a_run_that_has_lapsed_with_its_worker_is_observed_once() {
+    let mut scheduler = with_run(false, false);
+    scheduler.report(&report("a", 3, Some(worker("a", 2))), NOW, UNIX);
+    let (agent, task, run) = ("a".into(), task("j", 0, 0), 1);
+    let lapse = RunObservation::Lapsed { agent, task, run, cause: LapseCause::WorkerReplaced };
+    assert_eq!(scheduler.take_observations(), vec![lapse]);
+    scheduler.expire(clock_bound(NOW, AGENT_LEASE).after(1), UNIX);
+    assert_eq!(scheduler.take_observations(), vec![]);
+}
