--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -4,7 +4,7 @@
 //! start whose every call was refused, a run counts as ended only by the worker's own list: the list
 //! names its end, or the list was requested after the worker had answered a call
 //! about the run and names it neither as running nor as ended. The other runs of a worker end
-//! with it, but for those that a late call may start again ([`late_calls`]).
+//! with it, but for those that a late call may start again (`late_calls`).
 
 mod late_calls;
 
