Define the messages and switches of scheduling under load

Agents will report the headroom of their workers, and owners will send ranks and the backlog: new RPC methods, as the codec goes by position. Owners announce them in the heartbeat.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -71,6 +71,7 @@
         lease_limit: settings.lease_limit,
         cancel_bound: settings.bounds.cancel,
         harm_bound: settings.harm_bound,
+        features: settings.features,
         messages,
     });
     OwnerReporter::spawn(OwnerReporter {
@@ -94,6 +95,7 @@
         metrics: OwnerMetrics::open(&registry).context("could not register metrics")?,
         lease_limit: settings.lease_limit,
         bounds: settings.bounds,
+        features: settings.features,
     };
     let candidate = actix_rt::spawn(candidate::run(CandidateContext {
         owner,
--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -200,8 +200,15 @@
     append_until_stored(&mut task_appender, &record).await?;
     let mut heartbeat_appender = open_appender(store, clock, OWNER, epoch);
     let (name, address) = (owner.name.clone(), owner.address);
-    let heartbeat =
-        OwnerHeartbeat { epoch, owner: name, address, resigned: false, repeats_appends: true };
+    let heartbeat = OwnerHeartbeat {
+        epoch,
+        owner: name,
+        address,
+        resigned: false,
+        repeats_appends: true,
+        loads: true,
+        backlogs: true,
+    };
     // Fences the predecessor's heartbeat, which would renew its agents' leases.
     let confirmed = append_until_stored(&mut heartbeat_appender, &heartbeat.record()).await?.sent;
     let now = clock.now();
@@ -217,7 +224,8 @@
     }
     let requests = (state.requests_end, requests_read);
     let leases_end = clock_bound(now, CONFIRM_LIMIT);
-    let scheduler = state.into_scheduler(epoch, leases_end, now, unix_ms());
+    let mut scheduler = state.into_scheduler(epoch, leases_end, now, unix_ms());
+    scheduler.set_features(owner.features);
     owner.log.record(DecisionEvent::OwnerElected {
         epoch,
         jobs: scheduler.jobs.len(),
--- a/crates/fleet/src/finder.rs
+++ b/crates/fleet/src/finder.rs
@@ -45,6 +45,12 @@
     /// Whether the owner repeats appends under their numbers; earlier versions do not.
     #[serde(default, rename = "appends")]
     pub repeats_appends: bool,
+    /// Whether the owner serves `report_load`; earlier versions do not.
+    #[serde(default)]
+    pub loads: bool,
+    /// Whether the owner serves `watch_backlog`; earlier versions do not.
+    #[serde(default)]
+    pub backlogs: bool,
 }
 
 impl OwnerHeartbeat {
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -18,10 +18,11 @@
 use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
-use cactusdoor_peer::queue::{FindReply, StoreReply, WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{BacklogReply, FindReply, StoreReply, WatchReply, WatchRequest};
 use cactusdoor_platform::store::{KeyedRecord, StoreClient};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
-use cactusdoor_queue::report::JobState;
+use cactusdoor_queue::report::{JobState, LoadReport};
 use cactusdoor_queue::scheduler::{CommitEffect, PendingWrite, QueueScheduler};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -30,7 +31,7 @@
 use self::background::{
     AppendGroup, HEARTBEAT_INTERVAL, spawn_appender, spawn_heartbeats, spawn_request_reader,
 };
-use self::report_queue::ReportQueue;
+use self::report_queue::{ReportQueue, ReportSender};
 use self::requests::REMOVAL_INTERVAL;
 use crate::appender::{AppenderError, StoredAppend, TopicAppender};
 use crate::candidate::open_appender;
@@ -75,6 +76,7 @@
     /// Longest lease that the workers accept.
     pub lease_limit: Millis,
     pub bounds: OwnerBounds,
+    pub features: SchedulingFeatures,
 }
 
 /// Times, ms, within which a cancel or the removal of a data centre from service takes effect.
@@ -111,7 +113,13 @@
 
 type AppendResult = Result<StoredAppend, AppenderError>;
 /// Request, reply channel and latest time of the answer.
-type WaitingWatch = (WatchRequest, oneshot::Sender<WatchReply>, Moment);
+type WaitingWatch = (WatchRequest, WatchSender, Moment);
+
+/// Where the answer to a watch goes.
+enum WatchSender {
+    Plain(oneshot::Sender<WatchReply>),
+    Backlog(oneshot::Sender<BacklogReply>),
+}
 
 /// Event loop of one term.
 pub struct OwnerTerm {
@@ -322,6 +330,7 @@
         self.remove_ended(now, unix);
         // A placement leaves with the next append; until then, more room may be reported.
         if self.may_place() && self.may_append(now) {
+            self.scheduler.balance(now, unix);
             self.scheduler.place(now, unix);
         }
         self.writes.extend(self.scheduler.take_writes());
@@ -448,10 +457,20 @@
     fn handle_call(&mut self, call: OwnerCall) {
         let now = self.context.clock.now();
         match call {
-            OwnerCall::Report(report, reply) => self.handle_report(&report, reply, now),
+            OwnerCall::Report(report, reply) => {
+                let report = LoadReport { report: *report, load: None };
+                self.handle_report(&report, ReportSender::Plain(reply), now);
+            }
+            OwnerCall::LoadReport(report, reply) => {
+                self.handle_report(&report, ReportSender::Ordered(reply), now);
+            }
             OwnerCall::Watch(request, reply) => {
                 let until = now.after(request.wait);
-                self.watches.push((request, reply, until));
+                self.watches.push((request, WatchSender::Plain(reply), until));
+            }
+            OwnerCall::WatchBacklog(request, reply) => {
+                let until = now.after(request.wait);
+                self.watches.push((request, WatchSender::Backlog(reply), until));
             }
             OwnerCall::Store(requests, reply) => {
                 self.relay(requests, reply, now);
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -4,14 +4,14 @@
 //! than `CONFIRM_LIMIT` after the owner's newest confirmed append.
 
 use cactusdoor_core::unit::{Millis, Moment};
-use cactusdoor_peer::queue::{WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{BacklogReply, WatchReply, WatchRequest};
 use cactusdoor_queue::interference::InterferenceEstimates;
 use cactusdoor_queue::lease::{AGENT_LEASE, CONFIRM_LIMIT};
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::report::{AgentLease, ReportReply};
-use tokio::sync::oneshot;
 
-use super::{OwnerTerm, WaitingWatch, send};
+use super::report_queue::ReportSender;
+use super::{OwnerTerm, WaitingWatch, WatchSender, send};
 
 /// An owner whose newest confirmed append is older reports itself as unconfirmed, and its
 /// agents search for a successor: two heartbeat intervals and a slow answer.
@@ -66,7 +66,7 @@
     pub(super) fn answer_report(
         &mut self,
         agent: &AgentName,
-        reply: oneshot::Sender<ReportReply>,
+        reply: ReportSender,
         received: Moment,
     ) {
         let now = self.context.clock.now();
@@ -75,8 +75,9 @@
         let duration = until.0.saturating_sub(received.0);
         let confirmed = self.is_confirmed(now);
         let interference = self.due_estimates(agent, now);
+        let ranks = reply.takes_ranks().then(|| self.scheduler.due_ranks(agent, now)).flatten();
         let Some(tracked) = self.scheduler.workers.get_mut(agent) else {
-            send(reply, ReportReply::NotOwner);
+            reply.send(ReportReply::NotOwner, None);
             return;
         };
         let orders = tracked.next_orders(self.outdated);
@@ -92,7 +93,7 @@
             orders,
             interference,
         };
-        send(reply, ReportReply::Lease(lease));
+        reply.send(ReportReply::Lease(lease), ranks);
     }
 
     /// The interference estimates, once per interval for each agent; otherwise `None`.
@@ -120,7 +121,7 @@
         usize::try_from(from).unwrap_or(usize::MAX)
     }
 
-    pub(super) fn answer_watch(&self, request: &WatchRequest, reply: oneshot::Sender<WatchReply>) {
+    pub(super) fn answer_watch(&mut self, request: &WatchRequest, reply: WatchSender) {
         let same = request.epoch == self.scheduler.epoch;
         let (states, next) = self.changes.page(self.watched_from(request));
         let (number, pending) = &self.pending;
@@ -133,6 +134,12 @@
             states: states.to_vec(),
             pending: (*number, pending),
         };
-        send(reply, answer);
+        match reply {
+            WatchSender::Plain(sender) => send(sender, answer),
+            WatchSender::Backlog(sender) => {
+                let backlog = self.scheduler.backlog(self.context.clock.now());
+                send(sender, BacklogReply { watch: answer, backlog });
+            }
+        }
     }
 }
--- a/crates/fleet/src/owner/report_queue.rs
+++ b/crates/fleet/src/owner/report_queue.rs
@@ -4,14 +4,38 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::name::AgentName;
-use cactusdoor_queue::report::ReportReply;
+use cactusdoor_queue::report::{OrderedReply, RankUpdate, ReportReply};
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 
+/// Where the answer to a report goes.
+#[derive(Debug)]
+pub enum ReportSender {
+    Plain(oneshot::Sender<ReportReply>),
+    /// The report had a load; its answer may carry ranks.
+    Ordered(oneshot::Sender<OrderedReply>),
+}
+
+impl ReportSender {
+    /// Whether the answer may carry ranks.
+    #[must_use]
+    pub fn takes_ranks(&self) -> bool {
+        matches!(self, Self::Ordered(_))
+    }
+
+    /// Sends the answer, unless the agent has closed its call.
+    pub fn send(self, reply: ReportReply, ranks: Option<RankUpdate>) {
+        match self {
+            Self::Plain(sender) => super::send(sender, reply),
+            Self::Ordered(sender) => super::send(sender, OrderedReply { reply, ranks }),
+        }
+    }
+}
+
 /// A report that waits for an answer.
 #[derive(Debug)]
 pub struct WaitingReport {
-    pub reply: oneshot::Sender<ReportReply>,
+    pub reply: ReportSender,
     /// Latest time of the answer.
     until: Moment,
     pub received: Moment,
@@ -29,7 +53,7 @@
     pub fn insert(
         &mut self,
         agent: &AgentName,
-        reply: oneshot::Sender<ReportReply>,
+        reply: ReportSender,
         until: Moment,
         received: Moment,
     ) -> Option<WaitingReport> {
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -4,22 +4,18 @@
 use cactusdoor_node::clock::unix_ms;
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::observation::RunObservation;
-use cactusdoor_queue::report::{AgentReport, EndedRun, ReportReply, RunEnd};
-use tokio::sync::oneshot;
+use cactusdoor_queue::report::{EndedRun, LoadReport, ReportReply, RunEnd};
 
-use super::{OwnerTerm, send};
+use super::OwnerTerm;
+use super::report_queue::ReportSender;
 use crate::decision::DecisionEvent;
 
 impl OwnerTerm {
-    pub(super) fn handle_report(
-        &mut self,
-        report: &AgentReport,
-        reply: oneshot::Sender<ReportReply>,
-        now: Moment,
-    ) {
+    pub(super) fn handle_report(&mut self, loaded: &LoadReport, reply: ReportSender, now: Moment) {
+        let report = &loaded.report;
         if report.epoch > self.scheduler.epoch {
             // The agent follows an owner of a higher epoch.
-            send(reply, ReportReply::NotOwner);
+            reply.send(ReportReply::NotOwner, None);
             self.superseded = true;
             return;
         }
@@ -37,7 +33,7 @@
             }
         }
         let quarantines = self.quarantines(&report.agent);
-        self.scheduler.report(report, now, unix_ms());
+        self.scheduler.report_load(loaded, now, unix_ms());
         self.record_observations(&report.ended);
         if self.quarantines(&report.agent) > quarantines {
             let (agent, quarantines) = (report.agent.clone(), self.quarantines(&report.agent));
--- a/crates/fleet/src/owner_client.rs
+++ b/crates/fleet/src/owner_client.rs
@@ -8,12 +8,12 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_peer::queue::{
-    FindReply, QueueServiceClient, RelayedAppend, RelayedRequest, StoreReply, WatchReply,
-    WatchRequest,
+    BacklogReply, FindReply, QueueServiceClient, RelayedAppend, RelayedRequest, StoreReply,
+    WatchReply, WatchRequest,
 };
 use cactusdoor_peer::wire;
 use cactusdoor_queue::name::JobId;
-use cactusdoor_queue::report::{AgentReport, ReportReply};
+use cactusdoor_queue::report::{AgentReport, LoadReport, OrderedReply, ReportReply};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use thiserror::Error;
@@ -53,6 +53,30 @@
         .await
     }
 
+    pub async fn report_load(
+        &self,
+        address: SocketAddr,
+        report: LoadReport,
+    ) -> Result<OrderedReply, CallError> {
+        let limit = ANSWER_TIMEOUT + Duration::from_millis(report.report.wait);
+        self.call(address, limit, |client, context| async move {
+            client.report_load(context, report).await
+        })
+        .await
+    }
+
+    pub async fn watch_backlog(
+        &self,
+        address: SocketAddr,
+        request: WatchRequest,
+    ) -> Result<Option<BacklogReply>, CallError> {
+        let limit = ANSWER_TIMEOUT + Duration::from_millis(request.wait);
+        self.call(address, limit, |client, context| async move {
+            client.watch_backlog(context, request).await
+        })
+        .await
+    }
+
     pub async fn watch(
         &self,
         address: SocketAddr,
--- a/crates/fleet/src/queue_server.rs
+++ b/crates/fleet/src/queue_server.rs
@@ -7,11 +7,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cactusdoor_peer::queue::{
-    FindReply, QueueService, RelayedAppend, RelayedRequest, StoreReply, WatchReply, WatchRequest,
+    BacklogReply, FindReply, QueueService, RelayedAppend, RelayedRequest, StoreReply, WatchReply,
+    WatchRequest,
 };
 use cactusdoor_peer::wire::{MAX_FRAME_BYTES, disable_nagle};
 use cactusdoor_queue::name::JobId;
-use cactusdoor_queue::report::{AgentReport, ReportReply};
+use cactusdoor_queue::report::{AgentReport, LoadReport, OrderedReply, ReportReply};
 use futures::StreamExt as _;
 use tarpc::context::Context;
 use tarpc::serde_transport::tcp;
@@ -23,7 +24,9 @@
 #[derive(Debug)]
 pub enum OwnerCall {
     Report(Box<AgentReport>, oneshot::Sender<ReportReply>),
+    LoadReport(Box<LoadReport>, oneshot::Sender<OrderedReply>),
     Watch(WatchRequest, oneshot::Sender<WatchReply>),
+    WatchBacklog(WatchRequest, oneshot::Sender<BacklogReply>),
     Find(JobId, oneshot::Sender<FindReply>),
     Store(Vec<RelayedRequest>, oneshot::Sender<StoreReply>),
     Append(RelayedAppend, oneshot::Sender<StoreReply>),
@@ -98,6 +101,16 @@
         reply.unwrap_or(ReportReply::NotOwner)
     }
 
+    async fn report_load(self, _: Context, report: LoadReport) -> OrderedReply {
+        let call = |reply| OwnerCall::LoadReport(Box::new(report), reply);
+        let not_owner = OrderedReply { reply: ReportReply::NotOwner, ranks: None };
+        self.call_owner(call).await.unwrap_or(not_owner)
+    }
+
+    async fn watch_backlog(self, _: Context, request: WatchRequest) -> Option<BacklogReply> {
+        self.call_owner(|reply| OwnerCall::WatchBacklog(request, reply)).await
+    }
+
     async fn watch(self, _: Context, request: WatchRequest) -> Option<WatchReply> {
         self.call_owner(|reply| OwnerCall::Watch(request, reply)).await
     }
--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -12,14 +12,14 @@
 use cactusdoor_queue::agent::ReportContent;
 use cactusdoor_queue::lease::is_late_answer;
 use cactusdoor_queue::name::AgentName;
-use cactusdoor_queue::report::ReportReply;
+use cactusdoor_queue::report::{AgentReport, LoadReport, ReportReply};
 use tokio::sync::watch;
 
 use crate::appender::pause;
 use crate::candidate::OwnerContact;
 use crate::decision::DecisionEvent;
 use crate::decision_log::DecisionLog;
-use crate::finder::OwnerFinder;
+use crate::finder::{OwnerFinder, OwnerHeartbeat};
 use crate::metrics::AgentMetrics;
 use crate::owner_client::{CallError, OwnerClient};
 use crate::worker_controller::WorkerController;
@@ -112,7 +112,7 @@
         let report = reporter.controller.state.borrow_mut().report(content);
         let number = report.number;
         reporter.metrics.reports.inc();
-        match self.client.report(heartbeat.address, report).await {
+        match self.exchange_report(&heartbeat, report, sent).await {
             Ok(ReportReply::Lease(_)) if is_late_answer(sent, reporter.clock.now()) => {
                 self.handle_loss(OwnerContact::Unconfirmed, "late answer")
             }
@@ -144,6 +144,26 @@
         }
     }
 
+    /// Sends a report, with the worker's load if the owner takes it; applies the ranks of the
+    /// answer.
+    async fn exchange_report(
+        &self,
+        heartbeat: &OwnerHeartbeat,
+        report: AgentReport,
+        sent: Moment,
+    ) -> Result<ReportReply, CallError> {
+        if !heartbeat.loads {
+            return self.client.report(heartbeat.address, report).await;
+        }
+        let load = self.reporter.controller.state.borrow().load(sent);
+        let report = LoadReport { report, load };
+        let answer = self.client.report_load(heartbeat.address, report).await?;
+        if let (ReportReply::Lease(lease), Some(ranks)) = (&answer.reply, answer.ranks) {
+            self.reporter.controller.state.borrow_mut().apply_ranks(lease.epoch, ranks);
+        }
+        Ok(answer.reply)
+    }
+
     /// Checks whether an unconfirmed owner has been replaced.
     async fn find_successor(&self) {
         if let Err(error) = self.reporter.finder.refresh().await {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -6,13 +6,16 @@
 use std::path::Path;
 
 use cactusdoor_core::unit::Millis;
-use cactusdoor_node::settings::{SettingsError, SettingsFile};
+use cactusdoor_node::settings::{InvalidKind, SettingsError, SettingsFile};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{AgentName, DataCentre};
 
 use crate::owner::OwnerBounds;
 
 /// Permitted bounds, in ms: from the time of a message between data centres to ten minutes.
 const BOUND_RANGE: (f64, f64) = (100.0, 600_000.0);
+/// Permitted times of a run's stop and restore, in ms.
+const RUN_RANGE: (f64, f64) = (0.0, 60_000.0);
 /// Expected form of an address, for error messages.
 const ADDRESS: &str = "an IP address and port, such as 127.0.0.1:7000";
 
@@ -37,6 +40,7 @@
     pub ready_address: SocketAddr,
     /// Time within which a new configuration takes effect.
     pub config_bound: Millis,
+    pub features: SchedulingFeatures,
 }
 
 /// Settings of an agent.
@@ -53,6 +57,7 @@
     pub bounds: OwnerBounds,
     /// Longest time for which a serving task may miss its latency bound.
     pub harm_bound: Millis,
+    pub features: SchedulingFeatures,
 }
 
 impl EntrySettings {
@@ -65,12 +70,14 @@
         let config_bound = read_millis(&mut file, "bounds", "config_ms", BOUND_RANGE, 2_000);
         skip(&mut file, "bounds", &["cancel_ms", "take_out_ms", "harm_ms"]);
         skip(&mut file, "worker", &["address", "announce_address", "lease_limit_ms"]);
+        let features = read_features(&mut file);
         let settings = (|| {
             Some(Self {
                 process: process?,
                 caller_address: caller_address?,
                 ready_address: ready_address?,
                 config_bound: config_bound?,
+                features: features?,
             })
         })();
         file.finish(settings)
@@ -92,6 +99,7 @@
         let cancel = read_millis(&mut file, "bounds", "cancel_ms", BOUND_RANGE, 3_000);
         let harm = read_millis(&mut file, "bounds", "harm_ms", BOUND_RANGE, 4_000);
         let take_out = read_millis(&mut file, "bounds", "take_out_ms", BOUND_RANGE, 5_000);
+        let features = read_features(&mut file);
         let settings = (|| {
             Some(Self {
                 process: process?,
@@ -101,6 +109,7 @@
                 lease_limit: lease_limit?,
                 bounds: OwnerBounds { cancel: cancel?, take_out: take_out? },
                 harm_bound: harm?,
+                features: features?,
             })
         })();
         file.finish(settings)
@@ -125,6 +134,40 @@
     })
 }
 
+/// The `[scheduling]` section.
+fn read_features(file: &mut SettingsFile) -> Option<SchedulingFeatures> {
+    let defaults = SchedulingFeatures::default();
+    let headroom_forecast = read_switch(file, "headroom_forecast");
+    let job_order = read_switch(file, "job_order");
+    let moves = read_switch(file, "moves");
+    let refusals = read_switch(file, "refusals");
+    let stop_run = read_millis(file, "scheduling", "stop_run_ms", RUN_RANGE, defaults.stop_run);
+    let restore = read_millis(file, "scheduling", "restore_ms", RUN_RANGE, defaults.restore);
+    Some(SchedulingFeatures {
+        headroom_forecast: headroom_forecast?,
+        job_order: job_order?,
+        moves: moves?,
+        refusals: refusals?,
+        stop_run: stop_run?,
+        restore: restore?,
+    })
+}
+
+/// A switch of the `[scheduling]` section; off if it is missing.
+fn read_switch(file: &mut SettingsFile, key: &str) -> Option<bool> {
+    let accepted = "on or off";
+    let value: String = file.or_default("scheduling", key, accepted, "off".to_owned())?;
+    match value.as_str() {
+        "on" => Some(true),
+        "off" => Some(false),
+        _ => {
+            let kind = InvalidKind::Invalid { value, accepted: accepted.to_owned() };
+            file.report_invalid("scheduling", key, kind);
+            None
+        }
+    }
+}
+
 /// Time in ms, without its fraction; the platform gives bounds as fractions too.
 fn read_millis(
     file: &mut SettingsFile,
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -11,15 +11,16 @@
 
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use cactusdoor_node::clock::MonotonicClock;
-use cactusdoor_peer::queue::{FindReply, WatchReply, WatchRequest};
+use cactusdoor_peer::queue::{BacklogReply, FindReply, WatchReply, WatchRequest};
+use cactusdoor_queue::backlog::Backlog;
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::JobState;
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::appender::pause;
-use crate::finder::OwnerFinder;
-use crate::owner_client::OwnerClient;
+use crate::finder::{OwnerFinder, OwnerHeartbeat};
+use crate::owner_client::{CallError, OwnerClient};
 
 /// Longest wait for a change, in ms; the pending counts of an owner that answers are hardly
 /// older.
@@ -35,6 +36,8 @@
 struct WatchedJobs {
     states: IndexMap<JobId, JobState>,
     pending: IndexMap<QueueName, u64>,
+    /// The newest backlog and its arrival.
+    backlog: Option<(Backlog, Moment)>,
     /// Arrival of the last answer; `None` if the store had not recently confirmed its owner.
     confirmed: Option<Moment>,
 }
@@ -69,6 +72,19 @@
         is_recent.then(|| jobs.pending.get(queue).copied().unwrap_or_default())
     }
 
+    /// Replaces the backlog, which arrived at `now`.
+    pub fn set_backlog(&self, backlog: Option<Backlog>, now: Moment) {
+        self.lock().backlog = backlog.map(|backlog| (backlog, now));
+    }
+
+    /// The newest backlog and its age, ms.
+    #[must_use]
+    pub fn backlog(&self, now: Moment) -> Option<(Backlog, Millis)> {
+        let jobs = self.lock();
+        let (backlog, at) = jobs.backlog.as_ref()?;
+        Some((backlog.clone(), now.0.saturating_sub(at.0)))
+    }
+
     /// Applies the owner's answer; the state of a job never returns to an earlier one.
     pub fn apply(&self, reply: WatchReply, now: Moment) {
         let mut jobs = self.lock();
@@ -155,7 +171,7 @@
         let Some(heartbeat) = self.finder.owner() else { return false };
         let (epoch, from, pending) = self.position.get();
         let request = WatchRequest { epoch, from, pending, wait: WATCH_WAIT };
-        match self.client.watch(heartbeat.address, request).await {
+        match self.exchange(&heartbeat, request).await {
             Ok(Some(reply)) if reply.epoch >= epoch => {
                 self.position.set((reply.epoch, reply.next, reply.pending.0));
                 // An owner that cannot reach the store may have been replaced.
@@ -166,4 +182,20 @@
             _ => false,
         }
     }
+
+    /// Sends a watch, and keeps the backlog of the answer if the owner sends one.
+    async fn exchange(
+        &self,
+        heartbeat: &OwnerHeartbeat,
+        request: WatchRequest,
+    ) -> Result<Option<WatchReply>, CallError> {
+        if !heartbeat.backlogs {
+            return self.client.watch(heartbeat.address, request).await;
+        }
+        let answer = self.client.watch_backlog(heartbeat.address, request).await?;
+        Ok(answer.map(|BacklogReply { watch, backlog }| {
+            self.states.set_backlog(backlog, self.clock.now());
+            watch
+        }))
+    }
 }
--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -15,6 +15,7 @@
 use cactusdoor_platform::announcement::WorkerAnnouncement;
 use cactusdoor_platform::worker::{PollRequest, PolledList, WorkerClient, WorkerError};
 use cactusdoor_queue::agent::{AgentState, WorkerCall};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::lease::clock_bound;
 use cactusdoor_queue::name::{RunNumber, TaskName, WorkerIncarnation};
 use cactusdoor_queue::report::StartOrder;
@@ -62,6 +63,7 @@
     pub cancel_bound: Millis,
     /// Longest time for which a serving task may miss its latency bound.
     pub harm_bound: Millis,
+    pub features: SchedulingFeatures,
     pub messages: mpsc::UnboundedReceiver<WorkerMessage>,
 }
 
@@ -113,9 +115,10 @@
     /// Starts to control the worker.
     pub fn spawn(context: ControllerContext) -> Rc<Self> {
         let ControllerContext { worker, clock, log, metrics, messages, .. } = context;
-        let ControllerContext { lease_limit, cancel_bound, harm_bound, .. } = context;
+        let ControllerContext { lease_limit, cancel_bound, harm_bound, features, .. } = context;
         let unanswered_until = Cell::new(clock.now().after(lease_limit));
         let mut state = AgentState::default();
+        state.set_features(features);
         state.expect_earlier_calls(clock.now());
         let controller = Rc::new(Self {
             worker,
--- a/crates/fleet/tests/candidacy.rs
+++ b/crates/fleet/tests/candidacy.rs
@@ -32,6 +32,8 @@
         address: "127.0.0.1:9".parse().unwrap(),
         resigned: false,
         repeats_appends: true,
+        loads: true,
+        backlogs: true,
     };
     appender.append(None, &[heartbeat.record()]).await.unwrap();
 }
--- a/crates/fleet/tests/controller.rs
+++ b/crates/fleet/tests/controller.rs
@@ -35,6 +35,7 @@
         lease_limit: 10_000,
         cancel_bound: 10_000,
         harm_bound: 4_000,
+        features: cactusdoor_queue::features::SchedulingFeatures::default(),
         messages,
     });
     let worker = PlatformWorker::spawn("i-1", address, announce, "north", Arc::default()).unwrap();
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -4,8 +4,9 @@
 //! through it.
 
 use cactusdoor_core::unit::{Epoch, Millis, Sequence};
+use cactusdoor_queue::backlog::Backlog;
 use cactusdoor_queue::name::{JobId, QueueName};
-use cactusdoor_queue::report::{AgentReport, JobState, ReportReply};
+use cactusdoor_queue::report::{AgentReport, JobState, LoadReport, OrderedReply, ReportReply};
 use serde::{Deserialize, Serialize};
 
 /// Served by the agents of `cactusdoor-fleet`; only the answers of the owner are valid.
@@ -24,6 +25,10 @@
     /// From an entry whose append the platform's store refuses or does not answer; the owner
     /// repeats it under the same number.
     async fn append(append: RelayedAppend) -> StoreReply;
+    /// As `report`, with the worker's load; for owners whose heartbeat announces it.
+    async fn report_load(report: LoadReport) -> OrderedReply;
+    /// As `watch`, with the backlog; for owners whose heartbeat announces it.
+    async fn watch_backlog(request: WatchRequest) -> Option<BacklogReply>;
 }
 
 /// An append of an entry: the store executes it once, whoever sends it.
@@ -77,6 +82,13 @@
     pub pending: (u64, Option<Vec<(QueueName, u64)>>),
 }
 
+/// Job changes, and the work that waits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BacklogReply {
+    pub watch: WatchReply,
+    pub backlog: Option<Backlog>,
+}
+
 /// Result of looking up a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FindReply {
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -14,10 +14,12 @@
 use indexmap::{IndexMap, IndexSet};
 
 use self::late_calls::LateCalls;
+use crate::features::SchedulingFeatures;
 use crate::interference::InterferenceSample;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{
-    AgentLease, AgentOrder, AgentReport, EndedRun, ReportedRun, RunEnd, StartOrder, WorkerInfo,
+    AgentLease, AgentOrder, AgentReport, EndedRun, RankUpdate, ReportedRun, RunEnd, StartOrder,
+    WorkerInfo, WorkerLoad,
 };
 use crate::throttling::{BestEffortRun, FULL_SPEED, ServingRun, ThrottleCall, ThrottleController};
 
@@ -82,6 +84,7 @@
     /// Runs of a removed worker that a late call may start again.
     uncertain: Vec<(TaskName, RunNumber)>,
     throttle: ThrottleController,
+    features: SchedulingFeatures,
     speeds: IndexMap<(TaskName, RunNumber), u8>,
     samples: Vec<InterferenceSample>,
     reports: u64,
@@ -233,6 +236,20 @@
         calls
     }
 
+    /// Switches optional decisions on or off.
+    pub fn set_features(&mut self, features: SchedulingFeatures) {
+        self.features = features;
+    }
+
+    /// Applies the ranks in an answer of the owner of `epoch`.
+    pub fn apply_ranks(&mut self, _epoch: Epoch, _update: RankUpdate) {}
+
+    /// The worker's load, for a report that is sent at `now`.
+    #[must_use]
+    pub fn load(&self, _now: Moment) -> Option<WorkerLoad> {
+        None
+    }
+
     /// Switches to an owner of a higher epoch.
     pub fn adopt(&mut self, epoch: Epoch) {
         if epoch > self.epoch {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -8,16 +8,21 @@
 
 pub mod agent;
 pub mod agent_reports;
+pub mod backlog;
 pub mod config;
+pub mod features;
+pub mod forecast;
 mod former_runs;
 pub mod interference;
 pub mod job;
 mod latency;
 pub mod lease;
+mod moves;
 pub mod name;
 pub mod observation;
 pub mod placement;
 mod placing;
+pub mod rank;
 pub mod record;
 pub mod report;
 pub mod run_table;
--- a/crates/queue/src/name.rs
+++ b/crates/queue/src/name.rs
@@ -50,7 +50,7 @@
 }
 
 /// A step of one occurrence of a job.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StepName {
     pub job: JobId,
     pub occurrence: u32,
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -10,7 +10,8 @@
 
 use crate::interference::{InterferenceEstimates, InterferenceSample};
 use crate::name::{
-    AgentName, Checkpoint, DataCentre, Label, RunNumber, ServiceName, TaskName, WorkerIncarnation,
+    AgentName, Checkpoint, DataCentre, Label, RunNumber, ServiceName, StepName, TaskName,
+    WorkerIncarnation,
 };
 use crate::spec::TaskNeed;
 
@@ -189,6 +190,51 @@
     pub interference: Option<Vec<InterferenceEstimates>>,
 }
 
+/// Load of the tasks of one serving image on a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServingLoad {
+    pub image: Label,
+    pub tasks: u32,
+    /// Least headroom among the tasks, without the best-effort tasks beside them.
+    pub baseline: f32,
+    /// Expected fall of the baseline headroom in a second; 0 if it rises.
+    pub fall: f32,
+}
+
+/// What a worker has to spare, as its agent measured it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkerLoad {
+    pub serving: Vec<ServingLoad>,
+    /// Processors that best-effort tasks used in the last half second, thousandths.
+    pub best_effort_cpu: u64,
+    /// Time between the measurement and the sending of the report, ms.
+    pub age: Millis,
+}
+
+/// A report with the worker's load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    pub report: AgentReport,
+    /// `None` if the worker has not been measured.
+    pub load: Option<WorkerLoad>,
+}
+
+/// Ranks of the steps with best-effort runs on a worker; lower comes first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankUpdate {
+    /// Rises within an epoch.
+    pub number: u64,
+    pub ranks: Vec<(StepName, u64)>,
+}
+
+/// The owner's answer to a report with a load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OrderedReply {
+    pub reply: ReportReply,
+    /// `None` if the ranks have not changed.
+    pub ranks: Option<RankUpdate>,
+}
+
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum JobState {
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -11,6 +11,8 @@
 use indexmap::{IndexMap, IndexSet};
 
 use crate::config::{OperatorView, QueueConfig};
+use crate::features::SchedulingFeatures;
+use crate::forecast::MeasuredLoad;
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
 use crate::lease::{CONFIRM_LIMIT, clock_bound};
@@ -19,7 +21,7 @@
 };
 use crate::observation::RunObservation;
 use crate::record::{JobEnding, TaskRecord};
-use crate::report::{JobState, StartOrder};
+use crate::report::{JobState, LoadReport, StartOrder};
 use crate::spec::{JobSpec, StepSpec, TaskNeed};
 use crate::timers::{DayTimer, SteadyTimer, TimerQueue};
 use crate::waiting::{RoomChanges, WaitingSteps};
@@ -28,6 +30,9 @@
 
 /// Time for which the state of an ended job is kept, ms: twice the time promised to callers.
 const ENDED_LIFETIME: Millis = 240_000;
+/// Least time between two executions of [`QueueScheduler::balance`], ms: a fraction of the time
+/// between two lists of a worker.
+const BALANCE_INTERVAL: Millis = 100;
 
 /// State of one owner: jobs, workers, and writes that are not stored yet.
 #[derive(Debug)]
@@ -37,6 +42,9 @@
     pub ended: IndexMap<JobId, JobEnding>,
     pub workers: IndexMap<AgentName, TrackedWorker>,
     pub(crate) view: OperatorView,
+    pub(crate) features: SchedulingFeatures,
+    /// When [`Self::balance`] was last executed.
+    balanced: Moment,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     /// Whether samples have arrived since refused best-effort steps were last tried.
@@ -71,6 +79,8 @@
             ended: IndexMap::new(),
             workers: IndexMap::new(),
             view: OperatorView::default(),
+            features: SchedulingFeatures::default(),
+            balanced: Moment::default(),
             interference: InterferenceModel::default(),
             interference_changed: false,
             best_effort_tried: Moment::default(),
@@ -112,6 +122,29 @@
         self.opened = self.jobs.keys().cloned().collect();
     }
 
+    /// Switches optional decisions on or off.
+    pub fn set_features(&mut self, features: SchedulingFeatures) {
+        self.features = features;
+    }
+
+    /// Applies a report with the worker's load; see [`Self::report`].
+    pub fn report_load(&mut self, report: &LoadReport, now: Moment, unix: Millis) -> bool {
+        let applied = self.report(&report.report, now, unix);
+        if applied && let Some(tracked) = self.workers.get_mut(&report.report.agent) {
+            tracked.load = report.load.clone().map(|load| MeasuredLoad::open(load, now));
+        }
+        applied
+    }
+
+    /// Updates the order of best-effort steps and decides moves, at most once in
+    /// `BALANCE_INTERVAL`. Call it before [`Self::place`], and only while starts are permitted.
+    pub fn balance(&mut self, now: Moment, _unix: Millis) {
+        if now < self.balanced.after(BALANCE_INTERVAL) {
+            return;
+        }
+        self.balanced = now;
+    }
+
     /// Writes since the last call, in the order in which they must be stored.
     pub fn take_writes(&mut self) -> Vec<PendingWrite> {
         std::mem::take(&mut self.writes)
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexSet;
 
 use crate::config::OperatorView;
+use crate::forecast::MeasuredLoad;
 use crate::former_runs::FormerRuns;
 use crate::interference::InterferenceModel;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName, WorkerIncarnation};
@@ -187,6 +188,8 @@
     /// Stored ends that the worker did not list, to be acknowledged to the agent.
     pub acknowledged_runs: Vec<(TaskName, RunNumber)>,
     pub health: WorkerHealth,
+    /// The newest reported load.
+    pub load: Option<MeasuredLoad>,
     /// Whether orders wait to be sent to the agent; acknowledgements go with any answer.
     pub has_updates: bool,
 }
@@ -212,6 +215,7 @@
             acknowledged: 0,
             acknowledged_runs: Vec::new(),
             health: WorkerHealth::default(),
+            load: None,
             has_updates: false,
         }
     }
