Store what an owner has learned for its successor

Each owner began with the default interference coefficients, and the agents adopted them within a second, although its predecessor had learned them. The owner now stores its estimates every 8 s at most, if they have changed, and a new owner reads them once after its election. Records that are old, of another version or not plausible are ignored; the setting learned_state switches this on.

Ruled out: asking the agents for the estimates that they hold, which may belong to different epochs.

--- a/crates/fleet/src/candidate.rs
+++ b/crates/fleet/src/candidate.rs
@@ -19,7 +19,7 @@
 use crate::decision::DecisionEvent;
 use crate::finder::{OwnerFinder, OwnerHeartbeat};
 use crate::loading::{MAX_EPOCH, StoredState};
-use crate::owner::{OwnerContext, OwnerTerm};
+use crate::owner::{OwnerContext, OwnerTerm, learning};
 use crate::topic::{OWNER, OWNER_PRODUCER, TASKS};
 
 /// Time without a new heartbeat, ms, after which the owner counts as failed: two were
@@ -226,6 +226,13 @@
     let leases_end = clock_bound(now, CONFIRM_LIMIT);
     let mut scheduler = state.into_scheduler(epoch, leases_end, now, unix_ms());
     scheduler.set_features(owner.features);
+    if owner.features.learned_state
+        && let Some(learned) = learning::load(store).await
+    {
+        let (images, age) = (learned.images(), learned.age(unix_ms()));
+        scheduler.interference = learned.into_model();
+        owner.log.record(DecisionEvent::EstimatesLoaded { epoch, images, age });
+    }
     owner.log.record(DecisionEvent::OwnerElected {
         epoch,
         jobs: scheduler.jobs.len(),
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -99,6 +99,14 @@
         epoch: Epoch,
         cause: String,
     },
+    /// The owner begins with what its predecessor has learned.
+    EstimatesLoaded {
+        epoch: Epoch,
+        /// Serving images with estimates.
+        images: usize,
+        /// Age of the record.
+        age: Millis,
+    },
     OwnerResigned {
         epoch: Epoch,
         cause: &'static str,
@@ -247,6 +255,7 @@
             Self::OwnerLost { .. } => ("owner_lost", true),
             Self::OwnerElected { .. } => ("owner_elected", true),
             Self::ElectionLost { .. } => ("election_lost", true),
+            Self::EstimatesLoaded { .. } => ("estimates_loaded", true),
             Self::OwnerResigned { .. } => ("owner_resigned", true),
             Self::OwnerSlow { .. } => ("owner_slow", false),
             Self::StartsWithheld { .. } => ("starts_withheld", true),
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod background;
 mod freshness;
+pub mod learning;
 mod report_queue;
 mod reports;
 mod requests;
@@ -31,6 +32,7 @@
 use self::background::{
     AppendGroup, HEARTBEAT_INTERVAL, spawn_appender, spawn_heartbeats, spawn_request_reader,
 };
+use self::learning::LearnedWriter;
 use self::report_queue::{ReportQueue, ReportSender};
 use self::requests::REMOVAL_INTERVAL;
 use crate::appender::{AppenderError, StoredAppend, TopicAppender};
@@ -169,6 +171,8 @@
     removal_at: Moment,
     /// Whether an agent has reported a higher epoch: another owner has been elected.
     superseded: bool,
+    /// `None` unless learned state is stored.
+    learned: Option<LearnedWriter>,
     /// When each agent was last sent the interference estimates.
     estimates_sent: IndexMap<AgentName, Moment>,
 }
@@ -194,6 +198,10 @@
             spawn_appender(open_appender(&context.store, context.clock, REQUESTS, scheduler.epoch));
         let now = context.clock.now();
         context.metrics.owns.set(1);
+        let learned = context
+            .features
+            .learned_state
+            .then(|| LearnedWriter::spawn(&context.store, context.clock, scheduler.epoch));
         Self {
             calls: context.queue_server.open(),
             scheduler,
@@ -225,6 +233,7 @@
             ended: Vec::new(),
             removal_at: now.after(REMOVAL_INTERVAL),
             superseded: false,
+            learned,
             estimates_sent: IndexMap::new(),
             context,
         }
@@ -335,6 +344,9 @@
         }
         self.writes.extend(self.scheduler.take_writes());
         self.flush(now);
+        if let Some(learned) = &mut self.learned {
+            learned.update(&self.scheduler.interference, now, unix);
+        }
         self.count_pending();
         self.answer(now);
         None
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -141,6 +141,7 @@
     let job_order = read_switch(file, "job_order");
     let moves = read_switch(file, "moves");
     let refusals = read_switch(file, "refusals");
+    let learned_state = read_switch(file, "learned_state");
     let stop_run = read_millis(file, "scheduling", "stop_run_ms", RUN_RANGE, defaults.stop_run);
     let restore = read_millis(file, "scheduling", "restore_ms", RUN_RANGE, defaults.restore);
     Some(SchedulingFeatures {
@@ -148,6 +149,7 @@
         job_order: job_order?,
         moves: moves?,
         refusals: refusals?,
+        learned_state: learned_state?,
         stop_run: stop_run?,
         restore: restore?,
     })
--- a/crates/queue/src/features.rs
+++ b/crates/queue/src/features.rs
@@ -18,6 +18,8 @@
     pub moves: bool,
     /// Entries refuse jobs that could only complete when they are useless.
     pub refusals: bool,
+    /// What an owner has learned is stored for its successor.
+    pub learned_state: bool,
     /// Longest stop of a run, ms.
     pub stop_run: Millis,
     /// Time that a run needs to resume from a checkpoint, ms.
@@ -31,6 +33,7 @@
             job_order: false,
             moves: false,
             refusals: false,
+            learned_state: false,
             stop_run: DEFAULT_STOP,
             restore: DEFAULT_RESTORE,
         }
--- a/crates/queue/src/interference.rs
+++ b/crates/queue/src/interference.rs
@@ -186,6 +186,15 @@
     }
 }
 
+/// Whether stored estimates can have been learned: within the model's ranges.
+pub(crate) fn is_plausible(estimates: &InterferenceEstimates) -> bool {
+    let (least, most) = COEFFICIENT_RANGE;
+    let is_learned =
+        |(_, coefficient): &(Label, f32)| (least..=most).contains(&f64::from(*coefficient));
+    (0.0..=MAX_HEADROOM).contains(&f64::from(estimates.baseline))
+        && estimates.coefficients.iter().all(is_learned)
+}
+
 struct Share<'a> {
     image: &'a Label,
     now: f64,
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod interference;
 pub mod job;
 mod latency;
+pub mod learned;
 pub mod lease;
 mod moves;
 pub mod name;
