Measure the load of a worker at each poll of its agent

Cause: owners forecast with the learned average of a serving image, while agents throttle by the headroom of the moment; agents did not report it.

Change: LoadMeter keeps, for each poll, the least baseline headroom of each serving image and its fall in a second, also without best-effort tasks and while they are paused. It has a trend of its own, so throttling is as before. The processors in use are a lagging average, too; the meter takes the lag out as LatencyEstimator does for latencies. Ruled out: the baseline of ThrottleController as it is.

--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -246,8 +246,9 @@
 
     /// The worker's load, for a report that is sent at `now`.
     #[must_use]
-    pub fn load(&self, _now: Moment) -> Option<WorkerLoad> {
-        None
+    pub fn load(&self, now: Moment) -> Option<WorkerLoad> {
+        let capacity = self.worker.as_ref()?.capacity.cpu;
+        self.throttle.load(capacity, now)
     }
 
     /// Switches to an owner of a higher epoch.
--- a/crates/queue/src/latency.rs
+++ b/crates/queue/src/latency.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::name::TaskName;
-use crate::throttling::{POLL_GAP_LIMIT, ServingRun};
+use crate::throttling::{BestEffortRun, POLL_GAP_LIMIT, ServingRun};
 
 /// Least time between two measurements of a worker, ms.
 const MEASUREMENT_INTERVAL: Millis = 230;
@@ -20,7 +20,7 @@
 const TREND_INTERVAL: Millis = 450;
 /// Time for which a trend is extrapolated, ms: a speed can be corrected only after the lag
 /// of the measurements and one poll.
-const TREND_HORIZON: Millis = 600;
+pub(crate) const TREND_HORIZON: Millis = 600;
 
 /// Estimates current tail latencies from the worker's lagging averages.
 ///
@@ -59,6 +59,34 @@
     }
 }
 
+/// Estimates the processors that best-effort tasks use from lagging averages, as
+/// [`LatencyEstimator`] estimates latencies: without it, the baseline headroom seems to fall
+/// after each start and to rise after each end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct UseEstimator {
+    at: Moment,
+    /// Shares of the processors, as listed.
+    listed: IndexMap<TaskName, f64>,
+}
+
+impl UseEstimator {
+    /// Current shares of the processors, at most those at full speed.
+    #[expect(clippy::cast_precision_loss, reason = "milliseconds of a few polls")]
+    pub(crate) fn estimate(&mut self, best_effort: &[BestEffortRun], now: Moment) -> Vec<f64> {
+        let passed = now.0.saturating_sub(self.at.0).max(1);
+        let decay = (-(passed as f64) / AVERAGE_TIME).exp();
+        let estimate = |run: &BestEffortRun| {
+            let before = self.listed.get(&run.task).copied().unwrap_or_default();
+            let current = (run.used - decay * before) / (1.0 - decay);
+            current.clamp(0.0, run.share.max(run.used))
+        };
+        let current = best_effort.iter().map(estimate).collect();
+        self.at = now;
+        self.listed = best_effort.iter().map(|run| (run.task.clone(), run.used)).collect();
+        current
+    }
+}
+
 /// Trend of the baseline headrooms, those without any interference.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BaselineTrend {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod job;
 mod latency;
 pub mod lease;
+mod load_meter;
 mod moves;
 pub mod name;
 pub mod observation;
--- a/crates/queue/src/report.rs
+++ b/crates/queue/src/report.rs
@@ -190,6 +190,9 @@
     pub interference: Option<Vec<InterferenceEstimates>>,
 }
 
+/// Most serving images of a load: a worker serves a few.
+pub const MAX_LOAD_IMAGES: usize = 32;
+
 /// Load of the tasks of one serving image on a worker.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServingLoad {
--- a/crates/queue/src/throttling.rs
+++ b/crates/queue/src/throttling.rs
@@ -16,7 +16,9 @@
     InterferenceModel, InterferenceSample, OVERLOADED_HEADROOM, ShareChange,
 };
 use crate::latency::{BaselineTrend, LatencyEstimator};
+use crate::load_meter::LoadMeter;
 use crate::name::{Label, RunNumber, TaskName};
+use crate::report::WorkerLoad;
 
 /// Full speed, percent.
 pub const FULL_SPEED: u8 = 100;
@@ -24,7 +26,7 @@
 /// the error of the interference coefficients.
 pub const TARGET_HEADROOM: f64 = 1.1;
 /// Loss of headroom below which a best-effort task is not throttled.
-const NEGLIGIBLE: f64 = 0.05;
+pub(crate) const NEGLIGIBLE: f64 = 0.05;
 /// Least time between two samples, ms: a measurement covers the last half second.
 const SAMPLE_INTERVAL: Millis = 500;
 /// Most time between two polls that are compared, ms: over a longer time the load changes
@@ -105,6 +107,7 @@
     latency: LatencyEstimator,
     /// Since when a serving task has missed its latency bound.
     exceeded_since: Option<Moment>,
+    load: LoadMeter,
 }
 
 impl ThrottleController {
@@ -121,6 +124,7 @@
             return ThrottleUpdate::default();
         };
         let samples = self.sample(&current, best_effort, now);
+        self.load.record(&self.model, &current, best_effort, now);
         if serving.iter().all(|run| run.headroom >= 1.0) {
             self.exceeded_since = None;
         } else if self.exceeded_since.is_none() {
@@ -141,6 +145,13 @@
         ThrottleUpdate { calls, samples }
     }
 
+    /// The newest measured load; `None` if it is too old. `capacity`: processors of the worker,
+    /// thousandths.
+    #[must_use]
+    pub fn load(&self, capacity: u64, now: Moment) -> Option<WorkerLoad> {
+        self.load.load(capacity, now)
+    }
+
     fn speeds(
         &mut self,
         serving: &[ServingRun],
