Forecast the speed of best-effort tasks from the reported headroom

Cause: 70% of the runs that are ever throttled got a first speed of 0 to 10%, as placement used the average headroom of a serving image.

The task gets what the runs that precede it leave, since agents allocate headroom in order; the task waits if that is too little. With `job_order` on, runs with a higher rank number do not count. The forecast is kept with the run, logged with `task_placed` and compared with the first listed speed. Invalid loads are skipped with a log line.

Ruled out: the even division of the headroom that placement assumes without the switch.

With the switch off, placements are as before.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -134,6 +134,9 @@
         /// Processors of the worker that the owner has reserved, this task's included,
         /// thousandths.
         reserved_cpu: u64,
+        /// Expected speed, percent, of a best-effort run; `None` if `headroom_forecast` is off.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        forecast: Option<u8>,
         epoch: Epoch,
     },
     RunEnded {
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,13 +1,16 @@
 //! Prometheus metrics of the daemons.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, up to callers' longest deadline.
 const LATENCY_BUCKETS: [f64; 10] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
 
+/// Upper bounds of the buckets of forecast errors in percent of full speed.
+const ERROR_BUCKETS: [f64; 8] = [0.0, 5.0, 10.0, 20.0, 30.0, 50.0, 75.0, 100.0];
+
 /// Metrics of an owner.
 #[derive(Clone)]
 pub struct OwnerMetrics {
@@ -23,6 +26,10 @@
     pub rounds: Histogram,
     /// Calls that waited for the loop when its last round began.
     pub waiting_calls: IntGauge,
+    /// Absolute differences of forecast and first speeds, percent of full speed.
+    pub forecast_errors: Histogram,
+    /// Age of the oldest load that forecasts use, s.
+    pub load_age: Gauge,
 }
 
 /// Metrics of an agent.
@@ -49,6 +56,10 @@
             "cactusdoor_owner_round_seconds",
             "Duration of a round: calls handled, tasks placed, answers sent",
         );
+        let errors = HistogramOpts::new(
+            "cactusdoor_owner_forecast_error_percent",
+            "Absolute difference of forecast and first listed speed of a best-effort run",
+        );
         let metrics = Self {
             owns: IntGauge::new("cactusdoor_owner_active", "1 while this process owns the queues")?,
             started: IntCounter::new("cactusdoor_owner_placements_total", "Stored placements")?,
@@ -71,9 +82,16 @@
                 "cactusdoor_owner_waiting_calls",
                 "Calls that waited for the owner when its last round began",
             )?,
+            forecast_errors: Histogram::with_opts(errors.buckets(ERROR_BUCKETS.to_vec()))?,
+            load_age: Gauge::new(
+                "cactusdoor_owner_load_age_seconds",
+                "Age of the oldest load that forecasts use; 0 without one",
+            )?,
         };
         registry.register(Box::new(metrics.rounds.clone()))?;
         registry.register(Box::new(metrics.waiting_calls.clone()))?;
+        registry.register(Box::new(metrics.forecast_errors.clone()))?;
+        registry.register(Box::new(metrics.load_age.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -169,6 +169,8 @@
     removal_at: Moment,
     /// Whether an agent has reported a higher epoch: another owner has been elected.
     superseded: bool,
+    /// When the age of the loads was last recorded.
+    load_age_recorded: Moment,
     /// When each agent was last sent the interference estimates.
     estimates_sent: IndexMap<AgentName, Moment>,
 }
@@ -225,6 +227,7 @@
             ended: Vec::new(),
             removal_at: now.after(REMOVAL_INTERVAL),
             superseded: false,
+            load_age_recorded: now,
             estimates_sent: IndexMap::new(),
             context,
         }
@@ -327,6 +330,7 @@
             self.context.log.record(DecisionEvent::AgentSilent { agent, silent });
         }
         self.record_observations(&[]);
+        self.record_load_age(now);
         self.remove_ended(now, unix);
         // A placement leaves with the next append; until then, more room may be reported.
         if self.may_place() && self.may_append(now) {
@@ -427,13 +431,14 @@
         self.scheduler.release(effect);
         let epoch = self.scheduler.epoch;
         match effect {
-            CommitEffect::Started { agent, task, run, reserved_cpu } => {
+            CommitEffect::Started { agent, task, run, reserved_cpu, forecast } => {
                 self.context.metrics.started.inc();
                 self.context.log.record(DecisionEvent::TaskPlaced {
                     task: task.clone(),
                     run: *run,
                     agent: agent.clone(),
                     reserved_cpu: *reserved_cpu,
+                    forecast: *forecast,
                     epoch,
                 });
             }
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -1,6 +1,8 @@
 //! Agents' reports, and what they mean for the decision log and the metrics.
 
-use cactusdoor_core::unit::Moment;
+use std::time::Duration;
+
+use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_node::clock::unix_ms;
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::observation::RunObservation;
@@ -10,6 +12,9 @@
 use super::report_queue::ReportSender;
 use crate::decision::DecisionEvent;
 
+/// Least time between two records of the loads' age, ms: it looks at all workers.
+const LOAD_AGE_INTERVAL: Millis = 1_000;
+
 impl OwnerTerm {
     pub(super) fn handle_report(&mut self, loaded: &LoadReport, reply: ReportSender, now: Moment) {
         let report = &loaded.report;
@@ -65,11 +70,29 @@
                 RunObservation::Withdrawn { agent, task, run } => {
                     DecisionEvent::StartWithdrawn { task, run, agent, epoch }
                 }
+                RunObservation::LoadRejected { agent, error } => {
+                    log::warn!("load of agent {agent} is not used: {error}");
+                    continue;
+                }
+                RunObservation::FirstSpeed { forecast, speed, .. } => {
+                    metrics.forecast_errors.observe(f64::from(forecast.abs_diff(speed)));
+                    continue;
+                }
             };
             self.context.log.record(event);
         }
     }
 
+    /// Records the age of the oldest load that forecasts use, at intervals.
+    pub(super) fn record_load_age(&mut self, now: Moment) {
+        if now < self.load_age_recorded.after(LOAD_AGE_INTERVAL) {
+            return;
+        }
+        self.load_age_recorded = now;
+        let age = Duration::from_millis(self.scheduler.oldest_load(now).unwrap_or_default());
+        self.context.metrics.load_age.set(age.as_secs_f64());
+    }
+
     fn quarantines(&self, agent: &AgentName) -> u32 {
         self.scheduler.workers.get(agent).map_or(0, |tracked| tracked.health.quarantines())
     }
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -6,6 +6,7 @@
 
 use cactusdoor_core::unit::{Millis, Moment};
 
+use crate::forecast::compare_forecast;
 use crate::job::TaskPlace;
 use crate::lease::{AGENT_LEASE, clock_bound};
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerIncarnation};
@@ -90,6 +91,7 @@
             }
             self.reconcile(agent, reported, received, now);
         }
+        self.refresh_ranks(agent);
         self.note_updates(agent);
         true
     }
@@ -145,6 +147,7 @@
         let registered = worker.map(|new| &new.incarnation);
         if tracked.worker.as_ref().map(|old| &old.incarnation) != registered {
             tracked.acknowledged = 0;
+            tracked.load = None;
             if let Some(registered) = registered {
                 tracked.stop_former_runs(registered, now);
             }
@@ -354,6 +357,7 @@
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
                 Some(run) => {
+                    self.observations.extend(compare_forecast(agent, run, listed));
                     // Without a percentage, the progress is not known.
                     if listed.percent.is_some() && run.percent != listed.percent {
                         run.percent = listed.percent;
--- a/crates/queue/src/interference.rs
+++ b/crates/queue/src/interference.rs
@@ -23,7 +23,7 @@
 /// Baseline headroom of an unknown image: its tail latency is half of the bound.
 const DEFAULT_BASELINE: f64 = 2.0;
 /// Upper limit of headrooms in the model; above it the task is practically idle.
-const MAX_HEADROOM: f64 = 8.0;
+pub(crate) const MAX_HEADROOM: f64 = 8.0;
 /// Headroom below which the tail latency is too far over its bound to be informative.
 pub const OVERLOADED_HEADROOM: f64 = 0.4;
 /// Share of the prediction error that one sample corrects.
@@ -97,9 +97,14 @@
     /// Baseline headroom of a serving image beyond `target`.
     #[must_use]
     pub fn spare_headroom(&self, serving: Option<&Label>, target: f64) -> f64 {
+        spare_beyond(self.baseline(serving), target)
+    }
+
+    /// Learned average of the baseline headroom of a serving image.
+    #[must_use]
+    pub fn baseline(&self, serving: Option<&Label>) -> f64 {
         let known = serving.and_then(|image| self.serving.get(image));
-        let baseline = known.map_or(DEFAULT_BASELINE, |known| known.baseline);
-        (baseline - target).max(MIN_SPARE_HEADROOM)
+        known.map_or(DEFAULT_BASELINE, |known| known.baseline)
     }
 
     /// Coefficient of a pair that was not seen together: the geometric mean of the default and
@@ -186,6 +191,11 @@
     }
 }
 
+/// Headroom beyond `target` that a placement assumes.
+pub(crate) fn spare_beyond(baseline: f64, target: f64) -> f64 {
+    (baseline - target).max(MIN_SPARE_HEADROOM)
+}
+
 struct Share<'a> {
     image: &'a Label,
     now: f64,
--- a/crates/queue/src/observation.rs
+++ b/crates/queue/src/observation.rs
@@ -5,6 +5,7 @@
 
 use serde::Serialize;
 
+use crate::forecast::LoadError;
 use crate::name::{AgentName, RunNumber, TaskName};
 use crate::scheduler::QueueScheduler;
 
@@ -31,7 +32,7 @@
     }
 }
 
-/// An observation about one run.
+/// An observation about one run, or about the load of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunObservation {
     /// The owner ended the run itself.
@@ -40,6 +41,10 @@
     Unassigned { agent: AgentName, task: TaskName, run: RunNumber },
     /// The run waited for its start in a data centre taken out of service; its stop was ordered.
     Withdrawn { agent: AgentName, task: TaskName, run: RunNumber },
+    /// The agent's load is invalid and is not used.
+    LoadRejected { agent: AgentName, error: LoadError },
+    /// The first speed that the agent lists for a run with a forecast, percent.
+    FirstSpeed { agent: AgentName, task: TaskName, run: RunNumber, forecast: u8, speed: u8 },
 }
 
 impl RunObservation {
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -7,8 +7,10 @@
 
 use cactusdoor_core::unit::Moment;
 
+use crate::forecast::SlowdownForecast;
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
+use crate::rank::StepRank;
 use crate::spec::StepSpec;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
@@ -21,7 +23,6 @@
 const UNSHARED_PENALTY: u64 = 1_000;
 /// Cost of placing a best-effort task beside serving tasks, in thousandths.
 const SERVING_PENALTY: u64 = 300;
-
 /// Inputs of a choice apart from the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceContext<'a> {
@@ -34,6 +35,10 @@
     pub within: Option<&'a Label>,
     /// Whether the task may wait for a less busy worker: its job is not idle for too long.
     pub may_wait: bool,
+    /// Whether forecasts rest on reported loads.
+    pub forecasts: bool,
+    /// Rank up to which best-effort runs delay the task; `None` if all do.
+    pub rank: Option<StepRank>,
     pub now: Moment,
 }
 
@@ -93,11 +98,18 @@
 /// Slowdown of the worker's best-effort tasks after the placement, in thousandths:
 /// they share the idle processors and are throttled to protect serving tasks.
 fn best_effort_cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
+    let is_acceptable = |slowed: u64| slowed <= SLOWDOWN_LIMIT || !context.may_wait;
+    if context.forecasts {
+        let forecast = SlowdownForecast::of(tracked, context);
+        let penalty = if tracked.runs.serving() == 0 { 0 } else { SERVING_PENALTY };
+        // Among workers on which the task is as fast, the one with the least to displace is better.
+        let cost = forecast.slowdown.saturating_add(forecast.displaced).saturating_add(penalty);
+        return is_acceptable(forecast.slowdown).then_some(cost);
+    }
     let step = context.step;
     let idle = tracked.idle_cpu().max(1);
     let demand = tracked.runs.best_effort_cpu().saturating_add(step.need.cpu);
     let shared = demand.saturating_mul(1_000) / idle;
-    let is_acceptable = |slowed: u64| slowed <= SLOWDOWN_LIMIT || !context.may_wait;
     if tracked.runs.serving() == 0 {
         return is_acceptable(shared).then_some(shared);
     }
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -54,7 +54,7 @@
         let steady = self.steady_timers.next().map(Moment);
         let day = self.day_timers.next().map(|at| now.after(at.saturating_sub(unix)));
         let expiry = self.next_expiry.map(|at| at.after(1));
-        let learned = (self.interference_changed && !self.waiting.is_empty())
+        let learned = (self.retries_best_effort() && !self.waiting.is_empty())
             .then(|| self.best_effort_tried.after(BEST_EFFORT_INTERVAL));
         [steady, day, expiry, learned].into_iter().flatten().min()
     }
@@ -151,7 +151,13 @@
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
-            self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
+            // A new first step may displace the runs for which its class was refused.
+            let displacing = (step.best_effort && self.orders_runs()).then(|| class.clone());
+            let order = StepOrder { priority, late, accepted, step: name };
+            let is_first = self.waiting.insert(class, order);
+            if let Some(class) = displacing.filter(|_| is_first) {
+                self.waiting.reopen_class(&class);
+            }
         }
         for name in others {
             self.waiting.remove(&name);
@@ -161,7 +167,7 @@
     /// Opens refused classes that a worker with new room may take.
     fn reopen_steps(&mut self, now: Moment) {
         let retry = now >= self.best_effort_tried.after(BEST_EFFORT_INTERVAL);
-        if self.interference_changed && retry {
+        if self.retries_best_effort() && retry {
             self.interference_changed = false;
             self.best_effort_tried = now;
             self.waiting.reopen_best_effort();
@@ -171,6 +177,12 @@
         self.waiting = waiting;
     }
 
+    /// Whether workers may take refused best-effort steps without having gained room. A forecast
+    /// changes with the age of its load, too.
+    fn retries_best_effort(&self) -> bool {
+        self.interference_changed || self.features.headroom_forecast
+    }
+
     /// Whether an agent's worker can take a task of a waiting step.
     fn admits(&self, name: &StepName, agent: &AgentName, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&name.job) else { return true };
@@ -315,7 +327,7 @@
         (chosen.len() == tasks.len()).then_some(chosen)
     }
 
-    fn choice<'a>(
+    pub(crate) fn choice<'a>(
         &'a self,
         name: &'a StepName,
         step: &'a StepSpec,
@@ -325,8 +337,20 @@
         let taken_out = &self.view.taken_out;
         let (service, interference) = (&config.service, &self.interference);
         let may_wait = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
-        let within = None;
-        ChoiceContext { name, step, service, taken_out, interference, within, may_wait, now }
+        let forecasts = self.features.headroom_forecast;
+        let rank = if step.best_effort { self.forecast_rank(name) } else { None };
+        ChoiceContext {
+            name,
+            step,
+            service,
+            taken_out,
+            interference,
+            within: None,
+            may_wait,
+            forecasts,
+            rank,
+            now,
+        }
     }
 
     /// All workers that can take a task of the step, within a rack if one is given, by cost.
@@ -385,6 +409,8 @@
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
         let stalls = task.map_or(0, |task| task.stalls);
         let payload = job.payload.clone();
+        let forecast = self.forecast_speed(worker, name, step, now);
+        let rank = if step.best_effort { self.forecast_rank(&name.step_name()) } else { None };
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
         let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
         let Some((_, tracked)) = self.workers.get_index_mut(worker) else { return };
@@ -397,7 +423,11 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(AssignedRun { stalls, ..AssignedRun::open(start, step, now) });
+        let run = AssignedRun { stalls, forecast, ..AssignedRun::open(start, step, now) };
+        tracked.runs.insert(run);
+        if rank.is_some() {
+            tracked.runs.set_rank(&name.step_name(), rank);
+        }
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
@@ -410,7 +440,9 @@
         let Some(spec) = self.jobs.get(&name.job).map(|job| job.spec.clone()) else { return };
         let Some(step) = spec.steps.get(usize::from(name.step)) else { return };
         self.assign_run(worker, name, step, run, now);
-        let reserved_cpu = self.workers.get(&agent).map_or(0, |tracked| tracked.reserved().cpu);
+        let tracked = self.workers.get(&agent);
+        let reserved_cpu = tracked.map_or(0, |tracked| tracked.reserved().cpu);
+        let forecast = tracked.and_then(|tracked| tracked.runs.get(name)?.forecast);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.change_task(name, |task| {
             task.run = run;
@@ -420,7 +452,8 @@
         job.update_idle(now);
         let placed = PlacedAt { agent: agent.clone(), incarnation };
         let Some(record) = job.task(name).map(|task| task.record(Some(placed))) else { return };
-        let started = CommitEffect::Started { agent, task: name.clone(), run, reserved_cpu };
+        let started =
+            CommitEffect::Started { agent, task: name.clone(), run, reserved_cpu, forecast };
         self.push_task(name, &record, Some(started));
     }
 
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -12,7 +12,6 @@
 
 use crate::config::{OperatorView, QueueConfig};
 use crate::features::SchedulingFeatures;
-use crate::forecast::MeasuredLoad;
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
 use crate::lease::{CONFIRM_LIMIT, clock_bound};
@@ -130,8 +129,8 @@
     /// Applies a report with the worker's load; see [`Self::report`].
     pub fn report_load(&mut self, report: &LoadReport, now: Moment, unix: Millis) -> bool {
         let applied = self.report(&report.report, now, unix);
-        if applied && let Some(tracked) = self.workers.get_mut(&report.report.agent) {
-            tracked.load = report.load.clone().map(|load| MeasuredLoad::open(load, now));
+        if applied && let Some(load) = &report.load {
+            self.keep_load(&report.report.agent, load, now);
         }
         applied
     }
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -76,17 +76,30 @@
 }
 
 impl WaitingSteps {
-    /// Adds a step, or moves it to another class or position.
-    pub fn insert(&mut self, class: NeedClass, order: StepOrder) {
+    /// Adds a step, or moves it to another class or position. Returns whether it has entered
+    /// the class as its first step.
+    pub fn insert(&mut self, class: NeedClass, order: StepOrder) -> bool {
         let step = order.step.clone();
+        let mut entered = true;
         if let Some((known, position)) = self.entries.get(&step) {
             if *known == class && *position == order {
-                return;
+                return false;
             }
+            entered = *known != class;
             self.remove(&step);
         }
-        self.classes.entry(class.clone()).or_default().steps.insert(order.clone());
+        let queue = self.classes.entry(class.clone()).or_default();
+        queue.steps.insert(order.clone());
+        let is_first = queue.steps.first() == Some(&order);
         self.entries.insert(step, (class, order));
+        entered && is_first
+    }
+
+    /// Opens a refused class.
+    pub fn reopen_class(&mut self, class: &NeedClass) {
+        if let Some(queue) = self.classes.get_mut(class) {
+            queue.refused = None;
+        }
     }
 
     pub fn remove(&mut self, step: &StepName) {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -60,6 +60,8 @@
     pub stalled: bool,
     /// Newest checkpoint.
     pub checkpoint: Checkpoint,
+    /// Speed that was forecast at the placement, percent.
+    pub forecast: Option<u8>,
 }
 
 impl AssignedRun {
@@ -81,6 +83,7 @@
             progressed: now,
             stalls: 0,
             stalled: false,
+            forecast: None,
         }
     }
 
@@ -190,6 +193,8 @@
     pub health: WorkerHealth,
     /// The newest reported load.
     pub load: Option<MeasuredLoad>,
+    /// When an invalid load was last logged.
+    pub load_rejected: Option<Moment>,
     /// Whether orders wait to be sent to the agent; acknowledgements go with any answer.
     pub has_updates: bool,
 }
@@ -216,6 +221,7 @@
             acknowledged_runs: Vec::new(),
             health: WorkerHealth::default(),
             load: None,
+            load_rejected: None,
             has_updates: false,
         }
     }
--- a/crates/queue/src/write.rs
+++ b/crates/queue/src/write.rs
@@ -12,6 +12,8 @@
         run: RunNumber,
         /// Reserved processors of the worker after the placement, thousandths.
         reserved_cpu: u64,
+        /// Expected speed of a best-effort run, percent.
+        forecast: Option<u8>,
     },
     /// The worker may drop its ended runs up to this number.
     Acknowledged {
--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -12,12 +12,14 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::config::{OperatorView, QueueConfig, QueueTerms};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::interference::{InterferenceSample, ShareChange};
 use cactusdoor_queue::name::{JobId, TaskName};
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
-use cactusdoor_queue::report::{JobState, ReportedRun, RunEnd};
+use cactusdoor_queue::report::{JobState, LoadReport, ReportedRun, RunEnd, StartOrder, WorkerLoad};
 use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
 use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
+use cactusdoor_queue::worker::{AssignedRun, TrackedWorker};
 use naive::{NaivePass, check_sums};
 use proptest::prelude::*;
 use support::*;
@@ -52,6 +54,13 @@
         agent: u64,
         now: f32,
     },
+    /// Baseline headroom and fall of a serving image, and the age of the load.
+    Load {
+        agent: u64,
+        baseline: f32,
+        fall: f32,
+        age: u64,
+    },
     Configure {
         taken_out: bool,
         attempts: u32,
@@ -109,6 +118,8 @@
         1 => agent().prop_map(|agent| Action::Restart { agent }),
         1 => agent().prop_map(|agent| Action::Leave { agent }),
         1 => (agent(), 0.5f32..4.0).prop_map(|(agent, now)| Action::Sample { agent, now }),
+        2 => (agent(), 0.2f32..6.0, 0.0f32..2.0, 0u64..7_000)
+            .prop_map(|(agent, baseline, fall, age)| Action::Load { agent, baseline, fall, age }),
         1 => (any::<bool>(), 0u32..4, any::<bool>()).prop_map(|(taken_out, attempts, swapped)| {
             Action::Configure { taken_out, attempts, swapped }
         }),
@@ -128,6 +139,7 @@
     jobs: Vec<(JobId, JobSpec)>,
     records: BTreeMap<String, Vec<u8>>,
     view: OperatorView,
+    features: SchedulingFeatures,
 }
 
 fn configured(taken_out: bool, attempts: u32, swapped: bool) -> OperatorView {
@@ -146,7 +158,7 @@
 }
 
 impl Simulation {
-    fn open() -> Self {
+    fn open(features: SchedulingFeatures) -> Self {
         let mut simulation = Self {
             scheduler: QueueScheduler::open(1, Moment(0)),
             epoch: 1,
@@ -158,7 +170,9 @@
             jobs: Vec::new(),
             records: BTreeMap::new(),
             view: configured(false, 3, false),
+            features,
         };
+        simulation.scheduler.set_features(features);
         simulation.scheduler.set_view(simulation.view.clone());
         simulation
     }
@@ -191,6 +205,12 @@
                 report.samples = vec![sample];
                 self.scheduler.report(&report, self.now, self.unix);
             }
+            Action::Load { agent, baseline, fall, age } => {
+                let images = ["x", "y"].map(|image| serving_load(image, *baseline, *fall));
+                let load = WorkerLoad { serving: images.into(), best_effort_cpu: 0, age: *age };
+                let report = LoadReport { report: self.message(*agent), load: Some(load) };
+                self.scheduler.report_load(&report, self.now, self.unix);
+            }
             Action::Configure { taken_out, attempts, swapped } => {
                 self.view = configured(*taken_out, *attempts, *swapped);
                 self.scheduler.set_view(self.view.clone());
@@ -202,8 +222,8 @@
             Action::ChangeOwner => self.change_owner(),
             Action::Cancel(_) => {}
         }
-        // Learned interference is used for refused steps only after a while.
-        if !matches!(action, Action::Sample { .. }) {
+        // Learned interference and loads are used for refused steps only after a while.
+        if !matches!(action, Action::Sample { .. } | Action::Load { .. }) {
             self.compare();
         }
         self.now = self.now.after(TICK);
@@ -282,7 +302,9 @@
     fn compare(&mut self) {
         self.scheduler.expire(self.now, self.unix);
         self.store();
-        let expected = NaivePass::run(&self.scheduler, self.now, self.unix).placed;
+        let expected =
+            NaivePass::run(&self.scheduler, self.features.headroom_forecast, self.now, self.unix)
+                .placed;
         assert!(!self.scheduler.place(self.now, self.unix));
         assert_eq!(self.store(), expected);
         self.scheduler.workers.values().for_each(check_sums);
@@ -325,6 +347,7 @@
         self.epoch += 1;
         let mut next = QueueScheduler::open(self.epoch, self.now.after(3_000));
         next.set_view(self.view.clone());
+        next.set_features(self.features);
         let keys: Vec<_> =
             self.records.iter().map(|(key, value)| (TaskKey::parse(key), value)).collect();
         for (key, value) in &keys {
@@ -347,13 +370,16 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 250, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
 
     #[test]
     fn indices_make_the_placements_of_a_scheduler_without_them(
-        actions in prop::collection::vec(action(), 1..90)
+        actions in prop::collection::vec(action(), 1..90),
+        headroom_forecast in any::<bool>(),
+        job_order in any::<bool>(),
     ) {
-        let mut simulation = Simulation::open();
+        let features = SchedulingFeatures { headroom_forecast, job_order, ..Default::default() };
+        let mut simulation = Simulation::open(features);
         for agent in 0..AGENTS {
             simulation.report(agent, true, false);
         }
@@ -361,4 +387,41 @@
             simulation.apply(action);
         }
     }
+
+    /// Ranks belong to steps; runs come and go, and ranks change at any time.
+    #[test]
+    fn sums_by_rank_are_those_of_the_runs(
+        changes in prop::collection::vec((0u16..5, 0u32..4, any::<bool>(), 0u64..8), 1..60)
+    ) {
+        let mut tracked = TrackedWorker::open("a0".into(), Moment(0));
+        for (step_index, index, inserts, rank) in changes {
+            let image = ["x", "y"][usize::from(step_index % 2)];
+            let spec = StepSpec {
+                best_effort: step_index < 4,
+                image: Some(image.into()),
+                ..step(4, 700 + u64::from(step_index))
+            };
+            let name = task("j", step_index, index);
+            if inserts {
+                let incarnation = worker("a0", 1).incarnation;
+                let start = StartOrder {
+                    task: name.clone(),
+                    incarnation,
+                    run: 1,
+                    checkpoint: "".into(),
+                    payload: "".into(),
+                    latency_bound: 0,
+                    best_effort: spec.best_effort,
+                    image: spec.image.clone(),
+                    cpu: spec.need.cpu,
+                    job_deadline: 0,
+                };
+                tracked.runs.insert(AssignedRun::open(start, &spec, Moment(0)));
+            } else {
+                tracked.runs.remove(&name);
+            }
+            tracked.runs.set_rank(&name.step_name(), (rank > 0).then_some(rank));
+            check_sums(&tracked);
+        }
+    }
 }
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -7,7 +7,9 @@
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig, QueueTerms};
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
-use cactusdoor_queue::report::{AgentOrder, AgentReport, EndedRun, RunEnd, WorkerInfo};
+use cactusdoor_queue::report::{
+    AgentOrder, AgentReport, EndedRun, RunEnd, ServingLoad, WorkerInfo,
+};
 use cactusdoor_queue::scheduler::{PendingWrite, QueueScheduler};
 use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
 use indexmap::IndexMap;
@@ -93,6 +95,10 @@
     }
 }
 
+pub fn serving_load(image: &str, baseline: f32, fall: f32) -> ServingLoad {
+    ServingLoad { image: image.into(), tasks: 1, baseline, fall }
+}
+
 pub fn ended(number: u64, task: &TaskName, run: u32, end: RunEnd) -> EndedRun {
     EndedRun { number, task: task.clone(), run, end, checkpoint: "".into() }
 }
