--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -18,6 +18,7 @@
 mod latency;
 pub mod learned;
 pub mod lease;
+mod load_meter;
 mod moves;
 pub mod name;
 pub mod observation;
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -12,7 +12,7 @@
 use crate::config::{OperatorView, QueueConfig};
 use crate::job::{JobProgress, TaskPlace};
 use crate::name::{AgentName, JobId, Label, RunNumber, StepName, TaskName};
-use crate::placement::{ChoiceContext, cost};
+use crate::placement::{ChoiceContext, cost, least_cost};
 use crate::record::PlacedAt;
 use crate::report::{JobState, StartOrder};
 use crate::scheduler::{CommitEffect, QueueScheduler, start_order};
@@ -27,8 +27,11 @@
 /// room, ms: the learned interference changes with every report.
 const BEST_EFFORT_INTERVAL: Millis = 250;
 
-/// Workers by the cost of a task, lowest first; at equal cost in the order of the fleet.
-type WorkerHeap = BinaryHeap<Reverse<(u64, usize)>>;
+/// Workers by the cost of a task, lowest first; at equal cost in the order of the fleet. The
+/// last part tells whether the cost is known, or a lower bound of it.
+type WorkerHeap = BinaryHeap<Reverse<(u64, usize, bool)>>;
+/// Step of a placement.
+type PlacedStep<'a> = (&'a StepName, &'a StepSpec, &'a QueueConfig);
 
 impl QueueScheduler {
     /// Opens due occurrences and places ready tasks that fit on a worker; returns whether
@@ -54,7 +57,7 @@
         let steady = self.steady_timers.next().map(Moment);
         let day = self.day_timers.next().map(|at| now.after(at.saturating_sub(unix)));
         let expiry = self.next_expiry.map(|at| at.after(1));
-        let learned = (self.interference_changed && !self.waiting.is_empty())
+        let learned = (self.retries_best_effort() && !self.waiting.is_empty())
             .then(|| self.best_effort_tried.after(BEST_EFFORT_INTERVAL));
         [steady, day, expiry, learned].into_iter().flatten().min()
     }
@@ -151,7 +154,13 @@
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
-            self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
+            // A new first step may displace the runs for which its class was refused.
+            let displacing = (step.best_effort && self.orders_runs()).then(|| class.clone());
+            let order = StepOrder { priority, late, accepted, step: name };
+            let is_first = self.waiting.insert(class, order);
+            if let Some(class) = displacing.filter(|_| is_first) {
+                self.waiting.reopen_class(&class);
+            }
         }
         for name in others {
             self.waiting.remove(&name);
@@ -161,7 +170,7 @@
     /// Opens refused classes that a worker with new room may take.
     fn reopen_steps(&mut self, now: Moment) {
         let retry = now >= self.best_effort_tried.after(BEST_EFFORT_INTERVAL);
-        if self.interference_changed && retry {
+        if self.retries_best_effort() && retry {
             self.interference_changed = false;
             self.best_effort_tried = now;
             self.waiting.reopen_best_effort();
@@ -171,6 +180,12 @@
         self.waiting = waiting;
     }
 
+    /// Whether workers may take refused best-effort steps without having gained room. A forecast
+    /// changes with the age of its load, too.
+    fn retries_best_effort(&self) -> bool {
+        self.interference_changed || self.features.headroom_forecast
+    }
+
     /// Whether an agent's worker can take a task of a waiting step.
     fn admits(&self, name: &StepName, agent: &AgentName, now: Moment) -> bool {
         let Some(job) = self.jobs.get(&name.job) else { return true };
@@ -226,7 +241,9 @@
         let mut heap = self.rank_workers(None, name, step, config, now);
         let mut placed = 0;
         for (task, run) in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, &task) else { break };
+            let Some(worker) = self.pop_worker(&mut heap, &task, (name, step, config), now) else {
+                break;
+            };
             self.start(worker, &task, run, now);
             placed += 1;
             let waits = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
@@ -302,7 +319,9 @@
         let mut heap = self.rank_workers(rack, name, step, config, now);
         let mut chosen = Vec::new();
         for task in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, task) else { break };
+            let Some(worker) = self.pop_worker(&mut heap, task, (name, step, config), now) else {
+                break;
+            };
             self.assign_run(worker, task, step, 0, now);
             chosen.push(worker);
             self.push_worker(&mut heap, worker, (name, step, config), now);
@@ -315,7 +334,7 @@
         (chosen.len() == tasks.len()).then_some(chosen)
     }
 
-    fn choice<'a>(
+    pub(crate) fn choice<'a>(
         &'a self,
         name: &'a StepName,
         step: &'a StepSpec,
@@ -325,8 +344,20 @@
         let taken_out = &self.view.taken_out;
         let (service, interference) = (&config.service, &self.interference);
         let may_wait = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
-        let within = None;
-        ChoiceContext { name, step, service, taken_out, interference, within, may_wait, now }
+        let forecasts = self.features.headroom_forecast;
+        let rank = if step.best_effort { self.forecast_rank(name) } else { None };
+        ChoiceContext {
+            name,
+            step,
+            service,
+            taken_out,
+            interference,
+            within: None,
+            may_wait,
+            forecasts,
+            rank,
+            now,
+        }
     }
 
     /// All workers that can take a task of the step, within a rack if one is given, by cost.
@@ -340,7 +371,10 @@
     ) -> WorkerHeap {
         let context = ChoiceContext { within: rack, ..self.choice(name, step, config, now) };
         let workers = self.workers.values().enumerate();
-        let ranked = workers.filter_map(|(index, tracked)| Some((cost(tracked, &context)?, index)));
+        let ranked = workers.filter_map(|(index, tracked)| {
+            let (cost, exact) = least_cost(tracked, &context)?;
+            Some((cost, index, exact))
+        });
         ranked.map(Reverse).collect()
     }
 
@@ -348,25 +382,34 @@
         &self,
         heap: &mut WorkerHeap,
         worker: usize,
-        (name, step, config): (&StepName, &StepSpec, &QueueConfig),
+        (name, step, config): PlacedStep<'_>,
         now: Moment,
     ) {
         let Some((_, tracked)) = self.workers.get_index(worker) else { return };
         if let Some(cost) = cost(tracked, &self.choice(name, step, config, now)) {
-            heap.push(Reverse((cost, worker)));
+            heap.push(Reverse((cost, worker, true)));
         }
     }
 
     /// Takes the worker with the lowest cost that has no run of the task.
-    fn pop_worker(&self, heap: &mut WorkerHeap, task: &TaskName) -> Option<usize> {
+    fn pop_worker(
+        &self,
+        heap: &mut WorkerHeap,
+        task: &TaskName,
+        step: PlacedStep<'_>,
+        now: Moment,
+    ) -> Option<usize> {
         let mut passed = Vec::new();
         let chosen = loop {
-            let Some(Reverse((cost, worker))) = heap.pop() else { break None };
+            let Some(Reverse((cost, worker, exact))) = heap.pop() else { break None };
             let (_, tracked) = self.workers.get_index(worker)?;
-            if !tracked.runs.contains_key(task) {
+            if !exact {
+                self.push_worker(heap, worker, step, now);
+            } else if tracked.runs.contains_key(task) {
+                passed.push(Reverse((cost, worker, exact)));
+            } else {
                 break Some(worker);
             }
-            passed.push(Reverse((cost, worker)));
         };
         heap.extend(passed);
         chosen
@@ -385,6 +428,8 @@
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
         let stalls = task.map_or(0, |task| task.stalls);
         let payload = job.payload.clone();
+        let forecast = self.forecast_speed(worker, name, step, now);
+        let rank = if step.best_effort { self.forecast_rank(&name.step_name()) } else { None };
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
         let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
         let Some((_, tracked)) = self.workers.get_index_mut(worker) else { return };
@@ -397,7 +442,11 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(AssignedRun { stalls, ..AssignedRun::open(start, step, now) });
+        let run = AssignedRun { stalls, forecast, ..AssignedRun::open(start, step, now) };
+        tracked.runs.insert(run);
+        if rank.is_some() {
+            tracked.runs.set_rank(&name.step_name(), rank);
+        }
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
@@ -410,7 +459,9 @@
         let Some(spec) = self.jobs.get(&name.job).map(|job| job.spec.clone()) else { return };
         let Some(step) = spec.steps.get(usize::from(name.step)) else { return };
         self.assign_run(worker, name, step, run, now);
-        let reserved_cpu = self.workers.get(&agent).map_or(0, |tracked| tracked.reserved().cpu);
+        let tracked = self.workers.get(&agent);
+        let reserved_cpu = tracked.map_or(0, |tracked| tracked.reserved().cpu);
+        let forecast = tracked.and_then(|tracked| tracked.runs.get(name)?.forecast);
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
         job.change_task(name, |task| {
             task.run = run;
@@ -420,7 +471,8 @@
         job.update_idle(now);
         let placed = PlacedAt { agent: agent.clone(), incarnation };
         let Some(record) = job.task(name).map(|task| task.record(Some(placed))) else { return };
-        let started = CommitEffect::Started { agent, task: name.clone(), run, reserved_cpu };
+        let started =
+            CommitEffect::Started { agent, task: name.clone(), run, reserved_cpu, forecast };
         self.push_task(name, &record, Some(started));
     }
 
