Rank best-effort steps, and throttle and place by rank

Cause: each agent divides its headroom by itself, so tasks of one job run on one worker and are stalled on another, and in overload every job is served slightly too late (docs/design/load.md, section 1).

With job_order on, the owner ranks each occurrence by priority, class (feasible, useful, neither) and acceptance plus SIZE_WEIGHT times remaining work over capacity. Progress is kept as a sum for each step, so an update costs what changed. Agents order best-effort runs by rank and progress. Without the switch the old order stays.

The remaining path counts the progress of running tasks, too: with full estimates a job of one step became late a step's duration before its deadline, and lost its headroom shortly before its end.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -111,6 +111,15 @@
         /// Calls that had waited for it.
         calls: usize,
     },
+    /// Numbers of best-effort steps by what their jobs can still achieve.
+    OrderChanged {
+        epoch: Epoch,
+        /// The job can be in time.
+        feasible: usize,
+        /// The job is late, but of some value.
+        useful: usize,
+        neither: usize,
+    },
     /// The owner withholds starts, as it may not know of cancels or operators' records, or
     /// resumes them.
     StartsWithheld {
@@ -249,6 +258,7 @@
             Self::ElectionLost { .. } => ("election_lost", true),
             Self::OwnerResigned { .. } => ("owner_resigned", true),
             Self::OwnerSlow { .. } => ("owner_slow", false),
+            Self::OrderChanged { .. } => ("order_changed", false),
             Self::StartsWithheld { .. } => ("starts_withheld", true),
             Self::JobPublished { .. } => ("job_shown", false),
             Self::TaskPlaced { .. } => ("task_placed", false),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of the daemons.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, up to callers' longest deadline.
@@ -23,6 +23,8 @@
     pub rounds: Histogram,
     /// Calls that waited for the loop when its last round began.
     pub waiting_calls: IntGauge,
+    /// Best-effort steps by what their jobs can still achieve.
+    pub ranked_steps: IntGaugeVec,
 }
 
 /// Metrics of an agent.
@@ -71,9 +73,17 @@
                 "cactusdoor_owner_waiting_calls",
                 "Calls that waited for the owner when its last round began",
             )?,
+            ranked_steps: IntGaugeVec::new(
+                Opts::new(
+                    "cactusdoor_owner_ranked_steps",
+                    "Best-effort steps by what their jobs can still achieve",
+                ),
+                &["class"],
+            )?,
         };
         registry.register(Box::new(metrics.rounds.clone()))?;
         registry.register(Box::new(metrics.waiting_calls.clone()))?;
+        registry.register(Box::new(metrics.ranked_steps.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod background;
 mod freshness;
+mod order;
 mod report_queue;
 mod reports;
 mod requests;
@@ -278,6 +279,7 @@
         self.context.log.record(DecisionEvent::OwnerResigned { epoch, cause: end.cause() });
         self.context.queue_server.close();
         self.context.metrics.owns.set(0);
+        self.context.metrics.ranked_steps.reset();
         if end != TermEnd::Fenced && self.resignation.send(true).is_ok() {
             // The last heartbeat announces the resignation: a successor need not wait
             // for the heartbeat timeout.
@@ -331,6 +333,9 @@
         // A placement leaves with the next append; until then, more room may be reported.
         if self.may_place() && self.may_append(now) {
             self.scheduler.balance(now, unix);
+            if let Some(counts) = self.scheduler.take_rank_counts(now) {
+                self.record_order(counts);
+            }
             self.scheduler.place(now, unix);
         }
         self.writes.extend(self.scheduler.take_writes());
--- a/crates/fleet/src/reporter.rs
+++ b/crates/fleet/src/reporter.rs
@@ -159,7 +159,10 @@
         let report = LoadReport { report, load };
         let answer = self.client.report_load(heartbeat.address, report).await?;
         if let (ReportReply::Lease(lease), Some(ranks)) = (&answer.reply, answer.ranks) {
-            self.reporter.controller.state.borrow_mut().apply_ranks(lease.epoch, ranks);
+            let mut state = self.reporter.controller.state.borrow_mut();
+            if let Err(error) = state.apply_ranks(lease.epoch, ranks) {
+                log::warn!("ranks of epoch {} are ignored: {error}", lease.epoch);
+            }
         }
         Ok(answer.reply)
     }
--- a/crates/queue/src/agent.rs
+++ b/crates/queue/src/agent.rs
@@ -7,6 +7,7 @@
 //! with it, but for those that a late call may start again (`late_calls`).
 
 mod late_calls;
+mod ranks;
 
 use std::sync::Arc;
 
@@ -14,12 +15,14 @@
 use indexmap::{IndexMap, IndexSet};
 
 use self::late_calls::LateCalls;
+pub use self::ranks::RankUpdateError;
+use self::ranks::RunRanks;
 use crate::features::SchedulingFeatures;
 use crate::interference::InterferenceSample;
 use crate::name::{Checkpoint, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{
-    AgentLease, AgentOrder, AgentReport, EndedRun, RankUpdate, ReportedRun, RunEnd, StartOrder,
-    WorkerInfo, WorkerLoad,
+    AgentLease, AgentOrder, AgentReport, EndedRun, ReportedRun, RunEnd, StartOrder, WorkerInfo,
+    WorkerLoad,
 };
 use crate::throttling::{BestEffortRun, FULL_SPEED, ServingRun, ThrottleCall, ThrottleController};
 
@@ -85,6 +88,7 @@
     uncertain: Vec<(TaskName, RunNumber)>,
     throttle: ThrottleController,
     features: SchedulingFeatures,
+    ranks: RunRanks,
     speeds: IndexMap<(TaskName, RunNumber), u8>,
     samples: Vec<InterferenceSample>,
     reports: u64,
@@ -125,6 +129,7 @@
         self.unlisted.clear();
         self.uncertain.clear();
         self.speeds.clear();
+        self.ranks.clear();
         self.throttle = ThrottleController::default();
         self.acknowledged = 0;
     }
@@ -241,9 +246,6 @@
         self.features = features;
     }
 
-    /// Applies the ranks in an answer of the owner of `epoch`.
-    pub fn apply_ranks(&mut self, _epoch: Epoch, _update: RankUpdate) {}
-
     /// The worker's load, for a report that is sent at `now`.
     #[must_use]
     pub fn load(&self, _now: Moment) -> Option<WorkerLoad> {
@@ -394,7 +396,8 @@
             }
             if start.best_effort {
                 let speed = self.speeds.get(&(listed.task.clone(), listed.run)).copied();
-                best_effort.push(BestEffortRun {
+                let place = self.ranks.place(start, listed.percent);
+                let run = BestEffortRun {
                     task: listed.task.clone(),
                     run: listed.run,
                     image: start.image.clone(),
@@ -403,9 +406,15 @@
                     speed: speed.unwrap_or(FULL_SPEED),
                     percent: listed.percent,
                     late: start.job_deadline < unix,
-                });
+                };
+                best_effort.push((place, run));
             }
         }
+        self.throttle.is_ordered = self.features.job_order;
+        if self.features.job_order {
+            best_effort.sort_by_key(|(place, _)| *place);
+        }
+        let best_effort: Vec<_> = best_effort.into_iter().map(|(_, run)| run).collect();
         let update = self.throttle.update(&serving, &best_effort, harm_bound, now);
         self.samples.extend(update.samples);
         let excess = self.samples.len().saturating_sub(MAX_SAMPLES);
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -264,6 +264,9 @@
             self.push(Some((task.to_string(), None)), None);
             return;
         };
+        if self.features.job_order {
+            self.ranks.change_progress(job, task, run.percent, None);
+        }
         let listed =
             listed.map(|listed| &listed.checkpoint).filter(|checkpoint| !checkpoint.is_empty());
         let checkpoint = listed.cloned().unwrap_or(run.checkpoint);
@@ -356,8 +359,12 @@
                 Some(run) => {
                     // Without a percentage, the progress is not known.
                     if listed.percent.is_some() && run.percent != listed.percent {
-                        run.percent = listed.percent;
+                        let before = std::mem::replace(&mut run.percent, listed.percent);
                         run.progressed = now;
+                        let job = self.jobs.get(&listed.task.job);
+                        if let Some(job) = job.filter(|_| self.features.job_order) {
+                            self.ranks.change_progress(job, &listed.task, before, listed.percent);
+                        }
                     }
                     if !listed.checkpoint.is_empty() {
                         run.checkpoint = listed.checkpoint.clone();
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -252,6 +252,12 @@
         self.spec.steps.get(usize::from(name.step))
     }
 
+    /// Whether the job has a best-effort step.
+    #[must_use]
+    pub fn is_best_effort(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.best_effort)
+    }
+
     /// Whether the job has such a task.
     fn has_task(&self, name: &TaskName) -> bool {
         let step = self.spec.steps.get(usize::from(name.step));
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -119,6 +119,7 @@
 
     /// Queues the ready steps of an occurrence, and removes the others from the queue.
     fn index_occurrence(&mut self, id: &JobId, occurrence: u32, now: Moment, unix: Millis) {
+        self.refresh_rank(id, occurrence, now, unix);
         let Some(job) = self.jobs.get(id) else { return };
         let config = self.queue_config(&job.spec);
         let late_at = Self::late_at(&self.view, job, occurrence);
@@ -151,7 +152,8 @@
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
-            self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
+            let turn = self.step_turn(&name, late, accepted);
+            self.waiting.insert(class, StepOrder { priority, turn, step: name });
         }
         for name in others {
             self.waiting.remove(&name);
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -20,6 +20,7 @@
     AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
 use crate::observation::RunObservation;
+use crate::rank::RankIndex;
 use crate::record::{JobEnding, TaskRecord};
 use crate::report::{JobState, LoadReport, StartOrder};
 use crate::spec::{JobSpec, StepSpec, TaskNeed};
@@ -45,6 +46,7 @@
     pub(crate) features: SchedulingFeatures,
     /// When [`Self::balance`] was last executed.
     balanced: Moment,
+    pub(crate) ranks: RankIndex,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     /// Whether samples have arrived since refused best-effort steps were last tried.
@@ -81,6 +83,7 @@
             view: OperatorView::default(),
             features: SchedulingFeatures::default(),
             balanced: Moment::default(),
+            ranks: RankIndex::default(),
             interference: InterferenceModel::default(),
             interference_changed: false,
             best_effort_tried: Moment::default(),
@@ -124,7 +127,11 @@
 
     /// Switches optional decisions on or off.
     pub fn set_features(&mut self, features: SchedulingFeatures) {
+        let order_switched = self.features.job_order != features.job_order;
         self.features = features;
+        if order_switched {
+            self.reset_ranks();
+        }
     }
 
     /// Applies a report with the worker's load; see [`Self::report`].
@@ -138,11 +145,12 @@
 
     /// Updates the order of best-effort steps and decides moves, at most once in
     /// `BALANCE_INTERVAL`. Call it before [`Self::place`], and only while starts are permitted.
-    pub fn balance(&mut self, now: Moment, _unix: Millis) {
+    pub fn balance(&mut self, now: Moment, unix: Millis) {
         if now < self.balanced.after(BALANCE_INTERVAL) {
             return;
         }
         self.balanced = now;
+        self.update_ranks(now, unix);
     }
 
     /// Writes since the last call, in the order in which they must be stored.
@@ -206,6 +214,7 @@
     /// Removes a job with its waiting steps and timers.
     fn remove_job(&mut self, id: &JobId) -> Option<JobProgress> {
         let job = self.jobs.swap_remove(id)?;
+        self.ranks.remove(id);
         if job.state == JobState::Queued {
             self.discount_pending(&job.spec.queue);
         }
--- a/crates/queue/src/throttling.rs
+++ b/crates/queue/src/throttling.rs
@@ -6,7 +6,7 @@
 //! and the learned interference coefficients, the controller computes how much the
 //! best-effort tasks may use. Spare headroom goes first to jobs that can still meet their
 //! deadline, then to the tasks that need the least of it, and among equals to those
-//! nearest their end.
+//! nearest their end; or it goes to the tasks in the owner's order, if there is one.
 //! Only best-effort tasks are throttled.
 
 use cactusdoor_core::unit::{Millis, Moment};
@@ -100,6 +100,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ThrottleController {
     pub model: InterferenceModel,
+    /// Whether the best-effort runs are given in the order in which they are served.
+    pub is_ordered: bool,
     sampled_poll: Option<PollRecord>,
     baseline: BaselineTrend,
     latency: LatencyEstimator,
@@ -182,19 +184,23 @@
                 (best_effort[index].late, weight(index) * remaining, index)
             })
             .collect();
-        order.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        if !self.is_ordered {
+            order.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        }
         let mut speeds = vec![0; best_effort.len()];
         for (_, _, index) in order {
             let run = &best_effort[index];
-            let fraction = allowed_fraction(&coefficients[index], &margins, run.share);
+            let allowed = allowed_fraction(&coefficients[index], &margins, run.share);
             let old = f64::from(run.speed) / 100.0;
-            let fraction = if fraction < 1.0 && fraction > old {
-                old + (fraction - old) * RISE_SHARE
+            let fraction = if allowed < 1.0 && allowed > old {
+                old + (allowed - old) * RISE_SHARE
             } else {
-                fraction
+                allowed
             };
+            // In a given order, the headroom for the rest of a rise is not lent to later runs.
+            let taken = if self.is_ordered { allowed } else { fraction };
             for (margin, coefficient) in margins.iter_mut().zip(&coefficients[index]) {
-                *margin -= coefficient * run.share * fraction;
+                *margin -= coefficient * run.share * taken;
             }
             speeds[index] = percent(fraction);
         }
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -10,16 +10,24 @@
 use indexmap::IndexMap;
 
 use crate::name::{AgentName, Label, ServiceName, StepName};
+use crate::rank::StepRank;
 use crate::spec::{StepSpec, TaskNeed};
 
+/// Turn of a waiting step among those of its priority; reserving steps come first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StepTurn {
+    /// Occurrences that can no longer meet their deadline come last.
+    Accepted { late: bool, accepted: Millis },
+    /// A best-effort step, if there is an order of these.
+    Ranked(StepRank),
+}
+
 /// Order in which waiting steps are served.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StepOrder {
     /// 0 is the highest priority.
     pub priority: u32,
-    /// At equal priority, occurrences that can no longer meet their deadline come last.
-    pub late: bool,
-    pub accepted: Millis,
+    pub turn: StepTurn,
     pub step: StepName,
 }
 
@@ -83,12 +91,29 @@
             if *known == class && *position == order {
                 return;
             }
+            // The class keeps its refusal, as its needs are the same.
+            if *known == class
+                && position.priority == order.priority
+                && let StepTurn::Ranked(rank) = order.turn
+            {
+                self.rerank(&step, rank);
+                return;
+            }
             self.remove(&step);
         }
         self.classes.entry(class.clone()).or_default().steps.insert(order.clone());
         self.entries.insert(step, (class, order));
     }
 
+    /// Moves a waiting step to the position of its new rank.
+    pub fn rerank(&mut self, step: &StepName, rank: StepRank) {
+        let Some((class, order)) = self.entries.get_mut(step) else { return };
+        let Some(queue) = self.classes.get_mut(class) else { return };
+        queue.steps.remove(order);
+        order.turn = StepTurn::Ranked(rank);
+        queue.steps.insert(order.clone());
+    }
+
     pub fn remove(&mut self, step: &StepName) {
         let Some((class, order)) = self.entries.swap_remove(step) else { return };
         let Some(queue) = self.classes.get_mut(&class) else { return };
