--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -11,6 +11,7 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ListedRun, ReportContent, WorkerCall, WorkerList};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{JobId, TaskName};
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
 use cactusdoor_queue::report::{AgentLease, EndedRun, RunEnd, WorkerInfo};
@@ -74,18 +75,23 @@
         Some((task, run))
     }
 
-    fn list(&self) -> WorkerList {
+    fn list(&self, percent: u8) -> WorkerList {
         let running = self.running.iter().map(|(task, run)| ListedRun {
             task: task.clone(),
             run: *run,
             checkpoint: "".into(),
-            percent: 10,
+            percent,
             measurement: 0,
         });
         WorkerList { running: running.collect(), ended: self.ended.clone() }
     }
 }
 
+/// Whether the steps of a job are best-effort.
+fn fills(job: &JobId) -> bool {
+    job.ends_with(['1', '3', '5'])
+}
+
 struct Simulation {
     scheduler: QueueScheduler,
     agents: Vec<(AgentState, u64, u64)>,
@@ -97,14 +103,25 @@
     acknowledged_done: Vec<TaskName>,
     now: Moment,
     epoch: u64,
+    features: SchedulingFeatures,
+    agent_features: SchedulingFeatures,
 }
 
 impl Simulation {
-    fn open() -> Self {
+    /// `ordered`: whether the owners and the agents order best-effort steps.
+    fn open(ordered: (bool, bool)) -> Self {
+        let features = |job_order| SchedulingFeatures { job_order, ..Default::default() };
+        let mut scheduler = scheduler();
+        scheduler.set_features(features(ordered.0));
+        let agent = || {
+            let mut state = AgentState::default();
+            state.set_features(features(ordered.1));
+            state
+        };
         let workers = AGENTS.iter().map(|_| WorkerModel { born: 1, ..WorkerModel::default() });
         Self {
-            scheduler: scheduler(),
-            agents: AGENTS.iter().map(|_| (AgentState::default(), 1, 0)).collect(),
+            scheduler,
+            agents: AGENTS.iter().map(|_| (agent(), 1, 0)).collect(),
             workers: workers.collect(),
             jobs: Vec::new(),
             cancels: Vec::new(),
@@ -112,6 +129,8 @@
             acknowledged_done: Vec::new(),
             now: Moment(100_000),
             epoch: 1,
+            features: features(ordered.0),
+            agent_features: features(ordered.1),
         }
     }
 
@@ -128,7 +147,9 @@
             Action::Store => self.store(),
             Action::RestartAgent(agent) => {
                 let agent = &mut self.agents[usize::from(*agent)];
-                *agent = (AgentState::default(), agent.1 + 1, 0);
+                let mut state = AgentState::default();
+                state.set_features(self.agent_features);
+                *agent = (state, agent.1 + 1, 0);
             }
             Action::RestartWorker(worker) => {
                 let worker = &mut self.workers[usize::from(*worker)];
@@ -143,8 +164,10 @@
         if self.jobs.iter().any(|(known, _)| *known == id) {
             return;
         }
-        let second = StepSpec { after: vec![0], ..step(u32::from(width), 900) };
-        let spec = job(vec![step(u32::from(width), 1_300), second]);
+        let best_effort = fills(&id);
+        let first = StepSpec { best_effort, estimate: 700, ..step(u32::from(width), 1_300) };
+        let second = StepSpec { after: vec![0], best_effort, ..step(u32::from(width), 900) };
+        let spec = job(vec![first, second]);
         self.jobs.push((id.clone(), spec.clone()));
         self.scheduler.submit(&id, spec);
     }
@@ -158,6 +181,7 @@
     }
 
     fn store(&mut self) {
+        self.scheduler.balance(self.now, UNIX);
         self.scheduler.place(self.now, UNIX);
         for write in self.scheduler.take_writes() {
             match write.record {
@@ -193,6 +217,7 @@
             }
         }
         scheduler.finish_loading(UNIX);
+        scheduler.set_features(self.features);
         for job in &self.cancels {
             scheduler.cancel(job, UNIX);
         }
@@ -205,6 +230,7 @@
         let (agent, incarnation, lists) = &mut self.agents[index];
         agent.register(info);
         *lists += 1;
+        let percent = u8::try_from(*lists * 7 % 100).unwrap();
         if agent.epoch > 0 {
             let acknowledged = agent.acknowledged;
             self.workers[index].ended.retain(|ended| {
@@ -214,7 +240,7 @@
                 }
                 !dropped
             });
-            agent.apply_list(*lists, self.workers[index].list());
+            agent.apply_list(*lists, self.workers[index].list(percent));
         }
         let (agent_name, incarnation) = (name.into(), *incarnation);
         let content = ReportContent { agent: agent_name, incarnation, full_list: true, wait: 0 };
@@ -222,6 +248,7 @@
         assert!(report.epoch <= self.epoch);
         self.scheduler.report(&report, self.now, UNIX);
         self.store();
+        let ranks = self.scheduler.due_ranks(&name.into(), self.now);
         let tracked = &mut self.scheduler.workers[name];
         tracked.lease_end = tracked.lease_end.max(self.now.after(1_000_000));
         let lease = AgentLease {
@@ -238,7 +265,14 @@
         if lost {
             return;
         }
-        let calls = self.agents[index].0.apply_lease(lease, self.now);
+        let agent = &mut self.agents[index].0;
+        if let Some(update) = ranks {
+            assert!(self.features.job_order && !update.ranks.is_empty());
+            assert!(update.ranks.iter().all(|(step, _)| fills(&step.job)));
+            assert_eq!(agent.apply_ranks(self.epoch, update), Ok(()));
+        }
+        agent.throttle(1_000, self.now, UNIX);
+        let calls = agent.apply_lease(lease, self.now);
         for call in calls {
             self.execute(index, call);
         }
@@ -281,7 +315,8 @@
             for (task, run) in &worker.running {
                 let other = seen.insert(task, index);
                 assert_eq!(other, None, "{task} run {run} runs twice");
-                cpu += if task.step == 0 { 1_300 } else { 900 };
+                let reserved = if task.step == 0 { 1_300 } else { 900 };
+                cpu += if fills(&task.job) { 0 } else { reserved };
             }
             assert!(cpu <= 4_000, "{} is overcommitted", AGENTS[index]);
         }
@@ -311,9 +346,10 @@
     /// and workers, lost answers and changes of owner.
     #[test]
     fn no_task_runs_twice_and_every_job_ends(
+        ordered in any::<(bool, bool)>(),
         actions in prop::collection::vec(action(), 1..120)
     ) {
-        let mut simulation = Simulation::open();
+        let mut simulation = Simulation::open(ordered);
         for action in &actions {
             simulation.apply(action);
         }
