--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -225,7 +225,8 @@
         // ranks.
         let lists = matches!(action, Action::Report { .. } | Action::Progress { .. });
         let is_learned = matches!(action, Action::Sample { .. });
-        if !is_learned && !(lists && self.features.job_order) {
+        let is_delayed = is_learned || (lists && self.features.job_order);
+        if !is_delayed {
             self.compare();
         }
         self.now = self.now.after(TICK);
--- a/crates/queue/tests/oracle/naive.rs
+++ b/crates/queue/tests/oracle/naive.rs
@@ -238,8 +238,8 @@
         let task = spec.need.cpu * spec.estimate;
         work += task * (open * 100).saturating_sub(listed(step)) / 100;
         total += task * u64::from(spec.tasks);
-        if open > 0 {
-            let mean = (listed(step) / open).min(100);
+        if let Some(mean) = listed(step).checked_div(open) {
+            let mean = mean.min(100);
             let after = chain(&job.spec, usize::from(step)) - spec.estimate;
             path = path.max(after + spec.estimate * (100 - mean) / 100);
         }
--- a/crates/queue/tests/rank_agent.rs
+++ b/crates/queue/tests/rank_agent.rs
@@ -212,7 +212,7 @@
         let estimates = InterferenceEstimates { image: "web".into(), baseline: 3.0, coefficients };
         controller.model.set_estimates(vec![estimates]);
         let runs = [run(0), run(1)];
-        let calls = controller.update(&[serving.clone()], &runs, HARM_BOUND, NOW).calls;
+        let calls = controller.update(std::slice::from_ref(&serving), &runs, HARM_BOUND, NOW).calls;
         let speed = |index| calls.iter().find(|call| call.task == task("x", 0, index));
         [0, 1].map(|index| speed(index).map_or(0, |call| call.percent))
     };
