--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of the daemons.
 
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, up to callers' longest deadline.
@@ -30,6 +30,8 @@
     pub forecast_errors: Histogram,
     /// Age of the oldest load that forecasts use, s.
     pub load_age: Gauge,
+    /// Best-effort steps by what their jobs can still achieve.
+    pub ranked_steps: IntGaugeVec,
 }
 
 /// Metrics of an agent.
@@ -87,11 +89,19 @@
                 "cactusdoor_owner_load_age_seconds",
                 "Age of the oldest load that forecasts use; 0 without one",
             )?,
+            ranked_steps: IntGaugeVec::new(
+                Opts::new(
+                    "cactusdoor_owner_ranked_steps",
+                    "Best-effort steps by what their jobs can still achieve",
+                ),
+                &["class"],
+            )?,
         };
         registry.register(Box::new(metrics.rounds.clone()))?;
         registry.register(Box::new(metrics.waiting_calls.clone()))?;
         registry.register(Box::new(metrics.forecast_errors.clone()))?;
         registry.register(Box::new(metrics.load_age.clone()))?;
+        registry.register(Box::new(metrics.ranked_steps.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
--- a/crates/queue/src/forecast.rs
+++ b/crates/queue/src/forecast.rs
@@ -190,12 +190,6 @@
 }
 
 impl QueueScheduler {
-    /// Rank of a step with best-effort tasks; `None` if it has none.
-    #[must_use]
-    pub fn step_rank(&self, _step: &StepName) -> Option<StepRank> {
-        None
-    }
-
     /// Rank up to which the runs on a worker delay tasks of the step; `None` if all runs do.
     pub(crate) fn forecast_rank(&self, step: &StepName) -> Option<StepRank> {
         self.orders_runs().then(|| self.step_rank(step)).flatten()
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -122,6 +122,7 @@
 
     /// Queues the ready steps of an occurrence, and removes the others from the queue.
     fn index_occurrence(&mut self, id: &JobId, occurrence: u32, now: Moment, unix: Millis) {
+        self.refresh_rank(id, occurrence, now, unix);
         let Some(job) = self.jobs.get(id) else { return };
         let config = self.queue_config(&job.spec);
         let late_at = Self::late_at(&self.view, job, occurrence);
@@ -156,7 +157,8 @@
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             // A new first step may displace the runs for which its class was refused.
             let displacing = (step.best_effort && self.orders_runs()).then(|| class.clone());
-            let order = StepOrder { priority, late, accepted, step: name };
+            let turn = self.step_turn(&name, late, accepted);
+            let order = StepOrder { priority, turn, step: name };
             let is_first = self.waiting.insert(class, order);
             if let Some(class) = displacing.filter(|_| is_first) {
                 self.waiting.reopen_class(&class);
--- a/crates/queue/tests/forecast.rs
+++ b/crates/queue/tests/forecast.rs
@@ -25,6 +25,7 @@
     job_order: false,
     moves: false,
     refusals: false,
+    learned_state: false,
     stop_run: 400,
     restore: 600,
 };
