Test entries and agents under misbehaving clients

Untrusted clients can use up the memory and the descriptors of a process: nothing bounds connections, bytes held over all connections, or the time of heads, bodies and answers.

--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -77,6 +77,8 @@
     /// Addresses to which the workers announce themselves.
     announce_addresses: Vec<SocketAddr>,
     agents: usize,
+    /// Settings that all processes have in addition.
+    settings: String,
     directory: TempDir,
     client: awc::Client,
 }
@@ -84,6 +86,11 @@
 impl TestCluster {
     /// Starts a store, a worker for each agent, the agents and two entries.
     pub async fn open(agents: usize) -> Self {
+        Self::open_with(agents, "").await
+    }
+
+    /// Starts a cluster whose processes have `settings` in addition to their own.
+    pub async fn open_with(agents: usize, settings: &str) -> Self {
         let store = PlatformStore::open();
         let mut cluster = Self {
             store,
@@ -95,6 +102,7 @@
             entries: Vec::new(),
             announce_addresses: Vec::new(),
             agents,
+            settings: settings.to_owned(),
             directory: tempfile::tempdir().unwrap(),
             client: awc::Client::builder().timeout(Duration::from_secs(5)).finish(),
         };
@@ -189,11 +197,31 @@
 
     fn add_process(&mut self, role: &'static str, name: &str, text: &str) {
         let settings = self.directory.path().join(format!("{name}.ini"));
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, format!("{text}{}", self.settings)).unwrap();
         let log = self.directory.path().join(format!("{name}.log"));
         self.processes.push(Process { role, settings, log, child: None });
     }
 
+    /// Callers' address and ready address of an entry.
+    pub fn entry_addresses(&self, entry: usize) -> (SocketAddr, SocketAddr) {
+        self.entries[entry]
+    }
+
+    /// Address at which an agent receives announcements.
+    pub fn announce_address(&self, agent: usize) -> SocketAddr {
+        self.announce_addresses[agent]
+    }
+
+    /// Process id of an agent.
+    pub fn agent_process(&self, agent: usize) -> u32 {
+        self.processes[agent].child.as_ref().unwrap().id()
+    }
+
+    /// Process id of an entry.
+    pub fn entry_process(&self, entry: usize) -> u32 {
+        self.processes[self.agents + entry].child.as_ref().unwrap().id()
+    }
+
     /// Kills an agent; its worker keeps running.
     pub fn kill_agent(&mut self, index: usize) {
         self.processes[index].end(Signal::KILL);
