Limit what misbehaving clients can use

Cause: the entry read up to 2 MiB of each body before it looked at the route, and the HTTP library reads up to 128 KiB ahead on each connection. Nothing bounded connections, bytes over all connections, or the times of heads, bodies and answers. The ready and metrics addresses shared the callers' server.

Ruled out: the limits of actix-web alone. client_request_timeout covers only the first head, max_connections stops accepting (also probes and ordinary callers) while stalled clients keep their connections, there is no time for an answer, and the read-ahead buffer cannot be set.

Change: connections are accepted here and handed to the HTTP library as a stream that yields one head at a time and a body as fast as the handler takes it (guard.rs, connection.rs, connection_table.rs). Bodies are charged to a budget while they arrive (body.rs) and until the submitter has released the record. At a limit of connections or bytes, the connection that has waited longest for its client, for at least 0.5 s, is closed, so that ordinary callers are served again. Route and length are checked before the body. The ready and metrics addresses have a thread and 64 connections each of their own; the announcement address of an agent uses the same server. Bounded channels: submitter, queries, announcements, calls to the owner; the RPC listener has a limit of connections. A refusal by a limit is made before the record reaches the submitter. The deadline header counts from the head of the request. [limits] is read by both daemons; all limits are on by default.

--- a/crates/fleet/src/agent.rs
+++ b/crates/fleet/src/agent.rs
@@ -24,6 +24,7 @@
 use crate::metrics::{AgentMetrics, OwnerMetrics};
 use crate::owner::OwnerContext;
 use crate::queue_server::QueueServer;
+use crate::rejections::Rejections;
 use crate::reporter::OwnerReporter;
 use crate::settings::AgentSettings;
 use crate::worker_controller::{ControllerContext, WorkerController};
@@ -32,6 +33,9 @@
 /// Longest wait for the owner to resign when the process stops.
 const RESIGN_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// Longest wait for announcements in progress when the process stops.
+const SERVER_GRACE: Duration = Duration::from_secs(1);
+
 /// Runs the agent until a signal requests a stop.
 pub struct AgentCommand {
     pub settings: PathBuf,
@@ -57,12 +61,17 @@
     let queue_server = QueueServer::bind(settings.peer_address)
         .await
         .with_context(|| format!("could not listen at {}", settings.peer_address))?;
-    let (server, messages) =
-        announcements::bind(settings.announce_address, process.metrics_address, registry.clone())?;
+    let metrics = AgentMetrics::open(&registry).context("could not register metrics")?;
+    let (server, messages) = announcements::bind(
+        settings.announce_address,
+        process.metrics_address,
+        registry.clone(),
+        settings.limits,
+        Rejections::new(metrics.rejected.clone(), log.clone()),
+    )?;
     let finder = OwnerFinder::open(store.clone(), clock, log.clone());
     let (contact, contacts) = watch::channel(OwnerContact::Unconfirmed);
     let (stop, stopping) = watch::channel(false);
-    let metrics = AgentMetrics::open(&registry).context("could not register metrics")?;
     let controller = WorkerController::spawn(ControllerContext {
         worker: WorkerClient::open(settings.worker_address),
         clock,
@@ -112,7 +121,7 @@
     if stop.send(true).is_ok() && tokio::time::timeout(RESIGN_LIMIT, candidate).await.is_err() {
         log::warn!("owner did not resign in time; the process ends without a resignation");
     }
-    server.stop(true).await;
+    server.stop(SERVER_GRACE).await;
     log.record(DecisionEvent::ProcessStopped);
     log.finish();
     Ok(())
--- a/crates/fleet/src/announcements.rs
+++ b/crates/fleet/src/announcements.rs
@@ -4,17 +4,30 @@
 
 use std::net::SocketAddr;
 
-use actix_web::dev::ServerHandle;
-use actix_web::web::{Bytes, Data, Path};
-use actix_web::{App, HttpResponse, HttpServer, web};
-use anyhow::Context as _;
+use std::sync::Arc;
+
+use actix_web::http::StatusCode;
+use actix_web::web::{self, Data, Path, Payload};
+use actix_web::{HttpRequest, HttpResponse};
 use cactusdoor_platform::announcement::{self, AnnouncementAnswer, WorkerAnnouncement};
 use cactusdoor_platform::calls;
 use prometheus::Registry;
 use tokio::sync::mpsc;
 
+use crate::body::{self, BodyBudget, BodyError};
+use crate::connection_table::{CallerConnection, ServedAddress};
+use crate::guard::{self, ConfigureApp, GuardContext, GuardHandle, GuardedAddress};
+use crate::limits::{ClientLimits, RejectCause};
+use crate::rejections::Rejections;
 use crate::{metrics, odd_entry};
 
+/// Largest announcement: a hundred times that of a worker with many labels.
+const MAX_ANNOUNCEMENT_BYTES: usize = 64 * 1024;
+/// Bytes of announcements over all connections: the only legitimate client sends one at a time.
+const ANNOUNCEMENT_BYTES: usize = 1024 * 1024;
+/// Announcements that wait for the controller: a minute of a worker's announcements.
+const WAITING_MESSAGES: usize = 256;
+
 /// An announcement or a departure of a worker.
 #[derive(Debug)]
 pub enum WorkerMessage {
@@ -24,8 +37,10 @@
 }
 
 struct ServerState {
-    messages: mpsc::UnboundedSender<WorkerMessage>,
+    messages: mpsc::Sender<WorkerMessage>,
     registry: Registry,
+    bodies: BodyBudget,
+    rejections: Rejections,
 }
 
 /// Listens for the worker at `address` and serves metrics at `metrics_address`.
@@ -33,29 +48,54 @@
     address: SocketAddr,
     metrics_address: SocketAddr,
     registry: Registry,
-) -> anyhow::Result<(ServerHandle, mpsc::UnboundedReceiver<WorkerMessage>)> {
-    let (messages, receiver) = mpsc::unbounded_channel();
-    let state = Data::new(ServerState { messages, registry });
-    let server = HttpServer::new(move || {
-        App::new()
+    limits: ClientLimits,
+    rejections: Rejections,
+) -> anyhow::Result<(GuardHandle, mpsc::Receiver<WorkerMessage>)> {
+    let (messages, receiver) = mpsc::channel(WAITING_MESSAGES);
+    let bodies = BodyBudget::new(ANNOUNCEMENT_BYTES);
+    let state =
+        Data::new(ServerState { messages, registry, bodies, rejections: rejections.clone() });
+    let configure: ConfigureApp = Arc::new(move |config| {
+        config
             .app_data(state.clone())
             .route(calls::ANNOUNCE, web::post().to(announce))
             .route(calls::LEAVE, web::post().to(leave))
-            .route("/metrics", web::get().to(metrics))
+            .route("/metrics", web::get().to(metrics));
     });
-    let server = server.workers(1).disable_signals().shutdown_timeout(1);
-    let server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
-    let server = server
-        .bind(metrics_address)
-        .with_context(|| format!("could not listen at {metrics_address}"))?;
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok((handle, receiver))
+    let context = GuardContext { configure, limits: limits.reserved(), rejections };
+    let addresses = vec![
+        GuardedAddress { address, kind: ServedAddress::Callers },
+        GuardedAddress { address: metrics_address, kind: ServedAddress::Metrics },
+    ];
+    Ok((guard::serve(vec![(context, addresses)])?, receiver))
 }
 
-async fn announce(state: Data<ServerState>, id: Path<String>, body: Bytes) -> HttpResponse {
-    let announced = match announcement::read(&id, &body) {
+async fn announce(
+    state: Data<ServerState>,
+    id: Path<String>,
+    request: HttpRequest,
+    mut payload: Payload,
+) -> HttpResponse {
+    let Some(caller) = request.conn_data::<CallerConnection>() else {
+        log::error!("an announcement has no connection");
+        return HttpResponse::InternalServerError().finish();
+    };
+    let limit = MAX_ANNOUNCEMENT_BYTES;
+    let body = body::read(caller, request.headers(), &mut payload, &state.bodies, limit).await;
+    let body = match body {
+        Ok(body) => body,
+        Err(BodyError::Broken) => return HttpResponse::BadRequest().finish(),
+        Err(BodyError::Rejected(cause)) => {
+            state.rejections.record(cause, caller.connection.peer);
+            let status = match cause {
+                RejectCause::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
+                RejectCause::BodyTime => StatusCode::REQUEST_TIMEOUT,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            };
+            return HttpResponse::new(status);
+        }
+    };
+    let announced = match announcement::read(&id, &body.bytes) {
         Ok(announced) => announced,
         Err(error) => {
             odd_entry::warn("the worker's announcements", error);
@@ -70,7 +110,7 @@
 }
 
 fn forward(state: &ServerState, message: WorkerMessage) -> HttpResponse {
-    match state.messages.send(message) {
+    match state.messages.try_send(message) {
         Ok(()) => HttpResponse::Ok().json(AnnouncementAnswer::default()),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -3,14 +3,13 @@
 //! Decides how each call is answered. A new job or cancel is accepted only after it has been
 //! stored; one that may have been stored is answered neither as accepted nor as refused.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use actix_web::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use actix_web::http::header::{HOST, RETRY_AFTER};
 use actix_web::http::{Method, StatusCode};
-use actix_web::web::{Bytes, Data};
+use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
 use cactusdoor_core::unit::Millis;
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
@@ -23,12 +22,17 @@
 use cactusdoor_queue::record::RequestKey;
 use cactusdoor_queue::report::JobState;
 use prometheus::Registry;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::body::{self, BodyBudget, BodyLease, HeldBody};
+use crate::connection_table::{CallerConnection, ServedAddress};
 use crate::decision::{DecisionEvent, StoredVia};
 use crate::decision_log::DecisionLog;
+use crate::limits::{ClientLimits, RejectCause};
 use crate::metrics::{self, EntryMetrics};
 use crate::operators::ConfirmedView;
+use crate::rejections::Rejections;
 use crate::submitter::{SubmitCall, SubmitOutcome};
 use crate::watcher::{FindCall, JobStates};
 
@@ -47,10 +51,15 @@
 /// Most characters of a job id; the caller chooses it.
 const MAX_ID_CHARS: usize = 64;
 
+/// Most characters of a path in the log: a head may be as long as its limit.
+const MAX_LOGGED_CHARS: usize = 200;
+
 /// Dependencies and settings of the API; shared by its threads.
 pub struct ApiContext {
-    pub ready_address: SocketAddr,
-    pub metrics_address: SocketAddr,
+    pub limits: ClientLimits,
+    /// Memory for callers' bodies.
+    pub bodies: BodyBudget,
+    pub rejections: Rejections,
     pub config_bound: Millis,
     pub clock: MonotonicClock,
     pub log: DecisionLog,
@@ -58,43 +67,50 @@
     pub registry: Registry,
     pub views: watch::Receiver<ConfirmedView>,
     pub states: JobStates,
-    pub submits: mpsc::UnboundedSender<SubmitCall>,
-    pub finds: mpsc::UnboundedSender<FindCall>,
+    pub submits: mpsc::Sender<SubmitCall>,
+    pub finds: mpsc::Sender<FindCall>,
     pub stopping: Arc<AtomicBool>,
 }
 
-/// Answers a call; the local address that received it decides which part of the API does.
-pub async fn answer(context: Data<ApiContext>, request: HttpRequest, body: Bytes) -> HttpResponse {
-    let address = request.app_config().local_addr();
-    if address == context.ready_address {
-        return context.answer_ready(&request);
-    }
-    if address == context.metrics_address {
-        return context.answer_metrics();
-    }
-    let mut response = context.answer_caller(&request, &body).await;
-    let call = match *request.method() {
-        Method::POST => "submit",
-        Method::DELETE => "cancel",
-        _ => "query",
+/// Answers a call; the address that it came to decides which part of the API does.
+pub async fn answer(
+    context: Data<ApiContext>,
+    request: HttpRequest,
+    mut payload: Payload,
+) -> HttpResponse {
+    let Some(caller) = request.conn_data::<CallerConnection>() else {
+        log::error!("a request has no connection");
+        return HttpResponse::InternalServerError().finish();
     };
-    let status = response.status();
-    context.metrics.answers.with_label_values(&[call, status.as_str()]).inc();
-    if context.stopping.load(Ordering::Relaxed) {
-        let close = actix_web::http::header::HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+    match caller.address {
+        ServedAddress::Ready => context.answer_ready(&request),
+        ServedAddress::Metrics => context.answer_metrics(),
+        ServedAddress::Callers => {
+            let response = context.answer_counted(caller, &request, &mut payload).await;
+            if context.stopping.load(Ordering::Relaxed) {
+                caller.connection.close_after();
+            }
+            response
+        }
     }
-    response
+}
+
+/// Where a job is submitted.
+#[derive(Clone, Copy)]
+struct SubmitTarget<'a> {
+    queue: &'a QueueConfig,
+    version: u64,
+    job: &'a JobId,
 }
 
 /// Status and cause of a refused call.
-struct Refusal {
+pub(crate) struct Refusal {
     status: StatusCode,
     cause: &'static str,
 }
 
 impl Refusal {
-    fn new(status: StatusCode, cause: &'static str) -> Self {
+    pub(crate) fn new(status: StatusCode, cause: &'static str) -> Self {
         Self { status, cause }
     }
 }
@@ -123,13 +139,40 @@
         }
     }
 
-    async fn answer_caller(&self, request: &HttpRequest, body: &Bytes) -> HttpResponse {
-        let deadline = Instant::now() + caller_deadline(request);
+    /// Answers a caller and counts the answer.
+    async fn answer_counted(
+        &self,
+        caller: &CallerConnection,
+        request: &HttpRequest,
+        payload: &mut Payload,
+    ) -> HttpResponse {
+        let response = self.answer_caller(caller, request, payload).await;
+        let name = match *request.method() {
+            Method::POST => "submit",
+            Method::DELETE => "cancel",
+            _ => "query",
+        };
+        let status = response.status();
+        self.metrics.answers.with_label_values(&[name, status.as_str()]).inc();
+        response
+    }
+
+    async fn answer_caller(
+        &self,
+        caller: &CallerConnection,
+        request: &HttpRequest,
+        payload: &mut Payload,
+    ) -> HttpResponse {
+        let arrived = Instant::now();
+        if caller.connection.exceeds_ahead() {
+            caller.connection.close_after();
+            return refuse(&self.reject(caller, RejectCause::RequestsAhead));
+        }
         let (queue, version) = match self.find_queue(request) {
             Ok(found) => found,
             Err(refusal) => {
                 self.log.record(DecisionEvent::CallRefused {
-                    path: request.path().to_owned(),
+                    path: request.path().chars().take(MAX_LOGGED_CHARS).collect(),
                     status: refusal.status.as_u16(),
                     cause: refusal.cause,
                 });
@@ -137,17 +180,29 @@
             }
         };
         let id = &request.path()[queue.prefix.len()..];
-        if id.is_empty() && request.method() == Method::GET {
-            return self.answer_pending(&queue);
-        }
-        if !is_job_id(id) {
+        let lists_pending = id.is_empty() && request.method() == Method::GET;
+        if !lists_pending && !is_job_id(id) {
             return refuse(&Refusal::new(StatusCode::NOT_FOUND, "no job id"));
         }
+        let body = match self.read_body(caller, request, payload).await {
+            Ok(body) => body,
+            Err(refusal) => return refuse(&refusal),
+        };
+        if lists_pending {
+            return self.answer_pending(&queue);
+        }
+        // Without a header, the deadline counts from the end of the body.
+        let has_deadline = request.headers().contains_key(calls::DEADLINE_HEADER);
+        let start = if has_deadline { arrived } else { Instant::now() };
+        let deadline = start + caller_deadline(request);
         let job = JobId::from(id);
         match *request.method() {
-            Method::POST => self.submit(&queue, version, &job, body, deadline).await,
+            Method::POST => {
+                let target = SubmitTarget { queue: &queue, version, job: &job };
+                self.submit(caller, target, body, deadline).await
+            }
             Method::GET => self.query(&job, deadline).await,
-            Method::DELETE => self.cancel(&queue, &job, deadline).await,
+            Method::DELETE => self.cancel(caller, &queue, &job, deadline).await,
             _ => refuse(&Refusal::new(StatusCode::METHOD_NOT_ALLOWED, "method")),
         }
     }
@@ -178,23 +233,37 @@
 
     async fn submit(
         &self,
-        queue: &QueueConfig,
-        version: u64,
-        job: &JobId,
-        body: &Bytes,
+        caller: &CallerConnection,
+        SubmitTarget { queue, version, job }: SubmitTarget<'_>,
+        body: HeldBody,
         deadline: Instant,
     ) -> HttpResponse {
         if self.states.get(job).is_some() {
             return HttpResponse::Ok().finish();
         }
-        let spec = match submission::read(body, queue, unix_ms()) {
+        let started = Instant::now();
+        if started >= deadline {
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "deadline has passed");
+            return self.refuse_job("submit", queue, job, &refusal, started);
+        }
+        if body::count_values(&body.bytes, self.limits.fields) > self.limits.fields {
+            return refuse(&self.reject(caller, RejectCause::Fields));
+        }
+        let HeldBody { bytes, mut lease } = body;
+        let spec = match submission::read(&bytes, queue, unix_ms()) {
+            Ok(spec) if spec.steps.len() > self.limits.steps => {
+                return refuse(&self.reject(caller, RejectCause::Steps));
+            }
             Ok(spec) => spec,
             Err(error) => {
                 let error = error.to_string();
                 return HttpResponse::BadRequest().json(ErrorBody { error });
             }
         };
+        let length = bytes.len();
+        drop(bytes);
         let value = serde_json::to_vec(&spec).unwrap_or_default();
+        drop(spec);
         let key = RequestKey::Job(job.clone()).text();
         let record = KeyedRecord { key, value: Some(value.into()) };
         if record.size() > MAX_RECORD_BYTES {
@@ -202,8 +271,11 @@
             let error = "job is too large".to_owned();
             return HttpResponse::BadRequest().json(ErrorBody { error });
         }
-        let started = Instant::now();
-        let refusal = match self.store(record, deadline).await {
+        if !lease.grow(record.size().saturating_sub(length)) {
+            let refusal = self.reject(caller, RejectCause::BodyBytes);
+            return self.refuse_job("submit", queue, job, &refusal, started);
+        }
+        let refusal = match self.store(caller, record, Some(lease), deadline).await {
             Ok(via) => {
                 self.states.accept(job);
                 let (job, queue, waited) = (job.clone(), queue.name.clone(), elapsed(started));
@@ -236,12 +308,24 @@
     }
 
     /// Stores a request; without a result in time it may still be stored (504).
-    async fn store(&self, record: KeyedRecord, deadline: Instant) -> Result<StoredVia, Refusal> {
+    async fn store(
+        &self,
+        caller: &CallerConnection,
+        record: KeyedRecord,
+        lease: Option<BodyLease>,
+        deadline: Instant,
+    ) -> Result<StoredVia, Refusal> {
         let started = Instant::now();
         let (reply, outcome) = oneshot::channel();
-        let call = SubmitCall { record, arrived: self.clock.now(), reply };
-        if self.submits.send(call).is_err() {
-            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store lane has ended"));
+        let call = SubmitCall { record, arrived: self.clock.now(), reply, lease };
+        match self.submits.try_send(call) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_)) => {
+                return Err(self.reject(caller, RejectCause::CallsWaiting));
+            }
+            Err(TrySendError::Closed(_)) => {
+                return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "store lane has ended"));
+            }
         }
         let outcome = tokio::time::timeout_at(deadline.into(), outcome).await;
         self.metrics.store_wait.observe(started.elapsed().as_secs_f64());
@@ -268,7 +352,7 @@
             }
             let (reply, answer) = oneshot::channel();
             let call = FindCall { job: job.clone(), limit, reply };
-            if self.finds.send(call).is_err() {
+            if self.finds.send(call).await.is_err() {
                 return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "stopping"));
             }
             match answer.await {
@@ -287,7 +371,13 @@
         }
     }
 
-    async fn cancel(&self, queue: &QueueConfig, job: &JobId, deadline: Instant) -> HttpResponse {
+    async fn cancel(
+        &self,
+        caller: &CallerConnection,
+        queue: &QueueConfig,
+        job: &JobId,
+        deadline: Instant,
+    ) -> HttpResponse {
         let started = Instant::now();
         match self.find(job, deadline).await {
             Ok(Some(state)) if state.has_ended() => return HttpResponse::Ok().finish(),
@@ -297,7 +387,7 @@
         }
         let key = RequestKey::Cancel(job.clone()).text();
         let record = KeyedRecord { key, value: Some(Bytes::from_static(b"{}")) };
-        match self.store(record, deadline).await {
+        match self.store(caller, record, None, deadline).await {
             Ok(via) => {
                 let (job, waited) = (job.clone(), elapsed(started));
                 self.log.record(DecisionEvent::CancelAccepted { job, via, waited });
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -4,12 +4,16 @@
 //! Operators' tools read the written names of events and fields, which must not change, even
 //! where the Rust name differs.
 
+use std::net::IpAddr;
+
 use cactusdoor_core::unit::{Epoch, Millis, Offset};
 use cactusdoor_queue::name::{AgentName, DataCentre, JobId, QueueName, RunNumber, TaskName};
 use cactusdoor_queue::observation::LapseCause;
 use cactusdoor_queue::report::{JobState, RunEnd};
 use serde::Serialize;
 
+use crate::limits::RejectCause;
+
 /// Who stored a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -80,6 +84,15 @@
         status: u16,
         cause: &'static str,
     },
+    /// Connections or requests were rejected because of a limit; at most one line in 5 s for
+    /// each cause.
+    ConnectionRejected {
+        cause: RejectCause,
+        /// Rejections since the last line of this cause.
+        count: u64,
+        /// Peer address of the last one.
+        peer: IpAddr,
+    },
     OwnerFound {
         epoch: Epoch,
         owner: AgentName,
@@ -243,6 +256,7 @@
             Self::JobRefused { .. } => ("job_refused", true),
             Self::CancelAccepted { .. } => ("cancel_accepted", false),
             Self::CallRefused { .. } => ("call_refused", true),
+            Self::ConnectionRejected { .. } => ("connection_rejected", true),
             Self::OwnerFound { .. } => ("owner_found", true),
             Self::OwnerLost { .. } => ("owner_lost", true),
             Self::OwnerElected { .. } => ("owner_elected", true),
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -9,9 +9,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use actix_web::dev::ServerHandle;
-use actix_web::web::{self, Data, PayloadConfig};
-use actix_web::{App, HttpServer};
+use actix_web::web::{self, Data};
 use anyhow::Context as _;
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_node::process::draw_incarnation;
@@ -21,20 +19,20 @@
 use tokio::sync::mpsc;
 
 use crate::api::{self, ApiContext};
+use crate::body::BodyBudget;
 use crate::check::Run;
+use crate::connection_table::ServedAddress;
 use crate::decision::DecisionEvent;
 use crate::decision_log::{DecisionLog, open_logger};
 use crate::finder::OwnerFinder;
+use crate::guard::{self, ConfigureApp, GuardContext, GuardHandle, GuardedAddress};
 use crate::metrics::EntryMetrics;
+use crate::rejections::Rejections;
 use crate::settings::EntrySettings;
 use crate::submitter::SubmitContext;
-use crate::watcher::JobStates;
+use crate::watcher::{JobStates, MAX_FINDS};
 use crate::{operators, signals, submitter, watcher};
 
-/// Time for which callers' idle connections stay open: longer than the operators' limit.
-const KEEP_ALIVE: Duration = Duration::from_secs(20);
-/// Largest body of a call: more than the operators' limits allow.
-const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
 /// Time after which the load balancer sends no more calls: two failed probes, 1 s apart.
 const DRAIN_TIME: Duration = Duration::from_millis(2_500);
 
@@ -62,14 +60,16 @@
     let store = StoreClient::open(process.store_address);
     let finder = OwnerFinder::open(store.clone(), clock, log.clone());
     let states = JobStates::default();
-    let (finds, find_calls) = mpsc::unbounded_channel();
+    let (finds, find_calls) = mpsc::channel(MAX_FINDS);
     watcher::spawn(Rc::clone(&finder), clock, states.clone(), find_calls);
     let producer = format!("{}-{incarnation:016x}", process.name);
     let metrics = EntryMetrics::open(&registry).context("could not register metrics")?;
     let stopping = Arc::new(AtomicBool::new(false));
+    let rejections = Rejections::new(metrics.rejected.clone(), log.clone());
     let context = Data::new(ApiContext {
-        ready_address: settings.ready_address,
-        metrics_address: process.metrics_address,
+        limits: settings.limits,
+        bodies: BodyBudget::new(settings.limits.body_bytes),
+        rejections: rejections.clone(),
         config_bound: settings.config_bound,
         clock,
         log: log.clone(),
@@ -81,7 +81,7 @@
         finds,
         stopping: Arc::clone(&stopping),
     });
-    let server = serve(&settings, context)?;
+    let server = serve(&settings, context, rejections)?;
     let reload = signals::watch_settings(&path, log.clone(), EntrySettings::load);
     tokio::select! {
         stopped = shutdown::requested() => stopped.context("could not wait for signals")?,
@@ -91,28 +91,30 @@
     stopping.store(true, Ordering::Relaxed);
     let linger = Duration::from_millis(process.stop / 2).min(DRAIN_TIME);
     tokio::time::sleep(linger).await;
-    server.stop(true).await;
+    let grace = process.stop.saturating_sub(3_000).max(1_000);
+    server.stop(Duration::from_millis(grace)).await;
     log.record(DecisionEvent::ProcessStopped);
     log.finish();
     Ok(())
 }
 
-fn serve(settings: &EntrySettings, context: Data<ApiContext>) -> anyhow::Result<ServerHandle> {
-    let server = HttpServer::new(move || {
-        App::new()
-            .app_data(context.clone())
-            .app_data(PayloadConfig::new(MAX_BODY_BYTES))
-            .default_service(web::to(api::answer))
+/// Serves callers, and on a thread of their own the ready and metrics addresses.
+fn serve(
+    settings: &EntrySettings,
+    api: Data<ApiContext>,
+    rejections: Rejections,
+) -> anyhow::Result<GuardHandle> {
+    let configure: ConfigureApp = Arc::new(move |config| {
+        config.app_data(api.clone()).default_service(web::to(api::answer));
     });
-    let grace = settings.process.stop.saturating_sub(3_000).max(1_000) / 1_000;
-    let mut server =
-        server.workers(1).disable_signals().keep_alive(KEEP_ALIVE).shutdown_timeout(grace);
-    let process = &settings.process;
-    for address in [settings.caller_address, settings.ready_address, process.metrics_address] {
-        server = server.bind(address).with_context(|| format!("could not listen at {address}"))?;
-    }
-    let server = server.run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(handle)
+    let callers = GuardContext { configure, limits: settings.limits, rejections };
+    let reserved = GuardContext { limits: settings.limits.reserved(), ..callers.clone() };
+    let at = |address, kind| GuardedAddress { address, kind };
+    let own = vec![
+        at(settings.ready_address, ServedAddress::Ready),
+        at(settings.process.metrics_address, ServedAddress::Metrics),
+    ];
+    let groups =
+        vec![(callers, vec![at(settings.caller_address, ServedAddress::Callers)]), (reserved, own)];
+    Ok(guard::serve(groups)?)
 }
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -32,6 +32,8 @@
     pub listings: IntCounter,
     pub reports: IntCounter,
     pub throttles: IntCounter,
+    /// Connections and announcements rejected because of a limit.
+    pub rejected: IntCounterVec,
 }
 
 /// Metrics of an entry.
@@ -41,6 +43,8 @@
     pub store_wait: Histogram,
     /// Requests that the owner stored for this entry.
     pub relayed: IntCounter,
+    /// Connections and requests rejected because of a limit.
+    pub rejected: IntCounterVec,
 }
 
 impl OwnerMetrics {
@@ -98,7 +102,13 @@
             )?,
             reports: IntCounter::new("cactusdoor_agent_reports_total", "Reports to the owner")?,
             throttles: IntCounter::new("cactusdoor_agent_paces_total", "Changes of a run's speed")?,
+            rejected: vector(
+                "cactusdoor_agent_rejected_total",
+                "Connections and announcements rejected because of a limit",
+                &["cause"],
+            )?,
         };
+        registry.register(Box::new(metrics.rejected.clone()))?;
         registry.register(Box::new(metrics.starts.clone()))?;
         registry.register(Box::new(metrics.listings.clone()))?;
         registry.register(Box::new(metrics.reports.clone()))?;
@@ -117,7 +127,13 @@
                 "cactusdoor_entry_relayed_total",
                 "Requests that the owner stored for this entry",
             )?,
+            rejected: vector(
+                "cactusdoor_entry_rejected_total",
+                "Connections and requests rejected because of a limit",
+                &["cause"],
+            )?,
         };
+        registry.register(Box::new(metrics.rejected.clone()))?;
         registry.register(Box::new(metrics.relayed.clone()))?;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.store_wait.clone()))?;
--- a/crates/fleet/src/queue_server.rs
+++ b/crates/fleet/src/queue_server.rs
@@ -4,6 +4,7 @@
 //! this process is not the owner. Decides nothing about the calls.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cactusdoor_peer::queue::{
@@ -33,12 +34,20 @@
 }
 
 /// Receives calls while this process is the owner.
-pub type CallReceiver = mpsc::UnboundedReceiver<OwnerCall>;
+pub type CallReceiver = mpsc::Receiver<OwnerCall>;
+
+/// Calls that wait for the owner's loop: two for each of 2,100 agents and those of the entries.
+const WAITING_CALLS: usize = 8_192;
+/// Open connections: 2,100 agents and the entries; the rest of the 4,096 descriptors is for the
+/// agent's own connections and files.
+const MAX_CONNECTIONS: usize = 3_000;
+/// Calls in progress on one connection: an entry sends its callers' queries on one.
+const CONNECTION_CALLS: usize = 4_096;
 
 /// The listening server; cheap to clone.
 #[derive(Clone, Default)]
 pub struct QueueServer {
-    owner: Arc<Mutex<Option<mpsc::UnboundedSender<OwnerCall>>>>,
+    owner: Arc<Mutex<Option<mpsc::Sender<OwnerCall>>>>,
 }
 
 impl QueueServer {
@@ -49,15 +58,29 @@
         listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
         let service = server.clone();
         actix_rt::spawn(async move {
+            let connections = Rc::new(());
+            let mut was_full = false;
             while let Some(accepted) = listener.next().await {
                 match accepted {
+                    Ok(_) if Rc::strong_count(&connections) > MAX_CONNECTIONS => {
+                        if !was_full {
+                            log::warn!("connections of peers are refused: too many are open");
+                        }
+                        was_full = true;
+                    }
                     Ok(transport) => {
+                        was_full = false;
                         if let Err(error) = disable_nagle(transport.get_ref()) {
                             log::debug!("could not set up a connection: {error}");
                         }
                         let channel = BaseChannel::with_defaults(transport);
+                        let channel = channel.max_concurrent_requests(CONNECTION_CALLS);
                         let calls = channel.execute(service.clone().serve());
-                        actix_rt::spawn(calls.for_each_concurrent(None, |call| call));
+                        let connection = Rc::clone(&connections);
+                        actix_rt::spawn(async move {
+                            calls.for_each_concurrent(None, |call| call).await;
+                            drop(connection);
+                        });
                     }
                     Err(error) => log::warn!("could not accept a connection: {error}"),
                 }
@@ -69,7 +92,7 @@
     /// Directs calls to the returned receiver from now on.
     #[must_use]
     pub fn open(&self) -> CallReceiver {
-        let (sender, receiver) = mpsc::unbounded_channel();
+        let (sender, receiver) = mpsc::channel(WAITING_CALLS);
         *self.owner.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
         receiver
     }
@@ -90,7 +113,11 @@
     ) -> Option<oneshot::Receiver<T>> {
         let owner = self.owner.lock().unwrap_or_else(PoisonError::into_inner).clone()?;
         let (sender, receiver) = oneshot::channel();
-        owner.send(call(sender)).ok()?;
+        if let Err(error) = owner.try_send(call(sender)) {
+            // A line for each call would be unbounded; its caller logs the refusal.
+            log::debug!("a call to the owner was refused: {error}");
+            return None;
+        }
         Some(receiver)
     }
 }
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -10,6 +10,7 @@
 use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{AgentName, DataCentre};
 
+use crate::limits::ClientLimits;
 use crate::owner::OwnerBounds;
 
 /// Permitted bounds, in ms: from the time of a message between data centres to ten minutes.
@@ -41,6 +42,7 @@
     /// Time within which a new configuration takes effect.
     pub config_bound: Millis,
     pub features: SchedulingFeatures,
+    pub limits: ClientLimits,
 }
 
 /// Settings of an agent.
@@ -58,6 +60,7 @@
     /// Longest time for which a serving task may miss its latency bound.
     pub harm_bound: Millis,
     pub features: SchedulingFeatures,
+    pub limits: ClientLimits,
 }
 
 impl EntrySettings {
@@ -71,6 +74,7 @@
         skip(&mut file, "bounds", &["cancel_ms", "take_out_ms", "harm_ms"]);
         skip(&mut file, "worker", &["address", "announce_address", "lease_limit_ms"]);
         let features = read_features(&mut file);
+        let limits = ClientLimits::read(&mut file);
         let settings = (|| {
             Some(Self {
                 process: process?,
@@ -78,6 +82,7 @@
                 ready_address: ready_address?,
                 config_bound: config_bound?,
                 features: features?,
+                limits: limits?,
             })
         })();
         file.finish(settings)
@@ -100,6 +105,7 @@
         let harm = read_millis(&mut file, "bounds", "harm_ms", BOUND_RANGE, 4_000);
         let take_out = read_millis(&mut file, "bounds", "take_out_ms", BOUND_RANGE, 5_000);
         let features = read_features(&mut file);
+        let limits = ClientLimits::read(&mut file);
         let settings = (|| {
             Some(Self {
                 process: process?,
@@ -110,6 +116,7 @@
                 bounds: OwnerBounds { cancel: cancel?, take_out: take_out? },
                 harm_bound: harm?,
                 features: features?,
+                limits: limits?,
             })
         })();
         file.finish(settings)
--- a/crates/fleet/src/submitter.rs
+++ b/crates/fleet/src/submitter.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::appender::{AppenderError, TopicAppender, pause};
+use crate::body::BodyLease;
 use crate::finder::OwnerFinder;
 use crate::metrics::EntryMetrics;
 use crate::owner_client::{CallError, OwnerClient};
@@ -35,6 +36,10 @@
 /// Longest wait for the owner to store relayed requests.
 const RELAY_LIMIT: Duration = Duration::from_millis(900);
 
+/// Requests that wait for the submitter, and those that it holds: ten appends each, more than are
+/// stored within `QUEUE_LIMIT`.
+const WAITING_CALLS: usize = 1_000;
+
 /// Outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SubmitOutcome {
@@ -51,6 +56,8 @@
     pub record: KeyedRecord,
     pub arrived: Moment,
     pub reply: oneshot::Sender<SubmitOutcome>,
+    /// The body's part of the budget; returned once the request is not held any more.
+    pub lease: Option<BodyLease>,
 }
 
 /// Dependencies of a submitter.
@@ -64,8 +71,8 @@
 }
 
 /// Starts the submitter; returns the sender of its requests.
-pub fn spawn(context: SubmitContext) -> mpsc::UnboundedSender<SubmitCall> {
-    let (sender, receiver) = mpsc::unbounded_channel();
+pub fn spawn(context: SubmitContext) -> mpsc::Sender<SubmitCall> {
+    let (sender, receiver) = mpsc::channel(WAITING_CALLS);
     let appender = open_appender(&context, 0);
     let submitter = Submitter {
         context,
@@ -113,7 +120,7 @@
     /// Number of appenders replaced before: one with an append in flight cannot be reused.
     retired: u64,
     relay_after: Duration,
-    calls: mpsc::UnboundedReceiver<SubmitCall>,
+    calls: mpsc::Receiver<SubmitCall>,
     waiting: VecDeque<WaitingCall>,
 }
 
@@ -124,7 +131,9 @@
                 let Some(call) = self.calls.recv().await else { return };
                 self.waiting.push_back(WaitingCall { call, uncertain: false });
             }
-            while let Ok(call) = self.calls.try_recv() {
+            while self.waiting.len() < WAITING_CALLS
+                && let Ok(call) = self.calls.try_recv()
+            {
                 self.waiting.push_back(WaitingCall { call, uncertain: false });
             }
             refuse_expired(&mut self.waiting, self.context.clock.now());
@@ -199,7 +208,7 @@
                     Err(error) => return GroupOutcome::Ended(error),
                 },
                 reply = &mut relay, if relayed.is_none() => relayed = Some(reply),
-                Some(call) = self.calls.recv() => {
+                Some(call) = self.calls.recv(), if self.waiting.len() < WAITING_CALLS => {
                     self.waiting.push_back(WaitingCall { call, uncertain: false });
                 }
                 () = tokio::time::sleep(Duration::from_millis(QUEUE_LIMIT / 4)) => {
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -16,7 +16,7 @@
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::JobState;
 use indexmap::IndexMap;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Semaphore, mpsc, oneshot};
 
 use crate::appender::pause;
 use crate::finder::{OwnerFinder, OwnerHeartbeat};
@@ -32,6 +32,9 @@
 /// Most jobs whose state an entry keeps: those of a few minutes at high load.
 const MAX_JOBS: usize = 50_000;
 
+/// Queries to the owner at once, and as many that wait: as many as callers have connections.
+pub const MAX_FINDS: usize = 2_000;
+
 #[derive(Debug, Default)]
 struct WatchedJobs {
     states: IndexMap<JobId, JobState>,
@@ -117,7 +120,7 @@
     finder: Rc<OwnerFinder>,
     clock: MonotonicClock,
     states: JobStates,
-    mut finds: mpsc::UnboundedReceiver<FindCall>,
+    mut finds: mpsc::Receiver<FindCall>,
 ) {
     let client = Rc::new(OwnerClient::default());
     let watching = JobWatch {
@@ -129,8 +132,14 @@
     };
     actix_rt::spawn(watching.run());
     actix_rt::spawn(async move {
+        let permits = Arc::new(Semaphore::new(MAX_FINDS));
         while let Some(call) = finds.recv().await {
-            actix_rt::spawn(find(Rc::clone(&finder), Rc::clone(&client), call));
+            let Ok(permit) = Arc::clone(&permits).acquire_owned().await else { return };
+            let (finder, client) = (Rc::clone(&finder), Rc::clone(&client));
+            actix_rt::spawn(async move {
+                find(finder, client, call).await;
+                drop(permit);
+            });
         }
     });
 }
--- a/crates/fleet/src/worker_controller.rs
+++ b/crates/fleet/src/worker_controller.rs
@@ -64,7 +64,7 @@
     /// Longest time for which a serving task may miss its latency bound.
     pub harm_bound: Millis,
     pub features: SchedulingFeatures,
-    pub messages: mpsc::UnboundedReceiver<WorkerMessage>,
+    pub messages: mpsc::Receiver<WorkerMessage>,
 }
 
 /// The worker's clock at a moment of this process's clock.
@@ -149,7 +149,7 @@
         controller
     }
 
-    async fn handle_messages(self: Rc<Self>, mut messages: mpsc::UnboundedReceiver<WorkerMessage>) {
+    async fn handle_messages(self: Rc<Self>, mut messages: mpsc::Receiver<WorkerMessage>) {
         while let Some(message) = messages.recv().await {
             match message {
                 WorkerMessage::Announced(announced) => self.register(announced),
--- a/crates/fleet/tests/controller.rs
+++ b/crates/fleet/tests/controller.rs
@@ -6,7 +6,9 @@
 
 use cactusdoor_fleet::announcements;
 use cactusdoor_fleet::decision_log::DecisionLog;
+use cactusdoor_fleet::limits::ClientLimits;
 use cactusdoor_fleet::metrics::AgentMetrics;
+use cactusdoor_fleet::rejections::Rejections;
 use cactusdoor_fleet::worker_controller::{ControllerContext, WorkerController};
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_platform::worker::WorkerClient;
@@ -25,7 +27,12 @@
     let (announce, address) = (free_address().unwrap(), free_address().unwrap());
     let registry = Registry::new();
     let metrics = AgentMetrics::open(&registry).unwrap();
-    let (_, messages) = announcements::bind(announce, free_address().unwrap(), registry).unwrap();
+    let log = DecisionLog::open("a".into(), std::io::sink()).unwrap();
+    let rejections = Rejections::new(metrics.rejected.clone(), log);
+    let limits = ClientLimits::default();
+    let metrics_address = free_address().unwrap();
+    let (_, messages) =
+        announcements::bind(announce, metrics_address, registry, limits, rejections).unwrap();
     let clock = MonotonicClock::open();
     let controller = WorkerController::spawn(ControllerContext {
         worker: WorkerClient::open(address),
--- a/crates/fleet/tests/settings.rs
+++ b/crates/fleet/tests/settings.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::path::PathBuf;
 
+use cactusdoor_fleet::limits::ClientLimits;
 use cactusdoor_fleet::settings::{AgentSettings, EntrySettings};
 
 const AGENT: &str = "[process]\nname = a\ndata_centre = north\npeer_address = 127.0.0.1:7000\n\
@@ -79,3 +80,24 @@
         assert!(error.contains("[bounds] stop_ms"), "{wrong}: {error}");
     }
 }
+
+/// Guards against daemons that do not start with the limits of the other, and against ignored
+/// values.
+#[test]
+fn both_daemons_read_the_limits() {
+    let limits = "[limits]\nbody_bytes = 2000000\nconnections = 100\npeer_connections = 90\n\
+        head_ms = 2000\nbody_ms = 2001\nbody_rate = 1000\nanswer_ms = 2002\n\
+        requests_ahead = 8\nsteps = 200\nfields = 4000\n";
+    let callers = "[callers]\naddress = 127.0.0.1:7005\nready_address = 127.0.0.1:7006\n";
+    let (_directory, path) = file(&format!("{AGENT}{callers}{limits}"));
+    let read = EntrySettings::load(&path).unwrap().limits;
+    assert_eq!(read, AgentSettings::load(&path).unwrap().limits);
+    assert_eq!((read.body_bytes, read.connections, read.peer_connections), (2_000_000, 100, 90));
+    assert_eq!((read.head, read.body, read.answer, read.body_rate), (2_000, 2_001, 2_002, 1_000));
+    assert_eq!((read.requests_ahead, read.steps, read.fields), (8, 200, 4_000));
+    let (_directory, path) = file(&format!("{AGENT}{callers}[limits]\nsteps = 0\nother = 1\n"));
+    let error = EntrySettings::load(&path).unwrap_err().to_string();
+    assert!(error.contains("[limits] steps") && error.contains("[limits] other"), "{error}");
+    let (_directory, path) = file(&format!("{AGENT}{callers}"));
+    assert_eq!(EntrySettings::load(&path).unwrap().limits, ClientLimits::default());
+}
