Bound the states of accepted jobs while no owner answers

Only an answer of the owner dropped old states, so an entry that stored jobs without one kept all of them. The oldest are now dropped when a job is accepted too; their state is asked of the owner. Test: states_of_accepted_jobs_are_bounded.

--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -35,6 +35,9 @@
 /// Queries to the owner at once, and as many that wait: as many as callers have connections.
 pub const MAX_FINDS: usize = 2_000;
 
+/// Jobs that are dropped together: dropping the oldest one moves all others.
+const DROPPED_JOBS: usize = 1_000;
+
 #[derive(Debug, Default)]
 struct WatchedJobs {
     states: IndexMap<JobId, JobState>,
@@ -63,7 +66,12 @@
 
     /// Records a job that was stored here and that the owner may not have read yet.
     pub fn accept(&self, job: &JobId) {
-        self.lock().states.entry(job.clone()).or_insert(JobState::Queued);
+        let mut jobs = self.lock();
+        jobs.states.entry(job.clone()).or_insert(JobState::Queued);
+        // Without an answer of an owner, no other call drops old states.
+        if jobs.states.len() > MAX_JOBS + DROPPED_JOBS {
+            drop(jobs.states.drain(..DROPPED_JOBS));
+        }
     }
 
     /// Accepted jobs of which no task has been started; `None` without a recent answer of a
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -10,6 +10,8 @@
 use cactusdoor_fleet::body::{BodyBudget, count_values};
 use cactusdoor_fleet::head_scan::HeadScan;
 use cactusdoor_fleet::limits::{ClientLimits, MAX_HEAD_BYTES, READ_WINDOW_BYTES};
+use cactusdoor_fleet::watcher::JobStates;
+use cactusdoor_queue::report::JobState;
 use hostile::{head, job};
 use support::TestCluster;
 
@@ -56,6 +58,17 @@
     assert_eq!(budget.used(), 0);
 }
 
+/// Guards against states that pile up while jobs are stored and no owner answers.
+#[test]
+fn states_of_accepted_jobs_are_bounded() {
+    let states = JobStates::default();
+    for number in 0..60_000 {
+        states.accept(&format!("j{number}").into());
+    }
+    assert_eq!(states.get("j0"), None);
+    assert_eq!(states.get("j59999"), Some(JobState::Queued));
+}
+
 /// Guards against defaults that exceed the memory and descriptors of the smallest entry.
 #[test]
 fn the_defaults_fit_the_smallest_machine() {
