--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -34,4 +34,5 @@
 mod waiting;
 pub mod worker;
 pub mod worker_call;
+mod worker_heap;
 pub mod write;
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -3,8 +3,6 @@
 //! A call of [`QueueScheduler::place`] looks at what has changed since the last one: jobs with
 //! a change are indexed again, and refused steps are tried on workers that have gained room.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
 use std::sync::Arc;
 
 use cactusdoor_core::unit::{Millis, Moment};
@@ -12,7 +10,7 @@
 use crate::config::{OperatorView, QueueConfig};
 use crate::job::{JobProgress, TaskPlace};
 use crate::name::{AgentName, JobId, Label, RunNumber, StepName, TaskName};
-use crate::placement::{ChoiceContext, cost, least_cost};
+use crate::placement::{ChoiceContext, cost};
 use crate::record::PlacedAt;
 use crate::report::{JobState, StartOrder};
 use crate::scheduler::{CommitEffect, QueueScheduler, start_order};
@@ -27,12 +25,6 @@
 /// room, ms: the learned interference changes with every report.
 const BEST_EFFORT_INTERVAL: Millis = 250;
 
-/// Workers by the cost of a task, lowest first; at equal cost in the order of the fleet. The
-/// last part tells whether the cost is known, or a lower bound of it.
-type WorkerHeap = BinaryHeap<Reverse<(u64, usize, bool)>>;
-/// Step of a placement.
-type PlacedStep<'a> = (&'a StepName, &'a StepSpec, &'a QueueConfig);
-
 impl QueueScheduler {
     /// Opens due occurrences and places ready tasks that fit on a worker; returns whether
     /// more could be placed at once.
@@ -360,61 +352,6 @@
         }
     }
 
-    /// All workers that can take a task of the step, within a rack if one is given, by cost.
-    fn rank_workers(
-        &self,
-        rack: Option<&Label>,
-        name: &StepName,
-        step: &StepSpec,
-        config: &QueueConfig,
-        now: Moment,
-    ) -> WorkerHeap {
-        let context = ChoiceContext { within: rack, ..self.choice(name, step, config, now) };
-        let workers = self.workers.values().enumerate();
-        let ranked = workers.filter_map(|(index, tracked)| {
-            let (cost, exact) = least_cost(tracked, &context)?;
-            Some((cost, index, exact))
-        });
-        ranked.map(Reverse).collect()
-    }
-
-    fn push_worker(
-        &self,
-        heap: &mut WorkerHeap,
-        worker: usize,
-        (name, step, config): PlacedStep<'_>,
-        now: Moment,
-    ) {
-        let Some((_, tracked)) = self.workers.get_index(worker) else { return };
-        if let Some(cost) = cost(tracked, &self.choice(name, step, config, now)) {
-            heap.push(Reverse((cost, worker, true)));
-        }
-    }
-
-    /// Takes the worker with the lowest cost that has no run of the task.
-    fn pop_worker(
-        &self,
-        heap: &mut WorkerHeap,
-        task: &TaskName,
-        step: PlacedStep<'_>,
-        now: Moment,
-    ) -> Option<usize> {
-        let mut passed = Vec::new();
-        let chosen = loop {
-            let Some(Reverse((cost, worker, exact))) = heap.pop() else { break None };
-            let (_, tracked) = self.workers.get_index(worker)?;
-            if !exact {
-                self.push_worker(heap, worker, step, now);
-            } else if tracked.runs.contains_key(task) {
-                passed.push(Reverse((cost, worker, exact)));
-            } else {
-                break Some(worker);
-            }
-        };
-        heap.extend(passed);
-        chosen
-    }
-
     fn assign_run(
         &mut self,
         worker: usize,
