--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -91,7 +91,6 @@
             }
             self.reconcile(agent, reported, received, now);
         }
-        self.refresh_ranks(agent);
         self.note_updates(agent);
         true
     }
--- a/crates/queue/src/forecast.rs
+++ b/crates/queue/src/forecast.rs
@@ -8,14 +8,13 @@
 
 use crate::interference::{MAX_HEADROOM, spare_beyond};
 use crate::latency::TREND_HORIZON;
-use crate::name::{AgentName, Label, StepName, TaskName};
+use crate::name::{AgentName, Label, TaskName};
 use crate::observation::RunObservation;
 use crate::placement::ChoiceContext;
-use crate::rank::StepRank;
 use crate::report::{MAX_LOAD_IMAGES, ReportedRun, ServingLoad, WorkerLoad};
 use crate::scheduler::QueueScheduler;
 use crate::spec::StepSpec;
-use crate::throttling::{FULL_SPEED, NEGLIGIBLE, TARGET_HEADROOM};
+use crate::throttling::{FULL_SPEED, TARGET_HEADROOM};
 use crate::worker::{AssignedRun, TrackedWorker};
 
 /// Age, ms, up to which a load is used alone: three reports.
@@ -26,8 +25,6 @@
 const MAX_FALL_TIME: Millis = 1_000;
 /// Least time between two log lines about invalid loads of one worker, ms.
 const REJECTION_INTERVAL: Millis = 10_000;
-/// Slowdown from which a task is practically stalled: the lowest speed above 0 is 5%.
-const MAX_SLOWDOWN: f64 = 20.0;
 /// Slowdown of a task that is not slowed down, thousandths.
 const NO_SLOWDOWN: u64 = 1_000;
 
@@ -97,32 +94,26 @@
 /// Forecast for a best-effort task on a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlowdownForecast {
-    /// Expected slowdown by the runs that precede the task, thousandths.
+    /// Expected slowdown, thousandths.
     pub slowdown: u64,
-    /// Processors of the runs that the task precedes, in thousandths of the idle ones.
-    pub displaced: u64,
 }
 
 impl SlowdownForecast {
     #[must_use]
     pub fn of(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Self {
         let unthrottled = Self::unthrottled(tracked, context);
-        let rank = context.rank.filter(|_| unthrottled.displaced > 0);
         let serving = tracked.runs.serving_images();
-        let throttled = serving.map(|serving| throttled(tracked, context, serving, rank));
+        let throttled = serving.map(|serving| throttled(tracked, context, serving));
         let throttled = thousandths(throttled.fold(0.0, f64::max));
-        Self { slowdown: unthrottled.slowdown.max(throttled), ..unthrottled }
+        Self { slowdown: unthrottled.slowdown.max(throttled) }
     }
 
     /// The forecast without regard to serving tasks, which can only slow the task down further.
     #[must_use]
     pub fn unthrottled(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Self {
         let idle = tracked.idle_cpu().max(1);
-        let behind = context.rank.map_or(0, |rank| tracked.runs.cpu_behind(rank));
-        let demand = tracked.runs.best_effort_cpu().saturating_sub(behind);
-        let demand = demand.saturating_add(context.step.need.cpu);
-        let slowdown = demand.saturating_mul(1_000) / idle;
-        Self { slowdown, displaced: behind.saturating_mul(1_000).div_ceil(idle) }
+        let demand = tracked.runs.best_effort_cpu().saturating_add(context.step.need.cpu);
+        Self { slowdown: demand.saturating_mul(1_000) / idle }
     }
 
     /// Expected speed, percent.
@@ -133,35 +124,15 @@
     }
 }
 
-/// Factor by which the task is slowed down for a serving image. Agents do not divide the
-/// headroom evenly: the task gets what the runs that precede it leave. `rank`: no run behind
-/// it counts.
-fn throttled(
-    tracked: &TrackedWorker,
-    context: &ChoiceContext<'_>,
-    serving: Option<&Label>,
-    rank: Option<StepRank>,
-) -> f64 {
+/// Factor by which the worker's best-effort tasks are slowed down for a serving image. All of
+/// them count, also those that the task precedes in the owner's order: placing tasks that
+/// displace others overloaded the workers, and fewer jobs were in time.
+fn throttled(tracked: &TrackedWorker, context: &ChoiceContext<'_>, serving: Option<&Label>) -> f64 {
     let image = context.step.image.as_ref();
     let loss = |image, cpu| context.interference.coefficient(serving, image) * tracked.share(cpu);
-    let own = loss(image, context.step.need.cpu);
-    let spare = spare_headroom(tracked, context, serving);
     let used = tracked.runs.best_effort_images();
-    let others: f64 = used
-        .map(|(other, used)| {
-            let behind = rank.map_or(0, |rank| tracked.runs.image_cpu_behind(other, rank));
-            loss(other, used.saturating_sub(behind))
-        })
-        .sum();
-    let left = spare - others;
-    if own <= NEGLIGIBLE {
-        0.0
-    } else if left * MAX_SLOWDOWN > own {
-        own / left
-    } else {
-        // Among workers without headroom, those with less excess are better.
-        MAX_SLOWDOWN * (own + others) / spare
-    }
+    let others: f64 = used.map(|(other, used)| loss(other, used)).sum();
+    (loss(image, context.step.need.cpu) + others) / spare_headroom(tracked, context, serving)
 }
 
 /// Baseline headroom beyond the target: as reported, and the learned average as far as the
@@ -190,16 +161,6 @@
 }
 
 impl QueueScheduler {
-    /// Rank up to which the runs on a worker delay tasks of the step; `None` if all runs do.
-    pub(crate) fn forecast_rank(&self, step: &StepName) -> Option<StepRank> {
-        self.orders_runs().then(|| self.step_rank(step)).flatten()
-    }
-
-    /// Whether tasks of a better rank displace others.
-    pub(crate) fn orders_runs(&self) -> bool {
-        self.features.headroom_forecast && self.features.job_order
-    }
-
     /// Keeps the load that an agent has reported, unless it is invalid.
     pub(crate) fn keep_load(&mut self, agent: &AgentName, load: &WorkerLoad, now: Moment) {
         let Some(tracked) = self.workers.get_mut(agent) else { return };
@@ -215,18 +176,6 @@
         self.interference_changed |= self.features.headroom_forecast;
     }
 
-    /// Updates the ranks of the runs on an agent's worker.
-    pub(crate) fn refresh_ranks(&mut self, agent: &AgentName) {
-        if !self.orders_runs() {
-            return;
-        }
-        let Some(tracked) = self.workers.get(agent) else { return };
-        let ranks: Vec<_> = tracked.runs.ranked_steps().map(|step| self.step_rank(step)).collect();
-        if let Some(tracked) = self.workers.get_mut(agent) {
-            tracked.runs.set_ranks(&ranks);
-        }
-    }
-
     /// Expected speed of a best-effort task on a worker, percent; `None` without forecasts.
     pub(crate) fn forecast_speed(
         &self,
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -10,12 +10,15 @@
 use crate::forecast::SlowdownForecast;
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
-use crate::rank::StepRank;
 use crate::spec::StepSpec;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
 /// Largest slowdown of best-effort tasks, in thousandths; beyond it a task waits.
 const SLOWDOWN_LIMIT: u64 = 1_500;
+/// Largest forecast slowdown of best-effort tasks, in thousandths. Below 1,000, so that the headroom
+/// which is free now can fall before a task is slowed down: on a day with an outage, 42 of 107
+/// best-effort jobs were in time with 850, 33 with 1,500 and 20 with 500.
+const FORECAST_LIMIT: u64 = 850;
 /// Cost of a worker outside the rack of the data, in thousandths of its capacity.
 const REMOTE_PENALTY: u64 = 2_000;
 /// Cost of a task that reserves processors on a worker without serving tasks, in thousandths:
@@ -37,8 +40,6 @@
     pub may_wait: bool,
     /// Whether forecasts rest on reported loads.
     pub forecasts: bool,
-    /// Rank up to which best-effort runs delay the task; `None` if all do.
-    pub rank: Option<StepRank>,
     pub now: Moment,
 }
 
@@ -139,13 +140,12 @@
     forecast: SlowdownForecast,
 ) -> Option<u64> {
     let penalty = if tracked.runs.serving() == 0 { 0 } else { SERVING_PENALTY };
-    // Among workers on which the task is as fast, the one with the least to displace is better.
-    let cost = forecast.slowdown.saturating_add(forecast.displaced).saturating_add(penalty);
-    is_acceptable(forecast.slowdown, context).then_some(cost)
+    is_acceptable(forecast.slowdown, context).then(|| forecast.slowdown.saturating_add(penalty))
 }
 
 fn is_acceptable(slowdown: u64, context: &ChoiceContext<'_>) -> bool {
-    slowdown <= SLOWDOWN_LIMIT || !context.may_wait
+    let limit = if context.forecasts { FORECAST_LIMIT } else { SLOWDOWN_LIMIT };
+    slowdown <= limit || !context.may_wait
 }
 
 #[expect(
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -147,14 +147,8 @@
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
             let class = NeedClass::of(&name, step, &config.service, may_wait);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
-            // A new first step may displace the runs for which its class was refused.
-            let displacing = (step.best_effort && self.orders_runs()).then(|| class.clone());
             let turn = self.step_turn(&name, late, accepted);
-            let order = StepOrder { priority, turn, step: name };
-            let is_first = self.waiting.insert(class, order);
-            if let Some(class) = displacing.filter(|_| is_first) {
-                self.waiting.reopen_class(&class);
-            }
+            self.waiting.insert(class, StepOrder { priority, turn, step: name });
         }
         for name in others {
             self.waiting.remove(&name);
@@ -339,7 +333,6 @@
         let (service, interference) = (&config.service, &self.interference);
         let may_wait = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
         let forecasts = self.features.headroom_forecast;
-        let rank = if step.best_effort { self.forecast_rank(name) } else { None };
         ChoiceContext {
             name,
             step,
@@ -349,7 +342,6 @@
             within: None,
             may_wait,
             forecasts,
-            rank,
             now,
         }
     }
@@ -368,7 +360,6 @@
         let stalls = task.map_or(0, |task| task.stalls);
         let payload = job.payload.clone();
         let forecast = self.forecast_speed(worker, name, step, now);
-        let rank = if step.best_effort { self.forecast_rank(&name.step_name()) } else { None };
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
         let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
         let Some((_, tracked)) = self.workers.get_index_mut(worker) else { return };
@@ -383,9 +374,6 @@
         };
         let run = AssignedRun { stalls, forecast, ..AssignedRun::open(start, step, now) };
         tracked.runs.insert(run);
-        if rank.is_some() {
-            tracked.runs.set_rank(&name.step_name(), rank);
-        }
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
--- a/crates/queue/src/run_table.rs
+++ b/crates/queue/src/run_table.rs
@@ -8,7 +8,6 @@
 use indexmap::IndexMap;
 
 use crate::name::{Label, StepName, TaskName};
-use crate::rank::StepRank;
 use crate::spec::TaskNeed;
 use crate::worker::AssignedRun;
 
@@ -53,15 +52,6 @@
     cpu: u128,
 }
 
-/// Best-effort runs of one step.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct StepUse {
-    image: Option<Label>,
-    used: ImageUse,
-    /// `None` if the step has no rank.
-    rank: Option<StepRank>,
-}
-
 /// Runs by task; reads go to the map, changes of the set of runs through this type.
 #[derive(Clone, Debug, Default)]
 pub struct RunTable {
@@ -74,7 +64,6 @@
     best_effort_images: IndexMap<Option<Label>, ImageUse>,
     serving_images: IndexMap<Option<Label>, ImageUse>,
     steps: IndexMap<StepName, u32>,
-    best_effort_steps: IndexMap<StepName, StepUse>,
 }
 
 impl Deref for RunTable {
@@ -96,7 +85,6 @@
         if run.start.best_effort {
             self.best_effort_cpu += u128::from(run.start.cpu);
             count(&mut self.best_effort_images, &run);
-            self.count_step(task.step_name(), &run);
         }
         if run.start.latency_bound > 0 {
             self.serving += 1;
@@ -119,7 +107,6 @@
         if run.start.best_effort {
             self.best_effort_cpu -= u128::from(run.start.cpu);
             discount(&mut self.best_effort_images, &run);
-            self.discount_step(&task.step_name(), &run);
         }
         if run.start.latency_bound > 0 {
             self.serving -= 1;
@@ -167,66 +154,6 @@
         self.best_effort_images.iter().map(|(image, used)| (image.as_ref(), saturate(used.cpu)))
     }
 
-    fn count_step(&mut self, step: StepName, run: &AssignedRun) {
-        let known = self.best_effort_steps.entry(step).or_default();
-        known.image.clone_from(&run.start.image);
-        known.used.runs += 1;
-        known.used.cpu += u128::from(run.start.cpu);
-    }
-
-    fn discount_step(&mut self, step: &StepName, run: &AssignedRun) {
-        let Some(known) = self.best_effort_steps.get_mut(step) else { return };
-        known.used.runs -= 1;
-        known.used.cpu -= u128::from(run.start.cpu);
-        if known.used.runs == 0 {
-            self.best_effort_steps.swap_remove(step);
-        }
-    }
-
-    /// Steps of the best-effort runs.
-    pub fn ranked_steps(&self) -> impl Iterator<Item = &StepName> {
-        self.best_effort_steps.keys()
-    }
-
-    /// Rank of a step with best-effort runs.
-    #[must_use]
-    pub fn rank(&self, step: &StepName) -> Option<StepRank> {
-        self.best_effort_steps.get(step)?.rank
-    }
-
-    /// Sets the ranks of the steps in the order of [`Self::ranked_steps`].
-    pub fn set_ranks(&mut self, ranks: &[Option<StepRank>]) {
-        for (known, rank) in self.best_effort_steps.values_mut().zip(ranks) {
-            known.rank = *rank;
-        }
-    }
-
-    /// Sets the rank of a step with best-effort runs.
-    pub fn set_rank(&mut self, step: &StepName, rank: Option<StepRank>) {
-        if let Some(known) = self.best_effort_steps.get_mut(step) {
-            known.rank = rank;
-        }
-    }
-
-    /// Processors of the best-effort runs that are ordered behind a rank, thousandths. Runs
-    /// without a rank are not.
-    #[must_use]
-    pub fn cpu_behind(&self, rank: StepRank) -> u64 {
-        saturate(self.steps_behind(rank).map(|known| known.used.cpu).sum())
-    }
-
-    /// The part of [`Self::cpu_behind`] that belongs to an image.
-    #[must_use]
-    pub fn image_cpu_behind(&self, image: Option<&Label>, rank: StepRank) -> u64 {
-        let behind = self.steps_behind(rank).filter(|known| known.image.as_ref() == image);
-        saturate(behind.map(|known| known.used.cpu).sum())
-    }
-
-    fn steps_behind(&self, rank: StepRank) -> impl Iterator<Item = &StepUse> {
-        let is_behind = move |known: &&StepUse| known.rank.is_some_and(|other| other > rank);
-        self.best_effort_steps.values().filter(is_behind)
-    }
-
     /// Images of the serving runs.
     pub fn serving_images(&self) -> impl Iterator<Item = Option<&Label>> {
         self.serving_images.keys().map(Option::as_ref)
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -84,14 +84,12 @@
 }
 
 impl WaitingSteps {
-    /// Adds a step, or moves it to another class or position. Returns whether it has entered
-    /// the class as its first step.
-    pub fn insert(&mut self, class: NeedClass, order: StepOrder) -> bool {
+    /// Adds a step, or moves it to another class or position.
+    pub fn insert(&mut self, class: NeedClass, order: StepOrder) {
         let step = order.step.clone();
-        let mut entered = true;
         if let Some((known, position)) = self.entries.get(&step) {
             if *known == class && *position == order {
-                return false;
+                return;
             }
             // The class keeps its refusal, as its needs are the same.
             if *known == class
@@ -99,23 +97,12 @@
                 && let StepTurn::Ranked(rank) = order.turn
             {
                 self.rerank(&step, rank);
-                return false;
+                return;
             }
-            entered = *known != class;
             self.remove(&step);
         }
-        let queue = self.classes.entry(class.clone()).or_default();
-        queue.steps.insert(order.clone());
-        let is_first = queue.steps.first() == Some(&order);
+        self.classes.entry(class.clone()).or_default().steps.insert(order.clone());
         self.entries.insert(step, (class, order));
-        entered && is_first
-    }
-
-    /// Opens a refused class.
-    pub fn reopen_class(&mut self, class: &NeedClass) {
-        if let Some(queue) = self.classes.get_mut(class) {
-            queue.refused = None;
-        }
     }
 
     /// Moves a waiting step to the position of its new rank.
