Give a new connection the place of one that waits

Cause: a connection above the limit was answered with 503 even when another one was closed for it, so a probe or a caller had to come again and might then meet a further client that sends nothing. A readiness probe that is refused twice takes the entry out of service. A displaced connection whose client does not read its last answer stayed open for answer_ms.

Change: the new connection is served if one that has waited for 0.5 s is closed for it; at most 16 beside the limit may still be ending. A displaced connection also ends while it is written to. The connections of a peer are counted only if there may be too many.

--- a/crates/fleet/src/connection.rs
+++ b/crates/fleet/src/connection.rs
@@ -386,6 +386,11 @@
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => {
+                // The HTTP library does not read while it ends a connection.
+                if this.connection.displaced.get() {
+                    return Poll::Ready(Err(this.fail(RejectCause::Displaced, b"")));
+                }
+                this.connection.wait(context);
                 let limit = Duration::from_millis(this.connection.limits.answer);
                 let timer = this
                     .write_timer
--- a/crates/fleet/src/connection_table.rs
+++ b/crates/fleet/src/connection_table.rs
@@ -15,6 +15,9 @@
 /// few round trips.
 const DISPLACE_AGE: Duration = Duration::from_millis(500);
 
+/// Displaced connections that may still be open beside the limit.
+const MAX_ENDING: usize = 16;
+
 /// Which address a connection came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServedAddress {
@@ -55,23 +58,33 @@
         self.connections.borrow().is_empty()
     }
 
-    /// Why no connection of `peer` can be added now; a connection that waits is then displaced, so
-    /// that a later one can.
+    /// Why no connection of `peer` can be added now; `None` also if it takes the place of one
+    /// that waits for its client, which then ends.
     #[must_use]
     pub fn find_excess(&self, peer: IpAddr, limits: &ClientLimits) -> Option<RejectCause> {
         let connections = self.connections.borrow();
+        let open = connections.len();
         let is_peer = |connection: &Rc<Connection>| connection.peer == peer;
-        let of_peer = connections.values().filter(|connection| is_peer(connection)).count();
-        let (cause, own) = if of_peer >= limits.peer_connections {
-            (RejectCause::PeerConnections, true)
-        } else if connections.len() >= limits.connections {
-            (RejectCause::Connections, false)
+        // The connections of a peer are counted only if there may be too many.
+        let of_peer = if open < limits.peer_connections {
+            0
         } else {
-            return None;
+            connections.values().filter(|connection| is_peer(connection)).count()
         };
+        let (cause, own, excess) =
+            if let Some(excess) = of_peer.checked_sub(limits.peer_connections) {
+                (RejectCause::PeerConnections, true, excess)
+            } else if let Some(excess) = open.checked_sub(limits.connections) {
+                (RejectCause::Connections, false, excess)
+            } else {
+                return None;
+            };
+        if excess >= MAX_ENDING {
+            return Some(cause);
+        }
         let candidates = connections.values().filter(|connection| !own || is_peer(connection));
-        displace_oldest(candidates, DISPLACE_AGE);
-        Some(cause)
+        let displaced = displace_oldest(candidates, DISPLACE_AGE);
+        (!displaced).then_some(cause)
     }
 
     /// Gives up the body that has been arriving longest, if for at least `age`.
@@ -88,12 +101,17 @@
     }
 }
 
-fn displace_oldest<'a>(candidates: impl Iterator<Item = &'a Rc<Connection>>, age: Duration) {
+/// Displaces the connection that has waited longest; whether one has waited for at least `age`.
+fn displace_oldest<'a>(
+    candidates: impl Iterator<Item = &'a Rc<Connection>>,
+    age: Duration,
+) -> bool {
     let waiting =
         candidates.filter_map(|connection| Some((connection.waiting_since()?, connection)));
-    if let Some((since, connection)) = waiting.min_by_key(|(since, _)| *since)
-        && since + age <= Instant::now()
-    {
-        connection.displace();
-    }
+    let oldest = waiting.min_by_key(|(since, _)| *since);
+    let Some((_, connection)) = oldest.filter(|(since, _)| *since + age <= Instant::now()) else {
+        return false;
+    };
+    connection.displace();
+    true
 }
--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -1,7 +1,7 @@
 //! Server of callers' connections, within the limits of connections.
 //!
-//! A connection above a limit is answered without reading its request, and takes the place of
-//! one that waits for its client the next time.
+//! A connection above a limit takes the place of one that waits for its client; if none does, it
+//! is answered without reading its request.
 
 use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
--- a/crates/fleet/tests/connection_reads.rs
+++ b/crates/fleet/tests/connection_reads.rs
@@ -32,3 +32,20 @@
         assert_eq!(client.read_u8().await.unwrap(), b'.');
     }
 }
+
+/// Guards against a connection that stays open after it was displaced, because its client does not
+/// read the last answer and nothing more is read from it.
+#[actix_web::test]
+async fn a_displaced_connection_does_not_wait_for_its_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let _client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (stream, peer) = listener.accept().await.unwrap();
+    let limits = ClientLimits { answer: 600_000, ..ClientLimits::default() };
+    let connection = Connection::open(peer.ip(), limits);
+    let mut stream = GuardedStream::new(stream, Rc::clone(&connection));
+    let written = actix_web::rt::spawn(async move { stream.write_all(&vec![0; 64 << 20]).await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    connection.displace();
+    let written = tokio::time::timeout(Duration::from_secs(20), written).await;
+    assert!(written.expect("the answer is still written").unwrap().is_err());
+}
