End idle connections without a loss when a server stops

Cause: a stop displaced the connections without a request. That is an error of the stream, so a request that had arrived but was not read yet was lost with a reset, and each idle connection was counted and logged as rejected.

Change: a connection that is to end reads once more; what has arrived is answered with Connection: close, otherwise the stream is at its end. Answers during the stop of an agent's server close their connections too.

Conclusion: a_stop_rejects_nothing counted 1 rejection before; a_request_that_has_arrived_is_read_before_the_end fails with the displacement used before.

--- a/crates/fleet/src/connection.rs
+++ b/crates/fleet/src/connection.rs
@@ -61,6 +61,8 @@
     /// Whether the connection closes after the present answer.
     closing: Cell<bool>,
     displaced: Cell<bool>,
+    /// Whether the connection ends before its next request.
+    ending: Cell<bool>,
     /// Why the stream has ended the connection.
     cause: Cell<Option<RejectCause>>,
     reader: RefCell<Option<Waker>>,
@@ -79,6 +81,7 @@
             begun: Cell::new(false),
             closing: Cell::new(false),
             displaced: Cell::new(false),
+            ending: Cell::new(false),
             cause: Cell::new(None),
             reader: RefCell::default(),
         })
@@ -92,10 +95,10 @@
         (waits && !self.displaced.get()).then(|| self.since.get())
     }
 
-    /// Whether no request has begun.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.phase.get() == ReadPhase::Head && !self.begun.get()
+    /// Ends the connection after the present request, or after one that has arrived.
+    pub fn end(&self) {
+        self.ending.set(true);
+        self.wake();
     }
 
     #[must_use]
@@ -155,7 +158,7 @@
     /// The request has its answer. Returns whether the connection closes: a part of the body
     /// has not been read, or the handler wants it.
     pub fn finish(&self) -> bool {
-        let closing = self.closing.get();
+        let closing = self.closing.get() || self.ending.get();
         self.enter(if closing { ReadPhase::Closing } else { ReadPhase::Head });
         self.wake();
         closing
@@ -229,6 +232,10 @@
                 Poll::Ready(Ok(0)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                // Nothing has arrived, so the client can send its next request elsewhere.
+                Poll::Pending if self.connection.ending.get() && self.scan.length == 0 => {
+                    return Poll::Ready(Ok(()));
+                }
                 Poll::Pending => return self.poll_head_time(context),
             }
         }
--- a/crates/fleet/src/connection_table.rs
+++ b/crates/fleet/src/connection_table.rs
@@ -94,10 +94,9 @@
         displace_oldest(bodies.filter(|connection| !Rc::ptr_eq(connection, except)), age);
     }
 
-    /// Ends the connections that wait for a request.
-    pub fn close_idle(&self) {
-        let connections = self.connections.borrow();
-        connections.values().filter(|connection| connection.is_idle()).for_each(|c| c.displace());
+    /// Ends each connection once it has no request.
+    pub fn end_all(&self) {
+        self.connections.borrow().values().for_each(|connection| connection.end());
     }
 }
 
--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -170,7 +170,7 @@
     }
     drop(listener);
     while !table.is_empty() {
-        table.close_idle();
+        table.end_all();
         tokio::time::sleep(STOP_PAUSE).await;
     }
     Ok(())
--- a/crates/fleet/tests/connection_reads.rs
+++ b/crates/fleet/tests/connection_reads.rs
@@ -49,3 +49,20 @@
     let written = tokio::time::timeout(Duration::from_secs(20), written).await;
     assert!(written.expect("the answer is still written").unwrap().is_err());
 }
+
+/// Guards against a request that is lost because the server stops when it has just arrived.
+#[actix_web::test]
+async fn a_request_that_has_arrived_is_read_before_the_end() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let mut client = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (stream, peer) = listener.accept().await.unwrap();
+    let connection = Connection::open(peer.ip(), ClientLimits::default());
+    let mut stream = GuardedStream::new(stream, Rc::clone(&connection));
+    client.write_all(REQUEST).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    connection.end();
+    let mut head = [0; 1024];
+    assert_eq!(stream.read(&mut head).await.unwrap(), REQUEST.len());
+    connection.begin(false);
+    assert!(connection.finish(), "the answer does not announce the end");
+}
--- a/crates/fleet/tests/connections.rs
+++ b/crates/fleet/tests/connections.rs
@@ -76,3 +76,13 @@
     let answer = ask(&mut probe, REQUEST).await;
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
 }
+
+/// Guards against idle connections that are counted as rejected when the process stops.
+#[actix_web::test]
+async fn a_stop_rejects_nothing() {
+    let (handle, address, metrics) = serve(ClientLimits::default());
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    assert!(ask(&mut stream, REQUEST).await.starts_with("HTTP/1.1 200"));
+    timeout(ANSWER_TIMEOUT, handle.stop(ANSWER_TIMEOUT * 2)).await.unwrap();
+    assert_eq!(metrics.rejected.with_label_values(&["displaced"]).get(), 0);
+}
