Release the place of a connection whose handler panics

Cause: the connection was removed from the table by the last statement of its task, which a panic skips. It counted as open from then on, and a stop waited for it until its grace had passed.

Change: the place in the table is given back when it is dropped.

Conclusion: a_panic_releases_its_connection was answered with 503 before and passes.

--- a/crates/fleet/src/guard.rs
+++ b/crates/fleet/src/guard.rs
@@ -154,15 +154,15 @@
             log::debug!("could not set up a connection: {error}");
         }
         let connection = Connection::open(peer.ip(), limits);
-        let number = table.insert(Rc::clone(&connection));
+        let entry = TableEntry::open(Rc::clone(&table), Rc::clone(&connection));
         let stream = GuardedStream::new(stream, Rc::clone(&connection));
         let handled = service.call((stream, Protocol::Http1, Some(peer)));
-        let (table, rejections) = (Rc::clone(&table), rejections.clone());
+        let rejections = rejections.clone();
         actix_rt::spawn(async move {
             if let Err(error) = handled.await {
                 log::debug!("a connection has ended: {error}");
             }
-            table.remove(number);
+            drop(entry);
             if let Some(cause) = connection.cause() {
                 rejections.record(cause, connection.peer);
             }
@@ -176,6 +176,25 @@
     Ok(())
 }
 
+/// Place of an open connection in the table; given back also if a handler panics.
+struct TableEntry {
+    table: Rc<ConnectionTable>,
+    number: u64,
+}
+
+impl TableEntry {
+    fn open(table: Rc<ConnectionTable>, connection: Rc<Connection>) -> Self {
+        let number = table.insert(connection);
+        Self { table, number }
+    }
+}
+
+impl Drop for TableEntry {
+    fn drop(&mut self) {
+        self.table.remove(self.number);
+    }
+}
+
 /// Waits until the server is to stop; forever if its handle was dropped.
 async fn requested(stopping: &mut watch::Receiver<bool>) {
     if stopping.wait_for(|stop| *stop).await.is_err() {
--- a/crates/fleet/tests/connections.rs
+++ b/crates/fleet/tests/connections.rs
@@ -86,3 +86,20 @@
     timeout(ANSWER_TIMEOUT, handle.stop(ANSWER_TIMEOUT * 2)).await.unwrap();
     assert_eq!(metrics.rejected.with_label_values(&["displaced"]).get(), 0);
 }
+
+/// Guards against a connection whose handler panics, and which counts as open from then on.
+#[actix_web::test]
+async fn a_panic_releases_its_connection() {
+    let limits = ClientLimits { connections: 2, peer_connections: 2, ..ClientLimits::default() };
+    let (handle, address, _) = serve(limits);
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        assert_eq!(ask(&mut stream, b"GET /panic HTTP/1.1\r\nhost: a\r\n\r\n").await, "");
+    }
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let answer = ask(&mut stream, REQUEST).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    drop(stream);
+    // All connections have ended, so the stop needs no grace.
+    timeout(ANSWER_TIMEOUT, handle.stop(ANSWER_TIMEOUT * 2)).await.unwrap();
+}
