Do not take an empty line for the start of a head

Cause: some clients send a line break after a body. It began the time of a head, so an idle connection was answered with 408 and closed after head_ms (5 s).

Change: the time of a head counts from its first byte that is no line break. A connection with empty lines alone ends with the idle limit.

Conclusion: an_empty_line_is_not_the_start_of_a_head was answered with 408 before and passes.

--- a/crates/fleet/src/connection.rs
+++ b/crates/fleet/src/connection.rs
@@ -56,8 +56,6 @@
     window: Cell<usize>,
     /// Requests since the socket was last found empty that were read together with an earlier one.
     ahead: Cell<usize>,
-    /// Whether the head of a request has begun to arrive.
-    begun: Cell<bool>,
     /// Whether the connection closes after the present answer.
     closing: Cell<bool>,
     displaced: Cell<bool>,
@@ -78,7 +76,6 @@
             since: Cell::new(Instant::now()),
             window: Cell::new(0),
             ahead: Cell::new(0),
-            begun: Cell::new(false),
             closing: Cell::new(false),
             displaced: Cell::new(false),
             ending: Cell::new(false),
@@ -166,7 +163,6 @@
 
     fn enter(&self, phase: ReadPhase) {
         self.phase.set(phase);
-        self.begun.set(false);
         self.since.set(Instant::now());
     }
 
@@ -233,23 +229,24 @@
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 // Nothing has arrived, so the client can send its next request elsewhere.
-                Poll::Pending if self.connection.ending.get() && self.scan.length == 0 => {
+                Poll::Pending if self.connection.ending.get() && !self.scan.begun => {
                     return Poll::Ready(Ok(()));
                 }
                 Poll::Pending => return self.poll_head_time(context),
             }
         }
-        if self.scan.length == 0 {
+        // Some clients send an empty line after a body, which does not begin the next head.
+        let had_begun = self.scan.begun;
+        let part = self.held.len().min(buffer.remaining());
+        let end = self.scan.advance(&self.held[..part]);
+        if self.scan.begun && !had_begun {
             self.connection.since.set(Instant::now());
-            self.connection.begun.set(true);
             // A request in a block of its own may have been sent after the answer to the last one:
             // a busy process finds it in the socket all the same.
             if is_ahead {
                 self.connection.ahead.set(self.connection.ahead.get().saturating_add(1));
             }
         }
-        let part = self.held.len().min(buffer.remaining());
-        let end = self.scan.advance(&self.held[..part]);
         if self.scan.length > MAX_HEAD_BYTES {
             // The rest of the head is discarded: a reset would discard the answer.
             drop(self.fail(RejectCause::HeadSize, HEAD_TOO_LARGE));
@@ -268,7 +265,7 @@
     fn poll_head_time(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.connection.ahead.set(0);
         self.connection.wait(context);
-        let begun = self.scan.length > 0;
+        let begun = self.scan.begun;
         let limit =
             if begun { Duration::from_millis(self.connection.limits.head) } else { KEEP_ALIVE };
         ready!(self.poll_limit(context, limit));
--- a/crates/fleet/src/head_scan.rs
+++ b/crates/fleet/src/head_scan.rs
@@ -8,7 +8,7 @@
     /// Whether the present line has a character.
     in_line: bool,
     /// Whether any line had one: empty lines before the request line are skipped.
-    begun: bool,
+    pub begun: bool,
 }
 
 impl HeadScan {
--- a/crates/fleet/tests/connections.rs
+++ b/crates/fleet/tests/connections.rs
@@ -103,3 +103,17 @@
     // All connections have ended, so the stop needs no grace.
     timeout(ANSWER_TIMEOUT, handle.stop(ANSWER_TIMEOUT * 2)).await.unwrap();
 }
+
+/// Guards against an idle connection that ends with the time of a head, because its client sends a
+/// line break after a body, as some do.
+#[actix_web::test]
+async fn an_empty_line_is_not_the_start_of_a_head() {
+    let limits = ClientLimits { head: 100, ..ClientLimits::default() };
+    let (_handle, address, _) = serve(limits);
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    assert!(ask(&mut stream, REQUEST).await.starts_with("HTTP/1.1 200"));
+    stream.write_all(b"\r\n").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = ask(&mut stream, REQUEST).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
