Tell clients with too many pipelined requests when to retry

Cause: the design asks for Retry-After with a refusal by a limit; 429 had none.

Change: 429 has the header, as 503 has.

Conclusion: too_many_pipelined_requests_are_told_when_to_retry failed before and passes.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -400,7 +400,8 @@
 
 fn refuse(refusal: &Refusal) -> HttpResponse {
     let mut response = HttpResponse::build(refusal.status);
-    if refusal.status == StatusCode::SERVICE_UNAVAILABLE {
+    let may_retry = [StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
+    if may_retry.contains(&refusal.status) {
         response.insert_header((RETRY_AFTER, RETRY_AFTER_SECONDS));
     }
     response.json(ErrorBody { error: refusal.cause.to_owned() })
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -167,3 +167,23 @@
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert_eq!(cluster.call("GET", 0, "/q/late", serde_json::Value::Null).await.0, 410);
 }
+
+/// Guards against a refusal by a limit that does not say when to retry.
+#[actix_web::test]
+async fn too_many_pipelined_requests_are_told_when_to_retry() {
+    let cluster = TestCluster::open_with(1, hostile::LIMITS).await;
+    cluster.await_ready(0).await;
+    let requests = head("GET", "/q/none", "").repeat(100).into_bytes();
+    let address = cluster.entry_addresses(0).0;
+    let thread = std::thread::spawn(move || talk(address, &[&requests], Duration::ZERO));
+    while !thread.is_finished() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let answers = thread.join().unwrap();
+    let refusal = answers.split("HTTP/1.1 ").find(|answer| answer.starts_with("429"));
+    let refusal = refusal.unwrap_or_else(|| panic!("no refusal: {answers}"));
+    assert!(
+        refusal.contains("retry-after: 1") && refusal.contains("connection: close"),
+        "{refusal}"
+    );
+}
