--- a/crates/fleet/src/connection.rs
+++ b/crates/fleet/src/connection.rs
@@ -54,13 +54,13 @@
     since: Cell<Instant>,
     /// Bytes that may be read of a body.
     window: Cell<usize>,
-    /// Requests since the socket was last found empty.
+    /// Requests since the socket was last found empty that were read together with an earlier one.
     ahead: Cell<usize>,
-    /// Whether the head of a request has begun to arrive.
-    begun: Cell<bool>,
     /// Whether the connection closes after the present answer.
     closing: Cell<bool>,
     displaced: Cell<bool>,
+    /// Whether the connection ends before its next request.
+    ending: Cell<bool>,
     /// Why the stream has ended the connection.
     cause: Cell<Option<RejectCause>>,
     reader: RefCell<Option<Waker>>,
@@ -76,9 +76,9 @@
             since: Cell::new(Instant::now()),
             window: Cell::new(0),
             ahead: Cell::new(0),
-            begun: Cell::new(false),
             closing: Cell::new(false),
             displaced: Cell::new(false),
+            ending: Cell::new(false),
             cause: Cell::new(None),
             reader: RefCell::default(),
         })
@@ -92,10 +92,10 @@
         (waits && !self.displaced.get()).then(|| self.since.get())
     }
 
-    /// Whether no request has begun.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.phase.get() == ReadPhase::Head && !self.begun.get()
+    /// Ends the connection after the present request, or after one that has arrived.
+    pub fn end(&self) {
+        self.ending.set(true);
+        self.wake();
     }
 
     #[must_use]
@@ -118,7 +118,7 @@
     /// Whether too many requests have arrived without a pause.
     #[must_use]
     pub fn exceeds_ahead(&self) -> bool {
-        self.ahead.get() > self.limits.requests_ahead.saturating_add(1)
+        self.ahead.get() > self.limits.requests_ahead
     }
 
     /// Permits the body of the present request.
@@ -155,7 +155,7 @@
     /// The request has its answer. Returns whether the connection closes: a part of the body
     /// has not been read, or the handler wants it.
     pub fn finish(&self) -> bool {
-        let closing = self.closing.get();
+        let closing = self.closing.get() || self.ending.get();
         self.enter(if closing { ReadPhase::Closing } else { ReadPhase::Head });
         self.wake();
         closing
@@ -163,7 +163,6 @@
 
     fn enter(&self, phase: ReadPhase) {
         self.phase.set(phase);
-        self.begun.set(false);
         self.since.set(Instant::now());
     }
 
@@ -223,20 +222,31 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.held.is_empty() {
+        let is_ahead = !self.held.is_empty();
+        if !is_ahead {
             match self.poll_block(context) {
                 Poll::Ready(Ok(0)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                // Nothing has arrived, so the client can send its next request elsewhere.
+                Poll::Pending if self.connection.ending.get() && !self.scan.begun => {
+                    return Poll::Ready(Ok(()));
+                }
                 Poll::Pending => return self.poll_head_time(context),
             }
         }
-        if self.scan.length == 0 {
-            self.connection.since.set(Instant::now());
-            self.connection.begun.set(true);
-        }
+        // Some clients send an empty line after a body, which does not begin the next head.
+        let had_begun = self.scan.begun;
         let part = self.held.len().min(buffer.remaining());
         let end = self.scan.advance(&self.held[..part]);
+        if self.scan.begun && !had_begun {
+            self.connection.since.set(Instant::now());
+            // A request in a block of its own may have been sent after the answer to the last one:
+            // a busy process finds it in the socket all the same.
+            if is_ahead {
+                self.connection.ahead.set(self.connection.ahead.get().saturating_add(1));
+            }
+        }
         if self.scan.length > MAX_HEAD_BYTES {
             // The rest of the head is discarded: a reset would discard the answer.
             drop(self.fail(RejectCause::HeadSize, HEAD_TOO_LARGE));
@@ -245,7 +255,6 @@
         }
         if end.is_some() {
             self.scan = HeadScan::default();
-            self.connection.ahead.set(self.connection.ahead.get().saturating_add(1));
             self.connection.enter(ReadPhase::Parsed);
         }
         self.release(buffer, end.unwrap_or(part));
@@ -256,7 +265,7 @@
     fn poll_head_time(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.connection.ahead.set(0);
         self.connection.wait(context);
-        let begun = self.scan.length > 0;
+        let begun = self.scan.begun;
         let limit =
             if begun { Duration::from_millis(self.connection.limits.head) } else { KEEP_ALIVE };
         ready!(self.poll_limit(context, limit));
@@ -381,6 +390,11 @@
             }
             Poll::Ready(Err(error)) => Poll::Ready(Err(error)),
             Poll::Pending => {
+                // The HTTP library does not read while it ends a connection.
+                if this.connection.displaced.get() {
+                    return Poll::Ready(Err(this.fail(RejectCause::Displaced, b"")));
+                }
+                this.connection.wait(context);
                 let limit = Duration::from_millis(this.connection.limits.answer);
                 let timer = this
                     .write_timer
