--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -6,7 +6,7 @@
 
 use cactusdoor_core::unit::{Millis, Moment};
 
-use crate::job::TaskPlace;
+use crate::job::{TaskPlace, TaskProgress};
 use crate::lease::{AGENT_LEASE, clock_bound};
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerIncarnation};
 use crate::observation::{LapseCause, RunObservation};
@@ -29,6 +29,11 @@
 const MAX_STALL_DOUBLINGS: u32 = 10;
 /// Speed, percent, below which a throttled task is ignored in the check for a stall.
 const STALL_SPEED: u8 = 50;
+/// Speed, percent, of a run that is not throttled.
+const FULL_SPEED: u8 = 100;
+/// Change of a run's progress, percent, that the sums of the remaining work follow: each costs
+/// about as much as the other handling of a listed run.
+const PROGRESS_STEP: u8 = 10;
 /// Progress, percent, at which an endless task is operational.
 const OPERATIONAL: u8 = 100;
 /// Most former processes of an agent whose reports are recognized.
@@ -302,17 +307,21 @@
         checkpoint: &Checkpoint,
         now: Moment,
     ) {
-        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let Some(job) = self.jobs.get(&name.job) else { return };
         if job.task(name).is_none_or(|task| task.place == TaskPlace::Done) {
             return;
         }
-        job.change_task(name, |task| {
+        let change = |task: &mut TaskProgress| {
             task.checkpoint = checkpoint.clone();
+            let saved = !done && !checkpoint.is_empty();
+            task.percent = if saved { task.checkpoint_percent } else { 0 };
             task.failures = task.failures.saturating_add(u32::from(failed));
             let doublings = task.failures.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
             let retry = if failed { RETRY_DELAY << doublings } else { 0 };
             task.place = if done { TaskPlace::Done } else { TaskPlace::Waiting(now.after(retry)) };
-        });
+        };
+        self.change_tracked_task(name, change, now);
+        let Some(job) = self.jobs.get(&name.job) else { return };
         let Some(record) = job.task(name).map(|task| task.record(None)) else { return };
         self.push_task(name, &record, None);
         self.changed.insert((name.job.clone(), name.occurrence));
@@ -350,11 +359,20 @@
         let was_open = tracked.unassigned.is_empty();
         tracked.unassigned.clear();
         tracked.awaits_list = false;
+        let counts = self.features.refusals;
+        let (mut progress, mut throttled) = (Vec::new(), false);
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
                 Some(run) => {
                     // Without a percentage, the progress is not known.
+                    throttled |= run.start.best_effort && listed.speed < FULL_SPEED;
+                    if let Some(percent) = listed.percent.filter(|_| counts)
+                        && run.percent.map(|known| known / PROGRESS_STEP)
+                            != Some(percent / PROGRESS_STEP)
+                    {
+                        progress.push((listed.task.clone(), percent));
+                    }
                     if listed.percent.is_some() && run.percent != listed.percent {
                         run.percent = listed.percent;
                         run.progressed = now;
@@ -395,6 +413,7 @@
                 self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
             }
         }
+        self.record_progress(agent, progress, throttled, now);
     }
 
     /// Ends the runs of agents whose lease has certainly expired; returns these agents
--- /dev/null
+++ b/crates/queue/src/backlog/index.rs
@@ -0,0 +1,236 @@
+//! Sums of the remaining work of an owner's jobs, changed by the job that changes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cactusdoor_core::unit::{Millis, Moment};
+use indexmap::IndexMap;
+
+use super::rate::WorkRate;
+use super::{Backlog, ClassWork, PriorityWork, ServiceBacklog, TimedWork, size_class};
+use crate::name::{JobId, ServiceName};
+
+/// Latest time that is told apart, Unix ms (year 2527): sums of work times time fit into
+/// their type with it.
+const MAX_TIME: Millis = 1 << 44;
+
+/// An occurrence of a job.
+pub(super) type OccurrenceKey = (JobId, u32);
+
+/// Remaining work of an occurrence, in hundredths of a processor-ms, and when it loses its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct TrackedWork {
+    pub service: ServiceName,
+    pub priority: u32,
+    pub best_effort: u128,
+    pub reserving: u128,
+    /// Unix time until which the occurrence can be in time.
+    pub in_time_until: Millis,
+    /// Unix time until which it is useful.
+    pub useful_until: Millis,
+}
+
+/// Value that an occurrence has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ValueClass {
+    InTime,
+    Useful,
+    Useless,
+}
+
+impl TrackedWork {
+    fn value(&self, unix: Millis) -> ValueClass {
+        if unix <= self.in_time_until {
+            ValueClass::InTime
+        } else if unix <= self.useful_until {
+            ValueClass::Useful
+        } else {
+            ValueClass::Useless
+        }
+    }
+
+    /// End of the value that it has, at most `MAX_TIME`.
+    fn until(&self, value: ValueClass) -> Millis {
+        let until = match value {
+            ValueClass::InTime => self.in_time_until,
+            ValueClass::Useful => self.useful_until,
+            ValueClass::Useless => 0,
+        };
+        until.min(MAX_TIME)
+    }
+
+    fn size(&self) -> u32 {
+        size_class(whole(self.best_effort))
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkSum {
+    work: u128,
+    /// Sum of the work times the end of its value.
+    weighted: u128,
+    /// Number of occurrences: a sum without any is dropped.
+    count: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct KindSum {
+    best_effort: u128,
+    reserving: u128,
+    count: usize,
+}
+
+type ClassKey = (ServiceName, u32, u32, ValueClass);
+
+/// Sums of the remaining work.
+#[derive(Debug, Default)]
+pub(crate) struct BacklogIndex {
+    entries: IndexMap<OccurrenceKey, (TrackedWork, ValueClass)>,
+    kinds: BTreeMap<(ServiceName, u32), KindSum>,
+    classes: BTreeMap<ClassKey, WorkSum>,
+    /// When entries lose the value that they have.
+    ends: BTreeSet<(Millis, JobId, u32)>,
+    rates: IndexMap<ServiceName, WorkRate>,
+    /// Newest Unix time: the clock may be set back.
+    unix: Millis,
+}
+
+impl BacklogIndex {
+    /// Forgets all work; the rates stay.
+    pub(crate) fn clear(&mut self) {
+        let (rates, unix) = (std::mem::take(&mut self.rates), self.unix);
+        *self = Self { rates, unix, ..Self::default() };
+    }
+
+    pub(super) fn contains(&self, key: &OccurrenceKey) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    pub(super) fn insert(&mut self, key: OccurrenceKey, work: TrackedWork) {
+        self.remove(&key);
+        let value = work.value(self.unix);
+        self.count(&key, &work, value, true);
+        self.entries.insert(key, (work, value));
+    }
+
+    pub(super) fn remove(&mut self, key: &OccurrenceKey) {
+        if let Some((work, value)) = self.entries.swap_remove(key) {
+            self.count(key, &work, value, false);
+        }
+    }
+
+    /// Changes the work of an entry; returns its service and the best-effort work done.
+    pub(super) fn change(
+        &mut self,
+        key: &OccurrenceKey,
+        change: impl FnOnce(&mut TrackedWork),
+    ) -> Option<(ServiceName, i128)> {
+        let (mut work, value) = self.entries.get(key)?.clone();
+        self.count(key, &work, value, false);
+        let before = work.best_effort;
+        change(&mut work);
+        let value = work.value(self.unix);
+        self.count(key, &work, value, true);
+        let done = signed(before).saturating_sub(signed(work.best_effort));
+        let service = work.service.clone();
+        self.entries.insert(key.clone(), (work, value));
+        Some((service, done))
+    }
+
+    /// Adds an entry to the sums, or takes it out of them.
+    fn count(&mut self, key: &OccurrenceKey, work: &TrackedWork, value: ValueClass, added: bool) {
+        let apply = |sum: &mut u128, amount: u128| {
+            *sum = if added { sum.saturating_add(amount) } else { sum.saturating_sub(amount) };
+        };
+        let number = |count: &mut usize| {
+            *count = if added { *count + 1 } else { count.saturating_sub(1) };
+            *count > 0
+        };
+        let kind_key = (work.service.clone(), work.priority);
+        let kind = self.kinds.entry(kind_key.clone()).or_default();
+        apply(&mut kind.best_effort, work.best_effort);
+        apply(&mut kind.reserving, work.reserving);
+        if !number(&mut kind.count) {
+            self.kinds.remove(&kind_key);
+        }
+        if value == ValueClass::Useless {
+            return;
+        }
+        let until = work.until(value);
+        let class_key = (work.service.clone(), work.priority, work.size(), value);
+        let class = self.classes.entry(class_key.clone()).or_default();
+        apply(&mut class.work, work.best_effort);
+        apply(&mut class.weighted, work.best_effort.saturating_mul(u128::from(until)));
+        if !number(&mut class.count) {
+            self.classes.remove(&class_key);
+        }
+        let end = (until, key.0.clone(), key.1);
+        if added {
+            self.ends.insert(end);
+        } else {
+            self.ends.remove(&end);
+        }
+    }
+
+    /// Moves the entries whose value has ended to the next one.
+    pub(super) fn advance(&mut self, unix: Millis) {
+        self.unix = self.unix.max(unix);
+        while self.ends.first().is_some_and(|(until, ..)| *until < self.unix.min(MAX_TIME)) {
+            let Some((_, job, occurrence)) = self.ends.pop_first() else { return };
+            self.change(&(job, occurrence), |_| {});
+        }
+    }
+
+    pub(super) fn rate(&mut self, service: &ServiceName) -> &mut WorkRate {
+        if !self.rates.contains_key(service) {
+            self.rates.insert(service.clone(), WorkRate::default());
+        }
+        &mut self.rates[service]
+    }
+
+    /// The backlog at a time.
+    pub(super) fn answer(&mut self, ordered: bool, now: Moment, unix: Millis) -> Backlog {
+        self.advance(unix);
+        Backlog { ordered, services: self.services(now) }
+    }
+
+    /// The sums of each service.
+    fn services(&self, now: Moment) -> Vec<ServiceBacklog> {
+        let mut services: IndexMap<ServiceName, ServiceBacklog> = IndexMap::new();
+        for ((service, priority), sum) in &self.kinds {
+            let known = services.entry(service.clone()).or_insert_with(|| ServiceBacklog {
+                service: service.clone(),
+                rate: self.rates.get(service).and_then(|rate| rate.mean(now)),
+                ..ServiceBacklog::default()
+            });
+            let (best_effort, reserving) = (whole(sum.best_effort), whole(sum.reserving));
+            known.work.push(PriorityWork { priority: *priority, best_effort, reserving });
+        }
+        for ((service, priority, size, value), sum) in &self.classes {
+            let Some(known) = services.get_mut(service) else { continue };
+            let is_same = |class: &ClassWork| (class.priority, class.size) == (*priority, *size);
+            if !known.classes.last().is_some_and(is_same) {
+                let (priority, size) = (*priority, *size);
+                known.classes.push(ClassWork { priority, size, ..ClassWork::default() });
+            }
+            let Some(class) = known.classes.last_mut() else { continue };
+            let until = sum.weighted.checked_div(sum.work).unwrap_or_default();
+            let remaining = until.saturating_sub(u128::from(self.unix));
+            let remaining = u64::try_from(remaining).unwrap_or(u64::MAX);
+            let timed = TimedWork { work: whole(sum.work), remaining };
+            match value {
+                ValueClass::InTime => class.in_time = timed,
+                _ => class.useful = timed,
+            }
+        }
+        services.into_values().collect()
+    }
+}
+
+/// Processor-ms of hundredths.
+fn whole(work: u128) -> u64 {
+    u64::try_from(work / 100).unwrap_or(u64::MAX)
+}
+
+fn signed(work: u128) -> i128 {
+    i128::try_from(work).unwrap_or(i128::MAX)
+}
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -40,6 +40,9 @@
     pub checkpoint: Checkpoint,
     /// Progress of the run that produced the checkpoint, percent. Not stored; 0 if unknown.
     pub checkpoint_percent: u8,
+    /// Progress that the next or present run need not repeat, percent: of the present run as its
+    /// worker last listed it, or of the checkpoint. Not stored.
+    pub percent: u8,
     pub place: TaskPlace,
     /// Agent whose worker got the newest run.
     pub agent: Option<AgentName>,
@@ -55,6 +58,7 @@
             stalls: 0,
             checkpoint,
             checkpoint_percent: 0,
+            percent: 0,
             place,
             agent: None,
         }
@@ -72,6 +76,12 @@
         }
     }
 
+    /// What is left to do, percent of the task.
+    fn left(&self) -> u64 {
+        let left = 100u8.saturating_sub(self.percent);
+        if self.place == TaskPlace::Done { 0 } else { u64::from(left) }
+    }
+
     #[must_use]
     pub fn is_waiting(&self, now: Moment) -> bool {
         matches!(self.place, TaskPlace::Waiting(since) if since <= now)
@@ -101,6 +111,8 @@
 pub struct StepProgress {
     pub tasks: Vec<TaskProgress>,
     pub count: PlaceCount,
+    /// What is left to do, summed over the tasks, percent of a task.
+    pub left: u64,
     /// Most failures of one task; for a gang, the sum over its tasks.
     failures: u32,
 }
@@ -108,7 +120,8 @@
 impl StepProgress {
     fn open(spec: &StepSpec) -> Self {
         let count = PlaceCount { waiting: spec.tasks, ..PlaceCount::default() };
-        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize], count, failures: 0 }
+        let left = u64::from(spec.tasks) * 100;
+        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize], count, left, failures: 0 }
     }
 
     /// Changes a task, and the counts with it.
@@ -116,8 +129,10 @@
         let Some(task) = self.tasks.get_mut(index as usize) else { return };
         let failures = task.failures;
         *self.count.of(&task.place) -= 1;
+        self.left -= task.left();
         change(task);
         *self.count.of(&task.place) += 1;
+        self.left += task.left();
         let added = task.failures.saturating_sub(failures);
         self.failures = if gang {
             self.failures.saturating_add(added)
@@ -252,6 +267,14 @@
         self.spec.steps.get(usize::from(name.step))
     }
 
+    /// Whether the step of a task is done.
+    #[must_use]
+    pub fn step_is_done(&self, name: &TaskName) -> bool {
+        let steps = self.occurrences.get(&name.occurrence);
+        let step = steps.and_then(|steps| steps.get(usize::from(name.step)));
+        step.is_some_and(StepProgress::is_done)
+    }
+
     /// Whether the job has such a task.
     fn has_task(&self, name: &TaskName) -> bool {
         let step = self.spec.steps.get(usize::from(name.step));
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -89,6 +89,7 @@
         if let Some(due) = job.next_due() {
             self.day_timers.set(due, DayTimer::Due(id.clone()));
         }
+        self.track_job(id, unix);
         self.update_idle(id, now);
         self.mark_job(id);
     }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -10,6 +10,7 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::backlog::BacklogIndex;
 use crate::config::{OperatorView, QueueConfig};
 use crate::features::SchedulingFeatures;
 use crate::forecast::MeasuredLoad;
@@ -56,6 +57,8 @@
     unknown_until: Moment,
     pub(crate) waiting: WaitingSteps,
     pub(crate) rooms: RoomChanges,
+    /// Sums of the remaining work; kept only if refusals are switched on.
+    pub(crate) backlog_index: BacklogIndex,
     /// Jobs whose first occurrences have not been opened.
     pub(crate) opened: Vec<JobId>,
     /// Occurrences whose waiting steps must be determined again.
@@ -89,6 +92,7 @@
             unknown_until,
             waiting: WaitingSteps::default(),
             rooms: RoomChanges::default(),
+            backlog_index: BacklogIndex::default(),
             opened: Vec::new(),
             changed: IndexSet::new(),
             steady_timers: TimerQueue::default(),
@@ -117,6 +121,8 @@
                 self.updated.insert(tracked.agent.clone());
             }
         }
+        // Priorities and services may have changed; opening the jobs counts them again.
+        self.backlog_index.clear();
         self.waiting.clear();
         self.day_timers.clear();
         self.opened = self.jobs.keys().cloned().collect();
@@ -124,7 +130,13 @@
 
     /// Switches optional decisions on or off.
     pub fn set_features(&mut self, features: SchedulingFeatures) {
+        if features.refusals && !self.features.refusals {
+            self.opened = self.jobs.keys().cloned().collect();
+        }
         self.features = features;
+        if !features.refusals {
+            self.backlog_index.clear();
+        }
     }
 
     /// Applies a report with the worker's load; see [`Self::report`].
@@ -143,6 +155,7 @@
             return;
         }
         self.balanced = now;
+        self.sample_waiting(now);
     }
 
     /// Writes since the last call, in the order in which they must be stored.
@@ -206,6 +219,7 @@
     /// Removes a job with its waiting steps and timers.
     fn remove_job(&mut self, id: &JobId) -> Option<JobProgress> {
         let job = self.jobs.swap_remove(id)?;
+        self.untrack_job(&job);
         if job.state == JobState::Queued {
             self.discount_pending(&job.spec.queue);
         }
@@ -309,7 +323,7 @@
         Self::configured(&self.view, spec)
     }
 
-    fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
+    pub(crate) fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
         let config = view.config.as_ref();
         let config = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
         config.unwrap_or_else(|| {
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// Services for which best-effort steps wait.
+    pub fn best_effort_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let classes = self.classes.keys().filter(|class| class.best_effort.is_some());
+        classes.map(|class| &class.service)
+    }
+
     /// Opens all classes of best-effort steps.
     pub fn reopen_best_effort(&mut self) {
         for (class, queue) in &mut self.classes {
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -6,6 +6,8 @@
 //! starts after an acknowledged `Done`, and that every job ends.
 
 mod support;
+#[path = "oracle/work.rs"]
+mod work;
 
 use std::collections::BTreeMap;
 
@@ -18,6 +20,7 @@
 use cactusdoor_queue::spec::{JobSpec, StepSpec};
 use proptest::prelude::*;
 use support::*;
+use work::check_backlog;
 
 const AGENTS: [&str; 3] = ["a", "b", "c"];
 const TICK: u64 = 100;
@@ -99,11 +102,17 @@
     epoch: u64,
 }
 
+fn refusing_scheduler() -> QueueScheduler {
+    let mut scheduler = scheduler();
+    scheduler.set_features(refusing());
+    scheduler
+}
+
 impl Simulation {
     fn open() -> Self {
         let workers = AGENTS.iter().map(|_| WorkerModel { born: 1, ..WorkerModel::default() });
         Self {
-            scheduler: scheduler(),
+            scheduler: refusing_scheduler(),
             agents: AGENTS.iter().map(|_| (AgentState::default(), 1, 0)).collect(),
             workers: workers.collect(),
             jobs: Vec::new(),
@@ -143,8 +152,9 @@
         if self.jobs.iter().any(|(known, _)| *known == id) {
             return;
         }
-        let second = StepSpec { after: vec![0], ..step(u32::from(width), 900) };
-        let spec = job(vec![step(u32::from(width), 1_300), second]);
+        let second = StepSpec { after: vec![0], estimate: 700, ..step(u32::from(width), 900) };
+        let first = StepSpec { estimate: 400, ..step(u32::from(width), 1_300) };
+        let spec = job(vec![first, second]);
         self.jobs.push((id.clone(), spec.clone()));
         self.scheduler.submit(&id, spec);
     }
@@ -159,6 +169,7 @@
 
     fn store(&mut self) {
         self.scheduler.place(self.now, UNIX);
+        check_backlog(&mut self.scheduler, self.now, UNIX);
         for write in self.scheduler.take_writes() {
             match write.record {
                 Some((key, Some(value))) => drop(self.records.insert(key, value)),
@@ -175,6 +186,7 @@
     fn change_owner(&mut self) {
         self.epoch += 1;
         let mut scheduler = QueueScheduler::open(self.epoch, self.now.after(1_000_000));
+        scheduler.set_features(refusing());
         scheduler.set_view(view());
         let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
         let keys: Vec<_> = keys.collect();
--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -6,6 +6,8 @@
 #[path = "oracle/naive.rs"]
 mod naive;
 mod support;
+#[path = "oracle/work.rs"]
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -21,6 +23,7 @@
 use naive::{NaivePass, check_sums};
 use proptest::prelude::*;
 use support::*;
+use work::check_backlog;
 
 const AGENTS: u64 = 7;
 /// Longer than the least time between two trials of best-effort steps.
@@ -159,6 +162,7 @@
             records: BTreeMap::new(),
             view: configured(false, 3, false),
         };
+        simulation.scheduler.set_features(refusing());
         simulation.scheduler.set_view(simulation.view.clone());
         simulation
     }
@@ -246,11 +250,13 @@
         if listed {
             let tracked = self.scheduler.workers.get(&message.agent);
             let runs = tracked.into_iter().flat_map(|tracked| tracked.runs.values());
+            let percent = u8::try_from(message.number * 7 % 100).unwrap();
             let row = |task: &TaskName, run| ReportedRun {
                 task: task.clone(),
                 run,
-                checkpoint: "".into(),
-                percent: Some(10),
+                // Some runs have a checkpoint, from which the next one resumes.
+                checkpoint: if percent > 50 { "c" } else { "" }.into(),
+                percent: Some(percent),
                 speed: 100,
             };
             let mut rows: Vec<_> = runs.map(|run| row(&run.start.task, run.start.run)).collect();
@@ -286,6 +292,7 @@
         assert!(!self.scheduler.place(self.now, self.unix));
         assert_eq!(self.store(), expected);
         self.scheduler.workers.values().for_each(check_sums);
+        check_backlog(&mut self.scheduler, self.now, self.unix);
         let mut pending = BTreeMap::new();
         for job in self.scheduler.jobs.values().filter(|job| job.state == JobState::Queued) {
             *pending.entry(job.spec.queue.clone()).or_insert(0u64) += 1;
@@ -324,6 +331,7 @@
         self.store();
         self.epoch += 1;
         let mut next = QueueScheduler::open(self.epoch, self.now.after(3_000));
+        next.set_features(refusing());
         next.set_view(self.view.clone());
         let keys: Vec<_> =
             self.records.iter().map(|(key, value)| (TaskKey::parse(key), value)).collect();
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -6,6 +6,7 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::config::{FleetConfig, OperatorView, QueueConfig, QueueTerms};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{AgentName, JobId, TaskName, WorkerIncarnation};
 use cactusdoor_queue::report::{AgentOrder, AgentReport, EndedRun, RunEnd, WorkerInfo};
 use cactusdoor_queue::scheduler::{PendingWrite, QueueScheduler};
@@ -41,6 +42,11 @@
     scheduler
 }
 
+/// Features of an owner that sends its backlog.
+pub fn refusing() -> SchedulingFeatures {
+    SchedulingFeatures { refusals: true, ..SchedulingFeatures::default() }
+}
+
 pub fn step(tasks: u32, cpu: u64) -> StepSpec {
     let need = TaskNeed { cpu, memory: 100, accelerators: 0 };
     StepSpec { tasks, need, ..StepSpec::default() }
