Refuse jobs at the entry that could only be useless, with a time to retry

Cause: entries stored every job, also if it could not complete while it has a value.

Ruled out: refusing from the entry's own knowledge alone. A job that another entry has stored, or that an earlier call stored without a verdict, may run, and a refused job must not. So the owner is asked before a refusal, and jobs that this entry has tried to store are not judged.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use actix_web::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use actix_web::http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::{Bytes, Data};
 use actix_web::{HttpRequest, HttpResponse};
@@ -29,6 +29,7 @@
 use crate::decision_log::DecisionLog;
 use crate::metrics::{self, EntryMetrics};
 use crate::operators::ConfirmedView;
+use crate::room;
 use crate::submitter::{SubmitCall, SubmitOutcome};
 use crate::watcher::{FindCall, JobStates};
 
@@ -60,6 +61,8 @@
     pub states: JobStates,
     pub submits: mpsc::UnboundedSender<SubmitCall>,
     pub finds: mpsc::UnboundedSender<FindCall>,
+    /// Whether jobs are refused for lack of room.
+    pub refusals: bool,
     pub stopping: Arc<AtomicBool>,
 }
 
@@ -88,7 +91,7 @@
 }
 
 /// Status and cause of a refused call.
-struct Refusal {
+pub(crate) struct Refusal {
     status: StatusCode,
     cause: &'static str,
 }
@@ -203,6 +206,15 @@
             return HttpResponse::BadRequest().json(ErrorBody { error });
         }
         let started = Instant::now();
+        if self.refusals
+            && let Some(seconds) = room::refuse(self, queue, job, &spec, deadline).await
+        {
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room in time");
+            let mut response = self.refuse_job("submit", queue, job, &refusal, started);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+            return response;
+        }
+        self.states.attempt(job);
         let refusal = match self.store(record, deadline).await {
             Ok(via) => {
                 self.states.accept(job);
@@ -257,7 +269,11 @@
     }
 
     /// The state of a job; queries the owner if this entry does not know it.
-    async fn find(&self, job: &JobId, deadline: Instant) -> Result<Option<JobState>, Refusal> {
+    pub(crate) async fn find(
+        &self,
+        job: &JobId,
+        deadline: Instant,
+    ) -> Result<Option<JobState>, Refusal> {
         loop {
             if let Some(state) = self.states.get(job) {
                 return Ok(Some(state));
--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -5,7 +5,9 @@
 //! where the Rust name differs.
 
 use cactusdoor_core::unit::{Epoch, Millis, Offset};
-use cactusdoor_queue::name::{AgentName, DataCentre, JobId, QueueName, RunNumber, TaskName};
+use cactusdoor_queue::name::{
+    AgentName, DataCentre, JobId, QueueName, RunNumber, ServiceName, TaskName,
+};
 use cactusdoor_queue::observation::LapseCause;
 use cactusdoor_queue::report::{JobState, RunEnd};
 use serde::Serialize;
@@ -70,6 +72,26 @@
         cause: &'static str,
         waited: Millis,
     },
+    /// The job would have been useless when complete; its `job_refused` follows.
+    RoomRefused {
+        job: JobId,
+        queue: QueueName,
+        service: ServiceName,
+        priority: u32,
+        /// Best-effort work that the owner would serve before the job, processor-ms.
+        ahead: u64,
+        /// Rate at which such work is done, thousandths of a processor.
+        rate: u64,
+        /// Length of the job's critical path with the present room, ms.
+        path: Millis,
+        /// Time until the job would have been complete, ms.
+        expected: Millis,
+        /// Time budget of the job, ms.
+        budget: Millis,
+        backlog_age: Millis,
+        /// Time after which the caller may retry, s.
+        retry_after: u64,
+    },
     CancelAccepted {
         job: JobId,
         via: StoredVia,
@@ -241,6 +263,7 @@
             Self::DataCentreBroughtBack { .. } => ("data_centre_brought_back", true),
             Self::JobAccepted { .. } => ("job_accepted", false),
             Self::JobRefused { .. } => ("job_refused", true),
+            Self::RoomRefused { .. } => ("room_refused", true),
             Self::CancelAccepted { .. } => ("cancel_accepted", false),
             Self::CallRefused { .. } => ("call_refused", true),
             Self::OwnerFound { .. } => ("owner_found", true),
--- a/crates/fleet/src/entry.rs
+++ b/crates/fleet/src/entry.rs
@@ -79,6 +79,7 @@
         states,
         submits: submitter::spawn(SubmitContext { store, clock, producer, finder, metrics }),
         finds,
+        refusals: settings.features.refusals,
         stopping: Arc::clone(&stopping),
     });
     let server = serve(&settings, context)?;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod owner_client;
 pub mod queue_server;
 pub mod reporter;
+pub mod room;
 pub mod settings;
 pub mod signals;
 pub mod state_changes;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Prometheus metrics of the daemons.
 
+use cactusdoor_queue::backlog::{Backlog, PriorityWork};
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, up to callers' longest deadline.
@@ -23,6 +24,8 @@
     pub rounds: Histogram,
     /// Calls that waited for the loop when its last round began.
     pub waiting_calls: IntGauge,
+    /// Remaining work of the jobs, by service and kind.
+    pub backlog: IntGaugeVec,
 }
 
 /// Metrics of an agent.
@@ -41,6 +44,8 @@
     pub store_wait: Histogram,
     /// Requests that the owner stored for this entry.
     pub relayed: IntCounter,
+    /// Jobs refused for lack of room, by queue.
+    pub room_refusals: IntCounterVec,
 }
 
 impl OwnerMetrics {
@@ -71,9 +76,17 @@
                 "cactusdoor_owner_waiting_calls",
                 "Calls that waited for the owner when its last round began",
             )?,
+            backlog: IntGaugeVec::new(
+                Opts::new(
+                    "cactusdoor_owner_backlog_cpu_seconds",
+                    "Work of the jobs that is not done, by the callers' estimates",
+                ),
+                &["service", "kind"],
+            )?,
         };
         registry.register(Box::new(metrics.rounds.clone()))?;
         registry.register(Box::new(metrics.waiting_calls.clone()))?;
+        registry.register(Box::new(metrics.backlog.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
@@ -82,6 +95,20 @@
         registry.register(Box::new(metrics.appended_records.clone()))?;
         Ok(metrics)
     }
+
+    /// Sets the gauges of the remaining work; those of services without work are dropped.
+    pub fn set_backlog(&self, backlog: &Backlog) {
+        self.backlog.reset();
+        for service in &backlog.services {
+            let sum = |kind: fn(&PriorityWork) -> u64| {
+                let sum = service.work.iter().map(kind).fold(0, u64::saturating_add);
+                i64::try_from(sum / 1_000).unwrap_or(i64::MAX)
+            };
+            let gauge = |kind| self.backlog.with_label_values(&[&*service.service, kind]);
+            gauge("best_effort").set(sum(|work| work.best_effort));
+            gauge("reserving").set(sum(|work| work.reserving));
+        }
+    }
 }
 
 impl AgentMetrics {
@@ -117,8 +144,14 @@
                 "cactusdoor_entry_relayed_total",
                 "Requests that the owner stored for this entry",
             )?,
+            room_refusals: vector(
+                "cactusdoor_entry_room_refusals_total",
+                "Jobs refused as they would have been useless when complete",
+                &["queue"],
+            )?,
         };
         registry.register(Box::new(metrics.relayed.clone()))?;
+        registry.register(Box::new(metrics.room_refusals.clone()))?;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.store_wait.clone()))?;
         Ok(metrics)
--- a/crates/fleet/src/owner/answers.rs
+++ b/crates/fleet/src/owner/answers.rs
@@ -4,6 +4,7 @@
 //! than `CONFIRM_LIMIT` after the owner's newest confirmed append.
 
 use cactusdoor_core::unit::{Millis, Moment};
+use cactusdoor_node::clock::unix_ms;
 use cactusdoor_peer::queue::{BacklogReply, WatchReply, WatchRequest};
 use cactusdoor_queue::interference::InterferenceEstimates;
 use cactusdoor_queue::lease::{AGENT_LEASE, CONFIRM_LIMIT};
@@ -137,7 +138,10 @@
         match reply {
             WatchSender::Plain(sender) => send(sender, answer),
             WatchSender::Backlog(sender) => {
-                let backlog = self.scheduler.backlog(self.context.clock.now());
+                let backlog = self.scheduler.backlog(self.context.clock.now(), unix_ms());
+                if let Some(backlog) = &backlog {
+                    self.context.metrics.set_backlog(backlog);
+                }
                 send(sender, BacklogReply { watch: answer, backlog });
             }
         }
--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -12,10 +12,12 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use cactusdoor_node::clock::MonotonicClock;
 use cactusdoor_peer::queue::{BacklogReply, FindReply, WatchReply, WatchRequest};
-use cactusdoor_queue::backlog::Backlog;
+use cactusdoor_queue::backlog::{AcceptedWork, Admission, Backlog, admit};
+use cactusdoor_queue::config::QueueConfig;
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::JobState;
-use indexmap::IndexMap;
+use cactusdoor_queue::spec::JobSpec;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::appender::pause;
@@ -31,6 +33,8 @@
 const RETRY_PAUSE: (u64, u64) = (100, 250);
 /// Most jobs whose state an entry keeps: those of a few minutes at high load.
 const MAX_JOBS: usize = 50_000;
+/// Most accepted jobs that are added to a backlog: those of its greatest age at high load.
+const MAX_ACCEPTED: usize = 1_000;
 
 #[derive(Debug, Default)]
 struct WatchedJobs {
@@ -38,6 +42,10 @@
     pending: IndexMap<QueueName, u64>,
     /// The newest backlog and its arrival.
     backlog: Option<(Backlog, Moment)>,
+    /// Jobs that this entry has tried to store: some may be stored without an answer.
+    attempted: IndexSet<JobId>,
+    /// Work accepted here since then.
+    accepted: Vec<AcceptedWork>,
     /// Arrival of the last answer; `None` if the store had not recently confirmed its owner.
     confirmed: Option<Moment>,
 }
@@ -74,7 +82,9 @@
 
     /// Replaces the backlog, which arrived at `now`.
     pub fn set_backlog(&self, backlog: Option<Backlog>, now: Moment) {
-        self.lock().backlog = backlog.map(|backlog| (backlog, now));
+        let mut jobs = self.lock();
+        jobs.backlog = backlog.map(|backlog| (backlog, now));
+        jobs.accepted.clear();
     }
 
     /// The newest backlog and its age, ms.
@@ -85,6 +95,38 @@
         Some((backlog.clone(), now.0.saturating_sub(at.0)))
     }
 
+    /// Records that this entry is about to store a job.
+    pub fn attempt(&self, job: &JobId) {
+        let mut jobs = self.lock();
+        jobs.attempted.insert(job.clone());
+        while jobs.attempted.len() > MAX_JOBS {
+            jobs.attempted.shift_remove_index(0);
+        }
+    }
+
+    /// Whether the job is known or may have been stored by this entry: it may run.
+    #[must_use]
+    pub fn may_run(&self, job: &JobId) -> bool {
+        let jobs = self.lock();
+        jobs.states.contains_key(job) || jobs.attempted.contains(job)
+    }
+
+    /// Decides whether a job is accepted, and counts an accepted one; returns the age of the
+    /// backlog too, ms. A job is counted before it is stored, as others are decided meanwhile.
+    #[must_use]
+    pub fn admit(&self, spec: &JobSpec, queue: &QueueConfig, now: Moment) -> (Admission, Millis) {
+        let mut jobs = self.lock();
+        let jobs = &mut *jobs;
+        let Some((backlog, at)) = &jobs.backlog else { return (Admission::Accept, 0) };
+        let age = now.0.saturating_sub(at.0);
+        let admission = admit(backlog, age, spec, queue, &jobs.accepted);
+        // An owner that is lost sends no further backlog; then none is used.
+        if admission == Admission::Accept && jobs.accepted.len() < MAX_ACCEPTED {
+            jobs.accepted.push(AcceptedWork::of(spec, queue));
+        }
+        (admission, age)
+    }
+
     /// Applies the owner's answer; the state of a job never returns to an earlier one.
     pub fn apply(&self, reply: WatchReply, now: Moment) {
         let mut jobs = self.lock();
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -77,6 +77,8 @@
     /// Addresses to which the workers announce themselves.
     announce_addresses: Vec<SocketAddr>,
     agents: usize,
+    /// Further sections of the settings.
+    sections: &'static str,
     directory: TempDir,
     client: awc::Client,
 }
@@ -84,6 +86,11 @@
 impl TestCluster {
     /// Starts a store, a worker for each agent, the agents and two entries.
     pub async fn open(agents: usize) -> Self {
+        Self::open_with(agents, "").await
+    }
+
+    /// As `open`, with further sections in the settings of all processes.
+    pub async fn open_with(agents: usize, sections: &'static str) -> Self {
         let store = PlatformStore::open();
         let mut cluster = Self {
             store,
@@ -95,6 +102,7 @@
             entries: Vec::new(),
             announce_addresses: Vec::new(),
             agents,
+            sections,
             directory: tempfile::tempdir().unwrap(),
             client: awc::Client::builder().timeout(Duration::from_secs(5)).finish(),
         };
@@ -189,7 +197,7 @@
 
     fn add_process(&mut self, role: &'static str, name: &str, text: &str) {
         let settings = self.directory.path().join(format!("{name}.ini"));
-        std::fs::write(&settings, text).unwrap();
+        std::fs::write(&settings, format!("{text}{}", self.sections)).unwrap();
         let log = self.directory.path().join(format!("{name}.log"));
         self.processes.push(Process { role, settings, log, child: None });
     }
