Check the retry time, the jobs that may run and the accepted work of an entry

Guards against times outside of 1 to 30 s, against the refusal of a job that may be stored, and against bursts between two backlogs. An owner that resigns clears its backlog gauges.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -278,6 +278,7 @@
         self.context.log.record(DecisionEvent::OwnerResigned { epoch, cause: end.cause() });
         self.context.queue_server.close();
         self.context.metrics.owns.set(0);
+        self.context.metrics.backlog.reset();
         if end != TermEnd::Fenced && self.resignation.send(true).is_ok() {
             // The last heartbeat announces the resignation: a successor need not wait
             // for the heartbeat timeout.
--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -64,7 +64,8 @@
 }
 
 /// Whole seconds of a time with this jitter, percent.
-fn retry_seconds(retry_after: Millis, jitter: u64) -> u64 {
+#[must_use]
+pub fn retry_seconds(retry_after: Millis, jitter: u64) -> u64 {
     let millis = retry_after.saturating_mul(100 + jitter) / 100;
     millis.div_ceil(1_000).clamp(1, MAX_RETRY_SECONDS)
 }
--- a/crates/fleet/tests/room.rs
+++ b/crates/fleet/tests/room.rs
@@ -4,6 +4,14 @@
 
 use std::time::{Duration, Instant};
 
+use cactusdoor_core::unit::Moment;
+use cactusdoor_fleet::room::retry_seconds;
+use cactusdoor_fleet::watcher::JobStates;
+use cactusdoor_queue::backlog::{
+    Admission, Backlog, ClassWork, ServiceBacklog, TimedWork, size_class,
+};
+use cactusdoor_queue::config::{QueueConfig, QueueTerms};
+use cactusdoor_queue::spec::JobSpec;
 use serde_json::{Value, json};
 use support::TestCluster;
 
@@ -72,3 +80,56 @@
     cluster.await_state(&refused, "completed").await;
     cluster.check();
 }
+
+/// Guards against a time outside of what callers are promised.
+#[test]
+fn callers_are_told_whole_seconds_from_1_to_30() {
+    for retry_after in [0, 1, 999, 1_000, 1_001, 7_300, 20_000, u64::MAX] {
+        let seconds: Vec<_> = (0..=50).map(|jitter| retry_seconds(retry_after, jitter)).collect();
+        assert!(seconds.iter().all(|seconds| (1..=30).contains(seconds)), "{seconds:?}");
+        assert!(seconds.is_sorted());
+    }
+    assert_eq!([0, 25, 50].map(|jitter| retry_seconds(20_000, jitter)), [20, 25, 30]);
+}
+
+/// Guards against the refusal of a job that is stored, or may be without a verdict, and runs.
+#[test]
+fn a_job_that_this_entry_tried_to_store_may_run() {
+    let states = JobStates::default();
+    assert!(!states.may_run(&"a".into()));
+    states.attempt(&"a".into());
+    states.accept(&"b".into());
+    assert!(states.may_run(&"a".into()) && states.may_run(&"b".into()));
+    assert!(!states.may_run(&"c".into()));
+}
+
+/// Guards against a burst between two backlogs, and against decisions on an old backlog.
+#[test]
+fn accepted_jobs_count_until_the_next_backlog() {
+    let states = JobStates::default();
+    let terms = QueueTerms { priority: 0, attempts: 3, slack_factor: 2.0, slack_base: 0 };
+    let queue = QueueConfig::of_removed(&"q".into(), &"minutes".into(), terms);
+    let step = json!({"tasks": 50, "need": {"cpu": 1000, "memory": 1, "accelerators": 0},
+        "estimate": 1000, "fills": true});
+    let spec = json!({"queue": "q", "service": "minutes", "payload": "", "steps": [step],
+        "accepted": 0});
+    let spec: JobSpec = serde_json::from_value(spec).unwrap();
+    let in_time = TimedWork { work: 1, remaining: 1 };
+    let class = ClassWork { priority: 0, size: size_class(50_000), in_time, ..<_>::default() };
+    let service = ServiceBacklog {
+        service: "minutes".into(),
+        rate: Some(5_000),
+        work: Vec::new(),
+        classes: vec![class],
+    };
+    let backlog = Backlog { ordered: false, services: vec![service] };
+    let decide = |now| states.admit(&spec, &queue, Moment(now));
+    states.set_backlog(Some(backlog.clone()), Moment(1_000));
+    assert_eq!(decide(1_100), (Admission::Accept, 100));
+    assert!(matches!(decide(1_200), (Admission::Refuse(_), 200)));
+    assert_eq!(decide(3_001).0, Admission::Accept);
+    states.set_backlog(Some(backlog), Moment(4_000));
+    assert_eq!(decide(4_000), (Admission::Accept, 0));
+    states.set_backlog(None, Moment(4_500));
+    assert_eq!(decide(4_500).0, Admission::Accept);
+}
