Change the sums in place while an occurrence stays in its class

Each change took the entry out of the sorted sets and put it back.

Ruled out: fewer progress steps, which would measure the rate too coarsely.

Change: a change of the amounts alone changes the sums in place.

--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -124,16 +124,41 @@
         key: &OccurrenceKey,
         change: impl FnOnce(&mut TrackedWork),
     ) -> Option<(ServiceName, i128)> {
-        let (mut work, value) = self.entries.get(key)?.clone();
-        self.count(key, &work, value, false);
-        let before = work.best_effort;
-        change(&mut work);
-        let value = work.value(self.unix);
-        self.count(key, &work, value, true);
-        let done = signed(before).saturating_sub(signed(work.best_effort));
-        let service = work.service.clone();
-        self.entries.insert(key.clone(), (work, value));
-        Some((service, done))
+        let (work, value) = self.entries.get_mut(key)?;
+        let old = work.clone();
+        change(work);
+        let new = work.clone();
+        let old_value = std::mem::replace(value, new.value(self.unix));
+        let value = *value;
+        let same_class = old.size() == new.size() && old.until(old_value) == new.until(value);
+        if old_value == value && same_class {
+            self.shift(&old, &new, value);
+        } else {
+            self.count(key, &old, old_value, false);
+            self.count(key, &new, value, true);
+        }
+        let done = signed(old.best_effort).saturating_sub(signed(new.best_effort));
+        Some((new.service, done))
+    }
+
+    /// Changes the amounts of an entry that stays in its class: most changes are progress.
+    fn shift(&mut self, old: &TrackedWork, new: &TrackedWork, value: ValueClass) {
+        let apply = |sum: &mut u128, before: u128, after: u128| {
+            *sum = sum.saturating_sub(before).saturating_add(after);
+        };
+        if let Some(kind) = self.kinds.get_mut(&(new.service.clone(), new.priority)) {
+            apply(&mut kind.best_effort, old.best_effort, new.best_effort);
+            apply(&mut kind.reserving, old.reserving, new.reserving);
+        }
+        let key = (new.service.clone(), new.priority, new.size(), value);
+        if old.best_effort != new.best_effort
+            && let Some(class) = self.classes.get_mut(&key)
+        {
+            let until = u128::from(new.until(value));
+            let weighted = |work: u128| work.saturating_mul(until);
+            apply(&mut class.work, old.best_effort, new.best_effort);
+            apply(&mut class.weighted, weighted(old.best_effort), weighted(new.best_effort));
+        }
     }
 
     /// Adds an entry to the sums, or takes it out of them.
