--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use actix_web::http::header::{HOST, RETRY_AFTER};
+use actix_web::http::header::{HOST, HeaderValue, RETRY_AFTER};
 use actix_web::http::{Method, StatusCode};
 use actix_web::web::{Bytes, Data, Payload};
 use actix_web::{HttpRequest, HttpResponse};
@@ -33,6 +33,7 @@
 use crate::metrics::{self, EntryMetrics};
 use crate::operators::ConfirmedView;
 use crate::rejections::Rejections;
+use crate::room;
 use crate::submitter::{SubmitCall, SubmitOutcome};
 use crate::watcher::{FindCall, JobStates};
 
@@ -69,6 +70,8 @@
     pub states: JobStates,
     pub submits: mpsc::Sender<SubmitCall>,
     pub finds: mpsc::Sender<FindCall>,
+    /// Whether jobs are refused for lack of room.
+    pub refusals: bool,
     pub stopping: Arc<AtomicBool>,
 }
 
@@ -263,7 +266,6 @@
         let length = bytes.len();
         drop(bytes);
         let value = serde_json::to_vec(&spec).unwrap_or_default();
-        drop(spec);
         let key = RequestKey::Job(job.clone()).text();
         let record = KeyedRecord { key, value: Some(value.into()) };
         if record.size() > MAX_RECORD_BYTES {
@@ -275,6 +277,14 @@
             let refusal = self.reject(caller, RejectCause::BodyBytes);
             return self.refuse_job("submit", queue, job, &refusal, started);
         }
+        if let Some(seconds) = room::refuse(self, queue, job, spec, deadline).await {
+            drop(lease);
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room in time");
+            let mut response = self.refuse_job("submit", queue, job, &refusal, started);
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+            return response;
+        }
+        self.states.attempt(job);
         let refusal = match self.store(caller, record, Some(lease), deadline).await {
             Ok(via) => {
                 self.states.accept(job);
@@ -341,7 +351,11 @@
     }
 
     /// The state of a job; queries the owner if this entry does not know it.
-    async fn find(&self, job: &JobId, deadline: Instant) -> Result<Option<JobState>, Refusal> {
+    pub(crate) async fn find(
+        &self,
+        job: &JobId,
+        deadline: Instant,
+    ) -> Result<Option<JobState>, Refusal> {
         loop {
             if let Some(state) = self.states.get(job) {
                 return Ok(Some(state));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod queue_server;
 pub mod rejections;
 pub mod reporter;
+pub mod room;
 pub mod settings;
 pub mod signals;
 pub mod state_changes;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of the daemons.
 
+use cactusdoor_queue::backlog::{Backlog, PriorityWork};
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
     Opts, Registry, TextEncoder,
@@ -32,6 +33,8 @@
     pub load_age: Gauge,
     /// Best-effort steps by what their jobs can still achieve.
     pub ranked_steps: IntGaugeVec,
+    /// Remaining work of the jobs, by service and kind.
+    pub backlog: IntGaugeVec,
 }
 
 /// Metrics of an agent.
@@ -54,6 +57,8 @@
     pub relayed: IntCounter,
     /// Connections and requests rejected because of a limit.
     pub rejected: IntCounterVec,
+    /// Jobs refused for lack of room, by queue.
+    pub room_refusals: IntCounterVec,
 }
 
 impl OwnerMetrics {
@@ -100,12 +105,20 @@
                 ),
                 &["class"],
             )?,
+            backlog: IntGaugeVec::new(
+                Opts::new(
+                    "cactusdoor_owner_backlog_cpu_seconds",
+                    "Work of the jobs that is not done, by the callers' estimates",
+                ),
+                &["service", "kind"],
+            )?,
         };
         registry.register(Box::new(metrics.rounds.clone()))?;
         registry.register(Box::new(metrics.waiting_calls.clone()))?;
         registry.register(Box::new(metrics.forecast_errors.clone()))?;
         registry.register(Box::new(metrics.load_age.clone()))?;
         registry.register(Box::new(metrics.ranked_steps.clone()))?;
+        registry.register(Box::new(metrics.backlog.clone()))?;
         registry.register(Box::new(metrics.owns.clone()))?;
         registry.register(Box::new(metrics.started.clone()))?;
         registry.register(Box::new(metrics.ended.clone()))?;
@@ -114,6 +127,20 @@
         registry.register(Box::new(metrics.appended_records.clone()))?;
         Ok(metrics)
     }
+
+    /// Sets the gauges of the remaining work; those of services without work are dropped.
+    pub fn set_backlog(&self, backlog: &Backlog) {
+        self.backlog.reset();
+        for service in &backlog.services {
+            let sum = |kind: fn(&PriorityWork) -> u64| {
+                let sum = service.work.iter().map(kind).fold(0, u64::saturating_add);
+                i64::try_from(sum / 1_000).unwrap_or(i64::MAX)
+            };
+            let gauge = |kind| self.backlog.with_label_values(&[&*service.service, kind]);
+            gauge("best_effort").set(sum(|work| work.best_effort));
+            gauge("reserving").set(sum(|work| work.reserving));
+        }
+    }
 }
 
 impl AgentMetrics {
@@ -160,9 +187,15 @@
                 "Connections and requests rejected because of a limit",
                 &["cause"],
             )?,
+            room_refusals: vector(
+                "cactusdoor_entry_room_refusals_total",
+                "Jobs refused as they would have been useless when complete",
+                &["queue"],
+            )?,
         };
         registry.register(Box::new(metrics.rejected.clone()))?;
         registry.register(Box::new(metrics.relayed.clone()))?;
+        registry.register(Box::new(metrics.room_refusals.clone()))?;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.store_wait.clone()))?;
         Ok(metrics)
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -292,6 +292,7 @@
         self.context.queue_server.close();
         self.context.metrics.owns.set(0);
         self.context.metrics.ranked_steps.reset();
+        self.context.metrics.backlog.reset();
         if end != TermEnd::Fenced && self.resignation.send(true).is_ok() {
             // The last heartbeat announces the resignation: a successor need not wait
             // for the heartbeat timeout.
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -10,6 +10,7 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::backlog::BacklogIndex;
 use crate::config::{OperatorView, QueueConfig};
 use crate::features::SchedulingFeatures;
 use crate::interference::InterferenceModel;
@@ -57,6 +58,8 @@
     unknown_until: Moment,
     pub(crate) waiting: WaitingSteps,
     pub(crate) rooms: RoomChanges,
+    /// Sums of the remaining work; kept only if refusals are switched on.
+    pub(crate) backlog_index: BacklogIndex,
     /// Jobs whose first occurrences have not been opened.
     pub(crate) opened: Vec<JobId>,
     /// Occurrences whose waiting steps must be determined again.
@@ -91,6 +94,7 @@
             unknown_until,
             waiting: WaitingSteps::default(),
             rooms: RoomChanges::default(),
+            backlog_index: BacklogIndex::default(),
             opened: Vec::new(),
             changed: IndexSet::new(),
             steady_timers: TimerQueue::default(),
@@ -119,6 +123,8 @@
                 self.updated.insert(tracked.agent.clone());
             }
         }
+        // Priorities and services may have changed; opening the jobs counts them again.
+        self.backlog_index.clear();
         self.waiting.clear();
         self.day_timers.clear();
         self.opened = self.jobs.keys().cloned().collect();
@@ -127,10 +133,16 @@
     /// Switches optional decisions on or off.
     pub fn set_features(&mut self, features: SchedulingFeatures) {
         let order_switched = self.features.job_order != features.job_order;
+        if features.refusals && !self.features.refusals {
+            self.opened = self.jobs.keys().cloned().collect();
+        }
         self.features = features;
         if order_switched {
             self.reset_ranks();
         }
+        if !features.refusals {
+            self.backlog_index.clear();
+        }
     }
 
     /// Applies a report with the worker's load; see [`Self::report`].
@@ -150,6 +162,7 @@
         }
         self.balanced = now;
         self.update_ranks(now, unix);
+        self.sample_waiting(now);
     }
 
     /// Writes since the last call, in the order in which they must be stored.
@@ -214,6 +227,7 @@
     fn remove_job(&mut self, id: &JobId) -> Option<JobProgress> {
         let job = self.jobs.swap_remove(id)?;
         self.ranks.remove(id);
+        self.untrack_job(&job);
         if job.state == JobState::Queued {
             self.discount_pending(&job.spec.queue);
         }
@@ -317,7 +331,7 @@
         Self::configured(&self.view, spec)
     }
 
-    fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
+    pub(crate) fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
         let config = view.config.as_ref();
         let config = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
         config.unwrap_or_else(|| {
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -6,6 +6,8 @@
 //! starts after an acknowledged `Done`, and that every job ends.
 
 mod support;
+#[path = "oracle/work.rs"]
+mod work;
 
 use std::collections::BTreeMap;
 
@@ -19,6 +21,7 @@
 use cactusdoor_queue::spec::{JobSpec, StepSpec};
 use proptest::prelude::*;
 use support::*;
+use work::check_backlog;
 
 const AGENTS: [&str; 3] = ["a", "b", "c"];
 const TICK: u64 = 100;
@@ -108,9 +111,10 @@
 }
 
 impl Simulation {
-    /// `ordered`: whether the owners and the agents order best-effort steps.
-    fn open(ordered: (bool, bool)) -> Self {
-        let features = |job_order| SchedulingFeatures { job_order, ..Default::default() };
+    /// `ordered`: whether the owners and the agents order best-effort steps; `refusals`: whether
+    /// the owners sum the remaining work.
+    fn open(ordered: (bool, bool), refusals: bool) -> Self {
+        let features = |job_order| SchedulingFeatures { job_order, refusals, ..Default::default() };
         let mut scheduler = scheduler();
         scheduler.set_features(features(ordered.0));
         let agent = || {
@@ -166,7 +170,8 @@
         }
         let best_effort = fills(&id);
         let first = StepSpec { best_effort, estimate: 700, ..step(u32::from(width), 1_300) };
-        let second = StepSpec { after: vec![0], best_effort, ..step(u32::from(width), 900) };
+        let second =
+            StepSpec { after: vec![0], best_effort, estimate: 400, ..step(u32::from(width), 900) };
         let spec = job(vec![first, second]);
         self.jobs.push((id.clone(), spec.clone()));
         self.scheduler.submit(&id, spec);
@@ -183,6 +188,11 @@
     fn store(&mut self) {
         self.scheduler.balance(self.now, UNIX);
         self.scheduler.place(self.now, UNIX);
+        if self.features.refusals {
+            check_backlog(&mut self.scheduler, self.now, UNIX);
+        } else {
+            assert_eq!(self.scheduler.backlog(self.now, UNIX), None);
+        }
         for write in self.scheduler.take_writes() {
             match write.record {
                 Some((key, Some(value))) => drop(self.records.insert(key, value)),
@@ -199,6 +209,8 @@
     fn change_owner(&mut self) {
         self.epoch += 1;
         let mut scheduler = QueueScheduler::open(self.epoch, self.now.after(1_000_000));
+        // The order is switched on after the records are loaded.
+        scheduler.set_features(SchedulingFeatures { job_order: false, ..self.features });
         scheduler.set_view(view());
         let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
         let keys: Vec<_> = keys.collect();
@@ -347,9 +359,10 @@
     #[test]
     fn no_task_runs_twice_and_every_job_ends(
         ordered in any::<(bool, bool)>(),
+        refusals in any::<bool>(),
         actions in prop::collection::vec(action(), 1..120)
     ) {
-        let mut simulation = Simulation::open(ordered);
+        let mut simulation = Simulation::open(ordered, refusals);
         for action in &actions {
             simulation.apply(action);
         }
--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -6,6 +6,8 @@
 #[path = "oracle/naive.rs"]
 mod naive;
 mod support;
+#[path = "oracle/work.rs"]
+mod work;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -22,6 +24,7 @@
 use naive::{NaivePass, check_sums, naive_rank};
 use proptest::prelude::*;
 use support::*;
+use work::check_backlog;
 
 const AGENTS: u64 = 7;
 /// Longer than the least time between two trials of best-effort steps.
@@ -302,11 +305,13 @@
         if listed {
             let tracked = self.scheduler.workers.get(&message.agent);
             let runs = tracked.into_iter().flat_map(|tracked| tracked.runs.values());
+            let percent = u8::try_from(message.number * 7 % 100).unwrap();
             let row = |task: &TaskName, run| ReportedRun {
                 task: task.clone(),
                 run,
-                checkpoint: "".into(),
-                percent: Some(10),
+                // Some runs have a checkpoint, from which the next one resumes.
+                checkpoint: if percent > 50 { "c" } else { "" }.into(),
+                percent: Some(percent),
                 speed: 100,
             };
             let mut rows: Vec<_> = runs.map(|run| row(&run.start.task, run.start.run)).collect();
@@ -344,6 +349,7 @@
         assert_eq!(self.store(), expected);
         self.scheduler.workers.values().for_each(check_sums);
         self.compare_ranks();
+        self.compare_backlog();
         let mut pending = BTreeMap::new();
         for job in self.scheduler.jobs.values().filter(|job| job.state == JobState::Queued) {
             *pending.entry(job.spec.queue.clone()).or_insert(0u64) += 1;
@@ -359,6 +365,15 @@
         assert!(first.is_none_or(|first| wake.is_some_and(|wake| wake <= first)));
     }
 
+    /// Compares the backlog with the remaining work of all jobs.
+    fn compare_backlog(&mut self) {
+        if self.features.refusals {
+            check_backlog(&mut self.scheduler, self.now, self.unix);
+        } else {
+            assert_eq!(self.scheduler.backlog(self.now, self.unix), None);
+        }
+    }
+
     /// Compares the ranks that are sent to the agents with those computed from the runs.
     fn compare_ranks(&mut self) {
         let agents: Vec<_> = self.scheduler.workers.keys().cloned().collect();
@@ -402,8 +417,8 @@
         self.store();
         self.epoch += 1;
         let mut next = QueueScheduler::open(self.epoch, self.now.after(3_000));
-        next.set_view(self.view.clone());
         next.set_features(self.features);
+        next.set_view(self.view.clone());
         let keys: Vec<_> =
             self.records.iter().map(|(key, value)| (TaskKey::parse(key), value)).collect();
         for (key, value) in &keys {
@@ -434,8 +449,14 @@
         actions in prop::collection::vec(action(), 1..90),
         headroom_forecast in any::<bool>(),
         job_order in any::<bool>(),
+        refusals in any::<bool>(),
     ) {
-        let features = SchedulingFeatures { headroom_forecast, job_order, ..Default::default() };
+        let features = SchedulingFeatures {
+            headroom_forecast,
+            job_order,
+            refusals,
+            ..Default::default()
+        };
         let mut simulation = Simulation::open(features);
         for agent in 0..AGENTS {
             simulation.report(agent, true, false);
