Move slow best-effort runs and preempt memory of lower queues

Throttled runs spend 21 to 25% of their time at a speed of 10% or less while workers beside them have room, and delay their whole job. Moving at the first low list was ruled out, as loads vary; a second run beside the slow one was ruled out by the rule against double runs.

With `moves` on, `reconcile` keeps an index of the runs that are listed at 25% or less. A pass looks at each of them every 500 ms, at most at 20, and orders the existing stop for those that gain enough on the worker that the placement would choose. The task keeps away from its worker for 5 s, in a class of its own so that other steps of its kind are not held up.

A step that no worker can take gets the memory of best-effort runs of lower-priority queues, on one worker at a time. Processors, gangs and steps with `may_miss` are left alone.

New events `run_moved` and `run_preempted`, new counter `cactusdoor_owner_moves_total{cause}`.

--- a/crates/fleet/src/decision.rs
+++ b/crates/fleet/src/decision.rs
@@ -165,6 +165,29 @@
         agent: AgentName,
         epoch: Epoch,
     },
+    /// The run made little progress; its stop was ordered, so that its task continues elsewhere.
+    RunMoved {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        /// Agent of the worker for which the speed was forecast.
+        target: AgentName,
+        /// Listed speed, in percent of full speed.
+        speed: u8,
+        /// Expected time to the end on the present worker.
+        here: Millis,
+        /// Expected time to the end after the move.
+        there: Millis,
+        epoch: Epoch,
+    },
+    /// The run held memory that a job of a higher priority needs; its stop was ordered.
+    RunPreempted {
+        task: TaskName,
+        run: RunNumber,
+        agent: AgentName,
+        needed_by: JobId,
+        epoch: Epoch,
+    },
     /// The worker has crashed, and a call without an answer may start the run again on its
     /// successor: the run has not ended yet.
     RunHeld {
@@ -256,6 +279,8 @@
             Self::RunLapsed { .. } => ("run_lapsed", true),
             Self::RunUnassigned { .. } => ("run_unassigned", true),
             Self::StartWithdrawn { .. } => ("start_withdrawn", true),
+            Self::RunMoved { .. } => ("run_moved", false),
+            Self::RunPreempted { .. } => ("run_preempted", false),
             Self::RunHeld { .. } => ("run_held", true),
             Self::AgentSilent { .. } => ("agent_silent", true),
             Self::WorkerQuarantined { .. } => ("worker_barred", true),
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -18,6 +18,8 @@
     pub lapsed: IntCounterVec,
     /// Stops ordered for runs that the owner had not assigned.
     pub unassigned: IntCounter,
+    /// Stops ordered for moves and preemptions.
+    pub moves: IntCounterVec,
     pub appended_records: IntCounter,
     /// Duration of a round of the owner's loop.
     pub rounds: Histogram,
@@ -62,6 +64,11 @@
                 "cactusdoor_owner_unassigned_runs_total",
                 "Stops ordered for listed runs that the owner had not assigned",
             )?,
+            moves: vector(
+                "cactusdoor_owner_moves_total",
+                "Stops ordered so that a task continues elsewhere",
+                &["cause"],
+            )?,
             appended_records: IntCounter::new(
                 "cactusdoor_owner_records_total",
                 "Records sent to the store",
@@ -79,6 +86,7 @@
         registry.register(Box::new(metrics.ended.clone()))?;
         registry.register(Box::new(metrics.lapsed.clone()))?;
         registry.register(Box::new(metrics.unassigned.clone()))?;
+        registry.register(Box::new(metrics.moves.clone()))?;
         registry.register(Box::new(metrics.appended_records.clone()))?;
         Ok(metrics)
     }
--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -2,6 +2,7 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_node::clock::unix_ms;
+use cactusdoor_queue::moves::decision::MoveFigures;
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::observation::RunObservation;
 use cactusdoor_queue::report::{EndedRun, LoadReport, ReportReply, RunEnd};
@@ -65,6 +66,15 @@
                 RunObservation::Withdrawn { agent, task, run } => {
                     DecisionEvent::StartWithdrawn { task, run, agent, epoch }
                 }
+                RunObservation::Moved { agent, task, run, target, figures } => {
+                    metrics.moves.with_label_values(&["slow"]).inc();
+                    let MoveFigures { speed, here, there } = figures;
+                    DecisionEvent::RunMoved { task, run, agent, target, speed, here, there, epoch }
+                }
+                RunObservation::Preempted { agent, task, run, job } => {
+                    metrics.moves.with_label_values(&["preempted"]).inc();
+                    DecisionEvent::RunPreempted { task, run, agent, needed_by: job, epoch }
+                }
             };
             self.context.log.record(event);
         }
--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -8,6 +8,7 @@
 
 use crate::job::TaskPlace;
 use crate::lease::{AGENT_LEASE, clock_bound};
+use crate::moves::SETTLE_TIME;
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerIncarnation};
 use crate::observation::{LapseCause, RunObservation};
 use crate::report::{AgentOrder, AgentReport, EndedRun, JobState, ReportedRun, RunEnd, WorkerInfo};
@@ -245,6 +246,7 @@
         let Some(run) = tracked.runs.remove(task) else { return };
         tracked.former_runs.add(task, number, &run.start.incarnation, now);
         self.rooms.gain(agent);
+        let moved = self.moves.end(agent, task, number);
         // The agent may have received the start without a report of that so far, and ignores
         // another order under its number.
         if listed.is_none() && tracked.withdraw_start(task, number) {
@@ -272,7 +274,14 @@
             if task.checkpoint != checkpoint {
                 task.checkpoint_percent = run.percent.unwrap_or_default();
             }
+            if let Some(moves) = task.moves.as_mut().filter(|_| moved) {
+                moves.until = now.after(SETTLE_TIME);
+            }
         });
+        if moved {
+            let retry = SteadyTimer::Retry(task.job.clone(), task.occurrence);
+            self.steady_timers.set(now.after(SETTLE_TIME).0, retry);
+        }
         let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
         let gang = gang.filter(|step| step.gang).map(|step| step.tasks);
         // A task that lasts is never done: it is started again however its run ends.
@@ -354,13 +363,21 @@
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
                 Some(run) => {
+                    // A new checkpoint holds at least the progress of the list before.
+                    let progress = run.percent.unwrap_or(run.checkpoint_percent);
                     // Without a percentage, the progress is not known.
                     if listed.percent.is_some() && run.percent != listed.percent {
                         run.percent = listed.percent;
                         run.progressed = now;
                     }
-                    if !listed.checkpoint.is_empty() {
+                    if !listed.checkpoint.is_empty() && run.checkpoint != listed.checkpoint {
                         run.checkpoint = listed.checkpoint.clone();
+                        run.checkpoint_percent = progress;
+                    }
+                    // While the start is under way, the speed is not known.
+                    if self.features.moves && listed.percent.is_some() {
+                        run.list_speed(listed.speed, now);
+                        self.moves.update(agent, run, now);
                     }
                 }
                 None => {
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -27,6 +27,16 @@
     Done,
 }
 
+/// Moves of a task away from slow workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskMoves {
+    pub number: u32,
+    /// Agent of the worker on which the newest run was stopped.
+    pub away_from: AgentName,
+    /// Until then the task is neither stopped again nor placed on that worker.
+    pub until: Moment,
+}
+
 /// Progress of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskProgress {
@@ -43,6 +53,8 @@
     pub place: TaskPlace,
     /// Agent whose worker got the newest run.
     pub agent: Option<AgentName>,
+    /// Not stored; `None` if the task was not moved. Few tasks are.
+    pub moves: Option<Box<TaskMoves>>,
 }
 
 impl TaskProgress {
@@ -57,6 +69,7 @@
             checkpoint_percent: 0,
             place,
             agent: None,
+            moves: None,
         }
     }
 
@@ -72,6 +85,13 @@
         }
     }
 
+    /// Agent of the worker on which the task must not be placed yet.
+    #[must_use]
+    pub fn avoided_worker(&self, now: Moment) -> Option<&AgentName> {
+        let moves = self.moves.as_ref().filter(|moves| now < moves.until)?;
+        Some(&moves.away_from)
+    }
+
     #[must_use]
     pub fn is_waiting(&self, now: Moment) -> bool {
         matches!(self.place, TaskPlace::Waiting(since) if since <= now)
@@ -144,6 +164,14 @@
         self.waiting_since().max().filter(|_| all_wait)
     }
 
+    /// Whether a waiting task must not be placed on a certain worker.
+    #[must_use]
+    pub fn avoids_worker(&self, now: Moment) -> bool {
+        let tasks = if self.count.waiting > 0 { self.tasks.as_slice() } else { &[] };
+        let waiting = tasks.iter().filter(|task| matches!(task.place, TaskPlace::Waiting(_)));
+        waiting.into_iter().any(|task| task.avoided_worker(now).is_some())
+    }
+
     /// When the next retry delay of a waiting task ends.
     #[must_use]
     pub fn next_retry(&self, now: Moment) -> Option<Moment> {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod job;
 mod latency;
 pub mod lease;
-mod moves;
+pub mod moves;
 pub mod name;
 pub mod observation;
 pub mod placement;
--- a/crates/queue/src/observation.rs
+++ b/crates/queue/src/observation.rs
@@ -5,7 +5,8 @@
 
 use serde::Serialize;
 
-use crate::name::{AgentName, RunNumber, TaskName};
+use crate::moves::decision::MoveFigures;
+use crate::name::{AgentName, JobId, RunNumber, TaskName};
 use crate::scheduler::QueueScheduler;
 
 /// Why the owner ended a run that no agent reported as ended.
@@ -40,6 +41,17 @@
     Unassigned { agent: AgentName, task: TaskName, run: RunNumber },
     /// The run waited for its start in a data centre taken out of service; its stop was ordered.
     Withdrawn { agent: AgentName, task: TaskName, run: RunNumber },
+    /// The run was slow and gains by a move; its stop was ordered. `target`: agent of the worker
+    /// for which its speed was forecast.
+    Moved {
+        agent: AgentName,
+        task: TaskName,
+        run: RunNumber,
+        target: AgentName,
+        figures: MoveFigures,
+    },
+    /// The run holds memory that a job of a higher priority needs; its stop was ordered.
+    Preempted { agent: AgentName, task: TaskName, run: RunNumber, job: JobId },
 }
 
 impl RunObservation {
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -10,6 +10,7 @@
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
 use crate::spec::StepSpec;
+use crate::throttling::FULL_SPEED;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
 /// Largest slowdown of best-effort tasks, in thousandths; beyond it a task waits.
@@ -44,8 +45,7 @@
         return None;
     }
     let step = context.step;
-    let near = step.rack.as_ref().is_none_or(|rack| tracked.has_label(rack));
-    let remote = if near { 0 } else { REMOTE_PENALTY };
+    let remote = remote_penalty(tracked, step);
     let load = if step.best_effort {
         best_effort_cost(tracked, context)?
     } else {
@@ -54,6 +54,21 @@
     Some(load.saturating_add(remote))
 }
 
+fn remote_penalty(tracked: &TrackedWorker, step: &StepSpec) -> u64 {
+    let near = step.rack.as_ref().is_none_or(|rack| tracked.has_label(rack));
+    if near { 0 } else { REMOTE_PENALTY }
+}
+
+/// Expected speed of one more best-effort task on the worker, percent; `None` if it must not run
+/// there.
+#[must_use]
+pub fn expected_speed(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u8> {
+    let serving = if tracked.runs.serving() > 0 { SERVING_PENALTY } else { 0 };
+    let penalties = remote_penalty(tracked, context.step).saturating_add(serving);
+    let slowed = cost(tracked, context)?.saturating_sub(penalties).max(1_000);
+    u8::try_from(u64::from(FULL_SPEED) * 1_000 / slowed).ok()
+}
+
 /// Whether the worker is available for new tasks of the service.
 #[must_use]
 pub fn accepts(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -28,7 +28,7 @@
 const BEST_EFFORT_INTERVAL: Millis = 250;
 
 /// Workers by the cost of a task, lowest first; at equal cost in the order of the fleet.
-type WorkerHeap = BinaryHeap<Reverse<(u64, usize)>>;
+pub(crate) type WorkerHeap = BinaryHeap<Reverse<(u64, usize)>>;
 
 impl QueueScheduler {
     /// Opens due occurrences and places ready tasks that fit on a worker; returns whether
@@ -131,7 +131,7 @@
             let startable = progress.startable_at(spec);
             retry = [retry, progress.next_retry(now)].into_iter().flatten().min();
             if startable.is_some_and(|at| at <= now) && job.is_ready(occurrence, step) {
-                ready.push(name);
+                ready.push((name, progress.avoids_worker(now)));
             } else {
                 others.push(name);
             }
@@ -147,9 +147,9 @@
             return;
         }
         let may_wait = job.may_wait(now);
-        for name in ready {
+        for (name, avoids) in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
-            let class = NeedClass::of(&name, step, &config.service, may_wait);
+            let class = NeedClass::of(&name, step, &config.service, may_wait, avoids);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             self.waiting.insert(class, StepOrder { priority, late, accepted, step: name });
         }
@@ -220,13 +220,29 @@
             return 0;
         };
         let tasks = (0u32..).zip(&progress.tasks).filter(|(_, task)| task.is_waiting(now));
+        let mut tasks: Vec<_> = tasks.collect();
+        // Tasks that were moved have waited before.
+        tasks.sort_by_key(|(_, task)| task.moves.is_none());
+        let tasks = tasks.into_iter();
         let tasks: Vec<_> =
             tasks.map(|(index, task)| (name.task(index), task.run.saturating_add(1))).collect();
         let mut may_wait = job.may_wait(now);
         let mut heap = self.rank_workers(None, name, step, config, now);
         let mut placed = 0;
         for (task, run) in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, &task) else { break };
+            let avoided = self.avoided_worker(&task, now).cloned();
+            let worker = self.pop_worker(&mut heap, &task, avoided.as_ref());
+            // An idle job waits no longer for another worker.
+            let worker = worker.or_else(|| {
+                let returns = avoided.is_some() && !may_wait;
+                returns.then(|| self.pop_worker(&mut heap, &task, None)).flatten()
+            });
+            let Some(worker) = worker else {
+                if avoided.is_some() {
+                    continue;
+                }
+                break;
+            };
             self.start(worker, &task, run, now);
             placed += 1;
             let waits = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
@@ -302,7 +318,7 @@
         let mut heap = self.rank_workers(rack, name, step, config, now);
         let mut chosen = Vec::new();
         for task in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, task) else { break };
+            let Some(worker) = self.pop_worker(&mut heap, task, None) else { break };
             self.assign_run(worker, task, step, 0, now);
             chosen.push(worker);
             self.push_worker(&mut heap, worker, (name, step, config), now);
@@ -315,7 +331,7 @@
         (chosen.len() == tasks.len()).then_some(chosen)
     }
 
-    fn choice<'a>(
+    pub(crate) fn choice<'a>(
         &'a self,
         name: &'a StepName,
         step: &'a StepSpec,
@@ -330,7 +346,7 @@
     }
 
     /// All workers that can take a task of the step, within a rack if one is given, by cost.
-    fn rank_workers(
+    pub(crate) fn rank_workers(
         &self,
         rack: Option<&Label>,
         name: &StepName,
@@ -357,13 +373,18 @@
         }
     }
 
-    /// Takes the worker with the lowest cost that has no run of the task.
-    fn pop_worker(&self, heap: &mut WorkerHeap, task: &TaskName) -> Option<usize> {
+    /// Takes the worker with the lowest cost that has no run of the task and is not avoided.
+    fn pop_worker(
+        &self,
+        heap: &mut WorkerHeap,
+        task: &TaskName,
+        avoided: Option<&AgentName>,
+    ) -> Option<usize> {
         let mut passed = Vec::new();
         let chosen = loop {
             let Some(Reverse((cost, worker))) = heap.pop() else { break None };
             let (_, tracked) = self.workers.get_index(worker)?;
-            if !tracked.runs.contains_key(task) {
+            if avoided != Some(&tracked.agent) && !tracked.runs.contains_key(task) {
                 break Some(worker);
             }
             passed.push(Reverse((cost, worker)));
@@ -384,6 +405,7 @@
         let task = job.task(name);
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
         let stalls = task.map_or(0, |task| task.stalls);
+        let checkpoint_percent = task.map_or(0, |task| task.checkpoint_percent);
         let payload = job.payload.clone();
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
         let job_deadline = job_deadline.saturating_sub(job.path_after(name.step));
@@ -397,7 +419,8 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        tracked.runs.insert(AssignedRun { stalls, ..AssignedRun::open(start, step, now) });
+        let run = AssignedRun::open(start, step, now);
+        tracked.runs.insert(AssignedRun { stalls, checkpoint_percent, ..run });
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
--- a/crates/queue/src/run_table.rs
+++ b/crates/queue/src/run_table.rs
@@ -61,6 +61,7 @@
     busy: u128,
     serving: usize,
     best_effort_cpu: u128,
+    best_effort_memory: u128,
     best_effort_images: IndexMap<Option<Label>, ImageUse>,
     serving_images: IndexMap<Option<Label>, ImageUse>,
     steps: IndexMap<StepName, u32>,
@@ -84,6 +85,7 @@
         *self.steps.entry(task.step_name()).or_default() += 1;
         if run.start.best_effort {
             self.best_effort_cpu += u128::from(run.start.cpu);
+            self.best_effort_memory += u128::from(run.reserved.memory);
             count(&mut self.best_effort_images, &run);
         }
         if run.start.latency_bound > 0 {
@@ -106,6 +108,7 @@
         }
         if run.start.best_effort {
             self.best_effort_cpu -= u128::from(run.start.cpu);
+            self.best_effort_memory -= u128::from(run.reserved.memory);
             discount(&mut self.best_effort_images, &run);
         }
         if run.start.latency_bound > 0 {
@@ -138,6 +141,18 @@
         saturate(self.best_effort_cpu)
     }
 
+    /// Number of best-effort runs.
+    #[must_use]
+    pub fn best_effort(&self) -> usize {
+        self.best_effort_images.values().map(|used| used.runs).sum()
+    }
+
+    /// Memory that the best-effort runs reserve, MiB.
+    #[must_use]
+    pub fn best_effort_memory(&self) -> u64 {
+        saturate(self.best_effort_memory)
+    }
+
     #[must_use]
     pub fn serving(&self) -> usize {
         self.serving
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
 use crate::lease::{CONFIRM_LIMIT, clock_bound};
+use crate::moves::index::MoveState;
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
@@ -45,6 +46,7 @@
     pub(crate) features: SchedulingFeatures,
     /// When [`Self::balance`] was last executed.
     balanced: Moment,
+    pub(crate) moves: MoveState,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     /// Whether samples have arrived since refused best-effort steps were last tried.
@@ -81,6 +83,7 @@
             view: OperatorView::default(),
             features: SchedulingFeatures::default(),
             balanced: Moment::default(),
+            moves: MoveState::default(),
             interference: InterferenceModel::default(),
             interference_changed: false,
             best_effort_tried: Moment::default(),
@@ -138,11 +141,14 @@
 
     /// Updates the order of best-effort steps and decides moves, at most once in
     /// `BALANCE_INTERVAL`. Call it before [`Self::place`], and only while starts are permitted.
-    pub fn balance(&mut self, now: Moment, _unix: Millis) {
+    pub fn balance(&mut self, now: Moment, unix: Millis) {
         if now < self.balanced.after(BALANCE_INTERVAL) {
             return;
         }
         self.balanced = now;
+        if self.features.moves {
+            self.decide_moves(now, unix);
+        }
     }
 
     /// Writes since the last call, in the order in which they must be stored.
--- a/crates/queue/src/timers.rs
+++ b/crates/queue/src/timers.rs
@@ -14,7 +14,7 @@
 pub enum SteadyTimer {
     /// The job waits no longer for less busy workers.
     Idle(JobId),
-    /// The retry delay of a task of this occurrence is over.
+    /// The retry delay of a task of this occurrence, or its time away from a worker, is over.
     Retry(JobId, u32),
     /// The quarantine of the agent's worker is over.
     Quarantine(AgentName),
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -38,13 +38,20 @@
     reserved: TaskNeed,
     label: Option<Label>,
     best_effort: Option<BestEffortNeed>,
-    /// A step for which its own runs count, too: a gang, or one with a limit for each worker.
+    /// A step for which its own runs count, too: a gang, one with a limit for each worker, or
+    /// one with a task that must not be placed on a certain worker.
     alone: Option<StepName>,
 }
 
 impl NeedClass {
     #[must_use]
-    pub fn of(name: &StepName, step: &StepSpec, service: &ServiceName, may_wait: bool) -> Self {
+    pub fn of(
+        name: &StepName,
+        step: &StepSpec,
+        service: &ServiceName,
+        may_wait: bool,
+        avoids: bool,
+    ) -> Self {
         let best_effort = step.best_effort.then(|| BestEffortNeed {
             image: step.image.clone(),
             cpu: step.need.cpu,
@@ -55,7 +62,7 @@
             reserved: step.reserved(),
             label: step.label.clone(),
             best_effort,
-            alone: (step.gang || step.per_worker > 0).then(|| name.clone()),
+            alone: (step.gang || step.per_worker > 0 || avoids).then(|| name.clone()),
         }
     }
 }
@@ -115,6 +122,15 @@
         open.filter_map(|queue| queue.steps.first()).min().map(|order| order.step.clone())
     }
 
+    /// First steps in order of the refused classes, at most `limit`.
+    #[must_use]
+    pub fn refused_steps(&self, limit: usize) -> Vec<StepName> {
+        let refused = self.classes.values().filter(|queue| queue.refused.is_some());
+        let mut first: Vec<_> = refused.filter_map(|queue| queue.steps.first()).collect();
+        first.sort();
+        first.into_iter().take(limit).map(|order| order.step.clone()).collect()
+    }
+
     /// Class of a waiting step.
     #[must_use]
     pub fn class_of(&self, step: &StepName) -> Option<&NeedClass> {
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -13,6 +13,7 @@
 use crate::forecast::MeasuredLoad;
 use crate::former_runs::FormerRuns;
 use crate::interference::InterferenceModel;
+use crate::moves::index::SlowSpan;
 use crate::name::{AgentName, Checkpoint, JobId, Label, RunNumber, TaskName, WorkerIncarnation};
 use crate::report::{AgentOrder, ReportedRun, StartOrder, WorkerInfo};
 use crate::run_table::RunTable;
@@ -60,6 +61,13 @@
     pub stalled: bool,
     /// Newest checkpoint.
     pub checkpoint: Checkpoint,
+    /// Progress that the newest checkpoint holds, percent; 0 if unknown.
+    pub checkpoint_percent: u8,
+    /// Whether the run may be moved or preempted: a best-effort run of no gang, whose stop is
+    /// not limited.
+    pub movable: bool,
+    /// `None` if the newest list shows the run at a higher speed.
+    pub slow: Option<SlowSpan>,
 }
 
 impl AssignedRun {
@@ -81,9 +89,17 @@
             progressed: now,
             stalls: 0,
             stalled: false,
+            checkpoint_percent: 0,
+            movable: step.best_effort && !step.gang && !step.endless && step.may_miss.is_none(),
+            slow: None,
         }
     }
 
+    /// Records the listed speed of a run, percent.
+    pub fn list_speed(&mut self, speed: u8, now: Moment) {
+        self.slow = SlowSpan::of(self.slow, speed, now).filter(|_| self.movable);
+    }
+
     /// Order that the agent must execute for the run.
     #[must_use]
     pub fn order(&self) -> AgentOrder {
