Test moves under outages and against the scheduler without indices

The randomised tests run with moves on as well: workers list their best-effort runs as paused for a while. The oracle checks the index of slow runs and that a moved task keeps away from its worker. Two tests fail if the models no longer move any run.

--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -11,7 +11,9 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ListedRun, ReportContent, WorkerCall, WorkerList};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{JobId, TaskName};
+use cactusdoor_queue::observation::RunObservation;
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
 use cactusdoor_queue::report::{AgentLease, EndedRun, RunEnd, WorkerInfo};
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -21,6 +23,14 @@
 
 const AGENTS: [&str; 3] = ["a", "b", "c"];
 const TICK: u64 = 100;
+const MOVES: SchedulingFeatures = SchedulingFeatures {
+    headroom_forecast: false,
+    job_order: false,
+    moves: true,
+    refusals: false,
+    stop_run: 400,
+    restore: 600,
+};
 
 #[derive(Clone, Debug)]
 enum Action {
@@ -34,6 +44,8 @@
     RestartAgent(u8),
     RestartWorker(u8),
     NewOwner,
+    /// A worker lists its best-effort runs as paused from now on, or at full speed.
+    Pause(u8, bool),
 }
 
 fn action() -> impl Strategy<Value = Action> {
@@ -49,6 +61,15 @@
     ]
 }
 
+/// Actions of a fleet whose best-effort runs are paused now and then, and moved.
+fn action_with_pauses() -> impl Strategy<Value = Action> {
+    let pause = (0..3u8, prop::bool::weighted(0.7));
+    prop_oneof![
+        5 => action(),
+        1 => pause.prop_map(|(worker, paused)| Action::Pause(worker, paused)),
+    ]
+}
+
 /// Model of a worker.
 #[derive(Default)]
 struct WorkerModel {
@@ -57,6 +78,7 @@
     last_runs: BTreeMap<TaskName, u32>,
     ended: Vec<EndedRun>,
     last_end: u64,
+    paused: bool,
 }
 
 impl WorkerModel {
@@ -97,13 +119,17 @@
     acknowledged_done: Vec<TaskName>,
     now: Moment,
     epoch: u64,
+    features: SchedulingFeatures,
+    moves: usize,
 }
 
 impl Simulation {
-    fn open() -> Self {
+    fn open(features: SchedulingFeatures) -> Self {
         let workers = AGENTS.iter().map(|_| WorkerModel { born: 1, ..WorkerModel::default() });
+        let mut scheduler = scheduler();
+        scheduler.set_features(features);
         Self {
-            scheduler: scheduler(),
+            scheduler,
             agents: AGENTS.iter().map(|_| (AgentState::default(), 1, 0)).collect(),
             workers: workers.collect(),
             jobs: Vec::new(),
@@ -112,6 +138,8 @@
             acknowledged_done: Vec::new(),
             now: Moment(100_000),
             epoch: 1,
+            features,
+            moves: 0,
         }
     }
 
@@ -135,6 +163,7 @@
                 *worker = WorkerModel { born: worker.born + 1, ..WorkerModel::default() };
             }
             Action::NewOwner => self.change_owner(),
+            Action::Pause(worker, paused) => self.workers[usize::from(*worker)].paused = *paused,
         }
     }
 
@@ -144,7 +173,13 @@
             return;
         }
         let second = StepSpec { after: vec![0], ..step(u32::from(width), 900) };
-        let spec = job(vec![step(u32::from(width), 1_300), second]);
+        let first = step(u32::from(width), 1_300);
+        let first = if self.features.moves && !job_number.is_multiple_of(3) {
+            StepSpec { best_effort: true, checkpoints: true, estimate: 20_000, ..first }
+        } else {
+            first
+        };
+        let spec = job(vec![first, second]);
         self.jobs.push((id.clone(), spec.clone()));
         self.scheduler.submit(&id, spec);
     }
@@ -158,6 +193,10 @@
     }
 
     fn store(&mut self) {
+        self.scheduler.balance(self.now, UNIX);
+        let observations = self.scheduler.take_observations();
+        let moved = |seen: &&RunObservation| matches!(seen, RunObservation::Moved { .. });
+        self.moves += observations.iter().filter(moved).count();
         self.scheduler.place(self.now, UNIX);
         for write in self.scheduler.take_writes() {
             match write.record {
@@ -176,6 +215,7 @@
         self.epoch += 1;
         let mut scheduler = QueueScheduler::open(self.epoch, self.now.after(1_000_000));
         scheduler.set_view(view());
+        scheduler.set_features(self.features);
         let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
         let keys: Vec<_> = keys.collect();
         for (key, value) in &keys {
@@ -218,7 +258,10 @@
         }
         let (agent_name, incarnation) = (name.into(), *incarnation);
         let content = ReportContent { agent: agent_name, incarnation, full_list: true, wait: 0 };
-        let report = agent.report(content);
+        let mut report = agent.report(content);
+        if self.workers[index].paused {
+            report.runs.iter_mut().flatten().for_each(|listed| listed.speed = 0);
+        }
         assert!(report.epoch <= self.epoch);
         self.scheduler.report(&report, self.now, UNIX);
         self.store();
@@ -281,7 +324,8 @@
             for (task, run) in &worker.running {
                 let other = seen.insert(task, index);
                 assert_eq!(other, None, "{task} run {run} runs twice");
-                cpu += if task.step == 0 { 1_300 } else { 900 };
+                let (_, spec) = self.jobs.iter().find(|(id, _)| *id == task.job).unwrap();
+                cpu += spec.steps[usize::from(task.step)].reserved().cpu;
             }
             assert!(cpu <= 4_000, "{} is overcommitted", AGENTS[index]);
         }
@@ -313,10 +357,41 @@
     fn no_task_runs_twice_and_every_job_ends(
         actions in prop::collection::vec(action(), 1..120)
     ) {
-        let mut simulation = Simulation::open();
+        let mut simulation = Simulation::open(SchedulingFeatures::default());
         for action in &actions {
             simulation.apply(action);
         }
         simulation.finish_jobs();
     }
+
+    /// Guards against the same faults while runs are moved.
+    #[test]
+    fn no_task_runs_twice_and_every_job_ends_while_runs_are_moved(
+        actions in prop::collection::vec(action_with_pauses(), 1..120)
+    ) {
+        let mut simulation = Simulation::open(MOVES);
+        for action in &actions {
+            simulation.apply(action);
+        }
+        simulation.finish_jobs();
+    }
+}
+
+/// Guards against a test of moves in which none happens.
+#[test]
+fn paused_runs_of_the_model_are_moved() {
+    let mut simulation = Simulation::open(MOVES);
+    for agent in 0..3 {
+        simulation.apply(&Action::Exchange(agent, false));
+    }
+    simulation.apply(&Action::Submit(1, 3));
+    for _ in 0..8 {
+        (0..3).for_each(|agent| simulation.apply(&Action::Exchange(agent, false)));
+    }
+    simulation.apply(&Action::Pause(0, true));
+    for _ in 0..10 {
+        (0..3).for_each(|agent| simulation.apply(&Action::Exchange(agent, false)));
+    }
+    assert!(simulation.moves > 0);
+    simulation.finish_jobs();
 }
--- a/crates/queue/tests/model/fault.rs
+++ b/crates/queue/tests/model/fault.rs
@@ -232,6 +232,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        let moves = self.features.moves && !endless;
         let steps = (0u16..).zip(steps).map(|(number, shape)| {
             let size = SIZES[usize::from(shape.size)];
             let before = |numbers: Range<u16>| numbers.collect::<Vec<_>>();
@@ -239,6 +240,8 @@
                 estimate: DURATIONS[usize::from(shape.duration)],
                 after: if endless { Vec::new() } else { before(0..number) },
                 endless,
+                best_effort: moves && shape.size % 2 == 1,
+                checkpoints: moves,
                 ..support::step(u32::from(shape.tasks), size)
             }
         });
--- a/crates/queue/tests/model/mod.rs
+++ b/crates/queue/tests/model/mod.rs
@@ -17,6 +17,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use cactusdoor_core::unit::Moment;
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{JobId, TaskName};
 use cactusdoor_queue::report::WorkerInfo;
 use cactusdoor_queue::spec::JobSpec;
@@ -61,11 +62,23 @@
     faults: Vec<LinkFaults>,
     ledger: RunLedger,
     trace: VecDeque<String>,
+    features: SchedulingFeatures,
+    /// Number of moves that owners have ordered.
+    pub moves: usize,
     violation: Option<String>,
 }
 
 impl Simulation {
     pub fn open(seed: u64) -> Self {
+        Self::open_with(seed, SchedulingFeatures::default())
+    }
+
+    /// A fleet whose workers pause their best-effort runs now and then, and that moves them.
+    pub fn open_moving(seed: u64) -> Self {
+        Self::open_with(seed, SchedulingFeatures { moves: true, ..SchedulingFeatures::default() })
+    }
+
+    fn open_with(seed: u64, features: SchedulingFeatures) -> Self {
         let workers = AGENTS.iter().zip(CLOCK_RATES).enumerate();
         let workers = workers.map(|(index, (name, rate))| {
             let mut worker = WorkerModel::open(name, START, rate, index == 2);
@@ -87,6 +100,8 @@
             faults: AGENTS.iter().map(|_| LinkFaults::default()).collect(),
             ledger: RunLedger::default(),
             trace: VecDeque::new(),
+            features,
+            moves: 0,
             violation: None,
         };
         simulation.elect();
@@ -237,7 +252,7 @@
 
     fn shape(&self, task: &TaskName) -> TaskShape {
         let step = &self.jobs[&task.job].0.steps[usize::from(task.step)];
-        TaskShape { cpu: step.need.cpu, duration: step.estimate, endless: step.endless }
+        TaskShape { cpu: step.reserved().cpu, duration: step.estimate, endless: step.endless }
     }
 
     /// Executes a call that reaches the worker now.
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -7,6 +7,7 @@
 use cactusdoor_queue::config::{FleetConfig, OperatorView};
 use cactusdoor_queue::lease::{AGENT_LEASE, CONFIRM_LIMIT, clock_bound};
 use cactusdoor_queue::name::{AgentName, JobId};
+use cactusdoor_queue::observation::RunObservation;
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
 use cactusdoor_queue::report::{AgentLease, AgentReport, ReportReply};
 use cactusdoor_queue::scheduler::{CommitEffect, PendingWrite, QueueScheduler};
@@ -147,6 +148,7 @@
         }
         // The loop takes the configuration from the operators' records.
         scheduler.set_view(view());
+        scheduler.set_features(self.features);
         self.owners.push(OwnerModel {
             epoch,
             scheduler,
@@ -268,6 +270,12 @@
             return;
         }
         let expired = owner.scheduler.expire(now, unix);
+        if owner.in_flight.is_none() {
+            owner.scheduler.balance(now, unix);
+        }
+        let observations = owner.scheduler.take_observations();
+        let moved = |seen: &&RunObservation| matches!(seen, RunObservation::Moved { .. });
+        self.moves += observations.iter().filter(moved).count();
         owner.scheduler.place(now, unix);
         if now.0 >= owner.removal_at {
             owner.removal_at = now.0 + REMOVAL_INTERVAL;
--- a/crates/queue/tests/model/report.rs
+++ b/crates/queue/tests/model/report.rs
@@ -8,6 +8,9 @@
 use super::{AGENTS, Simulation};
 
 const ORDER_WAIT: u64 = 600;
+/// Time for which a worker lists its best-effort runs as paused, ms; then for twice that time
+/// at full speed.
+const PAUSE_INTERVAL: u64 = 3_000;
 const END_DELAY: u64 = 4;
 const FULL_REPORT_INTERVAL: u64 = 900;
 const RETRY_PAUSE: (u64, u64) = (100, 250);
@@ -83,7 +86,13 @@
             full_list,
             wait,
         };
-        let report = Box::new(agent.state.report(content));
+        let mut report = Box::new(agent.state.report(content));
+        if self.features.moves && (now / PAUSE_INTERVAL + index as u64).is_multiple_of(3) {
+            for listed in report.runs.iter_mut().flatten() {
+                let step = &self.jobs[&listed.task.job].0.steps[usize::from(listed.task.step)];
+                listed.speed = if step.best_effort { 0 } else { listed.speed };
+            }
+        }
         agent.reports.insert(number, SentReport { owner, number: report.number, sent: now });
         if now >= self.faults[index].requests_lost_until {
             let delay = self.report_delay(index);
--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -12,13 +12,14 @@
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::config::{OperatorView, QueueConfig, QueueTerms};
+use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::interference::{InterferenceSample, ShareChange};
 use cactusdoor_queue::name::{JobId, TaskName};
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
 use cactusdoor_queue::report::{JobState, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::{CommitEffect, QueueScheduler};
 use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
-use naive::{NaivePass, check_sums};
+use naive::{NaivePass, check_slow, check_sums};
 use proptest::prelude::*;
 use support::*;
 
@@ -41,6 +42,8 @@
         agent: u64,
         listed: bool,
         stray: bool,
+        /// Whether the listed runs are paused.
+        paused: bool,
     },
     Restart {
         agent: u64,
@@ -104,8 +107,10 @@
         }),
         1 => any_index().prop_map(Action::Cancel),
         9 => (any_index(), end).prop_map(|(index, end)| Action::End(index, end)),
-        6 => (agent(), any::<bool>(), prop::bool::weighted(0.1))
-            .prop_map(|(agent, listed, stray)| Action::Report { agent, listed, stray }),
+        6 => (agent(), any::<bool>(), prop::bool::weighted(0.1), any::<bool>())
+            .prop_map(|(agent, listed, stray, paused)| {
+                Action::Report { agent, listed, stray, paused }
+            }),
         1 => agent().prop_map(|agent| Action::Restart { agent }),
         1 => agent().prop_map(|agent| Action::Leave { agent }),
         1 => (agent(), 0.5f32..4.0).prop_map(|(agent, now)| Action::Sample { agent, now }),
@@ -128,6 +133,8 @@
     jobs: Vec<(JobId, JobSpec)>,
     records: BTreeMap<String, Vec<u8>>,
     view: OperatorView,
+    paused: bool,
+    features: SchedulingFeatures,
 }
 
 fn configured(taken_out: bool, attempts: u32, swapped: bool) -> OperatorView {
@@ -146,7 +153,7 @@
 }
 
 impl Simulation {
-    fn open() -> Self {
+    fn open(moves: bool) -> Self {
         let mut simulation = Self {
             scheduler: QueueScheduler::open(1, Moment(0)),
             epoch: 1,
@@ -158,7 +165,10 @@
             jobs: Vec::new(),
             records: BTreeMap::new(),
             view: configured(false, 3, false),
+            paused: false,
+            features: SchedulingFeatures { moves, ..SchedulingFeatures::default() },
         };
+        simulation.scheduler.set_features(simulation.features);
         simulation.scheduler.set_view(simulation.view.clone());
         simulation
     }
@@ -173,7 +183,10 @@
                 self.scheduler.cancel(&id, self.unix);
             }
             Action::End(index, end) => self.end(index, *end),
-            Action::Report { agent, listed, stray } => self.report(*agent, *listed, *stray),
+            Action::Report { agent, listed, stray, paused } => {
+                self.paused = *paused;
+                self.report(*agent, *listed, *stray);
+            }
             Action::Restart { agent } => {
                 *self.born.entry(*agent).or_default() += 1;
                 self.leaving.remove(agent);
@@ -251,7 +264,7 @@
                 run,
                 checkpoint: "".into(),
                 percent: Some(10),
-                speed: 100,
+                speed: if self.paused { 0 } else { 100 },
             };
             let mut rows: Vec<_> = runs.map(|run| row(&run.start.task, run.start.run)).collect();
             rows.extend(stray.then(|| row(&task("stray", 0, 0), 9)));
@@ -281,11 +294,13 @@
     /// Lets both schedulers place tasks, and compares their placements and sums.
     fn compare(&mut self) {
         self.scheduler.expire(self.now, self.unix);
+        self.scheduler.balance(self.now, self.unix);
         self.store();
         let expected = NaivePass::run(&self.scheduler, self.now, self.unix).placed;
         assert!(!self.scheduler.place(self.now, self.unix));
         assert_eq!(self.store(), expected);
         self.scheduler.workers.values().for_each(check_sums);
+        check_slow(&self.scheduler);
         let mut pending = BTreeMap::new();
         for job in self.scheduler.jobs.values().filter(|job| job.state == JobState::Queued) {
             *pending.entry(job.spec.queue.clone()).or_insert(0u64) += 1;
@@ -325,6 +340,7 @@
         self.epoch += 1;
         let mut next = QueueScheduler::open(self.epoch, self.now.after(3_000));
         next.set_view(self.view.clone());
+        next.set_features(self.features);
         let keys: Vec<_> =
             self.records.iter().map(|(key, value)| (TaskKey::parse(key), value)).collect();
         for (key, value) in &keys {
@@ -351,9 +367,10 @@
 
     #[test]
     fn indices_make_the_placements_of_a_scheduler_without_them(
+        moves in any::<bool>(),
         actions in prop::collection::vec(action(), 1..90)
     ) {
-        let mut simulation = Simulation::open();
+        let mut simulation = Simulation::open(moves);
         for agent in 0..AGENTS {
             simulation.report(agent, true, false);
         }
--- a/crates/queue/tests/oracle/naive.rs
+++ b/crates/queue/tests/oracle/naive.rs
@@ -1,5 +1,6 @@
 //! A scheduler that computes everything anew from the jobs and the workers' runs.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use cactusdoor_core::unit::Moment;
@@ -82,12 +83,15 @@
     }
 
     fn place_step(&mut self, name: &StepName, step: &StepSpec, config: &QueueConfig) {
-        for index in 0..step.tasks {
+        let moved =
+            |index: &u32| self.jobs[&name.job].task(&name.task(*index)).unwrap().moves.is_some();
+        let (moved, others): (Vec<_>, Vec<_>) = (0..step.tasks).partition(moved);
+        for index in moved.into_iter().chain(others) {
             let task = name.task(index);
             if !self.jobs[&name.job].task(&task).is_some_and(|task| task.is_waiting(self.now)) {
                 continue;
             }
-            let Some(worker) = self.choose(None, name, &task, step, config) else { return };
+            let Some(worker) = self.choose(None, name, &task, step, config) else { continue };
             self.place_task(worker, &task, step);
         }
     }
@@ -146,7 +150,13 @@
         let free = self.workers.iter().enumerate();
         let free = free.filter(|(_, tracked)| !tracked.runs.contains_key(task));
         let costs = free.filter_map(|(index, tracked)| Some((cost(tracked, &context)?, index)));
-        costs.min().map(|(_, index)| index)
+        let costs: Vec<_> = costs.collect();
+        // The workers of a gang's tasks are chosen together, and none of them was moved.
+        let avoided = self.jobs[&name.job].task(task).unwrap().avoided_worker(self.now);
+        let is_avoided = |index: usize| avoided == Some(&self.workers[index].agent);
+        let others = costs.iter().filter(|(_, index)| !is_avoided(*index)).min();
+        let any = costs.iter().min().filter(|_| !may_wait);
+        others.or(any).map(|(_, index)| *index)
     }
 
     fn assign(&mut self, worker: usize, task: &TaskName, step: &StepSpec) {
@@ -199,6 +209,17 @@
     TrackedWorker { runs, ..tracked.clone() }
 }
 
+/// Checks that the index has exactly the runs whose newest listed speed is low.
+pub fn check_slow(scheduler: &QueueScheduler) {
+    let workers = scheduler.workers.values();
+    let runs = workers.flat_map(|tracked| {
+        let slow = tracked.runs.iter().filter(|(_, run)| run.slow.is_some());
+        slow.map(|(task, _)| (task.clone(), tracked.agent.clone()))
+    });
+    let indexed = scheduler.slow_runs().map(|(task, agent)| (task.clone(), agent.clone()));
+    assert_eq!(indexed.collect::<BTreeMap<_, _>>(), runs.collect::<BTreeMap<_, _>>());
+}
+
 /// Checks the sums of a worker against its runs, one by one.
 pub fn check_sums(tracked: &TrackedWorker) {
     let runs = || tracked.runs.values();
@@ -217,6 +238,9 @@
         let of_image = best_effort.iter().filter(|run| run.start.image.as_ref() == image);
         assert_eq!(of_image.map(|run| run.start.cpu).sum::<u64>(), cpu);
     }
+    let memory = best_effort.iter().map(|run| run.reserved.memory).sum::<u64>();
+    assert_eq!(tracked.runs.best_effort_memory(), memory);
+    assert_eq!(tracked.runs.best_effort(), best_effort.len());
     let serving: Vec<_> = runs().filter(|run| run.start.latency_bound > 0).collect();
     assert_eq!(tracked.runs.serving(), serving.len());
     let images: std::collections::BTreeSet<_> =
--- a/crates/queue/tests/outages.rs
+++ b/crates/queue/tests/outages.rs
@@ -128,6 +128,26 @@
         }
     }
 
+    /// Guards against the same faults while runs are moved.
+    #[test]
+    fn moved_runs_survive_outages(seed in any::<u64>(), actions in actions(NEW_ID, CallFault::Late)) {
+        if let Err(violation) = Simulation::open_moving(seed).run(&actions) {
+            prop_assert!(false, "{}", violation);
+        }
+    }
+
+    /// Guards against double runs after restarts of workers under the same id, while runs are
+    /// moved.
+    #[test]
+    fn moved_runs_survive_restarts_under_the_same_id(
+        seed in any::<u64>(),
+        actions in actions(SAME_ID, CallFault::Held),
+    ) {
+        if let Err(violation) = Simulation::open_moving(seed).run(&actions) {
+            prop_assert!(false, "{}", violation);
+        }
+    }
+
     /// Guards against double runs after restarts of workers under the same id, which calls for
     /// the earlier incarnation reach.
     #[test]
@@ -141,6 +161,17 @@
     }
 }
 
+/// Guards against a test of moves in which none happens.
+#[test]
+fn paused_runs_of_the_model_are_moved() {
+    let actions = [(1_000, submit(0, 3, 1, 3, false)), (10_000, submit(1, 3, 1, 3, false))];
+    let mut simulation = Simulation::open_moving(1);
+    if let Err(violation) = simulation.run(&actions) {
+        panic!("{violation}");
+    }
+    assert!(simulation.moves > 0);
+}
+
 fn check(seed: u64, actions: &[(u16, Action)]) {
     if let Err(violation) = Simulation::open(seed).run(actions) {
         panic!("{violation}");
