Generate moves and preemptions in the oracle test

None happened in its 250 cases, as no run was slow for a second while other agents reported. An action now pauses the runs of one worker, and best-effort tasks are longer and some need more memory.

--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -45,6 +45,11 @@
         /// Whether the listed runs are paused.
         paused: bool,
     },
+    /// A worker lists its runs as paused for more than a second, then ends those whose stop was
+    /// ordered.
+    Pause {
+        agent: u64,
+    },
     Restart {
         agent: u64,
     },
@@ -71,10 +76,12 @@
         prop::option::weighted(0.2, prop::sample::select(vec!["r0", "r1", "none"])),
         prop::option::weighted(0.2, prop::sample::select(vec!["r0", "r2"])),
     );
-    (1u32..6, 1u64..5, kind, image, places, any::<(bool, bool)>()).prop_map(
-        |(tasks, cpu, kind, image, (label, rack), (endless, one_rack))| StepSpec {
-            need: TaskNeed { cpu: cpu * 700, memory: 300, accelerators: 0 },
-            estimate: 400 * cpu,
+    let memory = prop::sample::select(vec![300, 300, 3_000]);
+    (1u32..6, (1u64..5, memory), kind, image, places, any::<(bool, bool)>()).prop_map(
+        |(tasks, (cpu, memory), kind, image, (label, rack), (endless, one_rack))| StepSpec {
+            need: TaskNeed { cpu: cpu * 700, memory, accelerators: 0 },
+            estimate: 400 * cpu + if kind == "fills" { 20_000 } else { 0 },
+            checkpoints: kind == "fills",
             gang: kind == "gang",
             one_rack: kind == "gang" && one_rack,
             label: label.map(Into::into),
@@ -111,6 +118,7 @@
             .prop_map(|(agent, listed, stray, paused)| {
                 Action::Report { agent, listed, stray, paused }
             }),
+        4 => agent().prop_map(|agent| Action::Pause { agent }),
         1 => agent().prop_map(|agent| Action::Restart { agent }),
         1 => agent().prop_map(|agent| Action::Leave { agent }),
         1 => (agent(), 0.5f32..4.0).prop_map(|(agent, now)| Action::Sample { agent, now }),
@@ -187,6 +195,18 @@
                 self.paused = *paused;
                 self.report(*agent, *listed, *stray);
             }
+            Action::Pause { agent } => {
+                for _ in 0..5 {
+                    for other in 0..AGENTS {
+                        self.paused = other == *agent;
+                        self.report(other, true, false);
+                    }
+                    self.compare();
+                    self.now = self.now.after(TICK);
+                    self.unix += TICK;
+                }
+                self.end_stopped(*agent);
+            }
             Action::Restart { agent } => {
                 *self.born.entry(*agent).or_default() += 1;
                 self.leaving.remove(agent);
@@ -291,6 +311,17 @@
         self.scheduler.report(&message, self.now, self.unix);
     }
 
+    fn end_stopped(&mut self, agent: u64) {
+        let mut message = self.message(agent);
+        let tracked = self.scheduler.workers.get(&message.agent);
+        let runs = tracked.into_iter().flat_map(|tracked| tracked.runs.values());
+        let stopped = runs
+            .filter(|run| run.stopping)
+            .map(|run| ended(self.reports, &run.start.task, run.start.run, RunEnd::Stopped));
+        message.ended = stopped.collect();
+        self.scheduler.report(&message, self.now, self.unix);
+    }
+
     /// Lets both schedulers place tasks, and compares their placements and sums.
     fn compare(&mut self) {
         self.scheduler.expire(self.now, self.unix);
