--- a/crates/fleet/src/owner/reports.rs
+++ b/crates/fleet/src/owner/reports.rs
@@ -4,6 +4,7 @@
 
 use cactusdoor_core::unit::{Millis, Moment};
 use cactusdoor_node::clock::unix_ms;
+use cactusdoor_queue::moves::decision::MoveFigures;
 use cactusdoor_queue::name::AgentName;
 use cactusdoor_queue::observation::RunObservation;
 use cactusdoor_queue::report::{EndedRun, LoadReport, ReportReply, RunEnd};
@@ -78,6 +79,15 @@
                     metrics.forecast_errors.observe(f64::from(forecast.abs_diff(speed)));
                     continue;
                 }
+                RunObservation::Moved { agent, task, run, target, figures } => {
+                    metrics.moves.with_label_values(&["slow"]).inc();
+                    let MoveFigures { speed, here, there } = figures;
+                    DecisionEvent::RunMoved { task, run, agent, target, speed, here, there, epoch }
+                }
+                RunObservation::Preempted { agent, task, run, job } => {
+                    metrics.moves.with_label_values(&["preempted"]).inc();
+                    DecisionEvent::RunPreempted { task, run, agent, needed_by: job, epoch }
+                }
             };
             self.context.log.record(event);
         }
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
 use crate::spec::StepSpec;
+use crate::throttling::FULL_SPEED;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
 /// Largest slowdown of best-effort tasks, in thousandths; beyond it a task waits.
@@ -78,6 +79,16 @@
     if near { 0 } else { REMOTE_PENALTY }
 }
 
+/// Expected speed of one more best-effort task on the worker, percent; `None` if it must not run
+/// there.
+#[must_use]
+pub fn expected_speed(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u8> {
+    let serving = if tracked.runs.serving() > 0 { SERVING_PENALTY } else { 0 };
+    let penalties = remote_penalty(tracked, context.step).saturating_add(serving);
+    let slowed = cost(tracked, context)?.saturating_sub(penalties).max(1_000);
+    u8::try_from(u64::from(FULL_SPEED) * 1_000 / slowed).ok()
+}
+
 /// Whether the worker is available for new tasks of the service.
 #[must_use]
 pub fn accepts(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -128,7 +128,7 @@
             let startable = progress.startable_at(spec);
             retry = [retry, progress.next_retry(now)].into_iter().flatten().min();
             if startable.is_some_and(|at| at <= now) && job.is_ready(occurrence, step) {
-                ready.push(name);
+                ready.push((name, progress.avoids_worker(now)));
             } else {
                 others.push(name);
             }
@@ -144,9 +144,9 @@
             return;
         }
         let may_wait = job.may_wait(now);
-        for name in ready {
+        for (name, avoids) in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
-            let class = NeedClass::of(&name, step, &config.service, may_wait);
+            let class = NeedClass::of(&name, step, &config.service, may_wait, avoids);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             let turn = self.step_turn(&name, late, accepted);
             self.waiting.insert(class, StepOrder { priority, turn, step: name });
@@ -224,13 +224,29 @@
             return 0;
         };
         let tasks = (0u32..).zip(&progress.tasks).filter(|(_, task)| task.is_waiting(now));
+        let mut tasks: Vec<_> = tasks.collect();
+        // Tasks that were moved have waited before.
+        tasks.sort_by_key(|(_, task)| task.moves.is_none());
+        let tasks = tasks.into_iter();
         let tasks: Vec<_> =
             tasks.map(|(index, task)| (name.task(index), task.run.saturating_add(1))).collect();
         let mut may_wait = job.may_wait(now);
         let mut heap = self.rank_workers(None, name, step, config, now);
         let mut placed = 0;
         for (task, run) in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, &task, (name, step, config), now) else {
+            let avoided = self.avoided_worker(&task, now).cloned();
+            let placed_step = (name, step, config);
+            let worker = self.pop_worker(&mut heap, &task, avoided.as_ref(), placed_step, now);
+            // An idle job waits no longer for another worker.
+            let worker = worker.or_else(|| {
+                let returns = avoided.is_some() && !may_wait;
+                let pop = || self.pop_worker(&mut heap, &task, None, placed_step, now);
+                returns.then(pop).flatten()
+            });
+            let Some(worker) = worker else {
+                if avoided.is_some() {
+                    continue;
+                }
                 break;
             };
             self.start(worker, &task, run, now);
@@ -308,7 +324,8 @@
         let mut heap = self.rank_workers(rack, name, step, config, now);
         let mut chosen = Vec::new();
         for task in tasks {
-            let Some(worker) = self.pop_worker(&mut heap, task, (name, step, config), now) else {
+            let placed_step = (name, step, config);
+            let Some(worker) = self.pop_worker(&mut heap, task, None, placed_step, now) else {
                 break;
             };
             self.assign_run(worker, task, step, 0, now);
@@ -359,6 +376,7 @@
         let task = job.task(name);
         let checkpoint = task.map(|task| task.checkpoint.clone()).unwrap_or_else(|| Arc::from(""));
         let stalls = task.map_or(0, |task| task.stalls);
+        let checkpoint_percent = task.map_or(0, |task| task.checkpoint_percent);
         let payload = job.payload.clone();
         let forecast = self.forecast_speed(worker, name, step, now);
         let job_deadline = Self::deadline(&self.view, job, name.occurrence);
@@ -373,8 +391,8 @@
             job_deadline,
             ..start_order(name, incarnation, run, step, payload)
         };
-        let run = AssignedRun { stalls, forecast, ..AssignedRun::open(start, step, now) };
-        tracked.runs.insert(run);
+        let run = AssignedRun::open(start, step, now);
+        tracked.runs.insert(AssignedRun { stalls, forecast, checkpoint_percent, ..run });
         let lease_end = tracked.lease_end;
         self.expire_from(lease_end);
     }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -16,6 +16,7 @@
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
 use crate::lease::{CONFIRM_LIMIT, clock_bound};
+use crate::moves::index::MoveState;
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
@@ -47,6 +48,7 @@
     /// When [`Self::balance`] was last executed.
     balanced: Moment,
     pub(crate) ranks: RankIndex,
+    pub(crate) moves: MoveState,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     /// Whether samples have arrived since refused best-effort steps were last tried.
@@ -86,6 +88,7 @@
             features: SchedulingFeatures::default(),
             balanced: Moment::default(),
             ranks: RankIndex::default(),
+            moves: MoveState::default(),
             interference: InterferenceModel::default(),
             interference_changed: false,
             best_effort_tried: Moment::default(),
@@ -163,6 +166,9 @@
         self.balanced = now;
         self.update_ranks(now, unix);
         self.sample_waiting(now);
+        if self.features.moves {
+            self.decide_moves(now, unix);
+        }
     }
 
     /// Writes since the last call, in the order in which they must be stored.
--- a/crates/queue/src/worker_heap.rs
+++ b/crates/queue/src/worker_heap.rs
@@ -8,7 +8,7 @@
 use cactusdoor_core::unit::Moment;
 
 use crate::config::QueueConfig;
-use crate::name::{Label, StepName, TaskName};
+use crate::name::{AgentName, Label, StepName, TaskName};
 use crate::placement::{ChoiceContext, cost, least_cost};
 use crate::scheduler::QueueScheduler;
 use crate::spec::StepSpec;
@@ -51,11 +51,12 @@
         }
     }
 
-    /// Takes the worker with the lowest cost that has no run of the task.
+    /// Takes the worker with the lowest cost that has no run of the task and is not avoided.
     pub(crate) fn pop_worker(
         &self,
         heap: &mut WorkerHeap,
         task: &TaskName,
+        avoided: Option<&AgentName>,
         step: PlacedStep<'_>,
         now: Moment,
     ) -> Option<usize> {
@@ -65,7 +66,7 @@
             let (_, tracked) = self.workers.get_index(worker)?;
             if !exact {
                 self.push_worker(heap, worker, step, now);
-            } else if tracked.runs.contains_key(task) {
+            } else if avoided == Some(&tracked.agent) || tracked.runs.contains_key(task) {
                 passed.push(Reverse((cost, worker, exact)));
             } else {
                 break Some(worker);
