--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -7,8 +7,9 @@
 use cactusdoor_core::unit::{Millis, Moment};
 
 use crate::forecast::compare_forecast;
-use crate::job::TaskPlace;
+use crate::job::{TaskPlace, TaskProgress};
 use crate::lease::{AGENT_LEASE, clock_bound};
+use crate::moves::SETTLE_TIME;
 use crate::name::{AgentName, Checkpoint, JobId, RunNumber, TaskName, WorkerIncarnation};
 use crate::observation::{LapseCause, RunObservation};
 use crate::report::{AgentOrder, AgentReport, EndedRun, JobState, ReportedRun, RunEnd, WorkerInfo};
@@ -30,6 +31,11 @@
 const MAX_STALL_DOUBLINGS: u32 = 10;
 /// Speed, percent, below which a throttled task is ignored in the check for a stall.
 const STALL_SPEED: u8 = 50;
+/// Speed, percent, of a run that is not throttled.
+const FULL_SPEED: u8 = 100;
+/// Change of a run's progress, percent, that the sums of the remaining work follow: each costs
+/// about as much as the other handling of a listed run.
+const PROGRESS_STEP: u8 = 10;
 /// Progress, percent, at which an endless task is operational.
 const OPERATIONAL: u8 = 100;
 /// Most former processes of an agent whose reports are recognized.
@@ -247,6 +253,7 @@
         let Some(run) = tracked.runs.remove(task) else { return };
         tracked.former_runs.add(task, number, &run.start.incarnation, now);
         self.rooms.gain(agent);
+        let moved = self.moves.end(agent, task, number);
         // The agent may have received the start without a report of that so far, and ignores
         // another order under its number.
         if listed.is_none() && tracked.withdraw_start(task, number) {
@@ -277,7 +284,14 @@
             if task.checkpoint != checkpoint {
                 task.checkpoint_percent = run.percent.unwrap_or_default();
             }
+            if let Some(moves) = task.moves.as_mut().filter(|_| moved) {
+                moves.until = now.after(SETTLE_TIME);
+            }
         });
+        if moved {
+            let retry = SteadyTimer::Retry(task.job.clone(), task.occurrence);
+            self.steady_timers.set(now.after(SETTLE_TIME).0, retry);
+        }
         let gang = self.jobs.get(&task.job).and_then(|job| job.step_spec(task));
         let gang = gang.filter(|step| step.gang).map(|step| step.tasks);
         // A task that lasts is never done: it is started again however its run ends.
@@ -307,17 +321,22 @@
         checkpoint: &Checkpoint,
         now: Moment,
     ) {
-        let Some(job) = self.jobs.get_mut(&name.job) else { return };
+        let Some(job) = self.jobs.get(&name.job) else { return };
         if job.task(name).is_none_or(|task| task.place == TaskPlace::Done) {
             return;
         }
-        job.change_task(name, |task| {
+        let change = |task: &mut TaskProgress| {
             task.checkpoint = checkpoint.clone();
+            let saved = !done && !checkpoint.is_empty();
+            // A worker may list more than the whole.
+            task.percent = if saved { task.checkpoint_percent.min(100) } else { 0 };
             task.failures = task.failures.saturating_add(u32::from(failed));
             let doublings = task.failures.saturating_sub(1).min(MAX_RETRY_DOUBLINGS);
             let retry = if failed { RETRY_DELAY << doublings } else { 0 };
             task.place = if done { TaskPlace::Done } else { TaskPlace::Waiting(now.after(retry)) };
-        });
+        };
+        self.change_tracked_task(name, change, now);
+        let Some(job) = self.jobs.get(&name.job) else { return };
         let Some(record) = job.task(name).map(|task| task.record(None)) else { return };
         self.push_task(name, &record, None);
         self.changed.insert((name.job.clone(), name.occurrence));
@@ -355,12 +374,23 @@
         let was_open = tracked.unassigned.is_empty();
         tracked.unassigned.clear();
         tracked.awaits_list = false;
+        let counts = self.features.refusals;
+        let (mut progress, mut throttled) = (Vec::new(), false);
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
                 Some(run) => {
                     self.observations.extend(compare_forecast(agent, run, listed));
+                    // A new checkpoint holds at least the progress of the list before.
+                    let saved = run.percent.unwrap_or(run.checkpoint_percent);
                     // Without a percentage, the progress is not known.
+                    throttled |= run.start.best_effort && listed.speed < FULL_SPEED;
+                    if let Some(percent) = listed.percent.filter(|_| counts)
+                        && run.percent.map(|known| known / PROGRESS_STEP)
+                            != Some(percent / PROGRESS_STEP)
+                    {
+                        progress.push((listed.task.clone(), percent));
+                    }
                     if listed.percent.is_some() && run.percent != listed.percent {
                         let before = std::mem::replace(&mut run.percent, listed.percent);
                         run.progressed = now;
@@ -369,8 +399,14 @@
                             self.ranks.change_progress(job, &listed.task, before, listed.percent);
                         }
                     }
-                    if !listed.checkpoint.is_empty() {
+                    if !listed.checkpoint.is_empty() && run.checkpoint != listed.checkpoint {
                         run.checkpoint = listed.checkpoint.clone();
+                        run.checkpoint_percent = saved;
+                    }
+                    // While the start is under way, the speed is not known.
+                    if self.features.moves && listed.percent.is_some() {
+                        run.list_speed(listed.speed, now);
+                        self.moves.update(agent, run, now);
                     }
                 }
                 None => {
@@ -405,6 +441,7 @@
                 self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
             }
         }
+        self.record_progress(agent, progress, throttled, now);
     }
 
     /// Ends the runs of agents whose lease has certainly expired; returns these agents
--- a/crates/queue/src/job.rs
+++ b/crates/queue/src/job.rs
@@ -27,6 +27,16 @@
     Done,
 }
 
+/// Moves of a task away from slow workers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TaskMoves {
+    pub number: u32,
+    /// Agent of the worker on which the newest run was stopped.
+    pub away_from: AgentName,
+    /// Until then the task is neither stopped again nor placed on that worker.
+    pub until: Moment,
+}
+
 /// Progress of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TaskProgress {
@@ -40,9 +50,14 @@
     pub checkpoint: Checkpoint,
     /// Progress of the run that produced the checkpoint, percent. Not stored; 0 if unknown.
     pub checkpoint_percent: u8,
+    /// Progress that the next or present run need not repeat, percent: of the present run as its
+    /// worker last listed it, or of the checkpoint. Not stored.
+    pub percent: u8,
     pub place: TaskPlace,
     /// Agent whose worker got the newest run.
     pub agent: Option<AgentName>,
+    /// Not stored; `None` if the task was not moved. Few tasks are.
+    pub moves: Option<Box<TaskMoves>>,
 }
 
 impl TaskProgress {
@@ -55,8 +70,10 @@
             stalls: 0,
             checkpoint,
             checkpoint_percent: 0,
+            percent: 0,
             place,
             agent: None,
+            moves: None,
         }
     }
 
@@ -72,6 +89,19 @@
         }
     }
 
+    /// What is left to do, percent of the task.
+    fn left(&self) -> u64 {
+        let left = 100u8.saturating_sub(self.percent);
+        if self.place == TaskPlace::Done { 0 } else { u64::from(left) }
+    }
+
+    /// Agent of the worker on which the task must not be placed yet.
+    #[must_use]
+    pub fn avoided_worker(&self, now: Moment) -> Option<&AgentName> {
+        let moves = self.moves.as_ref().filter(|moves| now < moves.until)?;
+        Some(&moves.away_from)
+    }
+
     #[must_use]
     pub fn is_waiting(&self, now: Moment) -> bool {
         matches!(self.place, TaskPlace::Waiting(since) if since <= now)
@@ -101,6 +131,8 @@
 pub struct StepProgress {
     pub tasks: Vec<TaskProgress>,
     pub count: PlaceCount,
+    /// What is left to do, summed over the tasks, percent of a task.
+    pub left: u64,
     /// Most failures of one task; for a gang, the sum over its tasks.
     failures: u32,
 }
@@ -108,7 +140,8 @@
 impl StepProgress {
     fn open(spec: &StepSpec) -> Self {
         let count = PlaceCount { waiting: spec.tasks, ..PlaceCount::default() };
-        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize], count, failures: 0 }
+        let left = u64::from(spec.tasks) * 100;
+        Self { tasks: vec![TaskProgress::open(); spec.tasks as usize], count, left, failures: 0 }
     }
 
     /// Changes a task, and the counts with it.
@@ -116,8 +149,10 @@
         let Some(task) = self.tasks.get_mut(index as usize) else { return };
         let failures = task.failures;
         *self.count.of(&task.place) -= 1;
+        self.left -= task.left();
         change(task);
         *self.count.of(&task.place) += 1;
+        self.left += task.left();
         let added = task.failures.saturating_sub(failures);
         self.failures = if gang {
             self.failures.saturating_add(added)
@@ -144,6 +179,14 @@
         self.waiting_since().max().filter(|_| all_wait)
     }
 
+    /// Whether a waiting task must not be placed on a certain worker.
+    #[must_use]
+    pub fn avoids_worker(&self, now: Moment) -> bool {
+        let tasks = if self.count.waiting > 0 { self.tasks.as_slice() } else { &[] };
+        let waiting = tasks.iter().filter(|task| matches!(task.place, TaskPlace::Waiting(_)));
+        waiting.into_iter().any(|task| task.avoided_worker(now).is_some())
+    }
+
     /// When the next retry delay of a waiting task ends.
     #[must_use]
     pub fn next_retry(&self, now: Moment) -> Option<Moment> {
@@ -258,6 +301,14 @@
         self.spec.steps.iter().any(|step| step.best_effort)
     }
 
+    /// Whether the step of a task is done.
+    #[must_use]
+    pub fn step_is_done(&self, name: &TaskName) -> bool {
+        let steps = self.occurrences.get(&name.occurrence);
+        let step = steps.and_then(|steps| steps.get(usize::from(name.step)));
+        step.is_some_and(StepProgress::is_done)
+    }
+
     /// Whether the job has such a task.
     fn has_task(&self, name: &TaskName) -> bool {
         let step = self.spec.steps.get(usize::from(name.step));
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod learned;
 pub mod lease;
 mod load_meter;
-mod moves;
+pub mod moves;
 pub mod name;
 pub mod observation;
 pub mod placement;
--- a/crates/queue/src/observation.rs
+++ b/crates/queue/src/observation.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 use crate::forecast::LoadError;
-use crate::name::{AgentName, RunNumber, TaskName};
+use crate::moves::decision::MoveFigures;
+use crate::name::{AgentName, JobId, RunNumber, TaskName};
 use crate::scheduler::QueueScheduler;
 
 /// Why the owner ended a run that no agent reported as ended.
@@ -45,6 +46,17 @@
     LoadRejected { agent: AgentName, error: LoadError },
     /// The first speed that the agent lists for a run with a forecast, percent.
     FirstSpeed { agent: AgentName, task: TaskName, run: RunNumber, forecast: u8, speed: u8 },
+    /// The run was slow and gains by a move; its stop was ordered. `target`: agent of the worker
+    /// for which its speed was forecast.
+    Moved {
+        agent: AgentName,
+        task: TaskName,
+        run: RunNumber,
+        target: AgentName,
+        figures: MoveFigures,
+    },
+    /// The run holds memory that a job of a higher priority needs; its stop was ordered.
+    Preempted { agent: AgentName, task: TaskName, run: RunNumber, job: JobId },
 }
 
 impl RunObservation {
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -10,11 +10,13 @@
 use cactusdoor_core::unit::{Epoch, Millis, Moment};
 use indexmap::{IndexMap, IndexSet};
 
+use crate::backlog::BacklogIndex;
 use crate::config::{OperatorView, QueueConfig};
 use crate::features::SchedulingFeatures;
 use crate::interference::InterferenceModel;
 use crate::job::JobProgress;
 use crate::lease::{CONFIRM_LIMIT, clock_bound};
+use crate::moves::index::MoveState;
 use crate::name::{
     AgentName, Checkpoint, JobId, QueueName, RunNumber, StepName, TaskName, WorkerIncarnation,
 };
@@ -46,6 +48,7 @@
     /// When [`Self::balance`] was last executed.
     balanced: Moment,
     pub(crate) ranks: RankIndex,
+    pub(crate) moves: MoveState,
     /// Not stored; each owner learns it anew.
     pub interference: InterferenceModel,
     /// Whether samples have arrived since refused best-effort steps were last tried.
@@ -57,6 +60,8 @@
     unknown_until: Moment,
     pub(crate) waiting: WaitingSteps,
     pub(crate) rooms: RoomChanges,
+    /// Sums of the remaining work; kept only if refusals are switched on.
+    pub(crate) backlog_index: BacklogIndex,
     /// Jobs whose first occurrences have not been opened.
     pub(crate) opened: Vec<JobId>,
     /// Occurrences whose waiting steps must be determined again.
@@ -83,6 +88,7 @@
             features: SchedulingFeatures::default(),
             balanced: Moment::default(),
             ranks: RankIndex::default(),
+            moves: MoveState::default(),
             interference: InterferenceModel::default(),
             interference_changed: false,
             best_effort_tried: Moment::default(),
@@ -91,6 +97,7 @@
             unknown_until,
             waiting: WaitingSteps::default(),
             rooms: RoomChanges::default(),
+            backlog_index: BacklogIndex::default(),
             opened: Vec::new(),
             changed: IndexSet::new(),
             steady_timers: TimerQueue::default(),
@@ -119,6 +126,8 @@
                 self.updated.insert(tracked.agent.clone());
             }
         }
+        // Priorities and services may have changed; opening the jobs counts them again.
+        self.backlog_index.clear();
         self.waiting.clear();
         self.day_timers.clear();
         self.opened = self.jobs.keys().cloned().collect();
@@ -127,10 +136,16 @@
     /// Switches optional decisions on or off.
     pub fn set_features(&mut self, features: SchedulingFeatures) {
         let order_switched = self.features.job_order != features.job_order;
+        if features.refusals && !self.features.refusals {
+            self.opened = self.jobs.keys().cloned().collect();
+        }
         self.features = features;
         if order_switched {
             self.reset_ranks();
         }
+        if !features.refusals {
+            self.backlog_index.clear();
+        }
     }
 
     /// Applies a report with the worker's load; see [`Self::report`].
@@ -150,6 +165,10 @@
         }
         self.balanced = now;
         self.update_ranks(now, unix);
+        self.sample_waiting(now);
+        if self.features.moves {
+            self.decide_moves(now, unix);
+        }
     }
 
     /// Writes since the last call, in the order in which they must be stored.
@@ -214,6 +233,7 @@
     fn remove_job(&mut self, id: &JobId) -> Option<JobProgress> {
         let job = self.jobs.swap_remove(id)?;
         self.ranks.remove(id);
+        self.untrack_job(&job);
         if job.state == JobState::Queued {
             self.discount_pending(&job.spec.queue);
         }
@@ -317,7 +337,7 @@
         Self::configured(&self.view, spec)
     }
 
-    fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
+    pub(crate) fn configured(view: &OperatorView, spec: &JobSpec) -> Arc<QueueConfig> {
         let config = view.config.as_ref();
         let config = config.and_then(|config| config.queues.get(&spec.queue)).cloned();
         config.unwrap_or_else(|| {
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -6,22 +6,35 @@
 //! starts after an acknowledged `Done`, and that every job ends.
 
 mod support;
+#[path = "oracle/work.rs"]
+mod work;
 
 use std::collections::BTreeMap;
 
 use cactusdoor_core::unit::Moment;
 use cactusdoor_queue::agent::{AgentState, ListedRun, ReportContent, WorkerCall, WorkerList};
 use cactusdoor_queue::features::SchedulingFeatures;
-use cactusdoor_queue::name::{JobId, TaskName};
+use cactusdoor_queue::name::{JobId, StepName, TaskName};
+use cactusdoor_queue::observation::RunObservation;
 use cactusdoor_queue::record::{TaskKey, TaskRecord};
 use cactusdoor_queue::report::{AgentLease, EndedRun, RunEnd, WorkerInfo};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use cactusdoor_queue::spec::{JobSpec, StepSpec};
 use proptest::prelude::*;
 use support::*;
+use work::check_backlog;
 
 const AGENTS: [&str; 3] = ["a", "b", "c"];
 const TICK: u64 = 100;
+const MOVES: SchedulingFeatures = SchedulingFeatures {
+    headroom_forecast: false,
+    job_order: false,
+    moves: true,
+    refusals: false,
+    learned_state: false,
+    stop_run: 400,
+    restore: 600,
+};
 
 #[derive(Clone, Debug)]
 enum Action {
@@ -35,6 +48,8 @@
     RestartAgent(u8),
     RestartWorker(u8),
     NewOwner,
+    /// A worker lists its best-effort runs as paused from now on, or at full speed.
+    Pause(u8, bool),
 }
 
 fn action() -> impl Strategy<Value = Action> {
@@ -50,6 +65,15 @@
     ]
 }
 
+/// Actions of a fleet whose best-effort runs are paused now and then, and moved.
+fn action_with_pauses() -> impl Strategy<Value = Action> {
+    let pause = (0..3u8, prop::bool::weighted(0.7));
+    prop_oneof![
+        5 => action(),
+        1 => pause.prop_map(|(worker, paused)| Action::Pause(worker, paused)),
+    ]
+}
+
 /// Model of a worker.
 #[derive(Default)]
 struct WorkerModel {
@@ -58,6 +82,7 @@
     last_runs: BTreeMap<TaskName, u32>,
     ended: Vec<EndedRun>,
     last_end: u64,
+    paused: bool,
 }
 
 impl WorkerModel {
@@ -105,20 +130,21 @@
     epoch: u64,
     features: SchedulingFeatures,
     agent_features: SchedulingFeatures,
+    moves: usize,
 }
 
 impl Simulation {
-    /// `ordered`: whether the owners and the agents order best-effort steps.
-    fn open(ordered: (bool, bool)) -> Self {
-        let features = |job_order| SchedulingFeatures { job_order, ..Default::default() };
-        let mut scheduler = scheduler();
-        scheduler.set_features(features(ordered.0));
+    /// `agents_order`: whether the agents order best-effort steps.
+    fn open(features: SchedulingFeatures, agents_order: bool) -> Self {
+        let agent_features = SchedulingFeatures { job_order: agents_order, ..features };
         let agent = || {
             let mut state = AgentState::default();
-            state.set_features(features(ordered.1));
+            state.set_features(agent_features);
             state
         };
         let workers = AGENTS.iter().map(|_| WorkerModel { born: 1, ..WorkerModel::default() });
+        let mut scheduler = scheduler();
+        scheduler.set_features(features);
         Self {
             scheduler,
             agents: AGENTS.iter().map(|_| (agent(), 1, 0)).collect(),
@@ -129,8 +155,9 @@
             acknowledged_done: Vec::new(),
             now: Moment(100_000),
             epoch: 1,
-            features: features(ordered.0),
-            agent_features: features(ordered.1),
+            features,
+            agent_features,
+            moves: 0,
         }
     }
 
@@ -156,6 +183,7 @@
                 *worker = WorkerModel { born: worker.born + 1, ..WorkerModel::default() };
             }
             Action::NewOwner => self.change_owner(),
+            Action::Pause(worker, paused) => self.workers[usize::from(*worker)].paused = *paused,
         }
     }
 
@@ -164,9 +192,14 @@
         if self.jobs.iter().any(|(known, _)| *known == id) {
             return;
         }
-        let best_effort = fills(&id);
-        let first = StepSpec { best_effort, estimate: 700, ..step(u32::from(width), 1_300) };
-        let second = StepSpec { after: vec![0], best_effort, ..step(u32::from(width), 900) };
+        let (best_effort, width) = (fills(&id), u32::from(width));
+        let first = StepSpec { best_effort, estimate: 700, ..step(width, 1_300) };
+        let first = if self.features.moves && !job_number.is_multiple_of(3) {
+            StepSpec { best_effort: true, checkpoints: true, estimate: 20_000, ..first }
+        } else {
+            first
+        };
+        let second = StepSpec { after: vec![0], best_effort, estimate: 400, ..step(width, 900) };
         let spec = job(vec![first, second]);
         self.jobs.push((id.clone(), spec.clone()));
         self.scheduler.submit(&id, spec);
@@ -182,7 +215,15 @@
 
     fn store(&mut self) {
         self.scheduler.balance(self.now, UNIX);
+        let observations = self.scheduler.take_observations();
+        let moved = |seen: &&RunObservation| matches!(seen, RunObservation::Moved { .. });
+        self.moves += observations.iter().filter(moved).count();
         self.scheduler.place(self.now, UNIX);
+        if self.features.refusals {
+            check_backlog(&mut self.scheduler, self.now, UNIX);
+        } else {
+            assert_eq!(self.scheduler.backlog(self.now, UNIX), None);
+        }
         for write in self.scheduler.take_writes() {
             match write.record {
                 Some((key, Some(value))) => drop(self.records.insert(key, value)),
@@ -199,6 +240,8 @@
     fn change_owner(&mut self) {
         self.epoch += 1;
         let mut scheduler = QueueScheduler::open(self.epoch, self.now.after(1_000_000));
+        // The order is switched on after the records are loaded.
+        scheduler.set_features(SchedulingFeatures { job_order: false, ..self.features });
         scheduler.set_view(view());
         let keys = self.records.iter().map(|(key, value)| (TaskKey::parse(key), value));
         let keys: Vec<_> = keys.collect();
@@ -244,7 +287,10 @@
         }
         let (agent_name, incarnation) = (name.into(), *incarnation);
         let content = ReportContent { agent: agent_name, incarnation, full_list: true, wait: 0 };
-        let report = agent.report(content);
+        let mut report = agent.report(content);
+        if self.workers[index].paused {
+            report.runs.iter_mut().flatten().for_each(|listed| listed.speed = 0);
+        }
         assert!(report.epoch <= self.epoch);
         self.scheduler.report(&report, self.now, UNIX);
         self.store();
@@ -268,7 +314,11 @@
         let agent = &mut self.agents[index].0;
         if let Some(update) = ranks {
             assert!(self.features.job_order && !update.ranks.is_empty());
-            assert!(update.ranks.iter().all(|(step, _)| fills(&step.job)));
+            let is_best_effort = |step: &StepName| {
+                let (_, spec) = self.jobs.iter().find(|(id, _)| *id == step.job).unwrap();
+                spec.steps[usize::from(step.step)].best_effort
+            };
+            assert!(update.ranks.iter().all(|(step, _)| is_best_effort(step)));
             assert_eq!(agent.apply_ranks(self.epoch, update), Ok(()));
         }
         agent.throttle(1_000, self.now, UNIX);
@@ -315,8 +365,8 @@
             for (task, run) in &worker.running {
                 let other = seen.insert(task, index);
                 assert_eq!(other, None, "{task} run {run} runs twice");
-                let reserved = if task.step == 0 { 1_300 } else { 900 };
-                cpu += if fills(&task.job) { 0 } else { reserved };
+                let (_, spec) = self.jobs.iter().find(|(id, _)| *id == task.job).unwrap();
+                cpu += spec.steps[usize::from(task.step)].reserved().cpu;
             }
             assert!(cpu <= 4_000, "{} is overcommitted", AGENTS[index]);
         }
@@ -347,12 +397,49 @@
     #[test]
     fn no_task_runs_twice_and_every_job_ends(
         ordered in any::<(bool, bool)>(),
+        refusals in any::<bool>(),
         actions in prop::collection::vec(action(), 1..120)
     ) {
-        let mut simulation = Simulation::open(ordered);
+        let features =
+            SchedulingFeatures { job_order: ordered.0, refusals, ..SchedulingFeatures::default() };
+        let mut simulation = Simulation::open(features, ordered.1);
         for action in &actions {
             simulation.apply(action);
         }
         simulation.finish_jobs();
     }
+
+    /// Guards against the same faults while runs are moved.
+    #[test]
+    fn no_task_runs_twice_and_every_job_ends_while_runs_are_moved(
+        ordered in any::<(bool, bool)>(),
+        refusals in any::<bool>(),
+        actions in prop::collection::vec(action_with_pauses(), 1..120)
+    ) {
+        let features = SchedulingFeatures { job_order: ordered.0, refusals, ..MOVES };
+        let mut simulation = Simulation::open(features, ordered.1);
+        for action in &actions {
+            simulation.apply(action);
+        }
+        simulation.finish_jobs();
+    }
+}
+
+/// Guards against a test of moves in which none happens.
+#[test]
+fn paused_runs_of_the_model_are_moved() {
+    let mut simulation = Simulation::open(MOVES, false);
+    for agent in 0..3 {
+        simulation.apply(&Action::Exchange(agent, false));
+    }
+    simulation.apply(&Action::Submit(1, 3));
+    for _ in 0..8 {
+        (0..3).for_each(|agent| simulation.apply(&Action::Exchange(agent, false)));
+    }
+    simulation.apply(&Action::Pause(0, true));
+    for _ in 0..10 {
+        (0..3).for_each(|agent| simulation.apply(&Action::Exchange(agent, false)));
+    }
+    assert!(simulation.moves > 0);
+    simulation.finish_jobs();
 }
