Test the limit of forecasts for moves and the order of preemption

Each test has a case with the switch on and one with it off, which expect different runs to be stopped.

--- a/crates/queue/tests/moves.rs
+++ b/crates/queue/tests/moves.rs
@@ -11,7 +11,7 @@
 use cactusdoor_queue::moves::decision::{MoveCandidate, MoveFigures};
 use cactusdoor_queue::name::TaskName;
 use cactusdoor_queue::report::{AgentOrder, JobState, RunEnd};
-use cactusdoor_queue::spec::{JobSpec, StepSpec};
+use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
 use fleet::*;
 use support::*;
 
@@ -118,6 +118,23 @@
     }
 }
 
+/// Guards against a move to a worker that the placement would refuse: of 4,000 thousandths, 3,600
+/// are within the limit without forecasts, and beyond the one of forecasts.
+#[test]
+fn the_limit_of_forecasts_applies_to_targets() {
+    for (headroom_forecast, moved) in [(false, vec![only()]), (true, vec![])] {
+        let mut fleet = Fleet::running(job_in("q", vec![filler(1)]), &["b"]);
+        fleet.scheduler.set_features(SchedulingFeatures { headroom_forecast, ..FEATURES() });
+        let need = TaskNeed { cpu: 2_700, ..filler(1).need };
+        fleet.submit("k", job_in("q", vec![StepSpec { need, ..filler(1) }]));
+        fleet.pass(100);
+        assert_eq!(fleet.place_of(&task("k", 0, 0)), Some(("b".to_owned(), 1)));
+        fleet.list([only()], PAUSED);
+        fleet.pass_lists(3);
+        assert_eq!(fleet.stopping(), moved, "{headroom_forecast}");
+    }
+}
+
 /// Guards against a task that is stopped by an owner that does not know its state.
 #[test]
 fn a_run_of_a_silent_agent_is_not_moved() {
--- a/crates/queue/tests/preemption.rs
+++ b/crates/queue/tests/preemption.rs
@@ -111,6 +111,24 @@
     assert_eq!(fleet.stopping(), vec![task("j1", 0, 0)]);
 }
 
+/// Guards against the stop of a run that precedes another one in the order of best-effort jobs:
+/// the job with more work left comes last, although it was accepted first.
+#[test]
+fn the_run_that_ranks_last_is_preempted_first() {
+    let long = StepSpec { estimate: 22_000, ..large_filler(1, 4_000) };
+    for (job_order, victim) in [(false, "j1"), (true, "j0")] {
+        let mut fleet = Fleet::open();
+        fleet.scheduler.set_features(SchedulingFeatures { job_order, ..FEATURES() });
+        for (id, step) in [("j0", long.clone()), ("j1", large_filler(1, 4_000))] {
+            fleet.submit(id, job_in("low", vec![step]));
+            fleet.pass(100);
+        }
+        fleet.submit("h", job_in("high", vec![large(4_000)]));
+        fleet.pass_lists(3);
+        assert_eq!(fleet.stopping(), vec![task(victim, 0, 0)], "{job_order}");
+    }
+}
+
 /// Guards against stops on several workers for the same step.
 #[test]
 fn runs_on_one_worker_at_a_time_are_preempted_for_a_step() {
