Generate the loads of the oracle from integers

The oracle failed once before its first action, with an assertion in proptest's generator of floats in a range (1.12.0, float_samplers.rs:499); no code of this repository was running. The same ranges are now generated in thousandths. All comparisons are unchanged.

--- a/crates/queue/tests/oracle.rs
+++ b/crates/queue/tests/oracle.rs
@@ -113,6 +113,12 @@
     )
 }
 
+/// Fractions from integers: the generator of floats in a range fails now and then with an assertion
+/// of its own (proptest 1.12.0, `float_samplers.rs`).
+fn thousandths(range: std::ops::Range<u16>) -> impl Strategy<Value = f32> {
+    range.prop_map(|number| f32::from(number) / 1_000.0)
+}
+
 fn action() -> impl Strategy<Value = Action> {
     let agent = || 0..AGENTS;
     let any_index = || any::<prop::sample::Index>();
@@ -138,8 +144,8 @@
         4 => agent().prop_map(|agent| Action::Pause { agent }),
         1 => agent().prop_map(|agent| Action::Restart { agent }),
         1 => agent().prop_map(|agent| Action::Leave { agent }),
-        1 => (agent(), 0.5f32..4.0).prop_map(|(agent, now)| Action::Sample { agent, now }),
-        2 => (agent(), 0.2f32..6.0, 0.0f32..2.0, 0u64..7_000)
+        1 => (agent(), thousandths(500..4_000)).prop_map(|(agent, now)| Action::Sample { agent, now }),
+        2 => (agent(), thousandths(200..6_000), thousandths(0..2_000), 0u64..7_000)
             .prop_map(|(agent, baseline, fall, age)| Action::Load { agent, baseline, fall, age }),
         1 => (any::<bool>(), 0u32..4, any::<bool>()).prop_map(|(taken_out, attempts, swapped)| {
             Action::Configure { taken_out, attempts, swapped }
