Compute the oldest ranks first if more are due than one call computes

A call computes at most 500 ranks. It took the first entries of a set whose removals move the last entries to the front, so while more than 500 ranks changed between two calls, the entries in the middle were never reached: in the test, 900 of 2,400 occurrences kept a rank from before the capacity was known, for 40 calls. A removal that keeps the order was ruled out, as it moves the whole set. The due ranks are now selected by the time of their last computation. The test fails without the change (900 instead of 0) and passes with it.

--- a/crates/queue/src/rank/index.rs
+++ b/crates/queue/src/rank/index.rs
@@ -156,13 +156,21 @@
         }
     }
 
-    /// Occurrences whose rank is due to be computed again, the longest known first.
+    /// Occurrences whose rank is due to be computed again, at most `MAX_REFRESHED`: those that were
+    /// computed first. The set is not in this order, since removals move its last entries.
     pub(super) fn due(&self, now: Moment) -> Vec<(JobId, u32)> {
-        let is_due = |(job, occurrence): &&(JobId, u32)| {
-            let known = self.jobs.get(job).and_then(|occurrences| occurrences.get(occurrence));
-            known.is_none_or(|known| now >= known.refreshed.after(REFRESH_INTERVAL))
+        let refreshed = |(job, occurrence): &(JobId, u32)| {
+            let known = self.jobs.get(job).and_then(|known| known.get(occurrence));
+            known.map_or(Moment::default(), |known| known.refreshed)
         };
-        self.changed.iter().filter(is_due).take(MAX_REFRESHED).cloned().collect()
+        let aged = self.changed.iter().map(|changed| (refreshed(changed), changed));
+        let mut due: Vec<_> =
+            aged.filter(|(refreshed, _)| now >= refreshed.after(REFRESH_INTERVAL)).collect();
+        if due.len() > MAX_REFRESHED {
+            due.select_nth_unstable(MAX_REFRESHED);
+            due.truncate(MAX_REFRESHED);
+        }
+        due.into_iter().map(|(_, changed)| changed.clone()).collect()
     }
 
     pub(super) fn counts(&self) -> RankCounts {
--- a/crates/queue/tests/rank.rs
+++ b/crates/queue/tests/rank.rs
@@ -410,3 +410,40 @@
     let none = RankCounts::default();
     assert_eq!(scheduler.take_rank_counts(Moment(NOW.0 + 15_000)), Some(none));
 }
+
+/// Guards against ranks that stay old because others have changed after them: more change in a call
+/// than one call computes.
+#[test]
+fn under_lasting_progress_the_oldest_ranks_are_computed_first() {
+    const JOBS: u64 = 2_400;
+    let mut scheduler = owner(ORDERED, JOBS);
+    for number in 0..JOBS {
+        scheduler.submit(&format!("j{number}").as_str().into(), job(vec![filling(1)]));
+    }
+    while scheduler.place(NOW, UNIX) {}
+    store(&mut scheduler);
+    assert_eq!(scheduler.workers["a"].runs.len(), 2_400);
+    let before: Vec<_> = (0..JOBS).map(|number| rank_of(&scheduler, number)).collect();
+    // The capacity is measured first, which has all ranks computed.
+    for call in 1..=40 {
+        let now = Moment(NOW.0 + call * 100);
+        let percent = u8::try_from(call).unwrap();
+        let mut message = report("a", 1 + call, scheduler.workers["a"].worker.clone());
+        let listed = scheduler.workers["a"].runs.values().map(|run| ReportedRun {
+            task: run.start.task.clone(),
+            run: run.start.run,
+            checkpoint: "".into(),
+            percent: Some(percent),
+            speed: 100,
+        });
+        message.runs = Some(listed.collect());
+        scheduler.report(&message, now, UNIX);
+        scheduler.balance(now, UNIX);
+    }
+    let old = (0..JOBS).filter(|number| rank_of(&scheduler, *number) == before[*number as usize]);
+    assert_eq!(old.count(), 0, "ranks of 40 calls ago");
+}
+
+fn rank_of(scheduler: &QueueScheduler, number: u64) -> StepRank {
+    scheduler.step_rank(&step_name(&format!("j{number}"), 0)).unwrap()
+}
