Let a new owner wait for its workers before it uses their capacity

After an election, the first measurement of a service's processors came with the first reports. With one of 35 workers, the delay for remaining work was 35 times too long until the next measurement a second later, and agents got ranks by size instead of age. To measure later in any case was ruled out: a fleet without runs knows its capacity from its reports. The first capacity is now used once all but a sixteenth of the known workers have reported of those with runs, or their leases have ended; until then, ranks do not depend on size.

--- a/crates/queue/src/rank/order.rs
+++ b/crates/queue/src/rank/order.rs
@@ -155,7 +155,7 @@
     /// Measures the processors of each service's workers that report. If none report, the last
     /// capacity stays in use.
     fn measure_capacities(&mut self, now: Moment) {
-        if now < self.ranks.measured.after(CAPACITY_INTERVAL) {
+        if now < self.ranks.measured.after(CAPACITY_INTERVAL) || self.awaits_workers(now) {
             return;
         }
         self.ranks.measured = now;
@@ -180,6 +180,20 @@
         }
     }
 
+    /// Whether a new owner has had no report of many workers with runs: the processors of the others
+    /// would give a delay for remaining work that is far too long. A lost worker does not report,
+    /// so this ends with the leases of the workers.
+    fn awaits_workers(&self, now: Moment) -> bool {
+        if !self.ranks.capacities.is_empty() || now > self.unknown_until {
+            return false;
+        }
+        let unknown = self
+            .workers
+            .values()
+            .filter(|tracked| tracked.worker.is_none() && !tracked.runs.is_empty());
+        unknown.count() as u64 * CAPACITY_CHANGE > self.workers.len() as u64
+    }
+
     /// Numbers of steps by class, if they have changed; at most once in `PUBLISH_INTERVAL`.
     pub fn take_rank_counts(&mut self, now: Moment) -> Option<RankCounts> {
         let (published, at) = self.ranks.published;
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -54,7 +54,7 @@
     writes: Vec<PendingWrite>,
     pub(crate) observations: Vec<RunObservation>,
     /// Runs of agents that have not reported to this owner may continue until this time.
-    unknown_until: Moment,
+    pub(crate) unknown_until: Moment,
     pub(crate) waiting: WaitingSteps,
     pub(crate) rooms: RoomChanges,
     /// Jobs whose first occurrences have not been opened.
--- a/crates/queue/tests/rank.rs
+++ b/crates/queue/tests/rank.rs
@@ -8,7 +8,7 @@
 use cactusdoor_queue::rank::{
     MAX_SIZE_DELAY, RankClass, RankCounts, RankInput, SIZE_WEIGHT, StepRank,
 };
-use cactusdoor_queue::record::{TaskKey, TaskRecord};
+use cactusdoor_queue::record::{PlacedAt, TaskKey, TaskRecord};
 use cactusdoor_queue::report::ReportedRun;
 use cactusdoor_queue::scheduler::QueueScheduler;
 use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
@@ -447,3 +447,37 @@
 fn rank_of(scheduler: &QueueScheduler, number: u64) -> StepRank {
     scheduler.step_rank(&step_name(&format!("j{number}"), 0)).unwrap()
 }
+
+/// Guards against ranks by the first report's processors after an election: the delays for
+/// remaining work were many times too long until the other workers had reported.
+#[test]
+fn a_new_owner_waits_for_the_workers_with_runs() {
+    const UNKNOWN_UNTIL: Moment = Moment(NOW.0 + 5_000);
+    let open = || {
+        let mut scheduler = QueueScheduler::open(2, UNKNOWN_UNTIL);
+        scheduler.set_view(view());
+        scheduler.submit(&"x".into(), job(vec![filling(2)]));
+        for (index, name) in ["a", "b"].into_iter().enumerate() {
+            let placed = PlacedAt { agent: agent(name), incarnation: worker(name, 1).incarnation };
+            let record = TaskRecord { run: 1, placed: Some(placed), ..TaskRecord::default() };
+            let index = u32::try_from(index).unwrap();
+            scheduler.restore_task(&step_name("x", 0).task(index), &record, NOW);
+        }
+        scheduler.finish_loading(UNIX);
+        scheduler.set_features(ORDERED);
+        scheduler.report(&report("a", 1, Some(worker("a", 1))), NOW, UNIX);
+        pass(&mut scheduler, NOW, UNIX);
+        assert_eq!(scheduler.ranked_capacity(&"minutes".into()), 0, "half of the workers");
+        scheduler
+    };
+    let mut scheduler = open();
+    scheduler.report(&report("b", 1, Some(worker("b", 1))), NOW, UNIX);
+    pass(&mut scheduler, Moment(NOW.0 + 100), UNIX);
+    assert_eq!(scheduler.ranked_capacity(&"minutes".into()), 8_000);
+    // The other worker is lost.
+    let mut scheduler = open();
+    let later = Moment(UNKNOWN_UNTIL.0 + 1);
+    scheduler.report(&report("a", 2, Some(worker("a", 1))), later, UNIX);
+    pass(&mut scheduler, later, UNIX);
+    assert_eq!(scheduler.ranked_capacity(&"minutes".into()), 4_000);
+}
