Look up a serving image once for a forecast, and keep the mean for unknown pairs

A forecast looked up the serving image again for each best-effort image on a worker, hashed names with the standard hasher, and computed the mean over all pairs at each lookup of an unknown pair. The estimates of a serving image are now found once, names are hashed by foldhash, which other dependencies use already, and the mean is kept until one of its coefficients changes. It is computed as before, not updated, so that its value stays the same to the last bit. A cache of each worker's sums was ruled out: estimates change with almost every report. The test guards against a mean that is not renewed; it checks new state and also passes on the old code in principle, where it was not run.

--- a/crates/queue/src/forecast.rs
+++ b/crates/queue/src/forecast.rs
@@ -129,10 +129,12 @@
 /// displace others overloaded the workers, and fewer jobs were in time.
 fn throttled(tracked: &TrackedWorker, context: &ChoiceContext<'_>, serving: Option<&Label>) -> f64 {
     let image = context.step.image.as_ref();
-    let loss = |image, cpu| context.interference.coefficient(serving, image) * tracked.share(cpu);
+    let estimates = context.interference.serving_image(serving);
+    let loss = |image, cpu| estimates.coefficient(image) * tracked.share(cpu);
     let used = tracked.runs.best_effort_images();
     let others: f64 = used.map(|(other, used)| loss(other, used)).sum();
-    (loss(image, context.step.need.cpu) + others) / spare_headroom(tracked, context, serving)
+    (loss(image, context.step.need.cpu) + others)
+        / spare_headroom(tracked, context, serving, estimates.baseline())
 }
 
 /// Baseline headroom beyond the target: as reported, and the learned average as far as the
@@ -141,8 +143,8 @@
     tracked: &TrackedWorker,
     context: &ChoiceContext<'_>,
     serving: Option<&Label>,
+    learned: f64,
 ) -> f64 {
-    let learned = context.interference.baseline(serving);
     let reported = tracked.load.as_ref().zip(serving).and_then(|(load, image)| {
         Some((load.baseline(image, context.now)?, load.weight(context.now)))
     });
--- a/crates/queue/src/interference.rs
+++ b/crates/queue/src/interference.rs
@@ -10,6 +10,8 @@
 //! changes between two polls, since the load hardly changes in that time. The model decides
 //! nothing; placement and throttling use it.
 
+use std::sync::OnceLock;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -67,31 +69,72 @@
     pub coefficients: Vec<(Label, f32)>,
 }
 
+/// Values by image. A forecast looks up each image on a worker; the standard hasher takes most of
+/// that time.
+type ImageMap<V> = IndexMap<Label, V, foldhash::fast::RandomState>;
+
 #[derive(Clone, Debug, PartialEq)]
 struct ImageEstimates {
     baseline: f64,
-    coefficients: IndexMap<Label, f64>,
+    coefficients: ImageMap<f64>,
 }
 
 impl Default for ImageEstimates {
     fn default() -> Self {
-        Self { baseline: DEFAULT_BASELINE, coefficients: IndexMap::new() }
+        Self { baseline: DEFAULT_BASELINE, coefficients: ImageMap::default() }
     }
 }
 
 /// Learned estimates for all serving images.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default)]
 pub struct InterferenceModel {
-    serving: IndexMap<Label, ImageEstimates>,
+    serving: ImageMap<ImageEstimates>,
+    /// Coefficient of a pair that was not seen together, by best-effort image; computed at the
+    /// first use after a change of the image's coefficients.
+    expected: ImageMap<OnceLock<f64>>,
+}
+
+/// Compares what was learned, not which means have been used.
+impl PartialEq for InterferenceModel {
+    fn eq(&self, other: &Self) -> bool {
+        self.serving == other.serving
+    }
+}
+
+/// Estimates for one serving image.
+#[derive(Clone, Copy, Debug)]
+pub struct ServingEstimates<'a> {
+    model: &'a InterferenceModel,
+    known: Option<&'a ImageEstimates>,
+}
+
+impl ServingEstimates<'_> {
+    /// Loss of headroom if a best-effort image uses a whole worker.
+    #[must_use]
+    pub fn coefficient(&self, best_effort: Option<&Label>) -> f64 {
+        let coefficient = self.known.and_then(|known| known.coefficients.get(best_effort?));
+        coefficient.copied().unwrap_or_else(|| self.model.expected_coefficient(best_effort))
+    }
+
+    /// Learned average of the baseline headroom.
+    #[must_use]
+    pub fn baseline(&self) -> f64 {
+        self.known.map_or(DEFAULT_BASELINE, |known| known.baseline)
+    }
 }
 
 impl InterferenceModel {
     /// Loss of headroom of a serving image if a best-effort image uses a whole worker.
     #[must_use]
     pub fn coefficient(&self, serving: Option<&Label>, best_effort: Option<&Label>) -> f64 {
+        self.serving_image(serving).coefficient(best_effort)
+    }
+
+    /// Estimates for a serving image, to look up several of them.
+    #[must_use]
+    pub fn serving_image(&self, serving: Option<&Label>) -> ServingEstimates<'_> {
         let known = serving.and_then(|image| self.serving.get(image));
-        let coefficient = known.and_then(|known| known.coefficients.get(best_effort?)).copied();
-        coefficient.unwrap_or_else(|| self.expected_coefficient(best_effort))
+        ServingEstimates { model: self, known }
     }
 
     /// Baseline headroom of a serving image beyond `target`.
@@ -103,14 +146,20 @@
     /// Learned average of the baseline headroom of a serving image.
     #[must_use]
     pub fn baseline(&self, serving: Option<&Label>) -> f64 {
-        let known = serving.and_then(|image| self.serving.get(image));
-        known.map_or(DEFAULT_BASELINE, |known| known.baseline)
+        self.serving_image(serving).baseline()
     }
 
     /// Coefficient of a pair that was not seen together: the geometric mean of the default and
     /// of the pairs that were, with the same best-effort image.
     fn expected_coefficient(&self, best_effort: Option<&Label>) -> f64 {
         let Some(image) = best_effort else { return DEFAULT_COEFFICIENT };
+        match self.expected.get(image) {
+            Some(expected) => *expected.get_or_init(|| self.mean_coefficient(image)),
+            None => self.mean_coefficient(image),
+        }
+    }
+
+    fn mean_coefficient(&self, image: &Label) -> f64 {
         let known = self.serving.values().filter_map(|known| known.coefficients.get(image));
         let (mut sum, mut count) = (DEFAULT_COEFFICIENT.ln(), 1.0);
         for coefficient in known {
@@ -153,6 +202,7 @@
         for (share, coefficient) in &corrected {
             if share.change != 0.0 {
                 known.coefficients.insert(share.image.clone(), *coefficient);
+                self.expected.insert(share.image.clone(), OnceLock::new());
             }
         }
         if now >= OVERLOADED_HEADROOM {
@@ -188,6 +238,8 @@
             )
         });
         self.serving = serving.collect();
+        let images = self.serving.values().flat_map(|known| known.coefficients.keys());
+        self.expected = images.map(|image| (image.clone(), OnceLock::new())).collect();
     }
 }
 
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -384,7 +384,8 @@
     #[must_use]
     pub fn slowdown(&self, model: &InterferenceModel, image: Option<&Label>, cpu: u64) -> f64 {
         let slowed = self.runs.serving_images().map(|serving| {
-            let loss = |image, cpu| model.coefficient(serving, image) * self.share(cpu);
+            let estimates = model.serving_image(serving);
+            let loss = |image, cpu| estimates.coefficient(image) * self.share(cpu);
             // One sum an image: the new task adds to the tasks of its own.
             let mut own = cpu;
             let mut others = 0.0;
--- a/crates/queue/tests/learned.rs
+++ b/crates/queue/tests/learned.rs
@@ -1,8 +1,11 @@
 //! The stored record of what an owner has learned.
 
 use assert_matches::assert_matches;
-use cactusdoor_queue::interference::{InterferenceModel, InterferenceSample, ShareChange};
+use cactusdoor_queue::interference::{
+    InterferenceEstimates, InterferenceModel, InterferenceSample, ShareChange,
+};
 use cactusdoor_queue::learned::{LearnedError, LearnedRecord};
+use cactusdoor_queue::name::Label;
 use serde_json::{Value, json};
 
 const UNIX: u64 = 1_700_000_000_000;
@@ -74,3 +77,42 @@
         );
     }
 }
+
+/// Guards against a mean for unknown pairs that stays as it was before a pair was learned, or before
+/// the estimates were replaced.
+#[test]
+fn the_coefficient_of_unknown_pairs_follows_what_is_learned() {
+    let image = |name: &str| -> Label { name.into() };
+    let (unknown, fills) = (image("unknown"), image("fills"));
+    let mut model = InterferenceModel::default();
+    let coefficient = |model: &InterferenceModel| model.coefficient(Some(&unknown), Some(&fills));
+    let initial = coefficient(&model);
+    let mean = |known: &[f64]| {
+        let sum: f64 = known.iter().map(|value| value.ln()).sum();
+        ((sum + initial.ln()) / (known.len() + 1) as f64).exp()
+    };
+    let estimates = |value: f32| InterferenceEstimates {
+        image: image("s0"),
+        baseline: 4.0,
+        coefficients: vec![(image("fills"), value)],
+    };
+    for value in [24.0, 54.0] {
+        model.set_estimates(vec![estimates(value)]);
+        assert!((coefficient(&model) - mean(&[f64::from(value)])).abs() < 1e-9);
+    }
+    for serving in ["s0", "s1", "s2"] {
+        let before = coefficient(&model);
+        model.learn(&InterferenceSample {
+            serving: image(serving),
+            before: 6.0,
+            now: 1.0,
+            shares: vec![ShareChange { image: image("fills"), before: 0.0, now: 0.1 }],
+        });
+        assert_ne!(coefficient(&model), before, "{serving}");
+        let known = model.estimates().into_iter().map(|known| f64::from(known.coefficients[0].1));
+        let known: Vec<_> = known.collect();
+        assert!((coefficient(&model) - mean(&known)).abs() < 1e-3, "{serving}");
+    }
+    model.set_estimates(Vec::new());
+    assert_eq!(coefficient(&model).to_bits(), initial.to_bits());
+}
