Check sums before names when workers are ranked

A ranking looks at every worker, and most workers of a full fleet have no room. Their service names were compared first, whose text is elsewhere in memory. All checks must hold, so their order changes no result.

--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -46,7 +46,7 @@
 /// Cost of a task on a worker, lower is better; `None` if it must not run there.
 #[must_use]
 pub fn cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
-    if !accepts(tracked, context) || !fits(tracked, context) {
+    if !fits(tracked, context) || !accepts(tracked, context) {
         return None;
     }
     let step = context.step;
@@ -66,10 +66,11 @@
     if !is_forecast || tracked.runs.serving() == 0 {
         return Some((cost(tracked, context)?, true));
     }
-    if !accepts(tracked, context) || !fits(tracked, context) {
+    // Most workers are full, which the sums of their runs tell without a look at their names.
+    let bound = forecast_cost(tracked, context, SlowdownForecast::unthrottled(tracked, context))?;
+    if !fits(tracked, context) || !accepts(tracked, context) {
         return None;
     }
-    let bound = forecast_cost(tracked, context, SlowdownForecast::unthrottled(tracked, context))?;
     Some((bound.saturating_add(remote_penalty(tracked, context.step)), false))
 }
 
@@ -82,19 +83,19 @@
 #[must_use]
 pub fn accepts(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
     let Some(worker) = &tracked.worker else { return false };
-    worker.service == *context.service
-        && worker.leaves_in.is_none()
-        && !context.taken_out.contains(&worker.data_centre)
+    // Names come last, since their text is elsewhere in memory.
+    worker.leaves_in.is_none()
         && context.now <= tracked.reported_at.after(REPORT_TIMEOUT)
         && !tracked.health.is_quarantined(context.now)
+        && worker.service == *context.service
+        && !context.taken_out.contains(&worker.data_centre)
 }
 
 fn fits(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
     let step = context.step;
-    let labels = [step.label.as_ref(), context.within];
-    let labelled = labels.into_iter().flatten().all(|label| tracked.has_label(label));
-    labelled
-        && step.reserved().fits(&tracked.free())
+    let mut labels = [step.label.as_ref(), context.within].into_iter().flatten();
+    step.reserved().fits(&tracked.free())
+        && labels.all(|label| tracked.has_label(label))
         && (step.per_worker == 0 || tracked.runs.of_step(context.name) < step.per_worker)
 }
 
