--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -57,7 +57,7 @@
     writes: Vec<PendingWrite>,
     pub(crate) observations: Vec<RunObservation>,
     /// Runs of agents that have not reported to this owner may continue until this time.
-    unknown_until: Moment,
+    pub(crate) unknown_until: Moment,
     pub(crate) waiting: WaitingSteps,
     pub(crate) rooms: RoomChanges,
     /// Sums of the remaining work; kept only if refusals are switched on.
