Explain where a job would be placed

Operators could see why a submitted job waits only from the decisions in the logs, and for a job that is not submitted there was nothing.

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agent_reports;
 pub mod backlog;
 pub mod config;
+pub mod explain;
 pub mod features;
 pub mod forecast;
 mod former_runs;
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -6,11 +6,13 @@
 use std::collections::BTreeSet;
 
 use cactusdoor_core::unit::Moment;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::forecast::SlowdownForecast;
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
-use crate::spec::StepSpec;
+use crate::spec::{Shortage, StepSpec, TaskNeed};
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
 /// Largest slowdown of best-effort tasks, in thousandths; beyond it a task waits.
@@ -43,19 +45,58 @@
     pub now: Moment,
 }
 
+/// Why a task must not run on a worker.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Error, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum UnfitReason {
+    #[error("no worker beside the agent")]
+    NoWorker,
+    #[error("other service")]
+    OtherService,
+    #[error("leaving")]
+    Leaving,
+    #[error("data centre taken out")]
+    TakenOut,
+    #[error("silent")]
+    Silent,
+    #[error("quarantined")]
+    Quarantined,
+    #[error("label missing")]
+    LabelMissing,
+    #[error("not enough processors")]
+    Processors,
+    #[error("not enough memory")]
+    Memory,
+    #[error("not enough accelerators")]
+    Accelerators,
+    #[error("limit of tasks for each worker")]
+    WorkerLimit,
+    #[error("slowdown over the limit")]
+    Slowdown,
+}
+
 /// Cost of a task on a worker, lower is better; `None` if it must not run there.
 #[must_use]
 pub fn cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
-    if !accepts(tracked, context) || !fits(tracked, context) {
-        return None;
-    }
+    check_cost(tracked, context).ok()
+}
+
+/// Cost of a task on a worker, or why it must not run there.
+pub fn check_cost(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+) -> Result<u64, UnfitReason> {
+    check_available(tracked, context)?;
+    check_room(tracked, context)?;
     let step = context.step;
     let load = if step.best_effort {
-        best_effort_cost(tracked, context)?
+        best_effort_cost(tracked, context).ok_or(UnfitReason::Slowdown)?
     } else {
         reserve_cost(tracked, step)
     };
-    Some(load.saturating_add(remote_penalty(tracked, step)))
+    Ok(load.saturating_add(remote_penalty(tracked, step)))
 }
 
 /// A lower bound of the cost, and whether it is the cost. The forecast for a worker with serving
@@ -81,21 +122,65 @@
 /// Whether the worker is available for new tasks of the service.
 #[must_use]
 pub fn accepts(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
-    let Some(worker) = &tracked.worker else { return false };
-    worker.service == *context.service
-        && worker.leaves_in.is_none()
-        && !context.taken_out.contains(&worker.data_centre)
-        && context.now <= tracked.reported_at.after(REPORT_TIMEOUT)
-        && !tracked.health.is_quarantined(context.now)
+    check_available(tracked, context).is_ok()
+}
+
+fn check_available(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+) -> Result<(), UnfitReason> {
+    let worker = tracked.worker.as_ref().ok_or(UnfitReason::NoWorker)?;
+    if worker.service != *context.service {
+        Err(UnfitReason::OtherService)
+    } else if worker.leaves_in.is_some() {
+        Err(UnfitReason::Leaving)
+    } else if context.taken_out.contains(&worker.data_centre) {
+        Err(UnfitReason::TakenOut)
+    } else if context.now > tracked.reported_at.after(REPORT_TIMEOUT) {
+        Err(UnfitReason::Silent)
+    } else if tracked.health.is_quarantined(context.now) {
+        Err(UnfitReason::Quarantined)
+    } else {
+        Ok(())
+    }
 }
 
 fn fits(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
+    check_room(tracked, context).is_ok()
+}
+
+fn check_room(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Result<(), UnfitReason> {
     let step = context.step;
-    let labels = [step.label.as_ref(), context.within];
-    let labelled = labels.into_iter().flatten().all(|label| tracked.has_label(label));
-    labelled
-        && step.reserved().fits(&tracked.free())
-        && (step.per_worker == 0 || tracked.runs.of_step(context.name) < step.per_worker)
+    check_need(tracked, context, &tracked.free())?;
+    if step.per_worker > 0 && tracked.runs.of_step(context.name) >= step.per_worker {
+        return Err(UnfitReason::WorkerLimit);
+    }
+    Ok(())
+}
+
+/// Checks the labels, and the reserved resources against `free`.
+fn check_need(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+    free: &TaskNeed,
+) -> Result<(), UnfitReason> {
+    let labels = [context.step.label.as_ref(), context.within];
+    if !labels.into_iter().flatten().all(|label| tracked.has_label(label)) {
+        return Err(UnfitReason::LabelMissing);
+    }
+    match context.step.reserved().shortage(free) {
+        Some(Shortage::Processors) => Err(UnfitReason::Processors),
+        Some(Shortage::Memory) => Err(UnfitReason::Memory),
+        Some(Shortage::Accelerators) => Err(UnfitReason::Accelerators),
+        None => Ok(()),
+    }
+}
+
+/// Whether the worker could run the task if it had no other runs and were available.
+#[must_use]
+pub fn fits_empty(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
+    let worker = tracked.worker.as_ref().filter(|worker| worker.service == *context.service);
+    worker.is_some_and(|worker| check_need(tracked, context, &worker.capacity).is_ok())
 }
 
 /// Reserved share of the capacity after the placement, in thousandths; for serving
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -328,10 +328,22 @@
         step: &'a StepSpec,
         config: &'a QueueConfig,
         now: Moment,
+    ) -> ChoiceContext<'a> {
+        let may_wait = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
+        self.choice_for(name, step, config, may_wait, now)
+    }
+
+    /// The inputs of a choice for a step whose job need not be known.
+    pub(crate) fn choice_for<'a>(
+        &'a self,
+        name: &'a StepName,
+        step: &'a StepSpec,
+        config: &'a QueueConfig,
+        may_wait: bool,
+        now: Moment,
     ) -> ChoiceContext<'a> {
         let taken_out = &self.view.taken_out;
         let (service, interference) = (&config.service, &self.interference);
-        let may_wait = self.jobs.get(&name.job).is_none_or(|job| job.may_wait(now));
         let forecasts = self.features.headroom_forecast;
         ChoiceContext {
             name,
@@ -405,7 +417,7 @@
 
     /// Unix time from which an occurrence can no longer meet its deadline; `None` for an
     /// endless job.
-    fn late_at(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Option<Millis> {
+    pub(crate) fn late_at(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Option<Millis> {
         let latest = Self::deadline(view, job, occurrence);
         let latest = latest.saturating_sub(job.remaining_path(occurrence));
         (!job.spec.is_endless()).then(|| latest.saturating_add(1))
--- a/crates/queue/src/rank.rs
+++ b/crates/queue/src/rank.rs
@@ -9,6 +9,7 @@
 mod updates;
 
 use cactusdoor_core::unit::Millis;
+use serde::{Deserialize, Serialize};
 
 pub use self::index::RankCounts;
 pub(crate) use self::index::RankIndex;
@@ -38,7 +39,8 @@
 }
 
 /// What a job can still achieve.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum RankClass {
     /// It can be in time.
     Feasible,
--- a/crates/queue/src/rank/order.rs
+++ b/crates/queue/src/rank/order.rs
@@ -111,7 +111,7 @@
         self.ranks.set_timer(id, occurrence, at);
     }
 
-    fn rank_input(&self, job: &JobProgress, occurrence: u32, unix: Millis) -> RankInput {
+    pub(crate) fn rank_input(&self, job: &JobProgress, occurrence: u32, unix: Millis) -> RankInput {
         let config = self.queue_config(&job.spec);
         let deadline = Self::deadline(&self.view, job, occurrence);
         let accepted = job.spec.accepted;
--- a/crates/queue/src/spec.rs
+++ b/crates/queue/src/spec.rs
@@ -31,6 +31,14 @@
     TooLong,
 }
 
+/// Resource of which a worker has too little.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    Processors,
+    Memory,
+    Accelerators,
+}
+
 /// Resources of a task or a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TaskNeed {
@@ -47,7 +55,21 @@
 
     #[must_use]
     pub fn fits(&self, free: &Self) -> bool {
-        self.cpu <= free.cpu && self.memory <= free.memory && self.accelerators <= free.accelerators
+        self.shortage(free).is_none()
+    }
+
+    /// The first resource of which `free` has too little.
+    #[must_use]
+    pub fn shortage(&self, free: &Self) -> Option<Shortage> {
+        if self.cpu > free.cpu {
+            Some(Shortage::Processors)
+        } else if self.memory > free.memory {
+            Some(Shortage::Memory)
+        } else if self.accelerators > free.accelerators {
+            Some(Shortage::Accelerators)
+        } else {
+            None
+        }
     }
 
     #[must_use]
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -133,6 +133,13 @@
         self.entries.is_empty()
     }
 
+    /// Number of steps that come before a turn of a priority.
+    #[must_use]
+    pub fn count_before(&self, priority: u32, turn: StepTurn) -> usize {
+        let orders = self.entries.values().map(|(_, order)| order);
+        orders.filter(|order| (order.priority, order.turn) < (priority, turn)).count()
+    }
+
     /// First step in order among the classes that are not refused.
     #[must_use]
     pub fn first(&self) -> Option<StepName> {
