Add the command `cactusdoor-fleet explain`

The explanation needs the owner's state, so the command asks the owner, by the new last method of `QueueService`. Reading the job in the command was ruled out: it does not know the service and the terms of the queue.

--- a/crates/fleet/src/args.rs
+++ b/crates/fleet/src/args.rs
@@ -1,5 +1,6 @@
 //! Arguments of `cactusdoor-fleet`.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
@@ -24,6 +25,21 @@
         #[bpaf(positional("FILE"))]
         files: Vec<PathBuf>,
     },
+    /// Shows where a job would be placed now, and why, without submitting it
+    #[bpaf(command)]
+    Explain {
+        /// Peer address of the owner
+        #[bpaf(argument("ADDRESS"))]
+        owner: SocketAddr,
+        /// Queue of the job
+        #[bpaf(argument("NAME"))]
+        queue: String,
+        /// Prints JSON lines: one for the job and one for each step
+        json: bool,
+        /// Job as callers submit it; `-` for standard input
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Checks a settings file of an entry or an agent
     #[bpaf(command)]
     Check {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod decision;
 pub mod decision_log;
 pub mod entry;
+pub mod explain;
 pub mod finder;
 pub mod follower;
 pub mod guard;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod background;
+mod explaining;
 mod freshness;
 pub mod learning;
 mod order;
@@ -497,6 +498,7 @@
             OwnerCall::Store(requests, reply) => {
                 self.relay(requests, reply, now);
             }
+            OwnerCall::Explain(request, reply) => send(reply, self.explain(&request, now)),
             OwnerCall::Append(append, reply) => self.repeat_append(append, reply, now),
             OwnerCall::Find(job, reply) => match self.published.get(&job) {
                 Some(state) => send(reply, FindReply::Known(*state)),
--- a/crates/fleet/src/owner_client.rs
+++ b/crates/fleet/src/owner_client.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_peer::queue::{
-    BacklogReply, FindReply, QueueServiceClient, RelayedAppend, RelayedRequest, StoreReply,
-    WatchReply, WatchRequest,
+    BacklogReply, ExplainReply, ExplainRequest, FindReply, QueueServiceClient, RelayedAppend,
+    RelayedRequest, StoreReply, WatchReply, WatchRequest,
 };
 use cactusdoor_peer::wire;
 use cactusdoor_queue::name::JobId;
@@ -101,6 +101,18 @@
             .await
     }
 
+    pub async fn explain(
+        &self,
+        address: SocketAddr,
+        request: ExplainRequest,
+        limit: Duration,
+    ) -> Result<Option<ExplainReply>, CallError> {
+        self.call(address, limit, |client, context| async move {
+            client.explain(context, request).await
+        })
+        .await
+    }
+
     pub async fn store(
         &self,
         address: SocketAddr,
--- a/crates/fleet/src/queue_server.rs
+++ b/crates/fleet/src/queue_server.rs
@@ -8,8 +8,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use cactusdoor_peer::queue::{
-    BacklogReply, FindReply, QueueService, RelayedAppend, RelayedRequest, StoreReply, WatchReply,
-    WatchRequest,
+    BacklogReply, ExplainReply, ExplainRequest, FindReply, QueueService, RelayedAppend,
+    RelayedRequest, StoreReply, WatchReply, WatchRequest,
 };
 use cactusdoor_peer::wire::{MAX_FRAME_BYTES, disable_nagle};
 use cactusdoor_queue::name::JobId;
@@ -30,6 +30,7 @@
     WatchBacklog(WatchRequest, oneshot::Sender<BacklogReply>),
     Find(JobId, oneshot::Sender<FindReply>),
     Store(Vec<RelayedRequest>, oneshot::Sender<StoreReply>),
+    Explain(ExplainRequest, oneshot::Sender<ExplainReply>),
     Append(RelayedAppend, oneshot::Sender<StoreReply>),
 }
 
@@ -138,6 +139,10 @@
         self.call_owner(|reply| OwnerCall::WatchBacklog(request, reply)).await
     }
 
+    async fn explain(self, _: Context, request: ExplainRequest) -> Option<ExplainReply> {
+        self.call_owner(|reply| OwnerCall::Explain(request, reply)).await
+    }
+
     async fn watch(self, _: Context, request: WatchRequest) -> Option<WatchReply> {
         self.call_owner(|reply| OwnerCall::Watch(request, reply)).await
     }
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -5,9 +5,11 @@
 
 use cactusdoor_core::unit::{Epoch, Millis, Sequence};
 use cactusdoor_queue::backlog::Backlog;
+use cactusdoor_queue::explain::JobExplanation;
 use cactusdoor_queue::name::{JobId, QueueName};
 use cactusdoor_queue::report::{AgentReport, JobState, LoadReport, OrderedReply, ReportReply};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// Served by the agents of `cactusdoor-fleet`; only the answers of the owner are valid.
 #[tarpc::service]
@@ -29,6 +31,8 @@
     async fn report_load(report: LoadReport) -> OrderedReply;
     /// As `watch`, with the backlog; for owners whose heartbeat announces it.
     async fn watch_backlog(request: WatchRequest) -> Option<BacklogReply>;
+    /// From an operator: where a job would be placed; `None` if this process is not the owner.
+    async fn explain(request: ExplainRequest) -> Option<ExplainReply>;
 }
 
 /// An append of an entry: the store executes it once, whoever sends it.
@@ -97,3 +101,27 @@
     Unknown,
     NotOwner,
 }
+
+/// A job that is not submitted, to be explained.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainRequest {
+    pub queue: QueueName,
+    /// The job as callers submit it.
+    pub body: Vec<u8>,
+}
+
+/// The explanation, or why there is none.
+pub type ExplainReply = Result<JobExplanation, ExplainRefusal>;
+
+/// Why a job is not explained.
+#[derive(Clone, Debug, PartialEq, Eq, Error, Serialize, Deserialize)]
+pub enum ExplainRefusal {
+    #[error("owner places nothing now: it has no configuration, or its requests are outdated")]
+    NotPlacing,
+    #[error("queue is not configured")]
+    UnknownQueue,
+    #[error("job is larger than {0} bytes")]
+    TooLarge(usize),
+    #[error("job is invalid: {0}")]
+    InvalidJob(String),
+}
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -417,7 +417,11 @@
 
     /// Unix time from which an occurrence can no longer meet its deadline; `None` for an
     /// endless job.
-    pub(crate) fn late_at(view: &OperatorView, job: &JobProgress, occurrence: u32) -> Option<Millis> {
+    pub(crate) fn late_at(
+        view: &OperatorView,
+        job: &JobProgress,
+        occurrence: u32,
+    ) -> Option<Millis> {
         let latest = Self::deadline(view, job, occurrence);
         let latest = latest.saturating_sub(job.remaining_path(occurrence));
         (!job.spec.is_endless()).then(|| latest.saturating_add(1))
