--- a/crates/queue/tests/explain.rs
+++ b/crates/queue/tests/explain.rs
@@ -278,7 +278,7 @@
     assert!(explained.steps.iter().all(|step| step.outcome == StepOutcome::Placed));
 }
 
-/// Prints the time of the largest explanation; see `docs/OPERATIONS.md`.
+/// Prints the time of the largest explanation, which delays the other calls in the owner's loop.
 #[test]
 #[ignore = "measures; run in release mode"]
 fn time_of_the_largest_explanation() {
