Name the measured time behind the limit of explained needs

Release mode, 2,100 workers with a serving task each, on a machine with a load of 17 on 7 cores: median of 50 explanations 2.5 ms, longest 4.7 ms.

--- a/crates/queue/src/explain.rs
+++ b/crates/queue/src/explain.rs
@@ -19,7 +19,8 @@
 
 /// Most steps of a job that are explained: bounds the answer.
 pub const MAX_EXPLAINED_STEPS: usize = 32;
-/// Most distinct needs for which all workers are looked at: bounds the time in the owner's loop.
+/// Most distinct needs for which all workers are looked at: bounds the time in the owner's loop. With 8
+/// best-effort needs and 2,100 workers, an explanation took 2.5 ms (median of 50; longest 4.7 ms).
 pub const MAX_EXPLAINED_NEEDS: usize = 8;
 /// Most workers that are named for a step.
 pub const MAX_NAMED_WORKERS: usize = 10;
