--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -189,6 +189,11 @@
         }
         let body = match self.read_body(caller, request, payload).await {
             Ok(body) => body,
+            // A refusal would say that the job never runs.
+            Err(_) if *request.method() == Method::POST && self.states.get(id).is_some() => {
+                caller.connection.close_after();
+                return HttpResponse::Ok().finish();
+            }
             Err(refusal) => return refuse(&refusal),
         };
         if lists_pending {
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -6,11 +6,13 @@
 use std::collections::BTreeSet;
 
 use cactusdoor_core::unit::Moment;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::forecast::SlowdownForecast;
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
-use crate::spec::StepSpec;
+use crate::spec::{Shortage, StepSpec, TaskNeed};
 use crate::throttling::FULL_SPEED;
 use crate::worker::{REPORT_TIMEOUT, TrackedWorker};
 
@@ -27,6 +29,7 @@
 const UNSHARED_PENALTY: u64 = 1_000;
 /// Cost of placing a best-effort task beside serving tasks, in thousandths.
 const SERVING_PENALTY: u64 = 300;
+
 /// Inputs of a choice apart from the worker.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceContext<'a> {
@@ -44,19 +47,58 @@
     pub now: Moment,
 }
 
+/// Why a task must not run on a worker.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Error, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum UnfitReason {
+    #[error("no worker beside the agent")]
+    NoWorker,
+    #[error("other service")]
+    OtherService,
+    #[error("leaving")]
+    Leaving,
+    #[error("data centre taken out")]
+    TakenOut,
+    #[error("silent")]
+    Silent,
+    #[error("quarantined")]
+    Quarantined,
+    #[error("label missing")]
+    LabelMissing,
+    #[error("not enough processors")]
+    Processors,
+    #[error("not enough memory")]
+    Memory,
+    #[error("not enough accelerators")]
+    Accelerators,
+    #[error("limit of tasks for each worker")]
+    WorkerLimit,
+    #[error("slowdown over the limit")]
+    Slowdown,
+}
+
 /// Cost of a task on a worker, lower is better; `None` if it must not run there.
 #[must_use]
 pub fn cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
-    if !fits(tracked, context) || !accepts(tracked, context) {
-        return None;
-    }
+    check_cost(tracked, context).ok()
+}
+
+/// Cost of a task on a worker, or why it must not run there.
+pub fn check_cost(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+) -> Result<u64, UnfitReason> {
+    check_room(tracked, context)?;
+    check_available(tracked, context)?;
     let step = context.step;
     let load = if step.best_effort {
-        best_effort_cost(tracked, context)?
+        best_effort_cost(tracked, context).ok_or(UnfitReason::Slowdown)?
     } else {
         reserve_cost(tracked, step)
     };
-    Some(load.saturating_add(remote_penalty(tracked, step)))
+    Ok(load.saturating_add(remote_penalty(tracked, step)))
 }
 
 /// A lower bound of the cost, and whether it is the cost. The forecast for a worker with serving
@@ -93,21 +135,67 @@
 /// Whether the worker is available for new tasks of the service.
 #[must_use]
 pub fn accepts(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
-    let Some(worker) = &tracked.worker else { return false };
+    check_available(tracked, context).is_ok()
+}
+
+fn check_available(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+) -> Result<(), UnfitReason> {
+    let worker = tracked.worker.as_ref().ok_or(UnfitReason::NoWorker)?;
     // Names come last, since their text is elsewhere in memory.
-    worker.leaves_in.is_none()
-        && context.now <= tracked.reported_at.after(REPORT_TIMEOUT)
-        && !tracked.health.is_quarantined(context.now)
-        && worker.service == *context.service
-        && !context.taken_out.contains(&worker.data_centre)
+    if worker.leaves_in.is_some() {
+        Err(UnfitReason::Leaving)
+    } else if context.now > tracked.reported_at.after(REPORT_TIMEOUT) {
+        Err(UnfitReason::Silent)
+    } else if tracked.health.is_quarantined(context.now) {
+        Err(UnfitReason::Quarantined)
+    } else if worker.service != *context.service {
+        Err(UnfitReason::OtherService)
+    } else if context.taken_out.contains(&worker.data_centre) {
+        Err(UnfitReason::TakenOut)
+    } else {
+        Ok(())
+    }
 }
 
 fn fits(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
+    check_room(tracked, context).is_ok()
+}
+
+fn check_room(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Result<(), UnfitReason> {
     let step = context.step;
-    let mut labels = [step.label.as_ref(), context.within].into_iter().flatten();
-    step.reserved().fits(&tracked.free())
-        && labels.all(|label| tracked.has_label(label))
-        && (step.per_worker == 0 || tracked.runs.of_step(context.name) < step.per_worker)
+    check_need(tracked, context, &tracked.free())?;
+    if step.per_worker > 0 && tracked.runs.of_step(context.name) >= step.per_worker {
+        return Err(UnfitReason::WorkerLimit);
+    }
+    Ok(())
+}
+
+/// Checks the labels, and the reserved resources against `free`.
+fn check_need(
+    tracked: &TrackedWorker,
+    context: &ChoiceContext<'_>,
+    free: &TaskNeed,
+) -> Result<(), UnfitReason> {
+    match context.step.reserved().shortage(free) {
+        Some(Shortage::Processors) => return Err(UnfitReason::Processors),
+        Some(Shortage::Memory) => return Err(UnfitReason::Memory),
+        Some(Shortage::Accelerators) => return Err(UnfitReason::Accelerators),
+        None => {}
+    }
+    let labels = [context.step.label.as_ref(), context.within];
+    if !labels.into_iter().flatten().all(|label| tracked.has_label(label)) {
+        return Err(UnfitReason::LabelMissing);
+    }
+    Ok(())
+}
+
+/// Whether the worker could run the task if it had no other runs and were available.
+#[must_use]
+pub fn fits_empty(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> bool {
+    let worker = tracked.worker.as_ref().filter(|worker| worker.service == *context.service);
+    worker.is_some_and(|worker| check_need(tracked, context, &worker.capacity).is_ok())
 }
 
 /// Reserved share of the capacity after the placement, in thousandths; for serving
