--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -82,7 +82,10 @@
 /// Cost of a task on a worker, lower is better; `None` if it must not run there.
 #[must_use]
 pub fn cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Option<u64> {
-    check_cost(tracked, context).ok()
+    // Most workers are full, which the sums of their runs tell without a look at their names.
+    check_room(tracked, context).ok()?;
+    check_available(tracked, context).ok()?;
+    load_cost(tracked, context).ok()
 }
 
 /// Cost of a task on a worker, or why it must not run there.
@@ -90,8 +93,13 @@
     tracked: &TrackedWorker,
     context: &ChoiceContext<'_>,
 ) -> Result<u64, UnfitReason> {
-    check_room(tracked, context)?;
     check_available(tracked, context)?;
+    check_room(tracked, context)?;
+    load_cost(tracked, context)
+}
+
+/// Cost of a task on a worker that is available and has room.
+fn load_cost(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Result<u64, UnfitReason> {
     let step = context.step;
     let load = if step.best_effort {
         best_effort_cost(tracked, context).ok_or(UnfitReason::Slowdown)?
