Move appends and speeds into files of their own

Ruled out: splitting by message, which would have cut the order of steps of the loop apart. Change: owner/appends.rs has the appends of records and the effects of stored ones, with their limits; agent/speeds.rs what an agent does with the controller's speeds. No line of code changes but visibility and imports.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -5,6 +5,7 @@
 //! its record is stored: no start order and no job state leaves the owner earlier.
 
 mod answers;
+mod appends;
 mod background;
 mod explaining;
 mod freshness;
@@ -18,19 +19,17 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use cactusdoor_core::unit::{Millis, Moment, Offset};
 use cactusdoor_node::clock::{MonotonicClock, unix_ms};
 use cactusdoor_peer::queue::{BacklogReply, FindReply, StoreReply, WatchReply, WatchRequest};
-use cactusdoor_platform::store::{KeyedRecord, StoreClient};
+use cactusdoor_platform::store::StoreClient;
 use cactusdoor_queue::features::SchedulingFeatures;
 use cactusdoor_queue::name::{AgentName, JobId, QueueName};
 use cactusdoor_queue::report::{JobState, LoadReport};
-use cactusdoor_queue::scheduler::{CommitEffect, PendingWrite, QueueScheduler};
+use cactusdoor_queue::scheduler::{PendingWrite, QueueScheduler};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use self::answers::MAX_CONFIRM_AGE;
 use self::background::{
     AppendGroup, HEARTBEAT_INTERVAL, spawn_appender, spawn_heartbeats, spawn_request_reader,
 };
@@ -51,10 +50,6 @@
 
 /// Least time between two appends; records that arrive meanwhile share the next one.
 const APPEND_GAP: Millis = 15;
-/// Most records of one append.
-const APPEND_RECORDS: usize = 600;
-/// Most bytes of one append: a fraction of the largest call.
-const APPEND_BYTES: usize = 400_000;
 /// Duration of a round from which on it is logged, ms: half of an agent's answer timeout.
 const SLOW_ROUND: Millis = 400;
 /// Longest sleep of the loop without an event.
@@ -382,102 +377,6 @@
         agents >= QUORUM_AGENTS && reached * 2 < agents
     }
 
-    /// Applies effects that need no stored record and starts the next append.
-    fn flush(&mut self, now: Moment) {
-        while self.in_flight.is_none()
-            && self.writes.front().is_some_and(|write| write.record.is_none())
-        {
-            if let Some(effect) = self.writes.pop_front().and_then(|write| write.effect) {
-                self.apply_effect(&effect);
-            }
-        }
-        if !self.may_append(now) || self.writes.is_empty() {
-            return;
-        }
-        let (mut group, mut records, mut bytes) = (Vec::new(), Vec::new(), 0);
-        while bytes < APPEND_BYTES && records.len() < APPEND_RECORDS {
-            let Some(write) = self.writes.pop_front() else { break };
-            if let Some((key, value)) = &write.record {
-                let value = value.clone().map(Bytes::from);
-                let record = KeyedRecord { key: key.clone(), value };
-                bytes += record.size();
-                records.push(record);
-            }
-            group.push(write);
-        }
-        self.appended = now;
-        self.context.metrics.appended_records.inc_by(records.len() as u64);
-        if self.groups.send(AppendGroup { records, retries: true }).is_err() {
-            log::error!("appender of the owner's records has stopped");
-        }
-        self.in_flight = Some(group);
-    }
-
-    fn handle_append_result(&mut self, result: AppendResult) -> Option<TermEnd> {
-        match result {
-            Ok(stored) => {
-                self.confirm(stored.sent);
-                let group = self.in_flight.take().unwrap_or_default();
-                for effect in group.into_iter().filter_map(|write| write.effect) {
-                    self.apply_effect(&effect);
-                }
-                None
-            }
-            Err(_) => Some(TermEnd::Fenced),
-        }
-    }
-
-    fn confirm(&mut self, sent: Moment) {
-        if sent > self.confirmed.after(MAX_CONFIRM_AGE) {
-            self.confirmed_since = sent;
-        }
-        self.confirmed = self.confirmed.max(sent);
-    }
-
-    fn handle_heartbeat_result(&mut self, result: AppendResult) -> Option<TermEnd> {
-        match result {
-            Ok(stored) => {
-                self.heartbeat_end = self.heartbeat_end.max(stored.end);
-                self.confirm(stored.sent);
-                None
-            }
-            Err(AppenderError::Fenced) => Some(TermEnd::Fenced),
-            Err(_) => None,
-        }
-    }
-
-    fn apply_effect(&mut self, effect: &CommitEffect) {
-        self.scheduler.release(effect);
-        let epoch = self.scheduler.epoch;
-        match effect {
-            CommitEffect::Started { agent, task, run, reserved_cpu, forecast } => {
-                self.context.metrics.started.inc();
-                self.context.log.record(DecisionEvent::TaskPlaced {
-                    task: task.clone(),
-                    run: *run,
-                    agent: agent.clone(),
-                    reserved_cpu: *reserved_cpu,
-                    forecast: *forecast,
-                    epoch,
-                });
-            }
-            CommitEffect::Published { job, state } => {
-                if self.published.insert(job.clone(), *state) != Some(*state) {
-                    self.changes.push((job.clone(), *state));
-                    let (job, state) = (job.clone(), *state);
-                    self.context.log.record(DecisionEvent::JobPublished { job, state, epoch });
-                }
-                if state.has_ended() {
-                    self.ended.push(job.clone());
-                }
-            }
-            CommitEffect::Acknowledged { agent, .. }
-            | CommitEffect::RunAcknowledged { agent, .. } => {
-                self.reports.hasten(agent, self.context.clock.now().after(ACKNOWLEDGE_DELAY));
-            }
-        }
-    }
-
     fn handle_call(&mut self, call: OwnerCall) {
         let now = self.context.clock.now();
         match call {
