--- a/crates/queue/src/features.rs
+++ b/crates/queue/src/features.rs
@@ -26,16 +26,21 @@
     pub restore: Millis,
 }
 
+impl SchedulingFeatures {
+    /// No optional decision.
+    pub const NONE: Self = Self {
+        headroom_forecast: false,
+        job_order: false,
+        moves: false,
+        refusals: false,
+        learned_state: false,
+        stop_run: DEFAULT_STOP,
+        restore: DEFAULT_RESTORE,
+    };
+}
+
 impl Default for SchedulingFeatures {
     fn default() -> Self {
-        Self {
-            headroom_forecast: false,
-            job_order: false,
-            moves: false,
-            refusals: false,
-            learned_state: false,
-            stop_run: DEFAULT_STOP,
-            restore: DEFAULT_RESTORE,
-        }
+        Self::NONE
     }
 }
--- a/crates/queue/src/forecast.rs
+++ b/crates/queue/src/forecast.rs
@@ -158,7 +158,7 @@
     clippy::cast_sign_loss,
     reason = "saturates, and is not negative"
 )]
-fn thousandths(share: f64) -> u64 {
+pub(crate) fn thousandths(share: f64) -> u64 {
     (share * 1_000.0) as u64
 }
 
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::forecast::SlowdownForecast;
+use crate::forecast::{SlowdownForecast, thousandths};
 use crate::interference::InterferenceModel;
 use crate::name::{DataCentre, Label, ServiceName, StepName};
 use crate::spec::{Shortage, StepSpec, TaskNeed};
@@ -255,12 +255,3 @@
     let limit = if context.forecasts { FORECAST_LIMIT } else { SLOWDOWN_LIMIT };
     slowdown <= limit || !context.may_wait
 }
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "saturates, and is not negative"
-)]
-fn thousandths(share: f64) -> u64 {
-    (share * 1_000.0) as u64
-}
--- a/crates/queue/tests/explain.rs
+++ b/crates/queue/tests/explain.rs
@@ -22,15 +22,8 @@
 
 const NOW: Moment = Moment(10_000);
 
-const ALL: SchedulingFeatures = SchedulingFeatures {
-    headroom_forecast: true,
-    job_order: true,
-    moves: false,
-    refusals: false,
-    learned_state: false,
-    stop_run: 400,
-    restore: 600,
-};
+const ALL: SchedulingFeatures =
+    SchedulingFeatures { headroom_forecast: true, job_order: true, ..SchedulingFeatures::NONE };
 
 fn fleet(workers: &[WorkerInfo]) -> QueueScheduler {
     let mut scheduler = scheduler();
--- a/crates/queue/tests/forecast.rs
+++ b/crates/queue/tests/forecast.rs
@@ -20,15 +20,8 @@
 const IDLE: f32 = 4.0;
 const PEAK: f32 = 1.2;
 
-const FORECAST: SchedulingFeatures = SchedulingFeatures {
-    headroom_forecast: true,
-    job_order: false,
-    moves: false,
-    refusals: false,
-    learned_state: false,
-    stop_run: 400,
-    restore: 600,
-};
+const FORECAST: SchedulingFeatures =
+    SchedulingFeatures { headroom_forecast: true, ..SchedulingFeatures::NONE };
 
 /// A scheduler with one serving task on each of its workers: on `a0` of image `s0`, and so on.
 struct Fleet {
--- a/crates/queue/tests/fuzz.rs
+++ b/crates/queue/tests/fuzz.rs
@@ -26,15 +26,7 @@
 
 const AGENTS: [&str; 3] = ["a", "b", "c"];
 const TICK: u64 = 100;
-const MOVES: SchedulingFeatures = SchedulingFeatures {
-    headroom_forecast: false,
-    job_order: false,
-    moves: true,
-    refusals: false,
-    learned_state: false,
-    stop_run: 400,
-    restore: 600,
-};
+const MOVES: SchedulingFeatures = SchedulingFeatures { moves: true, ..SchedulingFeatures::NONE };
 
 #[derive(Clone, Debug)]
 enum Action {
--- a/crates/queue/tests/rank.rs
+++ b/crates/queue/tests/rank.rs
@@ -15,15 +15,8 @@
 use support::*;
 
 const NOW: Moment = Moment(10_000);
-const ORDERED: SchedulingFeatures = SchedulingFeatures {
-    headroom_forecast: false,
-    job_order: true,
-    moves: false,
-    refusals: false,
-    learned_state: false,
-    stop_run: 400,
-    restore: 600,
-};
+const ORDERED: SchedulingFeatures =
+    SchedulingFeatures { job_order: true, ..SchedulingFeatures::NONE };
 
 fn input() -> RankInput {
     RankInput {
