Decide moves and preemptions after a placement, not before it

`balance` decided moves before `place`, on waiting steps and refusals as of the last placement. In the round in which a worker gained room, a slow run was stopped for capacity that a waiting step got a moment later, a second run was stopped for a target whose first moved task was not placed yet, and runs were preempted for a step although another worker could take it.

Ruled out: to compare each target with all waiting steps before the placement. One waiting task then blocks all workers that could take it, and moves pause while any task waits.

`balance` now has the next `place` decide moves once it has placed all tasks that fit.

--- a/crates/queue/src/moves.rs
+++ b/crates/queue/src/moves.rs
@@ -1,8 +1,9 @@
 //! Moves of best-effort runs that make no progress, and preemption.
 //!
-//! A run is moved by an order to stop it; its task then waits like any other. A pass of
-//! [`QueueScheduler::balance`] selects the runs whose listed speed is low, forecasts their
-//! speed on the best other worker, and orders the stops that gain enough.
+//! A run is moved by an order to stop it; its task then waits like any other. A pass selects the
+//! runs whose listed speed is low, forecasts their speed on the best other worker, and orders the
+//! stops that gain enough. It follows a placement, so that it uses no capacity that waiting
+//! steps are about to get.
 
 pub mod decision;
 pub mod index;
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -27,8 +27,17 @@
 
 impl QueueScheduler {
     /// Opens due occurrences and places ready tasks that fit on a worker; returns whether
-    /// more could be placed at once.
+    /// more could be placed at once. Then decides moves, if [`Self::balance`] has called for it.
     pub fn place(&mut self, now: Moment, unix: Millis) -> bool {
+        let decides = std::mem::take(&mut self.moves_due);
+        let has_more = self.place_steps(now, unix);
+        if decides && !has_more {
+            self.decide_moves(now, unix);
+        }
+        has_more
+    }
+
+    fn place_steps(&mut self, now: Moment, unix: Millis) -> bool {
         self.fire_timers(now, unix);
         self.index_changed(now, unix);
         self.reopen_steps(now);
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -47,6 +47,8 @@
     pub(crate) features: SchedulingFeatures,
     /// When [`Self::balance`] was last executed.
     balanced: Moment,
+    /// Whether the next placement is followed by a decision on moves.
+    pub(crate) moves_due: bool,
     pub(crate) ranks: RankIndex,
     pub(crate) moves: MoveState,
     /// Not stored; each owner learns it anew.
@@ -87,6 +89,7 @@
             view: OperatorView::default(),
             features: SchedulingFeatures::default(),
             balanced: Moment::default(),
+            moves_due: false,
             ranks: RankIndex::default(),
             moves: MoveState::default(),
             interference: InterferenceModel::default(),
@@ -157,8 +160,9 @@
         applied
     }
 
-    /// Updates the order of best-effort steps and decides moves, at most once in
-    /// `BALANCE_INTERVAL`. Call it before [`Self::place`], and only while starts are permitted.
+    /// Updates the order of best-effort steps and has the next [`Self::place`] decide moves, at most
+    /// once in `BALANCE_INTERVAL`. Call it directly before [`Self::place`], and only while starts are
+    /// permitted.
     pub fn balance(&mut self, now: Moment, unix: Millis) {
         if now < self.balanced.after(BALANCE_INTERVAL) {
             return;
@@ -166,9 +170,7 @@
         self.balanced = now;
         self.update_ranks(now, unix);
         self.sample_waiting(now);
-        if self.features.moves {
-            self.decide_moves(now, unix);
-        }
+        self.moves_due = self.features.moves;
     }
 
     /// Writes since the last call, in the order in which they must be stored.
