Move no run while the store does not confirm appends

The owner's loop called `balance` under `may_place() && may_append(now)`. `may_append` only means that no append is under way and that the gap after the last one has passed: an owner without records to store passes it during an outage of the store, however old its newest confirmed append is. It then ordered stops, which leave at once, although no end could be stored and no task could continue elsewhere.

Ruled out: to put the condition into `may_append`, as appends must go on for the store to be found again, and into `may_place`, as placements leave only once they are stored.

The model of the owner's loop in the outage tests has the same condition.

--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -347,9 +347,12 @@
         self.remove_ended(now, unix);
         // A placement leaves with the next append; until then, more room may be reported.
         if self.may_place() && self.may_append(now) {
-            self.scheduler.balance(now, unix);
-            if let Some(counts) = self.scheduler.take_rank_counts(now) {
-                self.record_order(counts);
+            // A placement is released only once it is stored, a stop at once.
+            if self.is_confirmed(now) {
+                self.scheduler.balance(now, unix);
+                if let Some(counts) = self.scheduler.take_rank_counts(now) {
+                    self.record_order(counts);
+                }
             }
             self.scheduler.place(now, unix);
         }
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -270,7 +270,8 @@
             return;
         }
         let expired = owner.scheduler.expire(now, unix);
-        if owner.in_flight.is_none() {
+        // As the owner's loop does: nothing is moved while appends are unconfirmed.
+        if owner.in_flight.is_none() && now.0 <= owner.confirmed + MAX_CONFIRM_AGE {
             owner.scheduler.balance(now, unix);
         }
         let observations = owner.scheduler.take_observations();
