Keep preempted memory from lower priorities until all runs have ended

If the memory of several runs was needed, these ended one by one, and each end freed enough for a waiting task of the lower priority. These tasks took the memory, the step of the higher priority never got it, and as soon as the last run had ended, the next runs were stopped, without end. This is the usual state under load: a queue of equal best-effort tasks waits.

Ruled out: to reserve the memory for the step itself, as another step of at least its priority may take the memory in the usual order; and to limit the number of preemptions, as the step would still wait.

A worker on which runs are stopped for a step now gives no memory to lower priorities until the last of them has ended, at most `stop_run_ms` and 2 s. Classes of waiting steps are told apart by priority, as a refusal may now depend on it.

The two new tests fail without the change: in the first one, the step of 6,000 MiB is not placed after the two runs that were stopped for it; the second one also fails without the priority of classes.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -254,6 +254,9 @@
         tracked.former_runs.add(task, number, &run.start.incarnation, now);
         self.rooms.gain(agent);
         let moved = self.moves.end(agent, task, number);
+        if !self.moves.frees_on(agent) {
+            tracked.hold = None;
+        }
         // The agent may have received the start without a report of that so far, and ignores
         // another order under its number.
         if listed.is_none() && tracked.withdraw_start(task, number) {
--- a/crates/queue/src/moves/index.rs
+++ b/crates/queue/src/moves/index.rs
@@ -226,7 +226,7 @@
     }
 
     /// Whether runs on the agent's worker are being stopped for any step.
-    pub(super) fn frees_on(&self, agent: &AgentName) -> bool {
+    pub(crate) fn frees_on(&self, agent: &AgentName) -> bool {
         self.freed_agents.number(agent) > 0
     }
 }
--- a/crates/queue/src/moves/preemption.rs
+++ b/crates/queue/src/moves/preemption.rs
@@ -15,13 +15,18 @@
 use crate::rank::StepRank;
 use crate::scheduler::QueueScheduler;
 use crate::spec::StepSpec;
-use crate::worker::TrackedWorker;
+use crate::timers::SteadyTimer;
+use crate::worker::{MemoryHold, TrackedWorker};
 
 /// Most waiting steps that are looked at in [`LOOK_INTERVAL`]: each costs a look at all workers.
 const MAX_STEPS: usize = 5;
 /// Most workers whose runs are examined for a step: bounds the duration of a pass.
 const MAX_WORKERS: usize = 20;
 
+/// Time beyond a stop for which the memory of a worker is kept for a step, ms: two lost reports of
+/// an end and its append. Bounds what a run that does not stop keeps unused.
+const HOLD_TIME: Millis = 2_000;
+
 /// A run that may be preempted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PreemptableRun {
@@ -122,6 +127,7 @@
         plan: &PreemptionPlan,
         now: Moment,
     ) {
+        self.hold_memory(agent, step, now);
         for task in &plan.victims {
             let cause = StopCause::Preempted(step.clone());
             if let Some(run) = self.stop_run(agent, task, cause, now) {
@@ -131,6 +137,17 @@
         }
     }
 
+    /// Keeps the memory that the stops free from lower priorities: the runs end one by one, and each
+    /// end may free enough for a task of theirs, but not for the step.
+    fn hold_memory(&mut self, agent: &AgentName, step: &StepName, now: Moment) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let priority = self.queue_config(&job.spec).terms.priority;
+        let until = now.after(self.features.stop_run).after(HOLD_TIME);
+        let Some(tracked) = self.workers.get_mut(agent) else { return };
+        tracked.hold = Some(MemoryHold { priority, until });
+        self.steady_timers.set(until.0, SteadyTimer::Hold(agent.clone()));
+    }
+
     /// The worker on which the most tasks of the step fit after the stop of the least work.
     fn plan_preemption(&self, name: &StepName, now: Moment) -> Option<(AgentName, PreemptionPlan)> {
         let job = self.jobs.get(&name.job)?;
--- a/crates/queue/src/placement.rs
+++ b/crates/queue/src/placement.rs
@@ -36,6 +36,8 @@
     pub name: &'a StepName,
     pub step: &'a StepSpec,
     pub service: &'a ServiceName,
+    /// Priority of the step's queue.
+    pub priority: u32,
     pub taken_out: &'a BTreeSet<DataCentre>,
     pub interference: &'a InterferenceModel,
     /// Rack within which all tasks of the step must run.
@@ -174,6 +176,9 @@
 fn check_room(tracked: &TrackedWorker, context: &ChoiceContext<'_>) -> Result<(), UnfitReason> {
     let step = context.step;
     check_need(tracked, context, &tracked.free())?;
+    if tracked.is_held_from(context.priority, context.now) {
+        return Err(UnfitReason::Memory);
+    }
     if step.per_worker > 0 && tracked.runs.of_step(context.name) >= step.per_worker {
         return Err(UnfitReason::WorkerLimit);
     }
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -73,7 +73,9 @@
                 SteadyTimer::Retry(job, occurrence) => {
                     self.changed.insert((job, occurrence));
                 }
-                SteadyTimer::Quarantine(agent) => self.rooms.gain(&agent),
+                SteadyTimer::Quarantine(agent) | SteadyTimer::Hold(agent) => {
+                    self.rooms.gain(&agent);
+                }
             }
         }
         while let Some(timer) = self.day_timers.take_due(unix) {
@@ -155,7 +157,7 @@
         let may_wait = job.may_wait(now);
         for (name, avoids) in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
-            let class = NeedClass::of(&name, step, &config.service, may_wait, avoids);
+            let class = NeedClass::of(&name, step, &config, may_wait, avoids);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             let turn = self.step_turn(&name, late, accepted);
             self.waiting.insert(class, StepOrder { priority, turn, step: name });
@@ -376,6 +378,7 @@
             name,
             step,
             service,
+            priority: config.terms.priority,
             taken_out,
             interference,
             within: None,
--- a/crates/queue/src/timers.rs
+++ b/crates/queue/src/timers.rs
@@ -18,6 +18,8 @@
     Retry(JobId, u32),
     /// The quarantine of the agent's worker is over.
     Quarantine(AgentName),
+    /// Memory of the agent's worker is no longer kept for a step.
+    Hold(AgentName),
 }
 
 /// Timer on the time of day.
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -9,6 +9,7 @@
 use cactusdoor_core::unit::Millis;
 use indexmap::IndexMap;
 
+use crate::config::QueueConfig;
 use crate::name::{AgentName, Label, ServiceName, StepName};
 use crate::rank::StepRank;
 use crate::spec::{StepSpec, TaskNeed};
@@ -43,6 +44,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct NeedClass {
     service: ServiceName,
+    /// Memory may be kept for steps of higher priorities.
+    priority: u32,
     reserved: TaskNeed,
     label: Option<Label>,
     best_effort: Option<BestEffortNeed>,
@@ -56,7 +59,7 @@
     pub fn of(
         name: &StepName,
         step: &StepSpec,
-        service: &ServiceName,
+        config: &QueueConfig,
         may_wait: bool,
         avoids: bool,
     ) -> Self {
@@ -66,7 +69,8 @@
             may_wait,
         });
         Self {
-            service: service.clone(),
+            service: config.service.clone(),
+            priority: config.terms.priority,
             reserved: step.reserved(),
             label: step.label.clone(),
             best_effort,
--- a/crates/queue/src/worker.rs
+++ b/crates/queue/src/worker.rs
@@ -176,6 +176,14 @@
     }
 }
 
+/// Memory that runs are being stopped for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemoryHold {
+    /// Priority of the queue whose step needs it; the memory is kept from lower ones.
+    pub priority: u32,
+    pub until: Moment,
+}
+
 /// An agent, its worker and the runs assigned to it.
 #[derive(Clone, Debug)]
 pub struct TrackedWorker {
@@ -207,6 +215,8 @@
     /// Stored ends that the worker did not list, to be acknowledged to the agent.
     pub acknowledged_runs: Vec<(TaskName, RunNumber)>,
     pub health: WorkerHealth,
+    /// `None` if no run is being preempted.
+    pub hold: Option<MemoryHold>,
     /// The newest reported load.
     pub load: Option<MeasuredLoad>,
     /// When an invalid load was last logged.
@@ -236,6 +246,7 @@
             acknowledged: 0,
             acknowledged_runs: Vec::new(),
             health: WorkerHealth::default(),
+            hold: None,
             load: None,
             load_rejected: None,
             has_updates: false,
@@ -382,6 +393,12 @@
         if self.unassigned.is_empty() { self.runs.reserved() } else { TaskNeed::UNBOUNDED }
     }
 
+    /// Whether the free memory is kept for a step of a higher priority than this one.
+    #[must_use]
+    pub fn is_held_from(&self, priority: u32, now: Moment) -> bool {
+        self.hold.is_some_and(|hold| hold.priority < priority && now < hold.until)
+    }
+
     #[must_use]
     pub fn free(&self) -> TaskNeed {
         let capacity = self.worker.as_ref().map(|worker| worker.capacity).unwrap_or_default();
--- a/crates/queue/tests/forecast.rs
+++ b/crates/queue/tests/forecast.rs
@@ -125,6 +125,7 @@
             name: &name,
             step: &best_effort(1),
             service: &"minutes".into(),
+            priority: 0,
             taken_out: &Default::default(),
             interference: &self.scheduler.interference,
             within: None,
--- a/crates/queue/tests/oracle/naive.rs
+++ b/crates/queue/tests/oracle/naive.rs
@@ -162,6 +162,7 @@
             name,
             step,
             service: &config.service,
+            priority: config.terms.priority,
             taken_out: &self.scheduler.view().taken_out,
             interference: &self.scheduler.interference,
             within,
--- a/crates/queue/tests/preemption_bounds.rs
+++ b/crates/queue/tests/preemption_bounds.rs
@@ -6,6 +6,7 @@
 mod support;
 
 use cactusdoor_queue::name::TaskName;
+use cactusdoor_queue::report::RunEnd;
 use cactusdoor_queue::spec::{StepSpec, TaskNeed};
 use fleet::*;
 use support::*;
@@ -42,3 +43,44 @@
     assert_eq!(fleet.place_of(&needed()), Some(("b".to_owned(), 1)));
     assert_eq!(fleet.stopping(), vec![]);
 }
+
+/// Guards against stops that are repeated without end: each of two ends frees too little for the
+/// step, and waiting tasks of the lower priority took that memory.
+#[test]
+fn freed_memory_is_kept_for_the_step_until_all_runs_have_ended() {
+    let mut fleet = Fleet::running(job_in("low", vec![large_filler(9, 3_000)]), &[]);
+    fleet.pass_lists(3);
+    fleet.submit("h", high(6_000));
+    fleet.pass_lists(2);
+    let stopping = fleet.stopping();
+    assert_eq!(stopping.len(), 2);
+    for victim in &stopping {
+        assert_eq!(fleet.place_of(&needed()), None);
+        fleet.end(victim, RunEnd::Stopped, "c");
+        fleet.pass(100);
+    }
+    assert_eq!(fleet.place_of(&needed()), Some(("a".to_owned(), 1)));
+    assert_eq!(fleet.stopping(), vec![]);
+}
+
+/// Guards against memory that nothing uses: of the kept memory, steps of the same priority may
+/// take some, and all others do once the runs should have ended.
+#[test]
+fn memory_is_kept_from_lower_priorities_only_and_for_a_limited_time() {
+    let mut fleet = Fleet::running(job_in("low", vec![large_filler(9, 3_000)]), &[]);
+    fleet.pass_lists(3);
+    fleet.submit("h", high(6_000));
+    fleet.pass_lists(2);
+    let stopping = fleet.stopping();
+    fleet.end(&stopping[0], RunEnd::Stopped, "c");
+    // Both have the same needs, and the lower one is refused first.
+    fleet.submit("l", job_in("low", vec![large(2_000)]));
+    fleet.pass(100);
+    fleet.submit("e", high(2_000));
+    fleet.pass(100);
+    assert_eq!(fleet.place_of(&task("l", 0, 0)), None);
+    assert_eq!(fleet.place_of(&task("e", 0, 0)), Some(("a".to_owned(), 1)));
+    // The stop of the other run takes far too long.
+    fleet.pass_lists(7);
+    assert_eq!(fleet.place_of(&task("l", 0, 0)), Some(("a".to_owned(), 1)));
+}
