Count the memory of stops under way when runs are preempted

A plan counted only the memory that is free now. If runs on the worker were being stopped for another reason (a cancelled job, a stalled or leaving worker), more runs were stopped than the step needs. Ruled out: to wait until these runs have ended, as the step then waits twice.

A plan now counts the memory of all stops under way, and the check of the worker after the plan removes these runs, too. Stops that free enough only defer a plan if the worker has the other resources of a task.

The new test fails without the change (two runs are stopped beside the cancelled one, where one is enough) and passes with it.

--- a/crates/queue/src/moves/preemption.rs
+++ b/crates/queue/src/moves/preemption.rs
@@ -162,15 +162,11 @@
         workers.sort_by_key(|tracked| Reverse(tracked.free().memory));
         let mut best: Option<(AgentName, PreemptionPlan)> = None;
         for tracked in workers.into_iter().take(MAX_WORKERS) {
-            let runs = tracked.runs.values();
-            let stopping = runs.filter(|run| run.stopping);
-            let freed = stopping
-                .fold(tracked.free().memory, |sum, run| sum.saturating_add(run.reserved.memory));
+            let wanted = wanted.min(fitting_tasks(tracked, name, step));
             // Runs that are being stopped free enough.
-            if step.need.memory <= freed {
+            if wanted > 0 && step.need.memory <= memory_after_stops(tracked) {
                 return None;
             }
-            let wanted = wanted.min(fitting_tasks(tracked, name, step));
             let Some(plan) = self.worker_plan(tracked, step, &config, wanted, now) else {
                 continue;
             };
@@ -221,7 +217,7 @@
                 lost: run.estimate.saturating_mul(Millis::from(lost)) / 100,
             })
         });
-        choose_victims(runs.collect(), tracked.free().memory, step.need.memory, wanted)
+        choose_victims(runs.collect(), memory_after_stops(tracked), step.need.memory, wanted)
     }
 
     /// Position of a task's step among those that may be preempted.
@@ -243,13 +239,20 @@
         now: Moment,
     ) -> bool {
         let mut after = tracked.clone();
-        for task in &plan.victims {
+        let stopping = tracked.runs.iter().filter(|(_, run)| run.stopping).map(|(task, _)| task);
+        for task in stopping.chain(&plan.victims) {
             after.runs.remove(task);
         }
         cost(&after, &self.choice(name, step, config, now)).is_some()
     }
 }
 
+/// Memory that is free, or will be after the stops under way, MiB.
+fn memory_after_stops(tracked: &TrackedWorker) -> u64 {
+    let stopping = tracked.runs.values().filter(|run| run.stopping);
+    stopping.fold(tracked.free().memory, |sum, run| sum.saturating_add(run.reserved.memory))
+}
+
 /// Tasks of the step for which the worker has free processors and accelerators, and which the
 /// step's limit for a worker permits.
 fn fitting_tasks(tracked: &TrackedWorker, name: &StepName, step: &StepSpec) -> u64 {
--- a/crates/queue/tests/preemption_bounds.rs
+++ b/crates/queue/tests/preemption_bounds.rs
@@ -84,3 +84,22 @@
     fleet.pass_lists(7);
     assert_eq!(fleet.place_of(&task("l", 0, 0)), Some(("a".to_owned(), 1)));
 }
+
+/// Guards against more stops than needed: the memory of runs whose stop is under way for another
+/// reason counts.
+#[test]
+fn memory_of_runs_that_are_being_stopped_counts() {
+    let mut fleet = Fleet::open();
+    for (id, memory) in [("j0", 3_000), ("j1", 3_000), ("j2", 3_000)] {
+        fleet.submit(id, job_in("low", vec![large_filler(1, memory)]));
+        fleet.pass(100);
+    }
+    fleet.pass_lists(3);
+    let unix = fleet.unix();
+    assert!(fleet.scheduler.cancel(&"j0".into(), unix));
+    assert_eq!(fleet.stopping(), vec![task("j0", 0, 0)]);
+    // 1,000 MiB are free, and 3,000 will be.
+    fleet.submit("h", high(6_000));
+    fleet.pass_lists(2);
+    assert_eq!(fleet.stopping(), vec![task("j0", 0, 0), task("j2", 0, 0)]);
+}
