Preempt only listed runs, and none before a new owner's agents have reported

Right after an election, the first agents that report decide what an owner knows. A waiting step of a higher priority then had runs stopped on the first worker, although another one without runs, which the stored records do not name, was free and reported 0.1 s later. The progress of runs that were not listed yet counted as 0, so that runs near their end seemed to lose nothing.

Ruled out: to wait until all workers with runs have reported, as `awaits_workers` does: workers without runs are not known, and a lost one would delay preemption by a lease.

An owner now preempts only after `REPORT_TIMEOUT` (1.6 s) since its first decision, and stops only runs that were listed to it. Moves need lists of a second anyway.

The two new tests fail without the change and pass with it.

--- a/crates/queue/src/moves.rs
+++ b/crates/queue/src/moves.rs
@@ -131,10 +131,12 @@
         })
     }
 
-    /// Whether a run may be stopped for a move or a preemption.
+    /// Whether a run may be stopped for a move or a preemption. Before it is listed to this owner,
+    /// the work that its stop loses is not known.
     fn may_stop(&self, task: &TaskName, run: &AssignedRun, now: Moment) -> bool {
         let settles = self.avoided_worker(task, now).is_some();
-        run.movable && run.stored && !run.stopping && !run.lapsed && !settles
+        let is_known = run.stored && run.percent.is_some();
+        run.movable && is_known && !run.stopping && !run.lapsed && !settles
     }
 
     /// The worker to which a task must not return yet.
--- a/crates/queue/src/moves/index.rs
+++ b/crates/queue/src/moves/index.rs
@@ -114,6 +114,8 @@
     freed_agents: StopCounts<AgentName>,
     /// When the steps that wait for memory were last looked at.
     pub(super) preempted: Moment,
+    /// When this owner first decided; `None` before.
+    pub(super) began: Option<Moment>,
 }
 
 impl MoveState {
--- a/crates/queue/src/moves/preemption.rs
+++ b/crates/queue/src/moves/preemption.rs
@@ -16,7 +16,7 @@
 use crate::scheduler::QueueScheduler;
 use crate::spec::StepSpec;
 use crate::timers::SteadyTimer;
-use crate::worker::{MemoryHold, TrackedWorker};
+use crate::worker::{MemoryHold, REPORT_TIMEOUT, TrackedWorker};
 
 /// Most waiting steps that are looked at in [`LOOK_INTERVAL`]: each costs a look at all workers.
 const MAX_STEPS: usize = 5;
@@ -107,7 +107,10 @@
 
 impl QueueScheduler {
     pub(super) fn preempt(&mut self, now: Moment) {
-        if self.waiting.is_empty() || now < self.moves.preempted.after(LOOK_INTERVAL) {
+        // Until its agents have reported, a new owner does not know which workers are free.
+        let began = *self.moves.began.get_or_insert(now);
+        let is_due = now >= self.moves.preempted.after(LOOK_INTERVAL);
+        if self.waiting.is_empty() || !is_due || now < began.after(REPORT_TIMEOUT) {
             return;
         }
         self.moves.preempted = now;
--- a/crates/queue/tests/moves/fleet.rs
+++ b/crates/queue/tests/moves/fleet.rs
@@ -40,6 +40,8 @@
     pub now: Moment,
     pub agents: Vec<&'static str>,
     pub silent: BTreeSet<&'static str>,
+    /// Agents that report without the list of their worker.
+    pub listless: BTreeSet<&'static str>,
     listings: BTreeMap<TaskName, Listing>,
     jobs: Vec<(&'static str, JobSpec)>,
     records: BTreeMap<String, Vec<u8>>,
@@ -83,6 +85,7 @@
             now: START,
             agents: vec!["a"],
             silent: BTreeSet::new(),
+            listless: BTreeSet::new(),
             listings: BTreeMap::new(),
             jobs: Vec::new(),
             records: BTreeMap::new(),
@@ -146,7 +149,7 @@
             message.epoch = self.epoch;
             message.received =
                 self.scheduler.workers.get(agent).map_or(0, |tracked| tracked.last_order);
-            message.runs = Some(rows);
+            message.runs = Some(rows).filter(|_| !self.listless.contains(agent));
             let (now, unix) = (self.now, self.unix());
             self.scheduler.report(&message, now, unix);
         }
--- a/crates/queue/tests/preemption_bounds.rs
+++ b/crates/queue/tests/preemption_bounds.rs
@@ -103,3 +103,34 @@
     fleet.pass_lists(2);
     assert_eq!(fleet.stopping(), vec![task("j0", 0, 0), task("j2", 0, 0)]);
 }
+
+/// Guards against stops by a new owner that does not know yet what is free, and how much work
+/// the runs would lose.
+#[test]
+fn a_new_owner_preempts_only_after_its_agents_have_reported() {
+    let mut fleet = Fleet::running(job_in("low", vec![large_filler(3, 3_000)]), &[]);
+    fleet.pass_lists(3);
+    fleet.replace_owner();
+    fleet.submit("h", high(4_000));
+    fleet.pass(100);
+    fleet.pass(600);
+    assert_eq!(fleet.stopping(), vec![], "another worker may be free");
+    fleet.agents.push("b");
+    fleet.pass(100);
+    assert_eq!(fleet.place_of(&needed()), Some(("b".to_owned(), 1)));
+}
+
+/// Guards against the loss of work that no list has shown to the owner.
+#[test]
+fn a_run_that_was_never_listed_is_not_preempted() {
+    let mut fleet = Fleet::running(job_in("low", vec![large_filler(3, 3_000)]), &[]);
+    fleet.pass_lists(3);
+    fleet.replace_owner();
+    fleet.listless.insert("a");
+    fleet.submit("h", high(4_000));
+    fleet.pass_lists(5);
+    assert_eq!(fleet.stopping(), vec![]);
+    fleet.listless.clear();
+    fleet.pass_lists(2);
+    assert_eq!(fleet.stopping().len(), 1);
+}
