Preempt runs in the model of outages

The outage tests covered moves under lost links, replaced owners, restarted workers and late calls, but no preemption: all jobs were of one queue and none lacked memory. With moves, every second job is now of a queue of lower priority and three tasks fill the memory of a worker. A test checks that preemptions happen. Simulations without moves are unchanged.

--- a/crates/queue/tests/model/fault.rs
+++ b/crates/queue/tests/model/fault.rs
@@ -6,6 +6,7 @@
 use cactusdoor_queue::spec::StepSpec;
 
 use super::event::Event;
+use super::owner::LOW_QUEUE;
 use super::{AGENTS, Simulation};
 use crate::support;
 
@@ -236,17 +237,23 @@
         let steps = (0u16..).zip(steps).map(|(number, shape)| {
             let size = SIZES[usize::from(shape.size)];
             let before = |numbers: Range<u16>| numbers.collect::<Vec<_>>();
+            let mut step = support::step(u32::from(shape.tasks), size);
+            // Three tasks fill the memory of a worker.
+            step.need.memory = if moves { 3_000 } else { step.need.memory };
             StepSpec {
                 estimate: DURATIONS[usize::from(shape.duration)],
                 after: if endless { Vec::new() } else { before(0..number) },
                 endless,
                 best_effort: moves && shape.size % 2 == 1,
                 checkpoints: moves,
-                ..support::step(u32::from(shape.tasks), size)
+                ..step
             }
         });
         let mut spec = support::job(steps.collect());
         spec.accepted = self.unix();
+        if moves && job % 2 == 1 {
+            spec.queue = LOW_QUEUE.into();
+        }
         self.jobs.insert(id.clone(), (spec.clone(), false));
         self.store.jobs.insert(id.clone(), spec.clone());
         for owner in &mut self.owners {
--- a/crates/queue/tests/model/mod.rs
+++ b/crates/queue/tests/model/mod.rs
@@ -65,6 +65,8 @@
     features: SchedulingFeatures,
     /// Number of moves that owners have ordered.
     pub moves: usize,
+    /// Number of runs that owners have preempted.
+    pub preemptions: usize,
     violation: Option<String>,
 }
 
@@ -102,6 +104,7 @@
             trace: VecDeque::new(),
             features,
             moves: 0,
+            preemptions: 0,
             violation: None,
         };
         simulation.elect();
--- a/crates/queue/tests/model/owner.rs
+++ b/crates/queue/tests/model/owner.rs
@@ -28,6 +28,9 @@
 /// Time from the end of an owner's term to the next election, ms.
 const ELECTION_DELAY: u64 = 1_500;
 
+/// Queue of a lower priority, whose runs are preempted.
+pub(super) const LOW_QUEUE: &str = "low";
+
 /// Contents of the store.
 #[derive(Debug, Default)]
 pub struct StoreModel {
@@ -81,7 +84,10 @@
 fn view() -> OperatorView {
     let mut queue = support::queue();
     queue.terms.attempts = 0;
-    let queues = IndexMap::from([("q".into(), Arc::new(queue))]);
+    let mut low = queue.clone();
+    (low.name, low.terms.priority) = (LOW_QUEUE.into(), 9);
+    let queues = [queue, low].map(|queue| (queue.name.clone(), Arc::new(queue)));
+    let queues = IndexMap::from(queues);
     let config = FleetConfig { version: 1, queues, body_bytes: 0 };
     OperatorView { config: Some(config), ..OperatorView::default() }
 }
@@ -277,6 +283,8 @@
         let observations = owner.scheduler.take_observations();
         let moved = |seen: &&RunObservation| matches!(seen, RunObservation::Moved { .. });
         self.moves += observations.iter().filter(moved).count();
+        let preempted = |seen: &&RunObservation| matches!(seen, RunObservation::Preempted { .. });
+        self.preemptions += observations.iter().filter(preempted).count();
         owner.scheduler.place(now, unix);
         if now.0 >= owner.removal_at {
             owner.removal_at = now.0 + REMOVAL_INTERVAL;
--- a/crates/queue/tests/outages.rs
+++ b/crates/queue/tests/outages.rs
@@ -172,6 +172,22 @@
     assert!(simulation.moves > 0);
 }
 
+/// Guards against a test of preemption in which none happens.
+#[test]
+fn runs_of_the_lower_queue_of_the_model_are_preempted() {
+    let low = Action::Submit {
+        job: 1,
+        steps: vec![StepShape { tasks: 12, size: 1, duration: 3 }],
+        endless: false,
+    };
+    let actions = [(1_000, low), (3_000, submit(0, 3, 0, 0, false))];
+    let mut simulation = Simulation::open_moving(1);
+    if let Err(violation) = simulation.run(&actions) {
+        panic!("{violation}");
+    }
+    assert!(simulation.preemptions > 0);
+}
+
 fn check(seed: u64, actions: &[(u16, Action)]) {
     if let Err(violation) = Simulation::open(seed).run(actions) {
         panic!("{violation}");
