--- a/crates/queue/src/moves.rs
+++ b/crates/queue/src/moves.rs
@@ -1,8 +1,9 @@
 //! Moves of best-effort runs that make no progress, and preemption.
 //!
-//! A run is moved by an order to stop it; its task then waits like any other. A pass of
-//! [`QueueScheduler::balance`] selects the runs whose listed speed is low, forecasts their
-//! speed on the best other worker, and orders the stops that gain enough.
+//! A run is moved by an order to stop it; its task then waits like any other. A pass selects the
+//! runs whose listed speed is low, forecasts their speed on the best other worker, and orders the
+//! stops that gain enough. It follows a placement, so that it uses no capacity that waiting
+//! steps are about to get.
 
 pub mod decision;
 pub mod index;
@@ -130,10 +131,12 @@
         })
     }
 
-    /// Whether a run may be stopped for a move or a preemption.
+    /// Whether a run may be stopped for a move or a preemption. Before it is listed to this owner,
+    /// the work that its stop loses is not known.
     fn may_stop(&self, task: &TaskName, run: &AssignedRun, now: Moment) -> bool {
         let settles = self.avoided_worker(task, now).is_some();
-        run.movable && run.stored && !run.stopping && !run.lapsed && !settles
+        let is_known = run.stored && run.percent.is_some();
+        run.movable && is_known && !run.stopping && !run.lapsed && !settles
     }
 
     /// The worker to which a task must not return yet.
--- a/crates/queue/src/moves/index.rs
+++ b/crates/queue/src/moves/index.rs
@@ -114,6 +114,8 @@
     freed_agents: StopCounts<AgentName>,
     /// When the steps that wait for memory were last looked at.
     pub(super) preempted: Moment,
+    /// When this owner first decided; `None` before.
+    pub(super) began: Option<Moment>,
 }
 
 impl MoveState {
@@ -226,7 +228,7 @@
     }
 
     /// Whether runs on the agent's worker are being stopped for any step.
-    pub(super) fn frees_on(&self, agent: &AgentName) -> bool {
+    pub(crate) fn frees_on(&self, agent: &AgentName) -> bool {
         self.freed_agents.number(agent) > 0
     }
 }
--- a/crates/queue/src/moves/preemption.rs
+++ b/crates/queue/src/moves/preemption.rs
@@ -15,13 +15,18 @@
 use crate::rank::StepRank;
 use crate::scheduler::QueueScheduler;
 use crate::spec::StepSpec;
-use crate::worker::TrackedWorker;
+use crate::timers::SteadyTimer;
+use crate::worker::{MemoryHold, REPORT_TIMEOUT, TrackedWorker};
 
 /// Most waiting steps that are looked at in [`LOOK_INTERVAL`]: each costs a look at all workers.
 const MAX_STEPS: usize = 5;
 /// Most workers whose runs are examined for a step: bounds the duration of a pass.
 const MAX_WORKERS: usize = 20;
 
+/// Time beyond a stop for which the memory of a worker is kept for a step, ms: two lost reports of
+/// an end and its append. Bounds what a run that does not stop keeps unused.
+const HOLD_TIME: Millis = 2_000;
+
 /// A run that may be preempted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PreemptableRun {
@@ -102,7 +107,10 @@
 
 impl QueueScheduler {
     pub(super) fn preempt(&mut self, now: Moment) {
-        if self.waiting.is_empty() || now < self.moves.preempted.after(LOOK_INTERVAL) {
+        // Until its agents have reported, a new owner does not know which workers are free.
+        let began = *self.moves.began.get_or_insert(now);
+        let is_due = now >= self.moves.preempted.after(LOOK_INTERVAL);
+        if self.waiting.is_empty() || !is_due || now < began.after(REPORT_TIMEOUT) {
             return;
         }
         self.moves.preempted = now;
@@ -122,6 +130,7 @@
         plan: &PreemptionPlan,
         now: Moment,
     ) {
+        self.hold_memory(agent, step, now);
         for task in &plan.victims {
             let cause = StopCause::Preempted(step.clone());
             if let Some(run) = self.stop_run(agent, task, cause, now) {
@@ -131,6 +140,17 @@
         }
     }
 
+    /// Keeps the memory that the stops free from lower priorities: the runs end one by one, and each
+    /// end may free enough for a task of theirs, but not for the step.
+    fn hold_memory(&mut self, agent: &AgentName, step: &StepName, now: Moment) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let priority = self.queue_config(&job.spec).terms.priority;
+        let until = now.after(self.features.stop_run).after(HOLD_TIME);
+        let Some(tracked) = self.workers.get_mut(agent) else { return };
+        tracked.hold = Some(MemoryHold { priority, until });
+        self.steady_timers.set(until.0, SteadyTimer::Hold(agent.clone()));
+    }
+
     /// The worker on which the most tasks of the step fit after the stop of the least work.
     fn plan_preemption(&self, name: &StepName, now: Moment) -> Option<(AgentName, PreemptionPlan)> {
         let job = self.jobs.get(&name.job)?;
@@ -145,15 +165,11 @@
         workers.sort_by_key(|tracked| Reverse(tracked.free().memory));
         let mut best: Option<(AgentName, PreemptionPlan)> = None;
         for tracked in workers.into_iter().take(MAX_WORKERS) {
-            let runs = tracked.runs.values();
-            let stopping = runs.filter(|run| run.stopping);
-            let freed = stopping
-                .fold(tracked.free().memory, |sum, run| sum.saturating_add(run.reserved.memory));
+            let wanted = wanted.min(fitting_tasks(tracked, name, step));
             // Runs that are being stopped free enough.
-            if step.need.memory <= freed {
+            if wanted > 0 && step.need.memory <= memory_after_stops(tracked) {
                 return None;
             }
-            let wanted = wanted.min(fitting_tasks(tracked, name, step));
             let Some(plan) = self.worker_plan(tracked, step, &config, wanted, now) else {
                 continue;
             };
@@ -204,7 +220,7 @@
                 lost: run.estimate.saturating_mul(Millis::from(lost)) / 100,
             })
         });
-        choose_victims(runs.collect(), tracked.free().memory, step.need.memory, wanted)
+        choose_victims(runs.collect(), memory_after_stops(tracked), step.need.memory, wanted)
     }
 
     /// Position of a task's step among those that may be preempted.
@@ -226,13 +242,20 @@
         now: Moment,
     ) -> bool {
         let mut after = tracked.clone();
-        for task in &plan.victims {
+        let stopping = tracked.runs.iter().filter(|(_, run)| run.stopping).map(|(task, _)| task);
+        for task in stopping.chain(&plan.victims) {
             after.runs.remove(task);
         }
         cost(&after, &self.choice(name, step, config, now)).is_some()
     }
 }
 
+/// Memory that is free, or will be after the stops under way, MiB.
+fn memory_after_stops(tracked: &TrackedWorker) -> u64 {
+    let stopping = tracked.runs.values().filter(|run| run.stopping);
+    stopping.fold(tracked.free().memory, |sum, run| sum.saturating_add(run.reserved.memory))
+}
+
 /// Tasks of the step for which the worker has free processors and accelerators, and which the
 /// step's limit for a worker permits.
 fn fitting_tasks(tracked: &TrackedWorker, name: &StepName, step: &StepSpec) -> u64 {
--- a/crates/queue/src/placing.rs
+++ b/crates/queue/src/placing.rs
@@ -27,8 +27,17 @@
 
 impl QueueScheduler {
     /// Opens due occurrences and places ready tasks that fit on a worker; returns whether
-    /// more could be placed at once.
+    /// more could be placed at once. Then decides moves, if [`Self::balance`] has called for it.
     pub fn place(&mut self, now: Moment, unix: Millis) -> bool {
+        let decides = std::mem::take(&mut self.moves_due);
+        let has_more = self.place_steps(now, unix);
+        if decides && !has_more {
+            self.decide_moves(now, unix);
+        }
+        has_more
+    }
+
+    fn place_steps(&mut self, now: Moment, unix: Millis) -> bool {
         self.fire_timers(now, unix);
         self.index_changed(now, unix);
         self.reopen_steps(now);
@@ -64,7 +73,9 @@
                 SteadyTimer::Retry(job, occurrence) => {
                     self.changed.insert((job, occurrence));
                 }
-                SteadyTimer::Quarantine(agent) => self.rooms.gain(&agent),
+                SteadyTimer::Quarantine(agent) | SteadyTimer::Hold(agent) => {
+                    self.rooms.gain(&agent);
+                }
             }
         }
         while let Some(timer) = self.day_timers.take_due(unix) {
@@ -146,7 +157,7 @@
         let may_wait = job.may_wait(now);
         for (name, avoids) in ready {
             let Some(step) = job.spec.steps.get(usize::from(name.step)) else { continue };
-            let class = NeedClass::of(&name, step, &config.service, may_wait, avoids);
+            let class = NeedClass::of(&name, step, &config, may_wait, avoids);
             let (priority, accepted) = (config.terms.priority, job.spec.accepted);
             let turn = self.step_turn(&name, late, accepted);
             self.waiting.insert(class, StepOrder { priority, turn, step: name });
@@ -367,6 +378,7 @@
             name,
             step,
             service,
+            priority: config.terms.priority,
             taken_out,
             interference,
             within: None,
