Count late work ahead only of jobs that would be late as well

With job_order, the rank of a step holds the priority, then whether its job can be in time, then a time: late jobs are served after all that can be in time. The entry counted both kinds ahead of a new job, so a small job that would have been served first was refused after an overload had made the waiting jobs late.

Ruled out: leaving late work out altogether. A job that waits longer than its own time becomes late itself and then competes with the other late ones.

Change: late work of the same priority counts only if the work that can be in time already takes the job beyond its budget. Work of higher priorities counts whole, as the priority comes first in a rank. Without job_order nothing changes.

--- a/crates/queue/src/backlog/admission.rs
+++ b/crates/queue/src/backlog/admission.rs
@@ -121,20 +121,32 @@
     let service = backlog.services.iter().find(|service| service.service == own.service)?;
     let rate = service.rate.filter(|rate| *rate > 0)?;
     let classes = with_accepted(service, accepted);
-    let is_ahead = |class: &&ClassWork| {
-        let same = class.priority == own.priority;
-        let first = !backlog.ordered || class.size <= size_class(own.work);
-        class.priority < own.priority || (same && first)
-    };
-    let ahead = classes.iter().filter(is_ahead).fold(0, |sum: u64, class| {
-        sum.saturating_add(class.in_time.work).saturating_add(class.useful.work)
-    });
     let path = path_in_waves(spec, rate);
+    let (first, late) = work_ahead(&classes, &own, backlog.ordered);
+    let all = first.saturating_add(late);
+    let in_time = duration(first, rate).saturating_add(path) <= own.budget;
+    let ahead = if in_time { first } else { all };
     let expected = duration(ahead, rate).saturating_add(path);
     let harms = harms(&classes, &own, rate);
     Some(CompletionForecast { ahead, rate, path, expected, budget: own.budget, harms })
 }
 
+/// Best-effort work before a job that can be in time, and what comes before it too once it is late
+/// itself: the order serves late jobs of a priority after all others.
+fn work_ahead(classes: &[ClassWork], own: &AcceptedWork, ordered: bool) -> (u64, u64) {
+    let (mut first, mut late) = (0u64, 0u64);
+    for class in classes {
+        let (in_time, useful) = (class.in_time.work, class.useful.work);
+        if class.priority < own.priority || (class.priority == own.priority && !ordered) {
+            first = first.saturating_add(in_time).saturating_add(useful);
+        } else if class.priority == own.priority && class.size <= size_class(own.work) {
+            first = first.saturating_add(in_time);
+            late = late.saturating_add(useful);
+        }
+    }
+    (first, late)
+}
+
 /// The classes of a service, with the jobs that were accepted since.
 fn with_accepted(service: &ServiceBacklog, accepted: &[AcceptedWork]) -> Vec<ClassWork> {
     let own = accepted.iter().filter(|accepted| accepted.service == service.service);
--- a/crates/queue/tests/backlog.rs
+++ b/crates/queue/tests/backlog.rs
@@ -128,6 +128,25 @@
     assert!(matches!(decide(&late(10_000), &spec, 2), Admission::Refuse(_)));
 }
 
+/// Guards against the refusal of a job that the order serves before all late jobs.
+#[test]
+fn late_work_does_not_come_before_a_job_in_time() {
+    // Budget 2 s, useful for 6 s.
+    let spec = small();
+    let with_late = |ordered, in_time_ms| {
+        let in_time = TimedWork { work: RATE / 1_000 * in_time_ms, remaining: 500 };
+        let useful = TimedWork { work: RATE / 1_000 * 20_000, remaining: 5_000 };
+        let class = ClassWork { priority: 2, size: size_class(7_000), in_time, useful };
+        backlog(ordered, Some(RATE), vec![class])
+    };
+    assert_eq!(decide(&with_late(true, 0), &spec, 2), Admission::Accept);
+    assert_eq!(decide(&with_late(true, 1_400), &spec, 2), Admission::Accept);
+    // The job becomes late itself before it is served, or is served in the order of acceptance.
+    for backlog in [with_late(true, 1_600), with_late(false, 0)] {
+        assert!(matches!(decide(&backlog, &spec, 2), Admission::Refuse(_)));
+    }
+}
+
 /// Guards against refusals that rest on nothing, and against overflows.
 #[test]
 fn what_is_not_known_is_accepted() {
