Round the tasks that run at once up when a path is forecast

A step of more tasks than the rate holds at once is forecast in waves. The number of tasks at once was rounded down, so a rate just below two tasks (13.9 of 14 processors) doubled the path. A rate is measured, and is usually a little below a multiple of the need.

Ruled out: the work of the step divided by the rate. It is too low where whole tasks run at once, and a_wide_step_runs_in_waves checks whole waves.

Change: the number is rounded up. It is then at most one task too high, which refuses less.

--- a/crates/queue/src/backlog/admission.rs
+++ b/crates/queue/src/backlog/admission.rs
@@ -193,7 +193,8 @@
 fn path_in_waves(spec: &JobSpec, rate: u64) -> Millis {
     let mut steps = spec.steps.clone();
     for step in steps.iter_mut().filter(|step| step.best_effort) {
-        let at_once = (rate / step.need.cpu.max(1)).max(1);
+        // Rounded up: a rate is measured a little below what the room holds.
+        let at_once = rate.div_ceil(step.need.cpu.max(1)).max(1);
         let waves = u64::from(step.tasks).div_ceil(at_once);
         step.estimate = step.estimate.saturating_mul(waves);
     }
--- a/crates/queue/tests/backlog.rs
+++ b/crates/queue/tests/backlog.rs
@@ -233,6 +233,14 @@
     assert_eq!([path(1), path(2), path(3), path(20)], [1_000, 1_000, 2_000, 10_000]);
 }
 
+/// Guards against a path of whole waves more if the rate is just below a multiple of the need.
+#[test]
+fn a_rate_just_below_two_tasks_is_not_taken_for_one() {
+    let quiet = backlog(false, Some(13_900), vec![class(2, &small(), 1, 1)]);
+    let spec = best_effort(20, 7_000, 1_000);
+    assert_eq!(forecast(&quiet, 0, &spec, &of_priority(2), &[]).unwrap().path, 10_000);
+}
+
 /// An owner with one worker that can hold few best-effort tasks at once.
 struct Owner {
     scheduler: QueueScheduler,
