Count no work of jobs that are not judged at an entry

An entry adds the jobs that it has accepted to the backlog until the next one arrives. It added recurring jobs too, whose first occurrence may be due in an hour, and jobs with a step without end; the owner counts an occurrence once it is due. A burst of recurring jobs had other jobs refused for up to 2 s. Jobs without best-effort work took places in the list of at most 1,000 jobs.

Ruled out: to count what is due within the age of a backlog. Such a job is in the next backlog, and counting nothing refuses less.

Change: AcceptedWork has no work for them, and the list takes only work.

--- a/crates/fleet/src/watcher.rs
+++ b/crates/fleet/src/watcher.rs
@@ -133,7 +133,8 @@
         let admission = admit(backlog, age, spec, queue, &jobs.accepted);
         // An owner that is lost sends no further backlog; then none is used.
         if admission == Admission::Accept && jobs.accepted.len() < MAX_ACCEPTED {
-            jobs.accepted.push(AcceptedWork::of(spec, queue));
+            let accepted = AcceptedWork::of(spec, queue);
+            jobs.accepted.extend((accepted.work > 0).then_some(accepted));
         }
         (admission, age)
     }
--- a/crates/queue/src/backlog/admission.rs
+++ b/crates/queue/src/backlog/admission.rs
@@ -32,10 +32,12 @@
 }
 
 impl AcceptedWork {
-    /// The work of a job in a queue.
+    /// The work of a job in a queue; none if the job is not judged, as it begins later or has no
+    /// amount of work.
     #[must_use]
     pub fn of(spec: &JobSpec, config: &QueueConfig) -> Self {
-        let steps = spec.steps.iter().filter(|step| step.best_effort);
+        let is_judged = spec.times == 0 && !spec.is_endless();
+        let steps = spec.steps.iter().filter(|step| is_judged && step.best_effort);
         let work = steps.map(|step| task_work(step).saturating_mul(u64::from(step.tasks)));
         Self {
             service: config.service.clone(),
@@ -115,7 +117,7 @@
     accepted: &[AcceptedWork],
 ) -> Option<CompletionForecast> {
     let own = AcceptedWork::of(spec, config);
-    if age > MAX_BACKLOG_AGE || own.work == 0 || spec.times > 0 || spec.is_endless() {
+    if age > MAX_BACKLOG_AGE || own.work == 0 {
         return None;
     }
     let service = backlog.services.iter().find(|service| service.service == own.service)?;
--- a/crates/queue/tests/backlog.rs
+++ b/crates/queue/tests/backlog.rs
@@ -241,6 +241,20 @@
     assert_eq!(forecast(&quiet, 0, &spec, &of_priority(2), &[]).unwrap().path, 10_000);
 }
 
+/// Guards against refusals for a job that begins later, or without an amount of work.
+#[test]
+fn accepted_jobs_that_are_not_judged_do_not_count() {
+    let recurring = JobSpec { times: 3, first_due: UNIX + 3_600_000, ..large() };
+    let endless = StepSpec { endless: true, ..large().steps[0].clone() };
+    let mixed = job(vec![large().steps[0].clone(), endless]);
+    for spec in [recurring, mixed] {
+        let accepted = vec![AcceptedWork::of(&spec, &of_priority(2)); 20];
+        let quiet = backlog(false, Some(RATE), vec![class(2, &large(), 1_000, 1_000)]);
+        let admission = admit(&quiet, 0, &large(), &of_priority(2), &accepted);
+        assert_eq!(admission, Admission::Accept);
+    }
+}
+
 /// An owner with one worker that can hold few best-effort tasks at once.
 struct Owner {
     scheduler: QueueScheduler,
