Measure the rate only while the owner places tasks

While starts are withheld, requests are unread or the store confirms nothing, no task starts, and the room empties. The waiting work was sampled with every backlog that is sent, also then, so the slots of an outage counted with less and less work done. Entries took the rate of the outage for the room and refused jobs during it and for 5 s after it. The first seconds of a new owner and those after an outage were low too: runs start anew and list progress a second later.

Ruled out: a call of the owner's loop that announces the outage. The samples, which are taken only before placements, show it by their gap, also if the loop itself does not run.

Change: waiting work is sampled by balance only, which the loop calls only while it may place. Without a sample for 1.2 s there is no rate, and a measurement begins 2 s after an interruption or an election. Together with the 2.5 s of slots, nothing is refused in the first 4.5 s.

--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -5,7 +5,7 @@
 use cactusdoor_core::unit::{Millis, Moment};
 use indexmap::IndexMap;
 
-use super::rate::WorkRate;
+use super::rate::{PlacingTime, WorkRate};
 use super::{Backlog, ClassWork, PriorityWork, ServiceBacklog, TimedWork, size_class};
 use crate::name::{JobId, ServiceName};
 
@@ -90,6 +90,7 @@
     /// When entries lose the value that they have.
     ends: BTreeSet<(Millis, JobId, u32)>,
     rates: IndexMap<ServiceName, WorkRate>,
+    pub(super) placing: PlacingTime,
     /// Newest Unix time: the clock may be set back.
     unix: Millis,
 }
@@ -97,8 +98,8 @@
 impl BacklogIndex {
     /// Forgets all work; the rates stay.
     pub(crate) fn clear(&mut self) {
-        let (rates, unix) = (std::mem::take(&mut self.rates), self.unix);
-        *self = Self { rates, unix, ..Self::default() };
+        let (rates, placing, unix) = (std::mem::take(&mut self.rates), self.placing, self.unix);
+        *self = Self { rates, placing, unix, ..Self::default() };
     }
 
     pub(super) fn contains(&self, key: &OccurrenceKey) -> bool {
@@ -212,6 +213,12 @@
         &mut self.rates[service]
     }
 
+    /// `None` if the owner does not place tasks: what is done then is no measure of the room.
+    fn mean_rate(&self, service: &ServiceName, now: Moment) -> Option<u64> {
+        let from = self.placing.measured_from(now)?;
+        self.rates.get(service)?.mean(from, now)
+    }
+
     /// The backlog at a time.
     pub(super) fn answer(&mut self, ordered: bool, now: Moment, unix: Millis) -> Backlog {
         self.advance(unix);
@@ -224,7 +231,7 @@
         for ((service, priority), sum) in &self.kinds {
             let known = services.entry(service.clone()).or_insert_with(|| ServiceBacklog {
                 service: service.clone(),
-                rate: self.rates.get(service).and_then(|rate| rate.mean(now)),
+                rate: self.mean_rate(service, now),
                 ..ServiceBacklog::default()
             });
             let (best_effort, reserving) = (whole(sum.best_effort), whole(sum.reserving));
--- a/crates/queue/src/backlog/rate.rs
+++ b/crates/queue/src/backlog/rate.rs
@@ -1,21 +1,52 @@
 //! Measured rate of best-effort work.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 
 use cactusdoor_core::unit::{Millis, Moment};
 
 /// Duration of a slot of the measurement, ms.
 const SLOT: Millis = 500;
 /// Slots of the measurement: 5 s.
-const SLOTS: usize = 10;
+const SLOTS: u64 = 10;
 /// Least slots in which work waited: progress is reported with a delay of up to a second, so
 /// shorter measurements show too low a rate.
 const MIN_SLOTS: usize = 5;
+/// Longest time between two samples of an owner that places tasks, ms: the agents' reports call
+/// it at least every 0.6 s.
+const MAX_SAMPLE_GAP: Millis = 1_200;
+/// Time after an interruption until the rate is that of a full fleet again, ms: a placement, the
+/// start of its run, and the first list with its progress.
+const SETTLE_TIME: Millis = 2_000;
+
+/// The time since which the owner has placed tasks without an interruption.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PlacingTime {
+    sampled: Option<Moment>,
+    /// Begin of the measurement.
+    from: Moment,
+}
+
+impl PlacingTime {
+    /// Records that the owner places tasks.
+    pub(crate) fn sample(&mut self, now: Moment) {
+        if !self.is_placing(now) {
+            self.from = now.after(SETTLE_TIME);
+        }
+        self.sampled = Some(now);
+    }
+
+    fn is_placing(&self, now: Moment) -> bool {
+        self.sampled.is_some_and(|at| now <= at.after(MAX_SAMPLE_GAP))
+    }
+
+    /// Begin of the measurement; `None` if the owner does not place tasks at present.
+    pub(crate) fn measured_from(&self, now: Moment) -> Option<Moment> {
+        self.is_placing(now).then_some(self.from)
+    }
+}
 
 #[derive(Clone, Copy, Debug, Default)]
 struct RateSlot {
-    /// Number of the slot since the start of the clock.
-    number: u64,
     /// Work done less work lost, in hundredths of a processor-ms.
     done: i128,
     /// Whether work waited or was throttled.
@@ -25,20 +56,17 @@
 /// Best-effort work done in the last slots.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkRate {
-    slots: VecDeque<RateSlot>,
+    /// By the number of the slot since the start of the clock.
+    slots: BTreeMap<u64, RateSlot>,
 }
 
 impl WorkRate {
     fn slot(&mut self, now: Moment) -> &mut RateSlot {
         let number = now.0 / SLOT;
-        if self.slots.back().is_none_or(|slot| slot.number < number) {
-            self.slots.push_back(RateSlot { number, ..RateSlot::default() });
-            if self.slots.len() > SLOTS + 1 {
-                self.slots.pop_front();
-            }
+        if !self.slots.contains_key(&number) {
+            self.slots = self.slots.split_off(&number.saturating_sub(SLOTS));
         }
-        let last = self.slots.len() - 1;
-        &mut self.slots[last]
+        self.slots.entry(number).or_default()
     }
 
     /// Records done work, in hundredths of a processor-ms; negative if work was lost.
@@ -53,15 +81,13 @@
     }
 
     /// Thousandths of a processor-ms in a ms, over the complete slots of the last 5 s in which
-    /// work waited; `None` if there are too few.
-    pub(crate) fn mean(&self, now: Moment) -> Option<u64> {
+    /// work waited; `None` if there are too few. `from`: begin of the measurement.
+    pub(crate) fn mean(&self, from: Moment, now: Moment) -> Option<u64> {
         let current = now.0 / SLOT;
-        let oldest = current.saturating_sub(SLOTS as u64);
-        let recent = self
-            .slots
-            .iter()
-            .filter(|slot| slot.waited && slot.number >= oldest && slot.number < current);
-        let (count, done) = recent.fold((0usize, 0i128), |(count, done), slot| {
+        let oldest = current.saturating_sub(SLOTS).max(from.0.div_ceil(SLOT));
+        let recent = self.slots.range(oldest.min(current)..current);
+        let waited = recent.filter(|(_, slot)| slot.waited);
+        let (count, done) = waited.fold((0usize, 0i128), |(count, done), (_, slot)| {
             (count + 1, done.saturating_add(slot.done))
         });
         if count < MIN_SLOTS {
--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -16,15 +16,15 @@
         if !self.features.refusals {
             return None;
         }
-        self.sample_waiting(now);
         Some(self.backlog_index.answer(self.features.job_order, now, unix))
     }
 
-    /// Records for which services best-effort tasks wait.
+    /// Records for which services best-effort tasks wait. Call it only while the owner may place.
     pub(crate) fn sample_waiting(&mut self, now: Moment) {
         if !self.features.refusals {
             return;
         }
+        self.backlog_index.placing.sample(now);
         for service in self.waiting.best_effort_services() {
             self.backlog_index.rate(service).wait(now);
         }
