Measure the rate only in slots in which work waits for room

A slot of the rate counted if a best-effort step waited at any sample, or if any run of any worker of the service was throttled. On an idle fleet with one run throttled next to a serving task, or with a step that waits for a label, for an accelerator, for memory that no worker has, for a place under its limit for each worker, or for its whole gang, the rate was the demand of the moment. The work of steps that are not ready was divided by it, and jobs were refused next to idle processors.

Ruled out: a threshold of throttled runs. Also ruled out: tasks of any size. A task that only an almost empty worker can hold waits although others find room, so two of its tasks must fit into half of the workers.

Change: only steps that no worker can take count (not those that the pass has not reached), only if half of the reporting workers could hold two of the tasks if they were empty, and no limit of the step itself holds them back. A slot counts if work waited at all its samples; slots between two samples count if work waited at both.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -31,8 +31,6 @@
 const MAX_STALL_DOUBLINGS: u32 = 10;
 /// Speed, percent, below which a throttled task is ignored in the check for a stall.
 const STALL_SPEED: u8 = 50;
-/// Speed, percent, of a run that is not throttled.
-const FULL_SPEED: u8 = 100;
 /// Change of a run's progress, percent, that the sums of the remaining work follow: each costs
 /// about as much as the other handling of a listed run.
 const PROGRESS_STEP: u8 = 10;
@@ -375,7 +373,7 @@
         tracked.unassigned.clear();
         tracked.awaits_list = false;
         let counts = self.features.refusals;
-        let (mut progress, mut throttled) = (Vec::new(), false);
+        let mut progress = Vec::new();
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -384,7 +382,6 @@
                     // A new checkpoint holds at least the progress of the list before.
                     let saved = run.percent.unwrap_or(run.checkpoint_percent);
                     // Without a percentage, the progress is not known.
-                    throttled |= run.start.best_effort && listed.speed < FULL_SPEED;
                     if let Some(percent) = listed.percent.filter(|_| counts)
                         && run.percent.map(|known| known / PROGRESS_STEP)
                             != Some(percent / PROGRESS_STEP)
@@ -441,7 +438,7 @@
                 self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
             }
         }
-        self.record_progress(agent, progress, throttled, now);
+        self.record_progress(progress, now);
     }
 
     /// Ends the runs of agents whose lease has certainly expired; returns these agents
--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cactusdoor_core::unit::{Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::rate::{PlacingTime, WorkRate};
 use super::{Backlog, ClassWork, PriorityWork, ServiceBacklog, TimedWork, size_class};
@@ -90,7 +90,7 @@
     /// When entries lose the value that they have.
     ends: BTreeSet<(Millis, JobId, u32)>,
     rates: IndexMap<ServiceName, WorkRate>,
-    pub(super) placing: PlacingTime,
+    placing: PlacingTime,
     /// Newest Unix time: the clock may be set back.
     unix: Millis,
 }
@@ -219,6 +219,17 @@
         self.rates.get(service)?.mean(from, now)
     }
 
+    /// Records for which services work waits for room.
+    pub(super) fn sample(&mut self, waiting: &IndexSet<ServiceName>, now: Moment) {
+        self.placing.sample(now);
+        for service in waiting {
+            self.rate(service);
+        }
+        for (service, rate) in &mut self.rates {
+            rate.sample(waiting.contains(service), now);
+        }
+    }
+
     /// The backlog at a time.
     pub(super) fn answer(&mut self, ordered: bool, now: Moment, unix: Millis) -> Backlog {
         self.advance(unix);
--- a/crates/queue/src/backlog/rate.rs
+++ b/crates/queue/src/backlog/rate.rs
@@ -49,8 +49,17 @@
 struct RateSlot {
     /// Work done less work lost, in hundredths of a processor-ms.
     done: i128,
-    /// Whether work waited or was throttled.
+    /// Whether work waited at a sample.
     waited: bool,
+    /// Whether none waited at another.
+    idle: bool,
+}
+
+impl RateSlot {
+    fn record(&mut self, waits: bool) {
+        self.waited |= waits;
+        self.idle |= !waits;
+    }
 }
 
 /// Best-effort work done in the last slots.
@@ -58,11 +67,12 @@
 pub(crate) struct WorkRate {
     /// By the number of the slot since the start of the clock.
     slots: BTreeMap<u64, RateSlot>,
+    /// Slot of the newest sample, and whether work waited.
+    sampled: Option<(u64, bool)>,
 }
 
 impl WorkRate {
-    fn slot(&mut self, now: Moment) -> &mut RateSlot {
-        let number = now.0 / SLOT;
+    fn slot(&mut self, number: u64) -> &mut RateSlot {
         if !self.slots.contains_key(&number) {
             self.slots = self.slots.split_off(&number.saturating_sub(SLOTS));
         }
@@ -71,22 +81,29 @@
 
     /// Records done work, in hundredths of a processor-ms; negative if work was lost.
     pub(crate) fn add(&mut self, done: i128, now: Moment) {
-        let slot = self.slot(now);
+        let slot = self.slot(now.0 / SLOT);
         slot.done = slot.done.saturating_add(done);
     }
 
-    /// Records that work waits or is throttled.
-    pub(crate) fn wait(&mut self, now: Moment) {
-        self.slot(now).waited = true;
+    /// Records whether work waits for room. Work waits in the slots without a sample if it waits
+    /// before and after them.
+    pub(crate) fn sample(&mut self, waits: bool, now: Moment) {
+        let current = now.0 / SLOT;
+        let (last, waited) = self.sampled.unwrap_or((current, waits));
+        for number in last.saturating_add(1).max(current.saturating_sub(SLOTS))..current {
+            self.slot(number).record(waits && waited);
+        }
+        self.slot(current).record(waits);
+        self.sampled = Some((current, waits));
     }
 
     /// Thousandths of a processor-ms in a ms, over the complete slots of the last 5 s in which
-    /// work waited; `None` if there are too few. `from`: begin of the measurement.
+    /// work waited all the time; `None` if there are too few. `from`: begin of the measurement.
     pub(crate) fn mean(&self, from: Moment, now: Moment) -> Option<u64> {
         let current = now.0 / SLOT;
         let oldest = current.saturating_sub(SLOTS).max(from.0.div_ceil(SLOT));
         let recent = self.slots.range(oldest.min(current)..current);
-        let waited = recent.filter(|(_, slot)| slot.waited);
+        let waited = recent.filter(|(_, slot)| slot.waited && !slot.idle);
         let (count, done) = waited.fold((0usize, 0i128), |(count, done), (_, slot)| {
             (count + 1, done.saturating_add(slot.done))
         });
--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -1,14 +1,16 @@
 //! Changes of jobs that change the sums of the remaining work.
 
 use cactusdoor_core::unit::{Millis, Moment};
+use indexmap::IndexSet;
 
 use super::admission::USELESS_BUDGETS;
 use super::index::{OccurrenceKey, TrackedWork};
 use super::{Backlog, task_work};
 use crate::config::OperatorView;
 use crate::job::{JobProgress, TaskProgress};
-use crate::name::{AgentName, JobId, TaskName};
+use crate::name::{JobId, ServiceName, StepName, TaskName};
 use crate::scheduler::QueueScheduler;
+use crate::worker::REPORT_TIMEOUT;
 
 impl QueueScheduler {
     /// The work that waits; `None` unless refusals are switched on.
@@ -24,10 +26,36 @@
         if !self.features.refusals {
             return;
         }
-        self.backlog_index.placing.sample(now);
-        for service in self.waiting.best_effort_services() {
-            self.backlog_index.rate(service).wait(now);
+        let mut waiting = IndexSet::new();
+        for (service, step) in self.waiting.refused_best_effort() {
+            if !waiting.contains(service) && self.waits_for_room(service, step, now) {
+                waiting.insert(service.clone());
+            }
+        }
+        self.backlog_index.sample(&waiting, now);
+    }
+
+    /// Whether a step that no worker can take shows that there is no room for others: half of
+    /// the workers could take two of its tasks at once if they were empty, and none of its tasks
+    /// waits for another one of them.
+    fn waits_for_room(&self, service: &ServiceName, name: &StepName, now: Moment) -> bool {
+        let job = self.jobs.get(&name.job);
+        let step = job.and_then(|job| job.spec.steps.get(usize::from(name.step)));
+        let Some(step) = step.filter(|step| !step.gang && step.per_worker == 0) else {
+            return false;
+        };
+        let need = step.reserved().plus(&step.reserved());
+        let (mut workers, mut fitting) = (0usize, 0usize);
+        for tracked in self.workers.values() {
+            let worker = tracked.worker.as_ref().filter(|worker| worker.service == *service);
+            let reports = now <= tracked.reported_at.after(REPORT_TIMEOUT);
+            let Some(worker) = worker.filter(|_| reports) else { continue };
+            let labelled = step.label.as_ref().is_none_or(|label| tracked.has_label(label));
+            let open = !tracked.is_taken_out(&self.view);
+            workers += 1;
+            fitting += usize::from(labelled && open && need.fits(&worker.capacity));
         }
+        fitting > 0 && fitting * 2 >= workers
     }
 
     /// Adds the open occurrences of a job that the sums do not have yet.
@@ -82,21 +110,11 @@
         }
     }
 
-    /// Records the progress that a worker has listed, and whether its runs are throttled.
-    pub(crate) fn record_progress(
-        &mut self,
-        agent: &AgentName,
-        listed: Vec<(TaskName, u8)>,
-        throttled: bool,
-        now: Moment,
-    ) {
+    /// Records the progress that a worker has listed.
+    pub(crate) fn record_progress(&mut self, listed: Vec<(TaskName, u8)>, now: Moment) {
         for (task, percent) in listed {
             self.change_tracked_task(&task, |task| task.percent = percent.min(100), now);
         }
-        let worker = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
-        if let Some(worker) = worker.filter(|_| throttled && self.features.refusals) {
-            self.backlog_index.rate(&worker.service).wait(now);
-        }
     }
 
     /// Remaining work of a step, hundredths of a processor-ms.
--- a/crates/queue/src/waiting.rs
+++ b/crates/queue/src/waiting.rs
@@ -190,10 +190,13 @@
         }
     }
 
-    /// Services for which best-effort steps wait.
-    pub fn best_effort_services(&self) -> impl Iterator<Item = &ServiceName> {
-        let classes = self.classes.keys().filter(|class| class.best_effort.is_some());
-        classes.map(|class| &class.service)
+    /// First best-effort step of each class that no worker can take, with its service.
+    pub fn refused_best_effort(&self) -> impl Iterator<Item = (&ServiceName, &StepName)> {
+        let refused = |(class, queue): &(&NeedClass, &NeedQueue)| {
+            class.best_effort.is_some() && queue.refused.is_some()
+        };
+        let refused = self.classes.iter().filter(refused);
+        refused.filter_map(|(class, queue)| Some((&class.service, &queue.steps.first()?.step)))
     }
 
     /// Opens all classes of best-effort steps.
--- a/crates/queue/tests/backlog_rate.rs
+++ b/crates/queue/tests/backlog_rate.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::report::{AgentReport, RunEnd};
+use cactusdoor_queue::report::{AgentReport, ReportedRun, RunEnd};
 use cactusdoor_queue::scheduler::QueueScheduler;
 use cactusdoor_queue::spec::{JobSpec, StepSpec, TaskNeed};
 use support::*;
@@ -27,6 +27,12 @@
     job(vec![StepSpec { need, estimate: 1_000, best_effort: true, ..step(tasks, 0) }])
 }
 
+/// Changes the first step of a job.
+fn changed(mut spec: JobSpec, change: impl FnOnce(&mut StepSpec)) -> JobSpec {
+    change(&mut spec.steps[0]);
+    spec
+}
+
 impl Fleet {
     fn open(agents: &[&str]) -> Self {
         let mut scheduler = scheduler();
@@ -66,6 +72,19 @@
         store(&mut self.scheduler);
     }
 
+    /// Lists the runs of an agent's worker with this progress and speed.
+    fn list(&mut self, agent: &str, percent: u8, speed: u8) {
+        let runs = self.scheduler.workers[agent].runs.values().map(|run| ReportedRun {
+            task: run.start.task.clone(),
+            run: run.start.run,
+            checkpoint: "".into(),
+            percent: Some(percent),
+            speed,
+        });
+        let runs = runs.collect();
+        self.report(agent, |message| message.runs = Some(runs));
+    }
+
     /// Ends a run of a job on an agent's worker.
     fn end(&mut self, agent: &str, job: &str, end: RunEnd) {
         let mut runs = self.scheduler.workers[agent].runs.values().map(|run| &run.start);
@@ -121,3 +140,75 @@
     }
     assert_eq!(fleet.rate(), Some(4_000));
 }
+
+/// Guards against the demand of an idle fleet that is taken for its room, since a run is
+/// throttled next to a serving task.
+#[test]
+fn a_throttled_run_is_no_sign_of_a_full_fleet() {
+    let mut fleet = Fleet::open(&["a", "b", "c", "d"]);
+    fleet.submit("j", changed(filling(1), |step| step.estimate = 20_000));
+    for percent in 1..16 {
+        fleet.now += TICK;
+        for agent in ["a", "b", "c", "d"] {
+            fleet.list(agent, 4 * percent, 80);
+        }
+        fleet.pass();
+        assert_eq!(fleet.rate(), None);
+    }
+}
+
+/// Guards against the same by a step that waits although there is room for others.
+#[test]
+fn a_step_that_few_workers_can_take_is_no_sign_of_a_full_fleet() {
+    let changes: [fn(&mut StepSpec); 5] = [
+        |step| step.label = Some("none".into()),
+        |step| step.need.accelerators = 1,
+        |step| step.need.memory = 20_000,
+        |step| step.per_worker = 1,
+        |step| step.gang = true,
+    ];
+    for change in changes {
+        let mut fleet = Fleet::open(&["a"]);
+        fleet.submit(
+            "w",
+            changed(filling(3), |step| {
+                step.need.memory = 100;
+                step.tasks = 300;
+                change(step);
+            }),
+        );
+        // Far less than the fleet can do.
+        fleet.submit(
+            "j",
+            changed(filling(80), |step| {
+                step.need = TaskNeed { cpu: 10, memory: 10, accelerators: 0 };
+            }),
+        );
+        assert!(fleet.scheduler.workers["a"].runs.values().any(|run| &*run.start.task.job == "j"));
+        for _ in 0..16 {
+            fleet.now += TICK;
+            fleet.end("a", "j", RunEnd::Done);
+            fleet.pass();
+            assert_eq!(fleet.rate(), None);
+        }
+    }
+}
+
+/// Guards against a slot that counts whole although work waited for a part of it only.
+#[test]
+fn a_slot_in_which_nothing_waited_for_a_time_does_not_count() {
+    let mut fleet = Fleet::open(&["a"]);
+    fleet.submit("j", filling(1));
+    for number in 0..20 {
+        let id = format!("k{number}");
+        fleet.submit(&id, filling(3));
+        fleet.now += TICK / 2;
+        fleet.end("a", &id, RunEnd::Done);
+        fleet.pass();
+        fleet.scheduler.cancel(&id.as_str().into(), fleet.unix());
+        fleet.end("a", &id, RunEnd::Stopped);
+        fleet.now += TICK / 2;
+        fleet.pass();
+        assert_eq!(fleet.rate(), None);
+    }
+}
