Do not subtract lost work from the rate

The rate was the work done less the work lost. When a worker is lost, or a run is stopped without a checkpoint, all its progress was subtracted at once from the 5 s of the measurement, so a loss of power left a rate near zero for the workers that were still there, and jobs were refused against it.

Ruled out: leaving out only the work of runs that lapse. Stops for moves, failures and progress that a worker takes back are no lack of room either; the lost work is in the backlog again.

Change: only work that is done is added. Work that is repeated counts twice, as the fleet has done it twice; the rate is then higher and refuses less.

--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -119,12 +119,13 @@
         }
     }
 
-    /// Changes the work of an entry; returns its service and the best-effort work done.
+    /// Changes the work of an entry; returns its service and the best-effort work done,
+    /// none if work was lost.
     pub(super) fn change(
         &mut self,
         key: &OccurrenceKey,
         change: impl FnOnce(&mut TrackedWork),
-    ) -> Option<(ServiceName, i128)> {
+    ) -> Option<(ServiceName, u128)> {
         let (work, value) = self.entries.get_mut(key)?;
         let old = work.clone();
         change(work);
@@ -138,8 +139,7 @@
             self.count(key, &old, old_value, false);
             self.count(key, &new, value, true);
         }
-        let done = signed(old.best_effort).saturating_sub(signed(new.best_effort));
-        Some((new.service, done))
+        Some((new.service, old.best_effort.saturating_sub(new.best_effort)))
     }
 
     /// Changes the amounts of an entry that stays in its class: most changes are progress.
@@ -273,7 +273,3 @@
 fn whole(work: u128) -> u64 {
     u64::try_from(work / 100).unwrap_or(u64::MAX)
 }
-
-fn signed(work: u128) -> i128 {
-    i128::try_from(work).unwrap_or(i128::MAX)
-}
--- a/crates/queue/src/backlog/rate.rs
+++ b/crates/queue/src/backlog/rate.rs
@@ -47,8 +47,8 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct RateSlot {
-    /// Work done less work lost, in hundredths of a processor-ms.
-    done: i128,
+    /// Work done, in hundredths of a processor-ms.
+    done: u128,
     /// Whether work waited at a sample.
     waited: bool,
     /// Whether none waited at another.
@@ -79,8 +79,9 @@
         self.slots.entry(number).or_default()
     }
 
-    /// Records done work, in hundredths of a processor-ms; negative if work was lost.
-    pub(crate) fn add(&mut self, done: i128, now: Moment) {
+    /// Records done work, in hundredths of a processor-ms. Work that is lost later has been done:
+    /// it waits again, and says nothing about the room.
+    pub(crate) fn add(&mut self, done: u128, now: Moment) {
         let slot = self.slot(now.0 / SLOT);
         slot.done = slot.done.saturating_add(done);
     }
@@ -104,13 +105,12 @@
         let oldest = current.saturating_sub(SLOTS).max(from.0.div_ceil(SLOT));
         let recent = self.slots.range(oldest.min(current)..current);
         let waited = recent.filter(|(_, slot)| slot.waited && !slot.idle);
-        let (count, done) = waited.fold((0usize, 0i128), |(count, done), (_, slot)| {
+        let (count, done) = waited.fold((0usize, 0u128), |(count, done), (_, slot)| {
             (count + 1, done.saturating_add(slot.done))
         });
         if count < MIN_SLOTS {
             return None;
         }
-        let done = u128::try_from(done).unwrap_or_default();
         let time = count as u128 * u128::from(SLOT);
         Some(u64::try_from(done.saturating_mul(10) / time).unwrap_or(u64::MAX))
     }
--- a/crates/queue/tests/backlog_rate.rs
+++ b/crates/queue/tests/backlog_rate.rs
@@ -212,3 +212,31 @@
         assert_eq!(fleet.rate(), None);
     }
 }
+
+/// Guards against a loss of workers whose lost work is taken for a lack of room.
+#[test]
+fn work_that_is_lost_with_its_worker_does_not_lower_the_rate() {
+    let mut fleet = Fleet::open(&["a", "b"]);
+    fleet.submit("j", changed(filling(90), |step| step.estimate = 20_000));
+    for percent in 1..=16 {
+        fleet.now += TICK;
+        ["a", "b"].iter().for_each(|agent| fleet.list(agent, 5 * percent, 100));
+        fleet.pass();
+    }
+    let before = fleet.rate().unwrap();
+    assert!(before >= 8_000, "{before}");
+    fleet.now += TICK;
+    fleet.list("a", 85, 100);
+    let lost = worker("b", 1).incarnation;
+    fleet.report("b", |message| {
+        message.worker = None;
+        message.ended_incarnation = Some(lost);
+    });
+    fleet.pass();
+    fleet.now += TICK;
+    fleet.list("a", 90, 100);
+    fleet.report("b", |message| message.worker = None);
+    fleet.pass();
+    let after = fleet.rate();
+    assert!(after.is_none_or(|after| after >= before * 3 / 4), "{after:?} after {before}");
+}
