Take the processors in use as the least rate of best-effort work

The rate was listed progress and ended tasks by the callers' estimates. Where progress is listed rarely, or not until the end, tasks that start together leave seconds without any: the rate was 0 or near it while all processors worked. Tasks that take longer than their caller expects hold the room and count for little, so they lowered the rate for the accurate estimates that waited behind them.

Ruled out: a longer measurement. A task may take minutes, and the room changes within seconds. Also ruled out: the use alone. If all estimates are too high by the same factor, the work ahead is too high as well, and only the work done by estimates has the same factor.

Change: each list of a worker adds the processors of its best-effort runs at their listed speed, at most those of the worker, times the time since its list before (at most 1 s). The rate is the larger of the work done and this use.

--- a/crates/queue/src/agent_reports.rs
+++ b/crates/queue/src/agent_reports.rs
@@ -373,7 +373,7 @@
         tracked.unassigned.clear();
         tracked.awaits_list = false;
         let counts = self.features.refusals;
-        let mut progress = Vec::new();
+        let (mut progress, mut used) = (Vec::new(), 0u64);
         for listed in reported {
             let known = tracked.runs.get_mut(&listed.task);
             match known.filter(|run| run.start.run == listed.run) {
@@ -381,7 +381,12 @@
                     self.observations.extend(compare_forecast(agent, run, listed));
                     // A new checkpoint holds at least the progress of the list before.
                     let saved = run.percent.unwrap_or(run.checkpoint_percent);
-                    // Without a percentage, the progress is not known.
+                    // Without a percentage, neither speed nor progress is known.
+                    if run.start.best_effort && listed.percent.is_some() {
+                        let speed = u128::from(listed.speed.min(100));
+                        let cpu = u128::from(run.start.cpu) * speed / 100;
+                        used = used.saturating_add(u64::try_from(cpu).unwrap_or(u64::MAX));
+                    }
                     if let Some(percent) = listed.percent.filter(|_| counts)
                         && run.percent.map(|known| known / PROGRESS_STEP)
                             != Some(percent / PROGRESS_STEP)
@@ -438,7 +443,7 @@
                 self.steady_timers.set(until, SteadyTimer::Quarantine(agent.clone()));
             }
         }
-        self.record_progress(progress, now);
+        self.record_progress(agent, progress, used, now);
     }
 
     /// Ends the runs of agents whose lease has certainly expired; returns these agents
--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -7,7 +7,7 @@
 
 use super::rate::{PlacingTime, WorkRate};
 use super::{Backlog, ClassWork, PriorityWork, ServiceBacklog, TimedWork, size_class};
-use crate::name::{JobId, ServiceName};
+use crate::name::{AgentName, JobId, ServiceName};
 
 /// Latest time that is told apart, Unix ms (year 2527): sums of work times time fit into
 /// their type with it.
@@ -91,6 +91,8 @@
     ends: BTreeSet<(Millis, JobId, u32)>,
     rates: IndexMap<ServiceName, WorkRate>,
     placing: PlacingTime,
+    /// When the worker of each agent was last listed.
+    listed: IndexMap<AgentName, Moment>,
     /// Newest Unix time: the clock may be set back.
     unix: Millis,
 }
@@ -98,8 +100,9 @@
 impl BacklogIndex {
     /// Forgets all work; the rates stay.
     pub(crate) fn clear(&mut self) {
-        let (rates, placing, unix) = (std::mem::take(&mut self.rates), self.placing, self.unix);
-        *self = Self { rates, placing, unix, ..Self::default() };
+        let old = std::mem::take(self);
+        let Self { rates, placing, listed, unix, .. } = old;
+        *self = Self { rates, placing, listed, unix, ..Self::default() };
     }
 
     pub(super) fn contains(&self, key: &OccurrenceKey) -> bool {
@@ -219,6 +222,13 @@
         self.rates.get(service)?.mean(from, now)
     }
 
+    /// Records the processors, thousandths, that a worker's runs use according to its list.
+    pub(super) fn list(&mut self, agent: &AgentName, service: &ServiceName, cpu: u64, now: Moment) {
+        if let Some(before) = self.listed.insert(agent.clone(), now) {
+            self.rate(service).add_used(cpu, now.0.saturating_sub(before.0), now);
+        }
+    }
+
     /// Records for which services work waits for room.
     pub(super) fn sample(&mut self, waiting: &IndexSet<ServiceName>, now: Moment) {
         self.placing.sample(now);
--- a/crates/queue/src/backlog/rate.rs
+++ b/crates/queue/src/backlog/rate.rs
@@ -14,6 +14,9 @@
 /// Longest time between two samples of an owner that places tasks, ms: the agents' reports call
 /// it at least every 0.6 s.
 const MAX_SAMPLE_GAP: Millis = 1_200;
+/// Longest time between two lists of a worker for which its runs count, ms: a list is sent every
+/// 0.6 s.
+const MAX_LIST_GAP: Millis = 1_000;
 /// Time after an interruption until the rate is that of a full fleet again, ms: a placement, the
 /// start of its run, and the first list with its progress.
 const SETTLE_TIME: Millis = 2_000;
@@ -49,6 +52,8 @@
 struct RateSlot {
     /// Work done, in hundredths of a processor-ms.
     done: u128,
+    /// Processor time of the listed runs, in the same unit.
+    used: u128,
     /// Whether work waited at a sample.
     waited: bool,
     /// Whether none waited at another.
@@ -86,6 +91,13 @@
         slot.done = slot.done.saturating_add(done);
     }
 
+    /// Records the processors, thousandths, that the runs of a worker have used for a time, ms.
+    pub(crate) fn add_used(&mut self, cpu: u64, time: Millis, now: Moment) {
+        let slot = self.slot(now.0 / SLOT);
+        let used = u128::from(cpu) * u128::from(time.min(MAX_LIST_GAP)) / 10;
+        slot.used = slot.used.saturating_add(used);
+    }
+
     /// Records whether work waits for room. Work waits in the slots without a sample if it waits
     /// before and after them.
     pub(crate) fn sample(&mut self, waits: bool, now: Moment) {
@@ -99,19 +111,24 @@
     }
 
     /// Thousandths of a processor-ms in a ms, over the complete slots of the last 5 s in which
-    /// work waited all the time; `None` if there are too few. `from`: begin of the measurement.
+    /// work waited all the time; `None` if there are too few. It is at least the processors that
+    /// the listed runs have used: progress may be listed rarely, and an estimate may be too low
+    /// for the tasks that take the room, but not for those that wait. `from`: begin of the measurement.
     pub(crate) fn mean(&self, from: Moment, now: Moment) -> Option<u64> {
         let current = now.0 / SLOT;
         let oldest = current.saturating_sub(SLOTS).max(from.0.div_ceil(SLOT));
         let recent = self.slots.range(oldest.min(current)..current);
         let waited = recent.filter(|(_, slot)| slot.waited && !slot.idle);
-        let (count, done) = waited.fold((0usize, 0u128), |(count, done), (_, slot)| {
-            (count + 1, done.saturating_add(slot.done))
-        });
+        let (mut count, mut done, mut used) = (0usize, 0u128, 0u128);
+        for (_, slot) in waited {
+            count += 1;
+            done = done.saturating_add(slot.done);
+            used = used.saturating_add(slot.used);
+        }
         if count < MIN_SLOTS {
             return None;
         }
         let time = count as u128 * u128::from(SLOT);
-        Some(u64::try_from(done.saturating_mul(10) / time).unwrap_or(u64::MAX))
+        Some(u64::try_from(done.max(used).saturating_mul(10) / time).unwrap_or(u64::MAX))
     }
 }
--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -8,7 +8,7 @@
 use super::{Backlog, task_work};
 use crate::config::OperatorView;
 use crate::job::{JobProgress, TaskProgress};
-use crate::name::{JobId, ServiceName, StepName, TaskName};
+use crate::name::{AgentName, JobId, ServiceName, StepName, TaskName};
 use crate::scheduler::QueueScheduler;
 use crate::worker::REPORT_TIMEOUT;
 
@@ -110,11 +110,23 @@
         }
     }
 
-    /// Records the progress that a worker has listed.
-    pub(crate) fn record_progress(&mut self, listed: Vec<(TaskName, u8)>, now: Moment) {
+    /// Records the progress that a worker has listed, and the processors that its best-effort
+    /// runs use, thousandths.
+    pub(crate) fn record_progress(
+        &mut self,
+        agent: &AgentName,
+        listed: Vec<(TaskName, u8)>,
+        used: u64,
+        now: Moment,
+    ) {
         for (task, percent) in listed {
             self.change_tracked_task(&task, |task| task.percent = percent.min(100), now);
         }
+        let worker = self.workers.get(agent).and_then(|tracked| tracked.worker.as_ref());
+        if let Some(worker) = worker.filter(|_| self.features.refusals) {
+            let used = used.min(worker.capacity.cpu);
+            self.backlog_index.list(agent, &worker.service, used, now);
+        }
     }
 
     /// Remaining work of a step, hundredths of a processor-ms.
--- a/crates/queue/tests/backlog_rate.rs
+++ b/crates/queue/tests/backlog_rate.rs
@@ -240,3 +240,34 @@
     let after = fleet.rate();
     assert!(after.is_none_or(|after| after >= before * 3 / 4), "{after:?} after {before}");
 }
+
+/// Guards against a low rate where progress is listed in large steps, or not until the end.
+#[test]
+fn work_counts_also_if_its_progress_is_listed_rarely() {
+    let mut fleet = Fleet::open(&["a"]);
+    fleet.submit("j", changed(filling(90), |step| step.estimate = 60_000));
+    fleet.now += TICK;
+    fleet.list("a", 0, 100);
+    fleet.pass();
+    for tick in 1..20 {
+        fleet.now += TICK;
+        fleet.list("a", if tick < 8 { 0 } else { 1 }, 100);
+        fleet.pass();
+    }
+    assert_eq!(fleet.rate(), Some(4_000));
+}
+
+/// Guards against tasks that take longer than their caller expects and lower the rate for all
+/// other jobs.
+#[test]
+fn estimates_that_are_too_low_do_not_lower_the_rate() {
+    let mut fleet = Fleet::open(&["a"]);
+    fleet.submit("j", changed(filling(90), |step| step.estimate = 10));
+    for _ in 0..20 {
+        fleet.now += TICK;
+        fleet.end("a", "j", RunEnd::Done);
+        fleet.pass();
+        fleet.list("a", 50, 100);
+    }
+    assert_eq!(fleet.rate(), Some(4_000));
+}
