Measure no rate while more than a tenth of the agents is silent

While a data centre is cut off, its workers go on, but nothing of what they do is listed, and nothing is placed on them. The rate was that of the other workers, against the work of all, so jobs were refused for a room that returns.

Ruled out: a rate scaled by the share of reporting agents. Whether the silent workers still run is not known, and a loss of power ends in the same silence.

Change: the measurement begins anew 2 s after the last sample at which more than a tenth of the known agents had not reported for 1.6 s.

--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -90,7 +90,7 @@
     /// When entries lose the value that they have.
     ends: BTreeSet<(Millis, JobId, u32)>,
     rates: IndexMap<ServiceName, WorkRate>,
-    placing: PlacingTime,
+    pub(super) placing: PlacingTime,
     /// When the worker of each agent was last listed.
     listed: IndexMap<AgentName, Moment>,
     /// Newest Unix time: the clock may be set back.
--- a/crates/queue/src/backlog/rate.rs
+++ b/crates/queue/src/backlog/rate.rs
@@ -33,11 +33,16 @@
     /// Records that the owner places tasks.
     pub(crate) fn sample(&mut self, now: Moment) {
         if !self.is_placing(now) {
-            self.from = now.after(SETTLE_TIME);
+            self.interrupt(now);
         }
         self.sampled = Some(now);
     }
 
+    /// Has the measurement begin anew: work is done that is not listed, or nothing can be placed.
+    pub(crate) fn interrupt(&mut self, now: Moment) {
+        self.from = now.after(SETTLE_TIME);
+    }
+
     fn is_placing(&self, now: Moment) -> bool {
         self.sampled.is_some_and(|at| now <= at.after(MAX_SAMPLE_GAP))
     }
--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -12,6 +12,10 @@
 use crate::scheduler::QueueScheduler;
 use crate::worker::REPORT_TIMEOUT;
 
+/// The rate is not measured while more than one in so many agents is silent: what their workers
+/// do is not known. A single lost worker of a fleet changes little.
+const SILENT_PART: usize = 10;
+
 impl QueueScheduler {
     /// The work that waits; `None` unless refusals are switched on.
     pub fn backlog(&mut self, now: Moment, unix: Millis) -> Option<Backlog> {
@@ -33,6 +37,10 @@
             }
         }
         self.backlog_index.sample(&waiting, now);
+        let (reached, agents) = self.reached_agents(REPORT_TIMEOUT, now);
+        if (agents - reached) * SILENT_PART > agents {
+            self.backlog_index.placing.interrupt(now);
+        }
     }
 
     /// Whether a step that no worker can take shows that there is no room for others: half of
--- a/crates/queue/tests/backlog_rate.rs
+++ b/crates/queue/tests/backlog_rate.rs
@@ -271,3 +271,20 @@
     }
     assert_eq!(fleet.rate(), Some(4_000));
 }
+
+/// Guards against the rate of the other workers while those of a data centre are cut off, whose
+/// work is not listed.
+#[test]
+fn silent_agents_are_no_lack_of_room() {
+    let agents = ["a", "b", "c", "d"];
+    let mut fleet = Fleet::open(&agents);
+    fleet.submit("j", filling(200));
+    assert_eq!(fleet.work(&agents, 16), Some(16_000));
+    for _ in 0..10 {
+        let rate = fleet.work(&agents[..3], 1);
+        assert!(rate.is_none_or(|rate| rate > 14_000), "{rate:?}");
+    }
+    assert_eq!(fleet.rate(), None);
+    assert_eq!(fleet.work(&agents, 4), None);
+    assert_eq!(fleet.work(&agents, 12), Some(16_000));
+}
