Spread the times until a retry over whole seconds evenly

The jitter of up to a half was added in ms and rounded up to whole seconds, as the header has them: of the callers that were told 1 to 1.5 s, 50 of 51 got 2 s, and came back together.

Ruled out: rounding to the nearest second, which moves the lump to 1 s.

Change: the jitter chooses among the whole seconds from the time to one that is a half longer, all as likely.

Conclusion: short_times_are_spread_too failed before (1: 1, 2: 50) and passes; the checks of the bounds (1 to 30 s, 20 to 30 s for the longest time) are unchanged.

--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -67,9 +67,14 @@
     Some(retry_after)
 }
 
-/// Whole seconds of a time with this jitter, percent.
+/// Whole seconds of a time with this jitter, percent: at equal steps from the time to one that is
+/// `MAX_JITTER` percent longer, both rounded up.
 #[must_use]
 pub fn retry_seconds(retry_after: Millis, jitter: u64) -> u64 {
-    let millis = retry_after.saturating_mul(100 + jitter) / 100;
-    millis.div_ceil(1_000).clamp(1, MAX_RETRY_SECONDS)
+    let seconds = |percent: u64| {
+        let millis = retry_after.saturating_mul(100 + percent) / 100;
+        millis.div_ceil(1_000).clamp(1, MAX_RETRY_SECONDS)
+    };
+    let (first, last) = (seconds(0), seconds(MAX_JITTER));
+    first + (last - first + 1) * jitter.min(MAX_JITTER) / (MAX_JITTER + 1)
 }
--- a/crates/fleet/tests/room.rs
+++ b/crates/fleet/tests/room.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use cactusdoor_core::unit::Moment;
@@ -92,6 +93,20 @@
     assert_eq!([0, 25, 50].map(|jitter| retry_seconds(20_000, jitter)), [20, 25, 30]);
 }
 
+/// Guards against callers that come back in the same second: whole seconds spread short times only
+/// if each of them is as likely as the others.
+#[test]
+fn short_times_are_spread_too() {
+    for (retry_after, expected) in [(1_000, 1..=2), (1_400, 2..=3), (4_000, 4..=6)] {
+        let mut counts = BTreeMap::new();
+        for jitter in 0..=50 {
+            *counts.entry(retry_seconds(retry_after, jitter)).or_insert(0) += 1;
+        }
+        assert!(counts.keys().copied().eq(expected), "{retry_after}: {counts:?}");
+        assert!(counts.values().all(|count| *count >= 15), "{retry_after}: {counts:?}");
+    }
+}
+
 /// Guards against the refusal of a job that is stored, or may be without a verdict, and runs.
 #[test]
 fn a_job_that_this_entry_tried_to_store_may_run() {
