Update the remaining time of a job when a fully listed step ends

The sums followed a task only if its remaining work changed. A worker usually lists a task with 100% before it ends, so the end changed no work, and the end of the step did not shorten the remaining path. The job counted as late one step too early, its remaining time was too short by the step's length, and new jobs were refused as if they harmed it.

Ruled out: a new calculation with every list. Only the end of a step changes the path.

Change: the end of a step counts as a change. The oracle and the fuzz test now compare the mean remaining time of each class too; so far they compared the work alone, which is how this stayed unseen.

--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -96,18 +96,19 @@
         now: Moment,
     ) {
         let Some(job) = self.jobs.get_mut(&name.job) else { return };
-        let before = Self::step_work(job, name);
+        let (before, was_done) = (Self::step_work(job, name), job.step_is_done(name));
         job.change_task(name, change);
         let after = Self::step_work(job, name);
-        if !self.features.refusals || before == after {
+        // The last task of a step may have been listed with all its progress before its end.
+        let is_done = job.step_is_done(name);
+        if !self.features.refusals || (before == after && is_done == was_done) {
             return;
         }
         let Some(step) = job.step_spec(name) else { return };
         let best_effort = step.best_effort;
         let key: OccurrenceKey = (name.job.clone(), name.occurrence);
         // Only the end of a step changes the remaining path.
-        let in_time_until =
-            job.step_is_done(name).then(|| Self::in_time_until(&self.view, job, name.occurrence));
+        let in_time_until = is_done.then(|| Self::in_time_until(&self.view, job, name.occurrence));
         let changed = self.backlog_index.change(&key, |work| {
             let sum = if best_effort { &mut work.best_effort } else { &mut work.reserving };
             *sum = sum.saturating_sub(before).saturating_add(after);
--- a/crates/queue/tests/backlog.rs
+++ b/crates/queue/tests/backlog.rs
@@ -368,6 +368,30 @@
     assert_eq!(best_effort_work(&owner.backlog()), 6_000);
 }
 
+/// Guards against a job that seems late as long as its last step counts as ahead of it, although
+/// it is done: its last task was listed with all its progress before it ended.
+#[test]
+fn the_end_of_a_step_whose_work_was_listed_changes_the_remaining_time() {
+    let mut owner = Owner::open();
+    let first = wide(1).steps[0].clone();
+    let second = StepSpec { after: vec![0], ..first.clone() };
+    owner.scheduler.submit(&"j".into(), job(vec![first, second]));
+    owner.report(|_| {});
+    // Budget 4.1 s, path 2 s.
+    let remaining = |owner: &mut Owner| owner.backlog().services[0].classes[0].in_time.remaining;
+    assert_eq!(remaining(&mut owner), 2_100);
+    let row = ReportedRun {
+        task: task("j", 0, 0),
+        run: 1,
+        checkpoint: "".into(),
+        percent: Some(100),
+        speed: 100,
+    };
+    owner.report(|message| message.runs = Some(vec![row]));
+    owner.end(RunEnd::Done);
+    assert_eq!(remaining(&mut owner), 3_100);
+}
+
 /// Guards against jobs without a value that keep others out.
 #[test]
 fn useless_work_does_not_count_ahead() {
--- a/crates/queue/tests/oracle/work.rs
+++ b/crates/queue/tests/oracle/work.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_queue::backlog::ClassWork;
+use cactusdoor_queue::backlog::TimedWork;
 use cactusdoor_queue::job::{JobProgress, StepProgress, TaskPlace, TaskProgress};
 use cactusdoor_queue::name::ServiceName;
 use cactusdoor_queue::scheduler::QueueScheduler;
@@ -12,6 +12,26 @@
 /// Best-effort and reserving work, hundredths of a processor-ms.
 type KindWork = (u128, u128);
 
+/// Work, hundredths of a processor-ms, and its sum times the end of its value.
+#[derive(Clone, Copy, Default)]
+struct ValuedWork {
+    work: u128,
+    weighted: u128,
+}
+
+impl ValuedWork {
+    fn add(&mut self, work: u128, until: u64) {
+        self.work += work;
+        self.weighted += work * u128::from(until);
+    }
+
+    fn timed(&self, unix: u64) -> TimedWork {
+        let work = u64::try_from(self.work / 100).unwrap();
+        let until = self.weighted.checked_div(self.work).unwrap_or(0);
+        TimedWork { work, remaining: u64::try_from(until).unwrap().saturating_sub(unix) }
+    }
+}
+
 fn left(task: &TaskProgress) -> u128 {
     if task.place == TaskPlace::Done { 0 } else { 100 - u128::from(task.percent) }
 }
@@ -38,7 +58,7 @@
 pub fn check_backlog(scheduler: &mut QueueScheduler, now: Moment, unix: u64) {
     let backlog = scheduler.backlog(now, unix).unwrap();
     let mut kinds: BTreeMap<(ServiceName, u32), KindWork> = BTreeMap::new();
-    let mut classes: BTreeMap<(ServiceName, u32, u32), KindWork> = BTreeMap::new();
+    let mut classes: BTreeMap<(ServiceName, u32, u32), [ValuedWork; 2]> = BTreeMap::new();
     for job in scheduler.jobs.values() {
         check_progress(scheduler, job);
         let config = scheduler.queue_config(&job.spec);
@@ -57,8 +77,12 @@
             let whole = u64::try_from(best_effort / 100).unwrap();
             let size = whole.max(1).ilog2() / 2;
             let class = classes.entry((key.0, key.1, size)).or_default();
-            let in_time = unix <= (begins + budget).saturating_sub(path);
-            *(if in_time { &mut class.0 } else { &mut class.1 }) += best_effort;
+            let in_time_until = (begins + budget).saturating_sub(path);
+            if unix <= in_time_until {
+                class[0].add(best_effort, in_time_until);
+            } else {
+                class[1].add(best_effort, begins + 3 * budget);
+            }
         }
     }
     let whole = |work: u128| u64::try_from(work / 100).unwrap();
@@ -75,17 +99,16 @@
         .services
         .iter()
         .flat_map(|service| service.classes.iter().map(|class| (service.service.clone(), class)))
-        .map(|(service, class)| ((service, class.priority, class.size), sums(class)))
+        .map(|(service, class)| {
+            ((service, class.priority, class.size), [class.in_time, class.useful])
+        })
         .collect();
+    let timed = |sums: [ValuedWork; 2]| sums.map(|sum| sum.timed(unix));
     let expected: BTreeMap<_, _> =
-        classes.into_iter().map(|(key, sum)| (key, (whole(sum.0), whole(sum.1)))).collect();
+        classes.into_iter().map(|(key, sums)| (key, timed(sums))).collect();
     assert_eq!(counted, expected);
 }
 
-fn sums(class: &ClassWork) -> (u64, u64) {
-    (class.in_time.work, class.useful.work)
-}
-
 /// Checks the progress of placed tasks against the newest lists of their workers.
 fn check_progress(scheduler: &QueueScheduler, job: &JobProgress) {
     for tracked in scheduler.workers.values() {
