Leave time to store a job that is accepted without the owner's answer

Before a refusal the entry asks the owner whether it knows the job, for up to 1 s but at most the caller's time. For a caller with a second or less left, an owner that does not answer took all of it: the job was accepted and then had no time to be stored, so its caller got no verdict (504) although the job may run.

Ruled out: a shorter limit for all. An owner that reads the requests from a slow store needs the second, and the answer is usually there after some ms.

Change: the wait is at most half of the caller's time.

--- a/crates/fleet/src/room.rs
+++ b/crates/fleet/src/room.rs
@@ -16,8 +16,7 @@
 
 /// Longest time that callers are told, s.
 const MAX_RETRY_SECONDS: u64 = 30;
-/// Longest wait for the owner's answer whether it knows the job: a job of which that is not known
-/// is accepted, and must still be stored within a call of 3 s.
+/// Longest wait for the owner's answer whether it knows the job: less than a call of 3 s.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Most that is added to a caller's time, percent: callers retry at different times.
 const MAX_JITTER: u64 = 50;
@@ -39,7 +38,8 @@
     // The lease of the body does not cover the parsed job during the wait for the owner.
     drop(spec);
     let Admission::Refuse(refusal) = admission else { return None };
-    let deadline = deadline.min(Instant::now() + OWNER_TIMEOUT);
+    let now = Instant::now();
+    let deadline = now + owner_wait(deadline.saturating_duration_since(now));
     // The call itself may wait if too many others are under way.
     let answer = tokio::time::timeout_at(deadline.into(), context.find(job, deadline)).await;
     let is_unknown = matches!(answer, Ok(Ok(None)));
@@ -67,6 +67,13 @@
     Some(retry_after)
 }
 
+/// Longest wait for the owner's answer, for a caller that has this time left: a job that is accepted
+/// without an answer must still be stored.
+#[must_use]
+pub fn owner_wait(remaining: Duration) -> Duration {
+    (remaining / 2).min(OWNER_TIMEOUT)
+}
+
 /// Whole seconds of a time with this jitter, percent: at equal steps from the time to one that is
 /// `MAX_JITTER` percent longer, both rounded up.
 #[must_use]
--- a/crates/fleet/tests/room.rs
+++ b/crates/fleet/tests/room.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cactusdoor_core::unit::Moment;
-use cactusdoor_fleet::room::retry_seconds;
+use cactusdoor_fleet::room::{owner_wait, retry_seconds};
 use cactusdoor_fleet::watcher::JobStates;
 use cactusdoor_queue::backlog::{
     Admission, Backlog, ClassWork, ServiceBacklog, TimedWork, size_class,
@@ -107,6 +107,13 @@
     }
 }
 
+/// Guards against a wait for the owner that leaves no time to store the job.
+#[test]
+fn half_of_a_callers_time_remains_to_store_the_job() {
+    let wait = |millis| owner_wait(Duration::from_millis(millis)).as_millis();
+    assert_eq!([0, 300, 2_000, 60_000].map(wait), [0, 150, 1_000, 1_000]);
+}
+
 /// Guards against the refusal of a job that is stored, or may be without a verdict, and runs.
 #[test]
 fn a_job_that_this_entry_tried_to_store_may_run() {
