Compare the work of jobs that can be in time with their deadlines

A job is refused only if the work that has a value cannot be done, with it, in the mean time for which it has this value. For jobs that can be in time, this time ended where the whole remaining path no longer fits, which is a latest begin: a job that ran in time seemed harmed by any new job from its begin on, as its work took longer than its slack. So the test passed whenever a long job ran.

Ruled out: the remaining path less the progress of the running tasks, as ranks have it. It changes with each list, and the end of the work is what is compared.

Change: the mean of this class is that of the deadlines.

--- a/crates/queue/src/backlog.rs
+++ b/crates/queue/src/backlog.rs
@@ -45,7 +45,7 @@
     pub priority: u32,
     /// Class of the remaining work of the jobs; see [`size_class`].
     pub size: u32,
-    /// Jobs that can still be in time; remaining: until they cannot.
+    /// Jobs that can still be in time; remaining: until they must be done.
     pub in_time: TimedWork,
     /// Jobs that can only be late; remaining: until they are useless.
     pub useful: TimedWork,
--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -25,6 +25,8 @@
     pub reserving: u128,
     /// Unix time until which the occurrence can be in time.
     pub in_time_until: Millis,
+    /// Unix time at which it must be done to be in time.
+    pub deadline: Millis,
     /// Unix time until which it is useful.
     pub useful_until: Millis,
 }
@@ -58,6 +60,12 @@
         until.min(MAX_TIME)
     }
 
+    /// When its work must be done to have this value, at most `MAX_TIME`.
+    fn due(&self, value: ValueClass) -> Millis {
+        let until = self.until(value);
+        if value == ValueClass::InTime { self.deadline.min(MAX_TIME) } else { until }
+    }
+
     fn size(&self) -> u32 {
         size_class(whole(self.best_effort))
     }
@@ -66,7 +74,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkSum {
     work: u128,
-    /// Sum of the work times the end of its value.
+    /// Sum of the work times the time at which it must be done.
     weighted: u128,
     /// Number of occurrences: a sum without any is dropped.
     count: usize,
@@ -158,8 +166,8 @@
         if old.best_effort != new.best_effort
             && let Some(class) = self.classes.get_mut(&key)
         {
-            let until = u128::from(new.until(value));
-            let weighted = |work: u128| work.saturating_mul(until);
+            let due = u128::from(new.due(value));
+            let weighted = |work: u128| work.saturating_mul(due);
             apply(&mut class.work, old.best_effort, new.best_effort);
             apply(&mut class.weighted, weighted(old.best_effort), weighted(new.best_effort));
         }
@@ -188,7 +196,8 @@
         let class_key = (work.service.clone(), work.priority, work.size(), value);
         let class = self.classes.entry(class_key.clone()).or_default();
         apply(&mut class.work, work.best_effort);
-        apply(&mut class.weighted, work.best_effort.saturating_mul(u128::from(until)));
+        let due = u128::from(work.due(value));
+        apply(&mut class.weighted, work.best_effort.saturating_mul(due));
         if !number(&mut class.count) {
             self.classes.remove(&class_key);
         }
--- a/crates/queue/src/backlog/tracking.rs
+++ b/crates/queue/src/backlog/tracking.rs
@@ -167,6 +167,7 @@
             best_effort,
             reserving,
             in_time_until: Self::in_time_until(view, job, occurrence),
+            deadline: Self::deadline(view, job, occurrence),
             useful_until: begins.saturating_add(budget.saturating_mul(USELESS_BUDGETS)),
         }
     }
