--- a/crates/queue/src/backlog/index.rs
+++ b/crates/queue/src/backlog/index.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use cactusdoor_core::unit::{Millis, Moment};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use super::rate::WorkRate;
+use super::rate::{PlacingTime, WorkRate};
 use super::{Backlog, ClassWork, PriorityWork, ServiceBacklog, TimedWork, size_class};
-use crate::name::{JobId, ServiceName};
+use crate::name::{AgentName, JobId, ServiceName};
 
 /// Latest time that is told apart, Unix ms (year 2527): sums of work times time fit into
 /// their type with it.
@@ -25,6 +25,8 @@
     pub reserving: u128,
     /// Unix time until which the occurrence can be in time.
     pub in_time_until: Millis,
+    /// Unix time at which it must be done to be in time.
+    pub deadline: Millis,
     /// Unix time until which it is useful.
     pub useful_until: Millis,
 }
@@ -58,6 +60,12 @@
         until.min(MAX_TIME)
     }
 
+    /// When its work must be done to have this value, at most `MAX_TIME`.
+    fn due(&self, value: ValueClass) -> Millis {
+        let until = self.until(value);
+        if value == ValueClass::InTime { self.deadline.min(MAX_TIME) } else { until }
+    }
+
     fn size(&self) -> u32 {
         size_class(whole(self.best_effort))
     }
@@ -66,7 +74,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct WorkSum {
     work: u128,
-    /// Sum of the work times the end of its value.
+    /// Sum of the work times the time at which it must be done.
     weighted: u128,
     /// Number of occurrences: a sum without any is dropped.
     count: usize,
@@ -90,6 +98,9 @@
     /// When entries lose the value that they have.
     ends: BTreeSet<(Millis, JobId, u32)>,
     rates: IndexMap<ServiceName, WorkRate>,
+    pub(super) placing: PlacingTime,
+    /// When the worker of each agent was last listed.
+    listed: IndexMap<AgentName, Moment>,
     /// Newest Unix time: the clock may be set back.
     unix: Millis,
 }
@@ -97,8 +108,9 @@
 impl BacklogIndex {
     /// Forgets all work; the rates stay.
     pub(crate) fn clear(&mut self) {
-        let (rates, unix) = (std::mem::take(&mut self.rates), self.unix);
-        *self = Self { rates, unix, ..Self::default() };
+        let old = std::mem::take(self);
+        let Self { rates, placing, listed, unix, .. } = old;
+        *self = Self { rates, placing, listed, unix, ..Self::default() };
     }
 
     pub(super) fn contains(&self, key: &OccurrenceKey) -> bool {
@@ -118,12 +130,13 @@
         }
     }
 
-    /// Changes the work of an entry; returns its service and the best-effort work done.
+    /// Changes the work of an entry; returns its service and the best-effort work done,
+    /// none if work was lost.
     pub(super) fn change(
         &mut self,
         key: &OccurrenceKey,
         change: impl FnOnce(&mut TrackedWork),
-    ) -> Option<(ServiceName, i128)> {
+    ) -> Option<(ServiceName, u128)> {
         let (work, value) = self.entries.get_mut(key)?;
         let old = work.clone();
         change(work);
@@ -137,8 +150,7 @@
             self.count(key, &old, old_value, false);
             self.count(key, &new, value, true);
         }
-        let done = signed(old.best_effort).saturating_sub(signed(new.best_effort));
-        Some((new.service, done))
+        Some((new.service, old.best_effort.saturating_sub(new.best_effort)))
     }
 
     /// Changes the amounts of an entry that stays in its class: most changes are progress.
@@ -154,8 +166,8 @@
         if old.best_effort != new.best_effort
             && let Some(class) = self.classes.get_mut(&key)
         {
-            let until = u128::from(new.until(value));
-            let weighted = |work: u128| work.saturating_mul(until);
+            let due = u128::from(new.due(value));
+            let weighted = |work: u128| work.saturating_mul(due);
             apply(&mut class.work, old.best_effort, new.best_effort);
             apply(&mut class.weighted, weighted(old.best_effort), weighted(new.best_effort));
         }
@@ -184,7 +196,8 @@
         let class_key = (work.service.clone(), work.priority, work.size(), value);
         let class = self.classes.entry(class_key.clone()).or_default();
         apply(&mut class.work, work.best_effort);
-        apply(&mut class.weighted, work.best_effort.saturating_mul(u128::from(until)));
+        let due = u128::from(work.due(value));
+        apply(&mut class.weighted, work.best_effort.saturating_mul(due));
         if !number(&mut class.count) {
             self.classes.remove(&class_key);
         }
@@ -212,6 +225,30 @@
         &mut self.rates[service]
     }
 
+    /// `None` if the owner does not place tasks: what is done then is no measure of the room.
+    fn mean_rate(&self, service: &ServiceName, now: Moment) -> Option<u64> {
+        let from = self.placing.measured_from(now)?;
+        self.rates.get(service)?.mean(from, now)
+    }
+
+    /// Records the processors, thousandths, that a worker's runs use according to its list.
+    pub(super) fn list(&mut self, agent: &AgentName, service: &ServiceName, cpu: u64, now: Moment) {
+        if let Some(before) = self.listed.insert(agent.clone(), now) {
+            self.rate(service).add_used(cpu, now.0.saturating_sub(before.0), now);
+        }
+    }
+
+    /// Records for which services work waits for room.
+    pub(super) fn sample(&mut self, waiting: &IndexSet<ServiceName>, now: Moment) {
+        self.placing.sample(now);
+        for service in waiting {
+            self.rate(service);
+        }
+        for (service, rate) in &mut self.rates {
+            rate.sample(waiting.contains(service), now);
+        }
+    }
+
     /// The backlog at a time.
     pub(super) fn answer(&mut self, ordered: bool, now: Moment, unix: Millis) -> Backlog {
         self.advance(unix);
@@ -224,7 +261,7 @@
         for ((service, priority), sum) in &self.kinds {
             let known = services.entry(service.clone()).or_insert_with(|| ServiceBacklog {
                 service: service.clone(),
-                rate: self.rates.get(service).and_then(|rate| rate.mean(now)),
+                rate: self.mean_rate(service, now),
                 ..ServiceBacklog::default()
             });
             let (best_effort, reserving) = (whole(sum.best_effort), whole(sum.reserving));
@@ -255,7 +292,3 @@
 fn whole(work: u128) -> u64 {
     u64::try_from(work / 100).unwrap_or(u64::MAX)
 }
-
-fn signed(work: u128) -> i128 {
-    i128::try_from(work).unwrap_or(i128::MAX)
-}
