--- a/review/standins3.py
+++ b/review/standins3.py
@@ -8,7 +8,7 @@
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), '..'))
 BIN = os.environ.get('FLEET_BIN', os.path.join(ROOT, 'target/release/cactusdoor-fleet'))
 B = dict(configApplyMs=2000, cancel_ms=3000, harmMs=4000, evacuateMs=5000, graceS=6, holdMaxMs=10000,
-         stopMs=200, restoreMs=600, gangTimeoutMs=3000, checkpointS=2, early_ms=250, visible_ms=3000)
+         stopMs=900, restoreMs=600, gangTimeoutMs=3000, checkpointS=1, early_ms=250, visible_ms=3000)
 
 
 def now():
@@ -45,10 +45,16 @@
     """The connection stays open without an answer."""
 
 
+SERVED = set()
+
+
 async def serve(port, handler):
-    conns = set()
+    conns, tasks = set(), SERVED
 
     async def conn(r, w):
+        me = asyncio.current_task()
+        tasks.add(me)
+        me.add_done_callback(tasks.discard)
         conns.add(w)
         try:
             while True:
@@ -78,7 +84,7 @@
                 w.write(b'HTTP/1.1 %d X\r\ncontent-type: %s\r\ncontent-length: %d\r\n\r\n' %
                         (status, ctype.encode(), len(out)) + out)
                 await w.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError, RuntimeError):
             pass
         except asyncio.CancelledError:
             pass
@@ -254,6 +260,7 @@
         self.failed = {}
         self.gangs = {}      # (step name, run) -> dict
         self.starts = 0
+        self.tickets_missing = 0
 
     def rec(self, *a):
         self.events.append('%8.3f ' % (now() - self.t0) + ' '.join(str(x) for x in a))
@@ -303,6 +310,7 @@
         self.last = {}
         self.ended = []
         self.nend = 0
+        self.lapsed_ends = 0
         self.seq = 0
         self.draining = False
         self.wake = asyncio.Event()
@@ -343,6 +351,8 @@
         if self.lease < self.clock():
             for task in list(self.running):
                 self.finish(task, 'lapsed')
+            # Ends from before a lapse of the lease are never taken note of.
+            self.lapsed_ends = self.nend
         for task, r in list(self.running.items()):
             if task not in self.running:
                 continue
@@ -436,12 +446,15 @@
             return 'old'
         if b['deadlineMs'] < self.clock():
             return 'late'
-        if r:
-            self.finish(task, 'stopped')
         body, st = self.p.step(task)
         if st is None:
             self.p.broken('UNASKED', '%s: no such job was sent' % task)
             return None
+        if body['_meta'].get('advice') and not b.get('ticket'):
+            self.p.tickets_missing += 1
+            return 'ticket'
+        if r:
+            self.finish(task, 'stopped')
         p = self.p
         p.starts += 1
         self.last[task] = run
@@ -503,7 +516,7 @@
             g = p.gangs.setdefault((task.rsplit('.', 1)[0], run), dict(members={}, began=None, dead=False))
             g['members'][task] = (self, task)
             r['gang'] = g
-            if len(g['members']) == st['count']:
+            if len(g['members']) == st['count'] and not g['dead']:
                 g['began'] = t + (B['restoreMs'] / 1000 if ck else 0)
         p.rec('start', task, 'run', run, 'worker', self.n, 'token', b.get('fencingToken'), 'late' if late else '')
         u = self.used()
@@ -547,11 +560,11 @@
             return js(503, dict(clockMs=self.clock()))
         import random
         if self.late and name in self.late_kinds and random.random() < self.late:
-            ident = self.id
+            ident = self.born
 
             async def later():
                 await asyncio.sleep(self.late_s() if callable(self.late_s) else self.late_s)
-                if self.up and self.id == ident:
+                if self.up and self.born == ident:  # a call dies with the process that got it
                     self.p.rec('late', name, b.get('task', ''), b.get('run', ''), 'worker', self.n)
                     self.order(name, b, True)
             asyncio.ensure_future(later())
@@ -594,11 +607,11 @@
             self.lease = max(self.lease, min(b['deadlineMs'], self.clock() + B['holdMaxMs']))
         noted = [e for e in self.ended if e[0] <= b['lastSeen']]
         self.ended = [e for e in self.ended if e[0] > b['lastSeen']]
-        for _, task, run, how, _ in noted:
+        for n, task, run, how, _ in noted:
             body, st = self.p.step(task)
             if st is None:
                 continue
-            if how == 'done' and not st.get('longRunning'):
+            if how == 'done' and not st.get('longRunning') and n > self.lapsed_ends:
                 names = [task]
                 if st.get('gang'):
                     names = ['%s.%d' % (task.rsplit('.', 1)[0], j) for j in range(st['count'])]
@@ -758,6 +771,9 @@
             if w.up:
                 for t in w.tasks:
                     t.cancel()
+        for t in list(SERVED):
+            t.cancel()
+        await asyncio.gather(*SERVED, return_exceptions=True)
 
     def clean(self):
         shutil.rmtree(self.dir, ignore_errors=True)
